Lay the frame: types, wire messages, checks

Change: identities, verdicts, reasons, events, commands, catalogue kinds, the link's messages, the test runner's closing line and the import test. Conclusion: a frame on which the path can be built.

--- /dev/null
+++ b/src/chicorycove/command.py
@@ -0,0 +1,232 @@
+"""What a decision asks for: frozen commands that adapters carry out."""
+
+import dataclasses
+import typing as t
+
+from .event import SealOutcome
+from .identity import AgentId, AttemptId
+from .reason import Reason
+from .verdict import Verdict
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+# An entry speaks to agents.
+
+
+@frozen
+class Send:
+    """Send an attempt; members are the other engines of its group."""
+
+    attempt: AttemptId
+    agent: AgentId
+    members: tuple[AgentId, ...] = ()
+
+
+@frozen
+class Cancel:
+    """Tell an agent that an attempt is no longer wanted."""
+
+    attempt: AttemptId
+    agent: AgentId
+
+
+@frozen
+class Seal:
+    """Ask an agent that an attempt never start."""
+
+    attempt: AttemptId
+    agent: AgentId
+
+
+@frozen
+class Resume:
+    """Ask an agent for an attempt's answer from an offset in bytes."""
+
+    attempt: AttemptId
+    agent: AgentId
+    offset: int
+
+
+@frozen
+class Reserve:
+    """Ask an agent for engine memory, in tokens, for a member of a group."""
+
+    attempt: AttemptId
+    agent: AgentId
+    memory: int
+
+
+@frozen
+class Release:
+    """Give a member's reservation back."""
+
+    attempt: AttemptId
+    agent: AgentId
+
+
+@frozen
+class Prefill:
+    """Have a member compute its segment of the prompt, in tokens."""
+
+    attempt: AttemptId
+    agent: AgentId
+    start: int
+    stop: int
+    members: tuple[AgentId, ...] = ()
+
+
+# An entry speaks to callers.
+
+
+@frozen
+class Relay:
+    """Pass the chunk at hand on to the caller, less its first bytes."""
+
+    request: str
+    skip: int = 0
+
+
+@frozen
+class Finish:
+    """End a caller's answer: it is whole."""
+
+    request: str
+
+
+@frozen
+class Fail:
+    """End a request with a problem; retry_after is in seconds."""
+
+    request: str
+    reason: Reason
+    verdict: Verdict
+    retry_after: float | None = None
+
+
+@frozen
+class Replay:
+    """Answer a caller with the result kept for its key."""
+
+    request: str
+    result: bytes
+
+
+# An entry speaks to the platform and to its own instruments.
+
+
+@frozen
+class StoreRead:
+    """Read a key of the store."""
+
+    call: int
+    key: str
+
+
+@frozen
+class StoreSwap:
+    """Write a key of the store if it still has a version; 0 for absent."""
+
+    call: int
+    key: str
+    version: int
+    value: bytes
+
+
+@frozen
+class CountRetry:
+    """Count a retry."""
+
+    reason: Reason
+
+
+@frozen
+class CountDrop:
+    """Count a late or crossed message that was dropped."""
+
+    kind: str
+
+
+EntryCommand = t.Union[
+    Send,
+    Cancel,
+    Seal,
+    Resume,
+    Reserve,
+    Release,
+    Prefill,
+    Relay,
+    Finish,
+    Fail,
+    Replay,
+    StoreRead,
+    StoreSwap,
+    CountRetry,
+    CountDrop,
+]
+
+
+# An agent speaks to entries and to its target.
+
+
+@frozen
+class Run:
+    """Hand an attempt to the target."""
+
+    attempt: AttemptId
+
+
+@frozen
+class Stop:
+    """Have the target cancel an attempt and free its memory."""
+
+    attempt: AttemptId
+
+
+@frozen
+class TellAccepted:
+    """Tell the owner that an attempt waits in the queue."""
+
+    attempt: AttemptId
+
+
+@frozen
+class TellRefused:
+    """Tell the owner that an attempt has not run and never will."""
+
+    attempt: AttemptId
+    reason: Reason
+    retry_after: float | None = None
+
+
+@frozen
+class TellSealed:
+    """Answer a seal."""
+
+    attempt: AttemptId
+    owner: str
+    outcome: SealOutcome
+
+
+@frozen
+class TellReserved:
+    """Tell the owner that a member's memory is reserved."""
+
+    attempt: AttemptId
+
+
+@frozen
+class Exit:
+    """Nothing is left to finish: the process may leave."""
+
+
+AgentCommand = t.Union[
+    Run,
+    Stop,
+    TellAccepted,
+    TellRefused,
+    TellSealed,
+    TellReserved,
+    CountDrop,
+    Exit,
+]
--- /dev/null
+++ b/src/chicorycove/reason.py
@@ -0,0 +1,53 @@
+"""Why a request was refused, retried or failed: one word a reason.
+
+The same word stands in problem documents, logs and counters.
+"""
+
+import enum
+
+
+class Reason(enum.Enum):
+    """A reason for a refusal, a retry or a failure."""
+
+    # The caller's request is at fault.
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    DEADLINE_PAST = "deadline_past"
+    PROMPT_TOO_LONG = "prompt_too_long"
+    KEY_REUSED = "key_reused"
+    KEY_IN_PROGRESS = "key_in_progress"
+
+    # The system is short of something.
+    DEADLINE_INFEASIBLE = "deadline_infeasible"
+    QUEUE_FULL = "queue_full"
+    MEMORY_FULL = "memory_full"
+    LIMIT_REQUESTS = "limit_requests"
+    LIMIT_TOKENS = "limit_tokens"
+    LIMIT_MEMORY = "limit_memory"
+    NO_TARGET = "no_target"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    STORE_DOWN = "store_down"
+    RETRY_BUDGET = "retry_budget"
+
+    # The agent's gate turned an attempt away.
+    TARGET_LEAVING = "target_leaving"
+    ATTEMPT_SEALED = "attempt_sealed"
+    ATTEMPT_DUPLICATE = "attempt_duplicate"
+    ATTEMPT_EXPIRED = "attempt_expired"
+    STALE_INCARNATION = "stale_incarnation"
+    RESERVATION_LOST = "reservation_lost"
+
+    # An attempt broke.
+    TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_FAILED = "target_failed"
+    LINK_LOST = "link_lost"
+    STREAM_BROKEN = "stream_broken"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CALLER_GONE = "caller_gone"
+    CLAIM_UNSETTLED = "claim_unsettled"
--- /dev/null
+++ b/src/chicorycove/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of chicorycove, with generated code."""
--- /dev/null
+++ b/tests/summary.py
@@ -0,0 +1,62 @@
+"""A nose2 plugin that prints the closing line which CI reads.
+
+Tests named in ``KNOWN-RED.txt`` are expected to fail: they are printed, and
+do not fail the run.  One that passes is reported, so that its entry goes.
+"""
+
+import pathlib
+
+from nose2.events import Plugin
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+TEST_PREFIX = "test: "
+
+
+def known_red():
+    """Return the ids of the tests that are recorded as failing."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        line.removeprefix(TEST_PREFIX).strip()
+        for line in lines
+        if line.startswith(TEST_PREFIX)
+    }
+
+
+class Summary(Plugin):
+    """Counts outcomes and forgives the failures that are recorded."""
+
+    configSection = "summary"
+
+    def __init__(self):
+        self._known = known_red()
+        self._passed = 0
+        self._failed = 0
+        self._skipped = 0
+        self._red = []
+
+    def setTestOutcome(self, event):
+        if event.outcome not in ("failed", "error"):
+            return
+        if event.test.id() in self._known:
+            self._red.append(event.test.id())
+            event.outcome = "skipped"
+            event.reason = "known red"
+            event.exc_info = None
+
+    def testOutcome(self, event):
+        if event.outcome in ("failed", "error"):
+            self._failed += 1
+        elif event.outcome == "skipped":
+            self._skipped += 1
+        elif event.expected:
+            self._passed += 1
+        else:
+            self._failed += 1
+
+    def afterSummaryReport(self, event):
+        for test in self._red:
+            event.stream.writeln(f"known red: {test}")
+        for test in sorted(self._known - set(self._red)):
+            event.stream.writeln(f"listed as known red, did not fail: {test}")
+        skipped = f", {self._skipped} skipped" if self._skipped else ""
+        event.stream.writeln(f"{self._passed} passed, {self._failed} failed{skipped}")
