--- a/tests/summary.py
+++ b/tests/summary.py
@@ -35,23 +35,20 @@
         self._red = []
 
     def setTestOutcome(self, event):
-        if event.outcome not in ("failed", "error"):
+        if not self._is_failure(event) or event.test.id() not in self._known:
             return
-        if event.test.id() in self._known:
-            self._red.append(event.test.id())
-            event.outcome = "skipped"
-            event.reason = "known red"
-            event.exc_info = None
+        self._red.append(event.test.id())
+        event.outcome = "skipped"
+        event.reason = "known red"
+        event.exc_info = None
 
     def testOutcome(self, event):
-        if event.outcome in ("failed", "error"):
+        if self._is_failure(event):
             self._failed += 1
         elif event.outcome == "skipped":
             self._skipped += 1
-        elif event.expected:
+        elif event.outcome == "passed":
             self._passed += 1
-        else:
-            self._failed += 1
 
     def afterSummaryReport(self, event):
         for test in self._red:
@@ -60,3 +57,10 @@
             event.stream.writeln(f"listed as known red, did not fail: {test}")
         skipped = f", {self._skipped} skipped" if self._skipped else ""
         event.stream.writeln(f"{self._passed} passed, {self._failed} failed{skipped}")
+
+    def _is_failure(self, event):
+        if event.outcome == "subtest":
+            return event.exc_info is not None
+        if event.outcome == "passed":
+            return not event.expected
+        return event.outcome in ("failed", "error")
