--- /dev/null
+++ b/src/chicorycove/board.py
@@ -0,0 +1,85 @@
+"""The blackboards: state that the decisions of a role read and write."""
+
+import dataclasses
+import heapq
+import typing as t
+
+from .catalogue import Catalogue
+from .event import Load
+from .host import Host, HostState
+from .identity import AgentId, AttemptId
+from .request import Request
+
+
+@dataclasses.dataclass(slots=True)
+class TargetState:
+    """What an entry knows of one target; times are in seconds."""
+
+    host: Host
+    agent: AgentId | None = None
+    load: Load = Load()
+    load_at: float = 0.0
+    outstanding: dict[AttemptId, int] = dataclasses.field(default_factory=dict)
+    ejected_until: float = 0.0
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the target is to get no new work."""
+        return self.host.state is HostState.LEAVING or self.load.leaving
+
+    @property
+    def outstanding_tokens(self) -> int:
+        """Return the tokens that this entry has sent and not seen end."""
+        return sum(self.outstanding.values())
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptState:
+    """One attempt as its entry sees it."""
+
+    id: AttemptId
+    agent: AgentId
+    state: str = "sent"
+    grouped: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class RequestState:
+    """One admitted request; relayed counts bytes passed to the caller."""
+
+    request: Request
+    attempts: list[AttemptState] = dataclasses.field(default_factory=list)
+    relayed: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class Timers:
+    """Names that fall due at times."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, t.Any]] = []
+        self._count = 0
+
+    def add(self, due: float, item: t.Any) -> None:
+        """Have an item returned by the first ``pop`` at or after a time."""
+        self._count += 1
+        heapq.heappush(self._heap, (due, self._count, item))
+
+    def pop(self, now: float) -> list[t.Any]:
+        """Remove and return the items that are due."""
+        items = []
+        while self._heap and self._heap[0][0] <= now:
+            items.append(heapq.heappop(self._heap)[2])
+        return items
+
+
+@dataclasses.dataclass(slots=True)
+class EntryBoard:
+    """The state of an entry."""
+
+    catalogue: Catalogue = Catalogue()
+    targets: dict[str, TargetState] = dataclasses.field(default_factory=dict)
+    requests: dict[str, RequestState] = dataclasses.field(default_factory=dict)
+    attempts: dict[AttemptId, AttemptState] = dataclasses.field(default_factory=dict)
+    timers: Timers = dataclasses.field(default_factory=Timers)
+    stopping: bool = False
