--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -190,6 +190,13 @@
     attempt: AttemptId
 
 
+@frozen
+class TellResumed:
+    """Send the owner what it has not had yet of a started attempt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class TellRefused:
     """Tell the owner that an attempt has not run and never will."""
@@ -224,6 +231,7 @@
     Run,
     Stop,
     TellAccepted,
+    TellResumed,
     TellRefused,
     TellSealed,
     TellReserved,
--- /dev/null
+++ b/src/chicorycove/dispatch.py
@@ -0,0 +1,434 @@
+"""The life of a request at its entry, from arrival to its last answer."""
+
+import dataclasses
+import typing as t
+
+from .board import AttemptState, EntryBoard, RequestState
+from .command import (
+    Cancel,
+    Claimed,
+    CountDrop,
+    CountRetry,
+    EntryCommand,
+    Fail,
+    Finish,
+    GroupFailed,
+    Relay,
+    Replay,
+    Resume,
+    Send,
+)
+from .event import (
+    Accepted,
+    Arrived,
+    Attached,
+    CallerGone,
+    Captured,
+    Chunk,
+    Detached,
+    Ended,
+    EntryEvent,
+    Failed,
+    LoadReported,
+    Prefilled,
+    Refused,
+    Reserved,
+    Sealed,
+    Started,
+    StopAsked,
+    StoreAnswered,
+    Tick,
+)
+from .identity import AgentId, AttemptId
+from .reason import Reason
+from .request import Prompt, Request
+from .retry import GiveUp, Retry
+from .verdict import Verdict
+
+PLACE_INTERVAL = 0.05  # seconds between looks for a target
+PLACE_TIMEOUT = 2.0  # seconds without any target until a request is refused
+RETRY_AFTER = 1.0  # seconds
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class _DeadlineDue:
+    request: str
+
+
+@frozen
+class _PlaceDue:
+    request: str
+    since: float
+
+
+@frozen
+class _ReattachDue:
+    attempt: AttemptId
+
+
+class Router(t.Protocol):
+    """Chooses targets."""
+
+    def choose(
+        self, request: Request, board: EntryBoard, now: float, exclude: frozenset[str]
+    ) -> str | None:
+        """Return a target's name, or None if there is none to be had."""
+
+
+class Dispatcher:
+    """Decides what an entry does with its requests; times are in seconds."""
+
+    def __init__(
+        self, board: EntryBoard, router, groups, claims, retries, ids, settings
+    ) -> None:
+        self._board = board
+        self._router = router
+        self._groups = groups
+        self._claims = claims
+        self._retries = retries
+        self._ids = ids
+        self._settings = settings
+
+    def handle(self, event: EntryEvent, now: float) -> list[EntryCommand]:
+        """Return what is to be done about an event."""
+        match event:
+            case Arrived(request):
+                commands = self._arrived(request, now)
+            case CallerGone(request):
+                commands = self._caller_gone(request, now)
+            case Captured(request, result):
+                commands = self._claims.finish(request, result, now)
+            case Attached(agent):
+                commands = self._attached(agent, now)
+            case Detached(agent):
+                commands = self._detached(agent, now)
+            case Accepted(attempt) | Started(attempt):
+                commands = self._progressed(attempt, event)
+            case Chunk(attempt, offset, size):
+                commands = self.chunk(attempt, offset, size)
+            case Ended(attempt, size):
+                commands = self._ended(attempt, size, now)
+            case Failed(attempt, reason, verdict):
+                commands = self._broke(attempt, reason, verdict, None, now)
+            case Refused(attempt, reason, retry_after):
+                commands = self._broke(
+                    attempt, reason, Verdict.NOT_RUN, retry_after, now
+                )
+            case Reserved() | Prefilled():
+                commands = self._groups.handle(event, now)
+            case Sealed() | StoreAnswered():
+                commands = self._claims.handle(event, now)
+            case LoadReported(agent, load):
+                commands = self._load(agent, load, now)
+            case StopAsked():
+                self._board.stopping = True
+                commands = []
+            case Tick():
+                commands = self._tick(now)
+        return self._settle(commands, now)
+
+    def current(self, attempt: AttemptId) -> RequestState | None:
+        """Return the request that an attempt may still answer, if any."""
+        state = self._board.requests.get(attempt.request)
+        if state is None or not state.attempts or state.attempts[-1].id != attempt:
+            return None
+        return state
+
+    def chunk(self, attempt: AttemptId, offset: int, size: int) -> list[EntryCommand]:
+        """Return what is to be done with a chunk; sizes are in bytes."""
+        state = self.current(attempt)
+        if state is None:
+            return [CountDrop("chunk")]
+        skip = state.relayed - offset
+        if skip < 0:
+            return [
+                CountDrop("gap"),
+                Resume(attempt, state.attempts[-1].agent, state.relayed),
+            ]
+        if skip >= size:
+            return []
+        state.relayed += size - skip
+        return [Relay(attempt.request, skip)]
+
+    def _arrived(self, request: Request, now: float) -> list[EntryCommand]:
+        if self._board.stopping:
+            return [Fail(request.id, Reason.STOPPING, Verdict.NOT_RUN, RETRY_AFTER)]
+        if request.deadline <= now:
+            return [Fail(request.id, Reason.DEADLINE_PAST, Verdict.NOT_RUN)]
+        state = RequestState(request)
+        self._board.requests[request.id] = state
+        self._board.timers.add(request.deadline, _DeadlineDue(request.id))
+        return self._place(state, now, now)
+
+    def _place(
+        self, state: RequestState, since: float, now: float
+    ) -> list[EntryCommand]:
+        request = state.request
+        if self._groups.needed(request):
+            return self._groups.start(state, now)
+        name = self._router.choose(request, self._board, now, frozenset(state.tried))
+        if name is None and state.tried:
+            state.tried.clear()
+            name = self._router.choose(request, self._board, now, frozenset())
+        if name is None:
+            return self._no_target(state, since, now)
+        agent = self._board.targets[name].agent
+        attempt = self._ids.next(request.id, len(state.attempts) + 1)
+        if request.key is not None and not request.idempotent:
+            return self._claims.begin(request, attempt, agent, now)
+        return self._send(state, attempt, agent)
+
+    def _no_target(
+        self, state: RequestState, since: float, now: float
+    ) -> list[EntryCommand]:
+        if now - since >= PLACE_TIMEOUT:
+            return self._fail(state, Reason.NO_TARGET, None, RETRY_AFTER, now)
+        due = _PlaceDue(state.request.id, since)
+        self._board.timers.add(now + PLACE_INTERVAL, due)
+        return []
+
+    def _send(
+        self,
+        state: RequestState,
+        attempt: AttemptId,
+        agent: AgentId,
+    ) -> list[EntryCommand]:
+        self._record(state, attempt, agent)
+        if not state.request.streamed:
+            state.relayed = 0
+        return [Send(attempt, agent)]
+
+    def _record(
+        self, state: RequestState, attempt: AttemptId, agent: AgentId
+    ) -> AttemptState:
+        record = AttemptState(attempt, agent)
+        state.attempts.append(record)
+        self._board.attempts[attempt] = record
+        target = self._board.targets.get(agent.target)
+        if target is not None:
+            target.outstanding[attempt] = state.request.weight
+        return record
+
+    def _progressed(
+        self, attempt: AttemptId, event: Accepted | Started
+    ) -> list[EntryCommand]:
+        if self.current(attempt) is None:
+            return [CountDrop(type(event).__name__.lower())]
+        state = "started" if isinstance(event, Started) else "accepted"
+        self._board.attempts[attempt].state = state
+        return []
+
+    def _ended(
+        self, attempt: AttemptId, size: int, now: float
+    ) -> list[EntryCommand]:
+        state = self.current(attempt)
+        if state is None:
+            return [CountDrop("end")]
+        if state.relayed != size:
+            agent = state.attempts[-1].agent
+            return [CountDrop("gap"), Resume(attempt, agent, state.relayed)]
+        state.attempts[-1].state = "ended"
+        self._forget(state)
+        commands: list[EntryCommand] = [Finish(attempt.request)]
+        if self._groups.owns(attempt):
+            commands += self._groups.handle(Ended(attempt, size), now)
+        return commands
+
+    def _broke(
+        self,
+        attempt: AttemptId,
+        reason: Reason,
+        verdict: Verdict,
+        retry_after: float | None,
+        now: float,
+    ) -> list[EntryCommand]:
+        if self._groups.owns(attempt):
+            return self._groups.handle(Failed(attempt, reason, verdict), now)
+        state = self.current(attempt)
+        if state is None:
+            return [CountDrop("failure")]
+        record = state.attempts[-1]
+        record.state = "not_run" if verdict is Verdict.NOT_RUN else "broken"
+        self._release(record)
+        state.tried.add(record.agent.target)
+        return self._again(state, reason, verdict, retry_after, now)
+
+    def _again(
+        self,
+        state: RequestState,
+        reason: Reason,
+        verdict: Verdict,
+        retry_after: float | None,
+        now: float,
+    ) -> list[EntryCommand]:
+        match self._retries.decide(state, reason, verdict, now):
+            case Retry(at):
+                due = _PlaceDue(state.request.id, at)
+                self._board.timers.add(at, due)
+                return [CountRetry(reason)]
+            case GiveUp(final):
+                return self._fail(state, final, verdict, retry_after, now)
+
+    def _fail(
+        self,
+        state: RequestState,
+        reason: Reason,
+        verdict: Verdict | None,
+        retry_after: float | None,
+        now: float,
+    ) -> list[EntryCommand]:
+        request = state.request
+        commands: list[EntryCommand] = []
+        for record in state.attempts:
+            if record.state in ("sent", "accepted", "started"):
+                commands.append(Cancel(record.id, record.agent))
+        commands += self._groups.abandon(request.id, now)
+        if request.key is not None and not request.idempotent:
+            commands += self._claims.finish(request.id, None, now)
+        self._forget(state)
+        known = self._verdict(state)
+        if verdict is None or known is not Verdict.NOT_RUN:
+            verdict = known
+        commands.append(Fail(request.id, reason, verdict, retry_after))
+        return commands
+
+    def _verdict(self, state: RequestState) -> Verdict:
+        """Return what is known of a request's execution."""
+        if all(record.state == "not_run" for record in state.attempts):
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    def _caller_gone(self, request: str, now: float) -> list[EntryCommand]:
+        state = self._board.requests.get(request)
+        if state is None:
+            return []
+        return self._fail(state, Reason.CALLER_GONE, None, None, now)
+
+    def _attached(self, agent: AgentId, now: float) -> list[EntryCommand]:
+        target = self._board.targets.get(agent.target)
+        if target is not None:
+            target.agent = agent
+        commands: list[EntryCommand] = []
+        for record in self._pending(agent.target):
+            if record.agent == agent:
+                relayed = self._board.requests[record.id.request].relayed
+                commands.append(Resume(record.id, agent, relayed))
+            else:
+                commands += self._lost(record, now)
+        return commands
+
+    def _detached(self, agent: AgentId, now: float) -> list[EntryCommand]:
+        target = self._board.targets.get(agent.target)
+        if target is not None and target.agent == agent:
+            target.agent = None
+        due = now + self._settings.reattach_timeout
+        for record in self._pending(agent.target):
+            self._board.timers.add(due, _ReattachDue(record.id))
+        return []
+
+    def _pending(self, target: str) -> list[AttemptState]:
+        return [
+            record
+            for record in self._board.attempts.values()
+            if record.agent.target == target
+            and record.state in ("sent", "accepted", "started")
+            and record.id.request in self._board.requests
+        ]
+
+    def _lost(self, record: AttemptState, now: float) -> list[EntryCommand]:
+        return self._broke(
+            record.id, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, None, now
+        )
+
+    def _load(self, agent: AgentId, load, now: float) -> list[EntryCommand]:
+        target = self._board.targets.get(agent.target)
+        if target is not None:
+            target.load = load
+            target.load_at = now
+        return []
+
+    def _tick(self, now: float) -> list[EntryCommand]:
+        commands: list[EntryCommand] = []
+        for item in self._board.timers.pop(now):
+            commands += self._due(item, now)
+        commands += self._groups.handle(Tick(), now)
+        commands += self._claims.handle(Tick(), now)
+        return commands
+
+    def _due(self, item: t.Any, now: float) -> list[EntryCommand]:
+        match item:
+            case _DeadlineDue(request):
+                state = self._board.requests.get(request)
+                if state is None:
+                    return []
+                return self._fail(state, Reason.DEADLINE_EXCEEDED, None, None, now)
+            case _PlaceDue(request, since):
+                state = self._board.requests.get(request)
+                return [] if state is None else self._place(state, since, now)
+            case _ReattachDue(attempt):
+                record = self._board.attempts.get(attempt)
+                if record is None or self._reattached(record):
+                    return []
+                return self._lost(record, now)
+        return []
+
+    def _reattached(self, record: AttemptState) -> bool:
+        target = self._board.targets.get(record.agent.target)
+        return target is not None and target.agent == record.agent
+
+    def _settle(
+        self, commands: list[EntryCommand], now: float
+    ) -> list[EntryCommand]:
+        """Carry out the commands that are meant for this class itself."""
+        out: list[EntryCommand] = []
+        for command in commands:
+            match command:
+                case Claimed(request, attempt, agent):
+                    out += self._claimed(request, attempt, agent, now)
+                case GroupFailed(request, reason, verdict):
+                    out += self._group_failed(request, reason, verdict, now)
+                case Send(attempt, agent) if attempt not in self._board.attempts:
+                    state = self._board.requests[attempt.request]
+                    self._record(state, attempt, agent).grouped = True
+                    out.append(command)
+                case Fail(request) | Replay(request):
+                    state = self._board.requests.get(request)
+                    if state is not None:
+                        self._forget(state)
+                    out.append(command)
+                case _:
+                    out.append(command)
+        return out
+
+    def _claimed(
+        self, request: str, attempt: AttemptId, agent: AgentId, now: float
+    ) -> list[EntryCommand]:
+        state = self._board.requests.get(request)
+        if state is None:
+            return self._claims.finish(request, None, now)
+        return self._send(state, attempt, agent)
+
+    def _group_failed(
+        self, request: str, reason: Reason, verdict: Verdict, now: float
+    ) -> list[EntryCommand]:
+        state = self._board.requests.get(request)
+        if state is None:
+            return []
+        for record in state.attempts:
+            if record.state in ("sent", "accepted", "started"):
+                record.state = "not_run" if verdict is Verdict.NOT_RUN else "broken"
+                self._release(record)
+        return self._settle(self._again(state, reason, verdict, None, now), now)
+
+    def _release(self, record: AttemptState) -> None:
+        target = self._board.targets.get(record.agent.target)
+        if target is not None:
+            target.outstanding.pop(record.id, None)
+
+    def _forget(self, state: RequestState) -> None:
+        self._board.requests.pop(state.request.id, None)
+        for record in state.attempts:
+            self._release(record)
+            self._board.attempts.pop(record.id, None)
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -37,6 +37,14 @@
     request: str
 
 
+@frozen
+class Captured:
+    """The whole answer of a keyed request is at hand, to be kept."""
+
+    request: str
+    result: bytes
+
+
 # An entry hears from agents.
 
 
@@ -208,6 +216,7 @@
 EntryEvent = t.Union[
     Arrived,
     CallerGone,
+    Captured,
     Attached,
     Detached,
     Accepted,
@@ -265,6 +274,18 @@
     attempt: AttemptId
 
 
+@frozen
+class ResumeAsked:
+    """An entry that was cut off asks for an attempt to go on.
+
+    An attempt that the agent does not know is sealed and refused.
+    """
+
+    attempt: AttemptId
+    owner: str
+    deadline: float
+
+
 @frozen
 class CancelAsked:
     """An entry no longer wants an attempt."""
@@ -320,6 +341,7 @@
     StartAsked,
     ReserveAsked,
     ReleaseAsked,
+    ResumeAsked,
     CancelAsked,
     SealAsked,
     OwnerAlive,
--- /dev/null
+++ b/src/chicorycove/log.py
@@ -0,0 +1,32 @@
+"""Structured logs, with the request's id in each line that concerns one."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+from .settings import LogFormat, LogSettings
+
+LOGGER = logging.getLogger("chicorycove")
+
+TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+JSON_FIELDS = ["asctime", "levelname", "name", "message"]
+JSON_NAMES = {"asctime": "time", "levelname": "level", "name": "logger"}
+
+
+def configure(settings: LogSettings) -> None:
+    """Send the package's logs to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    match settings.format:
+        case LogFormat.JSON:
+            handler.setFormatter(JsonFormatter(JSON_FIELDS, rename_fields=JSON_NAMES))
+        case LogFormat.TEXT:
+            handler.setFormatter(logging.Formatter(TEXT_FORMAT))
+    LOGGER.handlers[:] = [handler]
+    LOGGER.setLevel(settings.level.value.upper())
+    LOGGER.propagate = False
+
+
+def for_request(request: str) -> logging.LoggerAdapter:
+    """Return a logger whose lines carry a request's id."""
+    return logging.LoggerAdapter(LOGGER, {"request": request}, merge_extra=True)
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -61,3 +61,21 @@
                 return model
             case Call(service=service):
                 return service
+
+    @property
+    def streamed(self) -> bool:
+        """Tell whether the caller gets the answer piece by piece."""
+        match self.work:
+            case Prompt(stream=stream):
+                return stream
+            case Call():
+                return False
+
+    @property
+    def weight(self) -> int:
+        """Return the work that the request makes, in tokens."""
+        match self.work:
+            case Prompt():
+                return self.work.memory
+            case Call():
+                return 1
