--- /dev/null
+++ b/src/chicorycove/agent.py
@@ -0,0 +1,423 @@
+"""The agent beside a target: carries out what its controller decides."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import grpc
+import grpc.aio
+
+from . import frame
+from .answer import AnswerBuffer
+from .backend import NOT_RUN_STATUSES, Answer, Backend, Work
+from .backlog import Backlog, BacklogSettings
+from .catalogue import ServiceKind
+from .clock import Clock
+from .command import (
+    AgentCommand,
+    Compute,
+    CountDrop,
+    Exit,
+    Run,
+    Stop,
+    TellAccepted,
+    TellRefused,
+    TellReserved,
+    TellResumed,
+    TellSealed,
+)
+from .event import (
+    AgentEvent,
+    OwnerAlive,
+    OwnerLost,
+    ResumeAsked,
+    RunEnded,
+    StopAsked,
+    Tick,
+)
+from .exceptions import TargetError, TargetFailed, TargetUnreachable
+from .gate import Gate, GateSettings
+from .identity import AgentId, AttemptId
+from .ledger import Ledger, LedgerSettings
+from .log import LOGGER, for_request
+from .metric import Metrics
+from .reason import Reason
+from .session import Session
+from .settings import AgentSettings
+from .target import TargetBoard, TargetController
+from .verdict import Verdict
+from .wire import link_pb2 as wire, link_pb2_grpc
+
+TICK = 0.05  # seconds
+REPORT_INTERVAL = 0.5  # seconds
+LOAD_INTERVAL = 1.0  # seconds
+KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
+SSE_END = b"data: [DONE]\n\n"
+SSE_TYPE = "text/event-stream"
+
+
+class Agent:
+    """Stands in the path of every request to one target."""
+
+    def __init__(
+        self, settings: AgentSettings, agent: AgentId, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._id = agent
+        self._clock = clock
+        self._metrics = metrics
+        self._backend = Backend(settings.address)
+        self._controller = TargetController(agent, _board(settings, agent))
+        self._sessions: dict[str, Session] = {}
+        self._answers: dict[AttemptId, AnswerBuffer] = {}
+        self._owners: dict[AttemptId, str] = {}
+        self._work: dict[AttemptId, wire.Start] = {}
+        self._prefills: dict[AttemptId, wire.Prefill] = {}
+        self._runs: dict[AttemptId, asyncio.Task] = {}
+        self._offsets: dict[AttemptId, int] = {}
+        self._exited = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def id(self) -> AgentId:
+        """Return the agent's name and incarnation."""
+        return self._id
+
+    @property
+    def exited(self) -> asyncio.Event:
+        """Return the event that is set once nothing is left to finish."""
+        return self._exited
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the agent takes new work."""
+        return not self._controller.load.leaving
+
+    @property
+    def controller(self) -> TargetController:
+        """Return the agent's decisions."""
+        return self._controller
+
+    def start(self) -> None:
+        """Begin to keep time and to watch the engine."""
+        self._spawn(self._keep_time())
+        self._spawn(self._report_load())
+        if self._settings.kind is ServiceKind.ENGINE:
+            self._spawn(self._watch_engine())
+
+    def stop(self) -> None:
+        """Take no new work; ``exited`` is set when all is finished."""
+        self._feed(StopAsked())
+        self._broadcast_load()
+
+    async def close(self) -> None:
+        """Drop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for session in self._sessions.values():
+            session.close()
+        await self._backend.close()
+
+    def attach(self, owner: str) -> Session:
+        """Begin a session with an entry, in place of an older one."""
+        old = self._sessions.pop(owner, None)
+        if old is not None:
+            old.close()
+        session = self._sessions[owner] = Session(owner)
+        load = frame.load_message(self._controller.load)
+        welcome = wire.Welcome(
+            target=self._id.target, incarnation=self._id.incarnation, load=load
+        )
+        session.send(wire.AgentFrame(welcome=welcome))
+        self._feed(OwnerAlive(owner))
+        return session
+
+    def detach(self, session: Session) -> None:
+        """End a session."""
+        session.close()
+        if self._sessions.get(session.owner) is session:
+            del self._sessions[session.owner]
+            self._feed(OwnerLost(session.owner))
+
+    def receive(self, message: wire.EntryFrame, owner: str) -> None:
+        """Take in a frame from an entry."""
+        event = frame.read_entry_frame(message, owner)
+        match message.WhichOneof("frame"):
+            case "start":
+                self._keep(event.offer.attempt, owner)
+                self._work.setdefault(event.offer.attempt, message.start)
+            case "reserve":
+                self._keep(event.offer.attempt, owner)
+            case "prefill":
+                self._prefills[event.attempt] = message.prefill
+            case "resume":
+                self._owners.setdefault(event.attempt, owner)
+                self._offsets[event.attempt] = message.resume.offset
+        self._feed(event)
+        if isinstance(event, ResumeAsked):
+            self._offsets.pop(event.attempt, None)
+
+    def _keep(self, attempt: AttemptId, owner: str) -> None:
+        self._owners[attempt] = owner
+        self._answers.setdefault(attempt, AnswerBuffer(str(attempt)))
+
+    def _feed(self, event: AgentEvent) -> None:
+        for command in self._controller.handle(event, self._clock.now()):
+            self._carry_out(command)
+
+    def _carry_out(self, command: AgentCommand) -> None:
+        match command:
+            case Run(attempt):
+                self._metrics.decided("run")
+                self._runs[attempt] = self._spawn(self._run(attempt))
+            case Compute(attempt):
+                self._metrics.decided("prefill")
+                self._runs[attempt] = self._spawn(self._compute(attempt))
+            case Stop(attempt):
+                self._spawn(self._cancel(attempt))
+            case TellAccepted(attempt):
+                accepted = wire.Accepted(attempt=str(attempt))
+                self._tell(attempt, wire.AgentFrame(accepted=accepted))
+            case TellReserved(attempt):
+                reserved = wire.Reserved(attempt=str(attempt))
+                self._tell(attempt, wire.AgentFrame(reserved=reserved))
+            case TellRefused(attempt, reason, retry_after):
+                self._refuse(attempt, reason, retry_after)
+            case TellResumed(attempt):
+                self._replay(attempt)
+            case TellSealed(attempt, owner, outcome):
+                sealed = wire.Sealed(attempt=str(attempt), outcome=outcome.value)
+                self._send(owner, wire.AgentFrame(sealed=sealed))
+            case CountDrop(kind):
+                self._metrics.dropped(kind)
+            case Exit():
+                self._exited.set()
+
+    def _refuse(
+        self, attempt: AttemptId, reason: Reason, retry_after: float | None
+    ) -> None:
+        self._metrics.decided(reason.value)
+        refused = wire.Refused(
+            attempt=str(attempt), reason=reason.value, retry_after=retry_after or 0.0
+        )
+        self._tell(attempt, wire.AgentFrame(refused=refused))
+        self._drop(attempt)
+
+    def _replay(self, attempt: AttemptId) -> None:
+        answer = self._answers.get(attempt)
+        session = self._sessions.get(self._owners.get(attempt, ""))
+        if session is None:
+            return
+        if answer is None:
+            reason, verdict = Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN
+            self._tell(attempt, _failed(attempt, reason, verdict))
+            return
+        session.replay(answer, self._offsets.get(attempt, 0))
+
+    def _tell(self, attempt: AttemptId, message: wire.AgentFrame) -> None:
+        self._send(self._owners.get(attempt, ""), message)
+
+    def _send(self, owner: str, message: wire.AgentFrame) -> None:
+        session = self._sessions.get(owner)
+        if session is not None:
+            session.send(message)
+
+    def _flush(self, attempt: AttemptId) -> None:
+        session = self._sessions.get(self._owners.get(attempt, ""))
+        if session is not None:
+            session.flush(self._answers[attempt])
+
+    def _drop(self, attempt: AttemptId) -> None:
+        for table in (self._answers, self._owners, self._work, self._prefills):
+            table.pop(attempt, None)
+
+    async def _run(self, attempt: AttemptId) -> None:
+        start = self._work[attempt]
+        self._tell(attempt, wire.AgentFrame(started=wire.Started(attempt=str(attempt))))
+        try:
+            async with self._backend.open(_work(start)) as answer:
+                await self._read(attempt, start, answer)
+        except TargetUnreachable as error:
+            for_request(attempt.request).warning("target unreachable: %s", error)
+            self._refuse(attempt, Reason.TARGET_UNREACHABLE, None)
+        except TargetFailed as error:
+            for_request(attempt.request).warning("target failed: %s", error)
+            reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
+            self._end(attempt, _failed(attempt, reason, verdict))
+        finally:
+            self._runs.pop(attempt, None)
+        self._feed(RunEnded(attempt))
+
+    async def _read(
+        self, attempt: AttemptId, start: wire.Start, answer: Answer
+    ) -> None:
+        buffer = self._answers[attempt]
+        if not start.plain and answer.head.status in NOT_RUN_STATUSES:
+            self._refuse(attempt, Reason.MEMORY_FULL, None)
+            return
+        head = wire.Head(
+            attempt=str(attempt),
+            status=answer.head.status,
+            headers=frame.headers(answer.head.headers),
+        )
+        buffer.head = wire.AgentFrame(head=head)
+        self._tell(attempt, buffer.head)
+        async for data in answer.chunks():
+            buffer.append(data)
+            self._flush(attempt)
+        if SSE_TYPE in answer.head.get("content-type") and not start.plain:
+            if buffer.tail(len(SSE_END)) != SSE_END:
+                raise TargetFailed("the stream ended before its last event")
+        ended = wire.Ended(attempt=str(attempt), size=buffer.size)
+        self._end(attempt, wire.AgentFrame(ended=ended))
+
+    def _end(self, attempt: AttemptId, message: wire.AgentFrame) -> None:
+        self._answers[attempt].end = message
+        self._tell(attempt, message)
+        loop = asyncio.get_running_loop()
+        loop.call_later(KEEP_ANSWER, self._drop, attempt)
+
+    async def _compute(self, attempt: AttemptId) -> None:
+        prefill = self._prefills.pop(attempt)
+        path = (
+            f"/engine/prefill?attempt={attempt}&start={prefill.start}"
+            f"&stop={prefill.stop}&model={prefill.model}"
+            f"&members={','.join(prefill.members)}"
+        )
+        try:
+            await self._prefill(path, prefill.body)
+        except TargetError as error:
+            for_request(attempt.request).warning("prefill failed: %s", error)
+            reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
+            self._tell(attempt, _failed(attempt, reason, verdict))
+            self._feed(RunEnded(attempt))
+        else:
+            done = wire.Prefilled(attempt=str(attempt))
+            self._tell(attempt, wire.AgentFrame(prefilled=done))
+        finally:
+            self._runs.pop(attempt, None)
+
+    async def _prefill(self, path: str, body: bytes) -> None:
+        work = Work("POST", path, [("Content-Type", "application/octet-stream")], body)
+        async with self._backend.open(work) as answer:
+            async for _ in answer.chunks():
+                pass
+            if answer.head.status >= 400:
+                raise TargetFailed(f"{path}: status {answer.head.status}")
+
+    async def _cancel(self, attempt: AttemptId) -> None:
+        task = self._runs.get(attempt)
+        if task is not None:
+            task.cancel()
+        if self._settings.kind is ServiceKind.ENGINE:
+            with contextlib.suppress(TargetFailed):
+                await self._backend.post("/engine/cancel", {"attempt": str(attempt)})
+        self._feed(RunEnded(attempt))
+        self._drop(attempt)
+
+    async def _keep_time(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self._feed(Tick())
+
+    async def _report_load(self) -> None:
+        while True:
+            await asyncio.sleep(LOAD_INTERVAL)
+            self._broadcast_load()
+
+    def _broadcast_load(self) -> None:
+        message = frame.load_frame(self._controller.load)
+        for session in self._sessions.values():
+            session.send(message)
+
+    async def _watch_engine(self) -> None:
+        while True:
+            try:
+                self._feed(await self._backend.report())
+            except TargetError as error:
+                LOGGER.debug("engine gave no report: %s", error)
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    def _spawn(self, work: t.Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("task failed", exc_info=task.exception())
+
+
+class AgentServicer(link_pb2_grpc.AgentServicer):
+    """The agent's end of the links."""
+
+    def __init__(self, agent: Agent) -> None:
+        self._agent = agent
+
+    async def Attach(
+        self,
+        request_iterator: t.AsyncIterator[wire.EntryBatch],
+        context: grpc.aio.ServicerContext,
+    ) -> t.AsyncIterator[wire.AgentBatch]:
+        """Serve one link until either side ends it."""
+        first = await anext(request_iterator)
+        session = self._agent.attach(first.frames[0].hello.owner)
+        reader = asyncio.create_task(self._read(request_iterator, session))
+        try:
+            async for batch in session.batches():
+                yield batch
+        finally:
+            reader.cancel()
+            self._agent.detach(session)
+
+    async def _read(
+        self, batches: t.AsyncIterator[wire.EntryBatch], session: Session
+    ) -> None:
+        try:
+            async for batch in batches:
+                for message in batch.frames:
+                    self._agent.receive(message, session.owner)
+        finally:
+            session.close()
+
+
+def server(agent: Agent, settings: AgentSettings) -> tuple[grpc.aio.Server, int]:
+    """Return a gRPC server for an agent, not started, and its port."""
+    options = [
+        ("grpc.max_receive_message_length", settings.max_body + MESSAGE_MARGIN),
+        ("grpc.max_send_message_length", -1),
+        ("grpc.so_reuseport", 0),
+    ]
+    result = grpc.aio.server(options=options)
+    link_pb2_grpc.add_AgentServicer_to_server(AgentServicer(agent), result)
+    return result, result.add_insecure_port(str(settings.listen))
+
+
+MESSAGE_MARGIN = 1024 * 1024  # bytes of a message beside a request's body
+
+
+def _board(settings: AgentSettings, agent: AgentId) -> TargetBoard:
+    ledger = LedgerSettings(lease=settings.owner_lease)
+    return TargetBoard(
+        gate=Gate(agent, GateSettings(clock_skew=settings.clock_skew)),
+        ledger=Ledger(settings.memory, ledger),
+        backlog=Backlog(BacklogSettings(limit=settings.queue_limit)),
+        max_running=settings.max_running,
+    )
+
+
+def _work(start: wire.Start) -> Work:
+    headers = [(header.name, header.value) for header in start.headers]
+    if start.members:
+        headers.append(("X-Members", ",".join(start.members)))
+    return Work(start.method, start.path, headers, start.body, start.idempotent)
+
+
+def _failed(attempt: AttemptId, reason: Reason, verdict: Verdict) -> wire.AgentFrame:
+    failed = wire.Failed(
+        attempt=str(attempt), reason=reason.value, verdict=verdict.value
+    )
+    return wire.AgentFrame(failed=failed)
--- /dev/null
+++ b/src/chicorycove/backend.py
@@ -0,0 +1,176 @@
+"""The HTTP side of an agent: how it speaks to its target."""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing as t
+
+import aiosonic
+import msgspec
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError, ConnectTimeout
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from .conversion import Address
+from .event import EngineReported
+from .exceptions import TargetFailed, TargetUnreachable
+from .identity import AttemptId
+
+CONNECT_TIMEOUT = 2.0  # seconds
+CONTROL_TIMEOUT = 5.0  # seconds
+POOL_SIZE = 256  # connections
+NOT_RUN_STATUSES = (429, 503)
+BROKEN = (AiosonicError, OSError, ValueError, EOFError, asyncio.TimeoutError)
+
+Headers = t.Sequence[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """One HTTP request to a target."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    repeatable: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The status and headers of a target's answer."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: str) -> str:
+        """Return a header's value, or an empty text."""
+        return next((v for k, v in self.headers if k.lower() == name), "")
+
+
+class Answer:
+    """An answer that is being read."""
+
+    def __init__(self, head: Head, response: aiosonic.HttpResponse) -> None:
+        self._head = head
+        self._response = response
+
+    @property
+    def head(self) -> Head:
+        """Return the answer's head."""
+        return self._head
+
+    async def chunks(self) -> t.AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises TargetFailed: if it breaks off
+        """
+        try:
+            async for data in self._response.read_chunks():
+                yield bytes(data)
+        except BROKEN as error:
+            raise TargetFailed(f"answer broke off: {error!r}") from None
+
+
+class Backend:
+    """A target, reached over HTTP."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pooled = _client()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pooled.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open(self, work: Work) -> t.AsyncIterator[Answer]:
+        """Send a request and yield its answer.
+
+        :raises TargetUnreachable: if nothing of the request was sent
+        :raises TargetFailed: if it failed after that
+        """
+        if work.repeatable:
+            async with self._exchange(self._pooled, work) as answer:
+                yield answer
+            return
+        # The client sends again over a reused connection that has dropped;
+        # a fresh one leaves no doubt whether anything was sent.
+        client = _client()
+        try:
+            async with self._exchange(client, work) as answer:
+                yield answer
+        finally:
+            await client.aclose()
+
+    async def post(self, path: str, body: t.Any = None, raw: bytes = b"") -> t.Any:
+        """Make a control call and return its JSON.
+
+        :raises TargetFailed: if the target does not answer it with success
+        """
+        data = raw if body is None else msgspec.json.encode(body)
+        work = Work("POST", path, [("Content-Type", "application/json")], data)
+        return await self._control(work)
+
+    async def get(self, path: str) -> t.Any:
+        """Read a JSON document.
+
+        :raises TargetFailed: if the target does not answer it with success
+        """
+        return await self._control(Work("GET", path, [], b""))
+
+    async def report(self) -> EngineReported:
+        """Read an engine's account of its memory.
+
+        :raises TargetFailed: if it is not to be had
+        """
+        load = await self.get("/engine/load")
+        attempts = {
+            AttemptId.parse(name): tokens for name, tokens in load["attempts"].items()
+        }
+        return EngineReported(
+            load["memory_total"], load["memory_used"], attempts, load["as_of"]
+        )
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, client: aiosonic.HTTPClient, work: Work
+    ) -> t.AsyncIterator[Answer]:
+        url = f"http://{self._address}{work.path}"
+        try:
+            response = await client.request(
+                url,
+                method=work.method,
+                headers=dict(work.headers),
+                data=work.body or None,
+                stream=True,
+            )
+        except (ConnectTimeout, ConnectionRefusedError) as error:
+            raise TargetUnreachable(f"{url}: {error!r}") from None
+        except BROKEN as error:
+            raise TargetFailed(f"{url}: {error!r}") from None
+        try:
+            pairs = [(k, v) for k, v in response.headers.items()]
+            yield Answer(Head(response.status_code, pairs), response)
+        finally:
+            await response.aclose()
+
+    async def _control(self, work: Work) -> t.Any:
+        try:
+            async with asyncio.timeout(CONTROL_TIMEOUT):
+                async with self._exchange(self._pooled, work) as answer:
+                    body = b"".join([data async for data in answer.chunks()])
+        except (TargetUnreachable, TimeoutError) as error:
+            raise TargetFailed(f"{work.path}: {error!r}") from None
+        if answer.head.status >= 400:
+            raise TargetFailed(f"{work.path}: status {answer.head.status}")
+        return msgspec.json.decode(body) if body else None
+
+
+def _client() -> aiosonic.HTTPClient:
+    timeouts = Timeouts(
+        sock_connect=CONNECT_TIMEOUT, sock_read=None, request_timeout=None
+    )
+    pools = {":default": PoolConfig(size=POOL_SIZE, max_conn_requests=None)}
+    return aiosonic.HTTPClient(TCPConnector(pool_configs=pools, timeouts=timeouts))
--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -176,6 +176,13 @@
     attempt: AttemptId
 
 
+@frozen
+class Compute:
+    """Have the target compute a member's segment of a prompt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class Stop:
     """Have the target cancel an attempt and free its memory."""
@@ -229,6 +236,7 @@
 
 AgentCommand = t.Union[
     Run,
+    Compute,
     Stop,
     TellAccepted,
     TellResumed,
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -39,16 +39,22 @@
     StoreAnswered,
     Tick,
 )
+from .claim import Claimer
+from .group import GroupCoordinator
 from .identity import AgentId, AttemptId
 from .reason import Reason
-from .request import Prompt, Request
-from .retry import GiveUp, Retry
+from .request import Request
+from .retry import GiveUp, Retry, RetryPolicy
+from .routing import Router
+from .settings import EntrySettings
 from .verdict import Verdict
 
 PLACE_INTERVAL = 0.05  # seconds between looks for a target
 PLACE_TIMEOUT = 2.0  # seconds without any target until a request is refused
 RETRY_AFTER = 1.0  # seconds
 
+AttemptFactory = t.Callable[[str, int], AttemptId]
+
 frozen = dataclasses.dataclass(frozen=True, slots=True)
 
 
@@ -68,28 +74,27 @@
     attempt: AttemptId
 
 
-class Router(t.Protocol):
-    """Chooses targets."""
-
-    def choose(
-        self, request: Request, board: EntryBoard, now: float, exclude: frozenset[str]
-    ) -> str | None:
-        """Return a target's name, or None if there is none to be had."""
-
-
 class Dispatcher:
     """Decides what an entry does with its requests; times are in seconds."""
 
     def __init__(
-        self, board: EntryBoard, router, groups, claims, retries, ids, settings
+        self,
+        board: EntryBoard,
+        router: Router,
+        groups: GroupCoordinator,
+        claims: Claimer,
+        retries: RetryPolicy,
+        make_attempt: AttemptFactory,
+        settings: EntrySettings,
     ) -> None:
         self._board = board
         self._router = router
         self._groups = groups
         self._claims = claims
         self._retries = retries
-        self._ids = ids
+        self._make_attempt = make_attempt
         self._settings = settings
+        self._planned: dict[str, tuple[AttemptId, AgentId]] = {}
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryCommand]:
         """Return what is to be done about an event."""
@@ -175,8 +180,9 @@
         if name is None:
             return self._no_target(state, since, now)
         agent = self._board.targets[name].agent
-        attempt = self._ids.next(request.id, len(state.attempts) + 1)
+        attempt = self._make_attempt(request.id, len(state.attempts) + 1)
         if request.key is not None and not request.idempotent:
+            self._planned[request.id] = (attempt, agent)
             return self._claims.begin(request, attempt, agent, now)
         return self._send(state, attempt, agent)
 
@@ -196,6 +202,8 @@
         agent: AgentId,
     ) -> list[EntryCommand]:
         self._record(state, attempt, agent)
+        if len(state.attempts) == 1:
+            self._retries.note_first(state.request.workspace, agent.target)
         if not state.request.streamed:
             state.relayed = 0
         return [Send(attempt, agent)]
@@ -268,8 +276,8 @@
                 due = _PlaceDue(state.request.id, at)
                 self._board.timers.add(at, due)
                 return [CountRetry(reason)]
-            case GiveUp(final):
-                return self._fail(state, final, verdict, retry_after, now)
+            case GiveUp(final, known):
+                return self._fail(state, final, known, retry_after, now)
 
     def _fail(
         self,
@@ -326,7 +334,7 @@
         due = now + self._settings.reattach_timeout
         for record in self._pending(agent.target):
             self._board.timers.add(due, _ReattachDue(record.id))
-        return []
+        return self._groups.handle(Detached(agent), now)
 
     def _pending(self, target: str) -> list[AttemptState]:
         return [
@@ -385,8 +393,8 @@
         out: list[EntryCommand] = []
         for command in commands:
             match command:
-                case Claimed(request, attempt, agent):
-                    out += self._claimed(request, attempt, agent, now)
+                case Claimed(request):
+                    out += self._claimed(request, now)
                 case GroupFailed(request, reason, verdict):
                     out += self._group_failed(request, reason, verdict, now)
                 case Send(attempt, agent) if attempt not in self._board.attempts:
@@ -402,9 +410,8 @@
                     out.append(command)
         return out
 
-    def _claimed(
-        self, request: str, attempt: AttemptId, agent: AgentId, now: float
-    ) -> list[EntryCommand]:
+    def _claimed(self, request: str, now: float) -> list[EntryCommand]:
+        attempt, agent = self._planned.pop(request)
         state = self._board.requests.get(request)
         if state is None:
             return self._claims.finish(request, None, now)
@@ -429,6 +436,7 @@
 
     def _forget(self, state: RequestState) -> None:
         self._board.requests.pop(state.request.id, None)
+        self._planned.pop(state.request.id, None)
         for record in state.attempts:
             self._release(record)
             self._board.attempts.pop(record.id, None)
--- /dev/null
+++ b/src/chicorycove/entry.py
@@ -0,0 +1,424 @@
+"""An entry: carries out what its dispatcher decides."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import typing as t
+
+from .board import EntryBoard, TargetState
+from .catalogue import Catalogue
+from .claim import Claimer, ClaimSettings
+from .clock import Clock
+from .command import (
+    Cancel,
+    CountDrop,
+    CountRetry,
+    EntryCommand,
+    Fail,
+    Finish,
+    Prefill,
+    Relay,
+    Release,
+    Replay,
+    Reserve,
+    Resume,
+    Seal,
+    Send,
+    StoreRead,
+    StoreSwap,
+)
+from .conversion import Address
+from .dispatch import Dispatcher
+from .event import (
+    Arrived,
+    CallerGone,
+    Captured,
+    EntryEvent,
+    Refused,
+    StopAsked,
+    StoreAnswered,
+    Tick,
+)
+from .exchange import Exchange, prefill_tokens
+from .exceptions import PlatformError
+from .frame import headers
+from .group import GroupCoordinator, GroupSettings
+from .host import Host, HostState
+from .identity import AgentId, AttemptId
+from .link import Link
+from .log import LOGGER, for_request
+from .metric import Metrics
+from .platform.hosts import HostList
+from .platform.store import Store
+from .problem import Problem
+from .prompt import segments
+from .reason import Reason
+from .request import Call, Prompt, Request
+from .retry import RetryPolicy, RetrySettings
+from .routing import Router, RoutingSettings
+from .settings import EntrySettings, Settings
+from .subset import choose
+from .wire import link_pb2 as wire
+
+TICK = 0.02  # seconds
+NONCE_BITS = 64
+
+
+class Entry:
+    """Runs callers' requests on the targets; a receiver of all its links."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        hosts: HostList,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._name = settings.name
+        self._owner = f"{settings.name}.{clock.now():.6f}"
+        self._settings: EntrySettings = settings.entry
+        self._hosts_interval = settings.platform.hosts_interval
+        self._store = store
+        self._hosts = hosts
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random(settings.entry.seed)
+        self._board = EntryBoard()
+        self._links: dict[str, Link] = {}
+        self._exchanges: dict[str, Exchange] = {}
+        self._known_hosts: tuple[Host, ...] = ()
+        self._tasks: set[asyncio.Task] = set()
+        self._dispatcher = self._build()
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock that deadlines are set by."""
+        return self._clock
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue that is in force here."""
+        return self._board.catalogue
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the entry takes new requests."""
+        return not self._board.stopping and bool(self._board.catalogue.revision)
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether requests are not finished yet."""
+        return bool(self._exchanges)
+
+    @property
+    def board(self) -> EntryBoard:
+        """Return the state that decisions read."""
+        return self._board
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Put a catalogue in force, unless a later one already is."""
+        if catalogue.revision > self._board.catalogue.revision:
+            self._board.catalogue = catalogue
+            self._relink()
+
+    def start(self) -> None:
+        """Begin to keep time and to watch the host list."""
+        self._spawn(self._keep_time())
+        self._spawn(self._watch_hosts())
+
+    def stop(self) -> None:
+        """Take no new requests."""
+        self._feed(StopAsked())
+
+    async def close(self) -> None:
+        """Drop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(link.close() for link in self._links.values()))
+
+    def new_id(self) -> str:
+        """Return an id that no other request has."""
+        return f"{self._random.getrandbits(NONCE_BITS):016x}"
+
+    def submit(self, exchange: Exchange) -> None:
+        """Begin to have a request answered."""
+        request = exchange.request
+        self._exchanges[request.id] = exchange
+        self._metrics.arrived(request.priority_class)
+        self._feed(Arrived(request))
+
+    def hang_up(self, exchange: Exchange) -> None:
+        """Drop a request whose caller has gone."""
+        if exchange.request.id in self._exchanges:
+            self._feed(CallerGone(exchange.request.id))
+
+    def on_event(self, event: EntryEvent) -> None:
+        """Take in an event from a link."""
+        self._feed(event)
+
+    def on_head(self, attempt: AttemptId, head: wire.Head) -> None:
+        """Take in an answer's status and headers from a link."""
+        if self._dispatcher.current(attempt) is None:
+            self._metrics.dropped("head")
+            return
+        exchange = self._exchanges[attempt.request]
+        pairs = [(header.name, header.value) for header in head.headers]
+        exchange.set_head(attempt, head.status, pairs)
+
+    def on_chunk(self, attempt: AttemptId, offset: int, data: bytes) -> None:
+        """Take in a piece of an answer from a link."""
+        for command in self._dispatcher.chunk(attempt, offset, len(data)):
+            match command:
+                case Relay(request, skip):
+                    self._relay(self._exchanges[request], data[skip:])
+                case _:
+                    self._carry_out(command)
+
+    def _build(self) -> Dispatcher:
+        rng = random.Random(self._random.getrandbits(NONCE_BITS))
+        router = Router(RoutingSettings(), rng)
+        groups = GroupCoordinator(
+            GroupSettings(), self._board, router, self._make_attempt
+        )
+        claims = Claimer(self._name, ClaimSettings(), itertools.count(1), rng)
+        retries = RetryPolicy(RetrySettings(), rng)
+        return Dispatcher(
+            self._board,
+            router,
+            groups,
+            claims,
+            retries,
+            self._make_attempt,
+            self._settings,
+        )
+
+    def _make_attempt(self, request: str, number: int) -> AttemptId:
+        return AttemptId(request, number, self.new_id())
+
+    def _feed(self, event: EntryEvent) -> None:
+        for command in self._dispatcher.handle(event, self._clock.now()):
+            self._carry_out(command)
+
+    def _carry_out(self, command: EntryCommand) -> None:
+        match command:
+            case Send(attempt, agent, members):
+                self._send_start(attempt, agent, members)
+            case Prefill():
+                self._send_prefill(command)
+            case Reserve():
+                self._send_reserve(command)
+            case Cancel(attempt, agent):
+                cancel = wire.Cancel(attempt=str(attempt))
+                self._send(agent, wire.EntryFrame(cancel=cancel))
+            case Release(attempt, agent):
+                release = wire.Release(attempt=str(attempt))
+                self._send(agent, wire.EntryFrame(release=release))
+            case Resume(attempt, agent, offset):
+                self._send_resume(attempt, agent, offset)
+            case Seal(attempt, agent):
+                self._send_seal(command)
+            case Finish(request):
+                self._finish(request)
+            case Fail():
+                self._fail(command)
+            case Replay(request, result):
+                self._exchanges.pop(request).replay(result)
+            case StoreRead(call, key):
+                self._spawn(self._read(call, key))
+            case StoreSwap():
+                self._spawn(self._swap(command))
+            case CountRetry(reason):
+                self._metrics.retried(reason)
+            case CountDrop(kind):
+                self._metrics.dropped(kind)
+
+    def _relay(self, exchange: Exchange, data: bytes) -> None:
+        if exchange.first_byte is None:
+            exchange.first_byte = self._clock.now()
+            self._record_first(exchange)
+        exchange.add(data)
+
+    def _record_first(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if isinstance(request.work, Prompt):
+            seconds = exchange.first_byte - request.arrived
+            self._metrics.first_token(seconds, request.work.tokens)
+
+    def _finish(self, request: str) -> None:
+        exchange = self._exchanges.pop(request)
+        self._metrics.answered(exchange.request.priority_class)
+        keyed = exchange.request.key is not None and not exchange.request.idempotent
+        if keyed:
+            self._feed(Captured(request, exchange.kept()))
+        exchange.finish()
+
+    def _fail(self, command: Fail) -> None:
+        exchange = self._exchanges.pop(command.request, None)
+        if exchange is None:
+            return
+        self._metrics.refused(command.reason, command.verdict)
+        for_request(command.request).info(
+            "request ended: %s, %s", command.reason.value, command.verdict.value
+        )
+        exchange.fail(
+            Problem(
+                command.reason,
+                command.verdict,
+                retry_after=command.retry_after,
+                request=command.request,
+            )
+        )
+
+    def _send(self, agent: AgentId, frame: wire.EntryFrame) -> bool:
+        link = self._links.get(agent.target)
+        return link is not None and link.send(frame)
+
+    def _send_start(
+        self, attempt: AttemptId, agent: AgentId, members: tuple[AgentId, ...]
+    ) -> None:
+        exchange = self._exchanges[attempt.request]
+        request = exchange.request
+        exchange.begin_attempt(agent.target)
+        pairs = [
+            *exchange.headers,
+            ("X-Request-Id", request.id),
+            ("X-Attempt-Id", str(attempt)),
+            ("X-Priority", str(self._priority(request))),
+        ]
+        if members:
+            pairs.append(("X-Context", str(exchange.context)))
+        start = wire.Start(
+            attempt=str(attempt),
+            incarnation=agent.incarnation,
+            deadline=request.deadline,
+            priority=self._priority(request),
+            idempotent=request.idempotent,
+            prefill=prefill_tokens(request),
+            memory=0 if isinstance(request.work, Call) else request.work.memory,
+            method=exchange.method,
+            path=exchange.path,
+            headers=headers(pairs),
+            body=exchange.body,
+            members=[member.target for member in members],
+            plain=isinstance(request.work, Call),
+        )
+        if not self._send(agent, wire.EntryFrame(start=start)):
+            event = Refused(attempt, Reason.TARGET_UNREACHABLE)
+            asyncio.get_running_loop().call_soon(self._feed, event)
+
+    def _send_prefill(self, command: Prefill) -> None:
+        exchange = self._exchanges[command.attempt.request]
+        exchange.targets.append(command.agent.target)
+        exchange.context = command.stop
+        model = self.catalogue.models[exchange.request.work.model]
+        bounds = (command.start, command.stop)
+        (body,) = segments(exchange.prompt, bounds, model.bytes_per_token)
+        prefill = wire.Prefill(
+            attempt=str(command.attempt),
+            start=command.start,
+            stop=command.stop,
+            model=model.name,
+            members=[member.target for member in command.members],
+            body=body,
+        )
+        self._send(command.agent, wire.EntryFrame(prefill=prefill))
+
+    def _send_reserve(self, command: Reserve) -> None:
+        request = self._exchanges[command.attempt.request].request
+        reserve = wire.Reserve(
+            attempt=str(command.attempt),
+            incarnation=command.agent.incarnation,
+            deadline=request.deadline,
+            priority=self._priority(request),
+            memory=command.memory,
+        )
+        if not self._send(command.agent, wire.EntryFrame(reserve=reserve)):
+            event = Refused(command.attempt, Reason.TARGET_UNREACHABLE)
+            asyncio.get_running_loop().call_soon(self._feed, event)
+
+    def _send_resume(self, attempt: AttemptId, agent: AgentId, offset: int) -> None:
+        exchange = self._exchanges.get(attempt.request)
+        if exchange is None:
+            return
+        resume = wire.Resume(
+            attempt=str(attempt), offset=offset, deadline=exchange.request.deadline
+        )
+        self._send(agent, wire.EntryFrame(resume=resume))
+
+    def _send_seal(self, command: Seal) -> None:
+        seal = wire.Seal(
+            attempt=str(command.attempt),
+            incarnation=command.agent.incarnation,
+            deadline=command.deadline,
+        )
+        self._send(command.agent, wire.EntryFrame(seal=seal))
+
+    def _priority(self, request: Request) -> int:
+        return self.catalogue.classes[request.priority_class].priority
+
+    async def _read(self, call: int, key: str) -> None:
+        self._feed(StoreAnswered(call, await self._store.get(key)))
+
+    async def _swap(self, command: StoreSwap) -> None:
+        result = await self._store.swap(command.key, command.version, command.value)
+        self._feed(StoreAnswered(command.call, result))
+
+    async def _keep_time(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self._feed(Tick())
+
+    async def _watch_hosts(self) -> None:
+        while True:
+            try:
+                self._known_hosts = tuple(await self._hosts.poll())
+                self._relink()
+            except PlatformError as error:
+                LOGGER.warning("host list not read: %s", error)
+            await asyncio.sleep(self._hosts_interval)
+
+    def _relink(self) -> None:
+        """Bring links and targets in line with hosts and catalogue."""
+        count = self._settings.links_per_service
+        wanted = choose(self._name, self._known_hosts, self._board.catalogue, count)
+        for name in set(self._links) - set(wanted):
+            self._unlink(name)
+        for name, host in wanted.items():
+            self._link(name, host)
+
+    def _link(self, name: str, host: Host) -> None:
+        link = self._links.get(name)
+        if link is not None and link.address != host.agent:
+            self._unlink(name)
+            link = None
+        if name in self._board.targets:
+            self._board.targets[name].host = host
+        else:
+            self._board.targets[name] = TargetState(host)
+        if link is None:
+            heartbeat = self._settings.heartbeat
+            address = Address(host.agent)
+            self._links[name] = Link(address, self._owner, heartbeat, self)
+
+    def _unlink(self, name: str) -> None:
+        target = self._board.targets.get(name)
+        if target is not None and target.outstanding:
+            target.host = dataclasses.replace(target.host, state=HostState.LEAVING)
+            return
+        self._board.targets.pop(name, None)
+        link = self._links.pop(name)
+        self._spawn(link.close())
+
+    def _spawn(self, work: t.Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("task failed", exc_info=task.exception())
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -267,6 +267,13 @@
     offer: Offer
 
 
+@frozen
+class PrefillAsked:
+    """An entry has a member of a group compute its segment."""
+
+    attempt: AttemptId
+
+
 @frozen
 class ReleaseAsked:
     """An entry gives a reservation back."""
@@ -340,6 +347,7 @@
 AgentEvent = t.Union[
     StartAsked,
     ReserveAsked,
+    PrefillAsked,
     ReleaseAsked,
     ResumeAsked,
     CancelAsked,
--- /dev/null
+++ b/src/chicorycove/frame.py
@@ -0,0 +1,125 @@
+"""Frames of the link between entry and agent, to and from events."""
+
+import typing as t
+
+from . import event
+from .event import AgentEvent, EntryEvent, Load, Offer, SealOutcome
+from .identity import AgentId, AttemptId
+from .reason import Reason
+from .verdict import Verdict
+from .wire import link_pb2 as wire
+
+
+def load_frame(load: Load) -> wire.AgentFrame:
+    """Return the frame that reports a load."""
+    return wire.AgentFrame(load=load_message(load))
+
+
+def load_message(load: Load) -> wire.Load:
+    """Return a load as a message."""
+    return wire.Load(
+        running=load.running,
+        queued=load.queued,
+        queued_prefill=load.queued_prefill,
+        memory_free=load.memory_free,
+        memory_total=load.memory_total,
+        leaving=load.leaving,
+    )
+
+
+def read_load(message: wire.Load) -> Load:
+    """Return a load from its message."""
+    return Load(
+        message.running,
+        message.queued,
+        message.queued_prefill,
+        message.memory_free,
+        message.memory_total,
+        message.leaving,
+    )
+
+
+def read_agent_frame(frame: wire.AgentFrame, agent: AgentId) -> EntryEvent:
+    """Return the event that a frame other than a chunk or head brings."""
+    kind = frame.WhichOneof("frame")
+    if kind == "load":
+        return event.LoadReported(agent, read_load(frame.load))
+    message = getattr(frame, kind)
+    attempt = AttemptId.parse(message.attempt)
+    match kind:
+        case "accepted":
+            return event.Accepted(attempt)
+        case "started":
+            return event.Started(attempt)
+        case "ended":
+            return event.Ended(attempt, message.size)
+        case "failed":
+            reason, verdict = Reason(message.reason), Verdict(message.verdict)
+            return event.Failed(attempt, reason, verdict)
+        case "refused":
+            after = message.retry_after or None
+            return event.Refused(attempt, Reason(message.reason), after)
+        case "sealed":
+            return event.Sealed(attempt, SealOutcome(message.outcome))
+        case "reserved":
+            return event.Reserved(attempt)
+        case "prefilled":
+            return event.Prefilled(attempt)
+    raise ValueError(f'frame "{kind}" is not known')
+
+
+def read_entry_frame(frame: wire.EntryFrame, owner: str) -> AgentEvent:
+    """Return the event that an entry's frame brings."""
+    kind = frame.WhichOneof("frame")
+    if kind == "heartbeat":
+        return event.OwnerAlive(owner)
+    message = getattr(frame, kind)
+    attempt = AttemptId.parse(message.attempt)
+    match kind:
+        case "start":
+            return event.StartAsked(_read_start(message, attempt, owner))
+        case "reserve":
+            return event.ReserveAsked(_read_reserve(message, attempt, owner))
+        case "prefill":
+            return event.PrefillAsked(attempt)
+        case "release":
+            return event.ReleaseAsked(attempt)
+        case "cancel":
+            return event.CancelAsked(attempt)
+        case "resume":
+            return event.ResumeAsked(attempt, owner, message.deadline)
+        case "seal":
+            return event.SealAsked(
+                attempt, message.incarnation, message.deadline, owner
+            )
+    raise ValueError(f'frame "{kind}" is not known')
+
+
+def _read_start(message: wire.Start, attempt: AttemptId, owner: str) -> Offer:
+    return Offer(
+        attempt=attempt,
+        owner=owner,
+        incarnation=message.incarnation,
+        deadline=message.deadline,
+        priority=message.priority,
+        idempotent=message.idempotent,
+        prefill=message.prefill,
+        memory=message.memory,
+    )
+
+
+def _read_reserve(message: wire.Reserve, attempt: AttemptId, owner: str) -> Offer:
+    return Offer(
+        attempt=attempt,
+        owner=owner,
+        incarnation=message.incarnation,
+        deadline=message.deadline,
+        priority=message.priority,
+        memory=message.memory,
+        grouped=True,
+    )
+
+
+def headers(pairs: t.Iterable[tuple[str, str]]) -> list[wire.Header]:
+    """Return headers as messages."""
+    return [wire.Header(name=name, value=value) for name, value in pairs]
--- /dev/null
+++ b/src/chicorycove/listener.py
@@ -0,0 +1,68 @@
+"""Serves an ASGI application on an address, in this process."""
+
+import asyncio
+import contextlib
+import socket
+import typing as t
+
+import uvicorn
+
+from .conversion import Address
+
+KEEP_ALIVE = 75  # seconds that an idle connection is kept
+BACKLOG = 2048
+STARTUP_POLL = 0.002  # seconds
+
+
+class _Server(uvicorn.Server):
+    """Leaves the process's signal handlers alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> t.Iterator[None]:
+        yield
+
+
+class Listener:
+    """An application being served."""
+
+    def __init__(self, server: uvicorn.Server, task: asyncio.Task, address: Address):
+        self._server = server
+        self._task = task
+        self._address = address
+
+    @property
+    def address(self) -> Address:
+        """Return the address that is listened on."""
+        return self._address
+
+    async def close(self) -> None:
+        """Stop listening, let answers end, and close."""
+        self._server.should_exit = True
+        await self._task
+
+
+async def listen(app: t.Any, address: Address) -> Listener:
+    """Serve an application until the listener is closed; port 0 picks one.
+
+    :raises OSError: if the address cannot be listened on
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind((address.host, address.port))
+    config = uvicorn.Config(
+        app,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        timeout_keep_alive=KEEP_ALIVE,
+        backlog=BACKLOG,
+    )
+    server = _Server(config)
+    task = asyncio.create_task(server.serve(sockets=[sock]))
+    while not server.started and not task.done():
+        await asyncio.sleep(STARTUP_POLL)
+    host, port = sock.getsockname()[:2]
+    return Listener(server, task, Address(f"{host}:{port}"))
--- /dev/null
+++ b/src/chicorycove/subset.py
@@ -0,0 +1,30 @@
+"""Which targets an entry keeps links to."""
+
+import typing as t
+
+import xxhash
+
+from .catalogue import Catalogue
+from .host import Host
+from .routing import matches
+
+
+def choose(
+    entry: str, hosts: t.Iterable[Host], catalogue: Catalogue, count: int
+) -> dict[str, Host]:
+    """Return the hosts to be linked, by name: some for each service.
+
+    Each entry draws its own subset, always the same one, so that links are
+    spread evenly and few change when hosts come and go.
+    """
+    known = tuple(hosts)
+    chosen: dict[str, Host] = {}
+    for service in catalogue.services.values():
+        matching = [host for host in known if matches(host, service.selector)]
+        matching.sort(key=lambda host: _rank(entry, host))
+        chosen.update((host.name, host) for host in matching[:count])
+    return chosen
+
+
+def _rank(entry: str, host: Host) -> int:
+    return xxhash.xxh64_intdigest(f"{entry}\0{host.name}")
--- /dev/null
+++ b/src/chicorycove/target.py
@@ -0,0 +1,210 @@
+"""What the agent beside a target decides: what runs there, and when."""
+
+import dataclasses
+
+from .backlog import Backlog
+from .command import (
+    AgentCommand,
+    Compute,
+    CountDrop,
+    Exit,
+    Run,
+    Stop,
+    TellAccepted,
+    TellRefused,
+    TellReserved,
+    TellResumed,
+    TellSealed,
+)
+from .event import (
+    AgentEvent,
+    CancelAsked,
+    EngineReported,
+    Load,
+    Offer,
+    OwnerAlive,
+    OwnerLost,
+    PrefillAsked,
+    ReleaseAsked,
+    ReserveAsked,
+    ResumeAsked,
+    RunEnded,
+    SealAsked,
+    SealOutcome,
+    StartAsked,
+    StopAsked,
+    Tick,
+)
+from .gate import Gate
+from .identity import AgentId, AttemptId
+from .ledger import Ledger
+from .reason import Reason
+
+
+@dataclasses.dataclass(slots=True)
+class TargetBoard:
+    """The state of an agent."""
+
+    gate: Gate
+    ledger: Ledger
+    backlog: Backlog
+    max_running: int
+    running: dict[AttemptId, Offer] = dataclasses.field(default_factory=dict)
+    reserved: dict[AttemptId, Offer] = dataclasses.field(default_factory=dict)
+    stopping: bool = False
+
+
+class TargetController:
+    """Decides for one target; times are in seconds."""
+
+    def __init__(self, agent: AgentId, board: TargetBoard) -> None:
+        self._agent = agent
+        self._board = board
+
+    @property
+    def load(self) -> Load:
+        """Return the target's load."""
+        board = self._board
+        return Load(
+            running=len(board.running),
+            queued=len(board.backlog),
+            queued_prefill=board.backlog.prefill,
+            memory_free=max(board.ledger.free, 0),
+            memory_total=board.ledger.capacity,
+            leaving=board.gate.leaving,
+        )
+
+    def handle(self, event: AgentEvent, now: float) -> list[AgentCommand]:
+        """Return what is to be done about an event."""
+        match event:
+            case StartAsked(offer) | ReserveAsked(offer):
+                commands = self._start(offer, now)
+            case PrefillAsked(attempt):
+                commands = self._prefill(attempt, now)
+            case ReleaseAsked(attempt) | CancelAsked(attempt):
+                commands = self._cancel(attempt, now)
+            case ResumeAsked():
+                commands = self._resume(event, now)
+            case SealAsked():
+                commands = self._seal(event, now)
+            case OwnerAlive(owner):
+                self._board.ledger.renew(owner, now)
+                commands = []
+            case OwnerLost():
+                commands = []  # its lease goes on running
+            case RunEnded(attempt):
+                commands = self._ended(attempt, now)
+            case EngineReported():
+                commands = self._reconcile(event)
+            case StopAsked():
+                self._board.gate.drain()
+                self._board.stopping = True
+                commands = []
+            case Tick():
+                commands = self._tick(now)
+        return commands + self._pump(now)
+
+    def _start(self, offer: Offer, now: float) -> list[AgentCommand]:
+        if offer.attempt in self._board.reserved:
+            return self._start_reserved(offer, now)
+        reason = self._board.gate.admit(offer, now)
+        if reason is Reason.ATTEMPT_DUPLICATE:
+            return [CountDrop("start")]
+        if reason is not None:
+            return [TellRefused(offer.attempt, reason)]
+        reason = self._board.backlog.offer(offer, now)
+        if reason is not None:
+            return [self._refuse(offer, reason, now)]
+        return [TellAccepted(offer.attempt)]
+
+    def _start_reserved(self, offer: Offer, now: float) -> list[AgentCommand]:
+        self._board.reserved.pop(offer.attempt)
+        return self._run(offer, now)
+
+    def _prefill(self, attempt: AttemptId, now: float) -> list[AgentCommand]:
+        if attempt not in self._board.reserved:
+            return [TellRefused(attempt, Reason.RESERVATION_LOST)]
+        if not self._board.gate.start(attempt, now):
+            return [CountDrop("prefill")]
+        return [Compute(attempt)]
+
+    def _run(self, offer: Offer, now: float) -> list[AgentCommand]:
+        if self._board.gate.start(offer.attempt, now):
+            self._board.running[offer.attempt] = offer
+            return [Run(offer.attempt)]
+        self._board.ledger.release(offer.attempt)
+        return [TellRefused(offer.attempt, Reason.ATTEMPT_EXPIRED)]
+
+    def _refuse(self, offer: Offer, reason: Reason, now: float) -> TellRefused:
+        self._board.gate.refuse(offer, reason)
+        retry_after = self._board.backlog.retry_after(now)
+        return TellRefused(offer.attempt, reason, retry_after)
+
+    def _cancel(self, attempt: AttemptId, now: float) -> list[AgentCommand]:
+        board = self._board
+        board.backlog.remove(attempt)
+        if board.gate.cancel(attempt, now) and attempt not in board.reserved:
+            return []
+        if attempt in board.running:
+            return [Stop(attempt)]
+        if board.reserved.pop(attempt, None) is not None:
+            board.ledger.release(attempt)
+            board.gate.end(attempt, now)
+            return [Stop(attempt)]
+        return []
+
+    def _resume(self, event: ResumeAsked, now: float) -> list[AgentCommand]:
+        asked = SealAsked(
+            event.attempt, self._agent.incarnation, event.deadline, event.owner
+        )
+        if event.attempt in self._board.backlog:
+            return [TellAccepted(event.attempt)]
+        match self._board.gate.seal(asked, now):
+            case SealOutcome.NOT_STARTED:
+                return [TellRefused(event.attempt, Reason.ATTEMPT_SEALED)]
+            case _:
+                return [TellResumed(event.attempt)]
+
+    def _seal(self, event: SealAsked, now: float) -> list[AgentCommand]:
+        outcome = self._board.gate.seal(event, now)
+        if outcome is SealOutcome.NOT_STARTED:
+            self._board.backlog.remove(event.attempt)
+        return [TellSealed(event.attempt, event.owner, outcome)]
+
+    def _ended(self, attempt: AttemptId, now: float) -> list[AgentCommand]:
+        self._board.running.pop(attempt, None)
+        self._board.reserved.pop(attempt, None)
+        self._board.ledger.release(attempt)
+        self._board.gate.end(attempt, now)
+        return []
+
+    def _reconcile(self, report: EngineReported) -> list[AgentCommand]:
+        return [Stop(attempt) for attempt in self._board.ledger.reconcile(report)]
+
+    def _tick(self, now: float) -> list[AgentCommand]:
+        board = self._board
+        board.gate.prune(now)
+        commands: list[AgentCommand] = [
+            self._refuse(offer, Reason.ATTEMPT_EXPIRED, now)
+            for offer in board.backlog.expire(now)
+        ]
+        for attempt in board.ledger.lapse(now):
+            commands += self._cancel(attempt, now)
+        if board.stopping and not board.gate.busy:
+            commands.append(Exit())
+        return commands
+
+    def _pump(self, now: float) -> list[AgentCommand]:
+        """Start what may start now."""
+        board = self._board
+        commands: list[AgentCommand] = []
+        while len(board.running) < board.max_running:
+            offer = board.backlog.next(now, board.ledger)
+            if offer is None:
+                break
+            if offer.grouped:
+                board.reserved[offer.attempt] = offer
+                commands.append(TellReserved(offer.attempt))
+            else:
+                commands += self._run(offer, now)
+        return commands
