--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -37,6 +37,7 @@
 
     attempt: AttemptId
     agent: AgentId
+    deadline: float = 0.0  # of the attempt, in seconds since the epoch
 
 
 @frozen
@@ -112,6 +113,13 @@
     result: bytes
 
 
+@frozen
+class Claimed:
+    """The claim of a keyed request stands: its attempt may be sent now."""
+
+    request: str
+
+
 # An entry speaks to the platform and to its own instruments.
 
 
@@ -125,12 +133,17 @@
 
 @frozen
 class StoreSwap:
-    """Write a key of the store if it still has a version; 0 for absent."""
+    """Write a key of the store if it still has a version; 0 for absent.
+
+    The store may drop the value some time after it expires, in seconds
+    since the epoch.
+    """
 
     call: int
     key: str
     version: int
     value: bytes
+    expires: float | None = None
 
 
 @frozen
@@ -159,6 +172,7 @@
     Finish,
     Fail,
     Replay,
+    Claimed,
     StoreRead,
     StoreSwap,
     CountRetry,
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -51,3 +51,4 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CALLER_GONE = "caller_gone"
     CLAIM_UNSETTLED = "claim_unsettled"
+    RESULT_NOT_KEPT = "result_not_kept"
