--- a/src/chicorycove/catalogue.py
+++ b/src/chicorycove/catalogue.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import hashlib
 import typing as t
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,6 +127,37 @@
     "operator": Operator,
 }
 
+KIND_NAMES: dict[type[Entry], str] = {cls: kind for kind, cls in KINDS.items()}
+
+FIELDS: dict[str, str] = {
+    "workspace": "workspaces",
+    "class": "classes",
+    "model": "models",
+    "service": "services",
+    "target": "targets",
+    "operator": "operators",
+}
+
+
+class EntryId(t.NamedTuple):
+    """What names an entry."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind}/{self.name}"
+
+
+def entry_id(entry: Entry) -> EntryId:
+    """Return the id of an entry."""
+    return EntryId(KIND_NAMES[type(entry)], entry.name)
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which the catalogue knows a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
 
 @frozen
 class Catalogue:
@@ -138,3 +170,38 @@
     services: t.Mapping[str, Service] = dataclasses.field(default_factory=dict)
     targets: t.Mapping[str, Target] = dataclasses.field(default_factory=dict)
     operators: t.Mapping[str, Operator] = dataclasses.field(default_factory=dict)
+
+    @classmethod
+    def build(cls, entries: t.Iterable[Entry], revision: int = 0) -> "Catalogue":
+        """Make a catalogue of entries; the last of a name wins."""
+        fields: dict[str, dict[str, Entry]] = {field: {} for field in FIELDS.values()}
+        for entry in entries:
+            fields[FIELDS[KIND_NAMES[type(entry)]]][entry.name] = entry
+        return cls(revision=revision, **fields)
+
+    def of_kind(self, kind: str) -> t.Mapping[str, Entry]:
+        """Return the entries of a kind by name."""
+        return getattr(self, FIELDS[kind])
+
+    def find(self, id: EntryId) -> Entry | None:
+        """Return an entry, or None if there is none."""
+        return self.of_kind(id.kind).get(id.name)
+
+    def entries(self) -> t.Iterator[Entry]:
+        """Yield every entry, by kind and then by name."""
+        for kind in FIELDS:
+            for _, entry in sorted(self.of_kind(kind).items()):
+                yield entry
+
+    def changed(
+        self, edits: t.Mapping[EntryId, Entry | None], revision: int
+    ) -> "Catalogue":
+        """Return a copy with entries replaced, or removed where None."""
+        fields = {field: getattr(self, field) for field in FIELDS.values()}
+        for kind in {id.kind for id in edits}:
+            fields[FIELDS[kind]] = dict(fields[FIELDS[kind]])
+        for id, entry in edits.items():
+            fields[FIELDS[id.kind]].pop(id.name, None)
+            if entry is not None:
+                fields[FIELDS[id.kind]][id.name] = entry
+        return Catalogue(revision=revision, **fields)
