Add the front, the processes and the daemon

Cause: the path needs its ends. Change: callers' HTTP interface, probes, entry, agent and local processes, the daemon.

--- /dev/null
+++ b/src/chicorycove/agent_process.py
@@ -0,0 +1,66 @@
+"""The agent's process: its link server, its probes and its stop."""
+
+import asyncio
+import secrets
+
+from . import probe
+from .agent import Agent, server
+from .clock import Clock
+from .front import create_app
+from .identity import AgentId
+from .listener import Listener, listen
+from .log import LOGGER
+from .metric import Metrics
+from .settings import AgentSettings
+
+INCARNATION_BYTES = 8
+STOP_GRACE = 5.0  # seconds for frames that are still to be sent
+
+
+class AgentProcess:
+    """Runs one agent."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self._settings = settings
+        self._metrics = Metrics(settings.target)
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        agent_id = AgentId(settings.target, incarnation)
+        self._agent = Agent(settings, agent_id, Clock(), self._metrics)
+        self._listener: Listener | None = None
+        self._port = 0
+
+    @property
+    def agent(self) -> Agent:
+        """Return the agent."""
+        return self._agent
+
+    @property
+    def port(self) -> int:
+        """Return the port of the link server."""
+        return self._port
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._server, self._port = server(self._agent, self._settings)
+        await self._server.start()
+        routes = probe.routes(self._metrics, lambda: self._agent.ready)
+        self._listener = await listen(create_app(routes), self._settings.http)
+        self._agent.start()
+        LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self._port)
+
+    async def stop(self) -> None:
+        """Take no new work, finish what there is, and close."""
+        self._agent.stop()
+        try:
+            async with asyncio.timeout(self._settings.stop_timeout):
+                await self._agent.exited.wait()
+        except TimeoutError:
+            LOGGER.warning("agent stops with work that did not finish")
+        await self.close()
+
+    async def close(self) -> None:
+        """Drop everything."""
+        await self._agent.close()
+        await self._server.stop(STOP_GRACE)
+        if self._listener is not None:
+            await self._listener.close()
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -59,6 +59,7 @@
 from .routing import Router, RoutingSettings
 from .settings import EntrySettings, Settings
 from .subset import choose
+from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.02  # seconds
@@ -155,6 +156,10 @@
         if exchange.request.id in self._exchanges:
             self._feed(CallerGone(exchange.request.id))
 
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a request that was not admitted."""
+        self._metrics.refused(reason, Verdict.NOT_RUN)
+
     def on_event(self, event: EntryEvent) -> None:
         """Take in an event from a link."""
         self._feed(event)
@@ -183,7 +188,7 @@
         groups = GroupCoordinator(
             GroupSettings(), self._board, router, self._make_attempt
         )
-        claims = Claimer(self._name, ClaimSettings(), itertools.count(1), rng)
+        claims = Claimer(self._owner, ClaimSettings(), itertools.count(1), rng)
         retries = RetryPolicy(RetrySettings(), rng)
         return Dispatcher(
             self._board,
--- /dev/null
+++ b/src/chicorycove/local.py
@@ -0,0 +1,126 @@
+"""The local role: entry, agents and stand-ins in one process on loopback."""
+
+import pathlib
+import typing as t
+
+from standin import engine, hosts, server as standin_server, service, store
+
+from .agent_process import AgentProcess
+from .catalogue import ServiceKind
+from .conversion import Address
+from .entry_process import EntryProcess
+from .exceptions import SettingsError
+from .host import Host
+from .schema import parse
+from .settings import (
+    AgentSettings,
+    EntrySettings,
+    LocalSettings,
+    LocalTarget,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+
+ANY_PORT = Address("127.0.0.1:0")
+REGION = "local"
+
+
+class LocalProcess:
+    """Runs everything that a first try needs."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._servers: list[standin_server.Server] = []
+        self._agents: list[AgentProcess] = []
+        self._targets: dict[str, str] = {}
+        self._entry: EntryProcess | None = None
+
+    @property
+    def entry(self) -> EntryProcess:
+        """Return the entry's part."""
+        return self._entry
+
+    @property
+    def targets(self) -> t.Mapping[str, str]:
+        """Return the stand-in targets' URLs by name."""
+        return self._targets
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        local = self._settings.local
+        catalogue = self._read_catalogue(local)
+        host_list = [await self._start_target(target) for target in local.targets]
+        host_server = await self._serve(
+            hosts.create_app(hosts.HostsSettings(hosts=tuple(host_list)))
+        )
+        store_server = await self._serve(store.create_app(store.StoreSettings()))
+        self._entry = EntryProcess(
+            Settings(
+                role=Role.ENTRY,
+                name=self._settings.name,
+                entry=EntrySettings(listen=local.listen),
+                platform=PlatformSettings(
+                    store=Address(store_server.address),
+                    hosts=Address(host_server.address),
+                ),
+            )
+        )
+        self._entry.entry.set_catalogue(catalogue)
+        await self._entry.start()
+
+    async def stop(self) -> None:
+        """Finish all requests and close."""
+        await self._entry.stop()
+        for agent in self._agents:
+            await agent.stop()
+        for each in self._servers:
+            await each.close()
+
+    def _read_catalogue(self, local: LocalSettings) -> t.Any:
+        path = pathlib.Path(local.catalogue)
+        try:
+            return parse(path.read_text(), revision=1)
+        except OSError as error:
+            raise SettingsError(f"{path}: {error.strerror}") from None
+
+    async def _serve(self, app: t.Any) -> standin_server.Server:
+        result = await standin_server.serve(app)
+        self._servers.append(result)
+        return result
+
+    async def _start_target(self, target: LocalTarget) -> Host:
+        served = await self._serve(self._create_target(target))
+        self._targets[target.name] = served.url
+        agent = AgentProcess(
+            AgentSettings(
+                target=target.name,
+                listen=ANY_PORT,
+                http=ANY_PORT,
+                address=Address(served.address),
+                kind=target.kind,
+                memory=target.memory,
+            )
+        )
+        await agent.start()
+        self._agents.append(agent)
+        return Host(
+            name=target.name,
+            agent=f"127.0.0.1:{agent.port}",
+            region=REGION,
+            failure_domain=target.failure_domain,
+            labels={"service": target.service},
+        )
+
+    def _create_target(self, target: LocalTarget) -> t.Any:
+        match target.kind:
+            case ServiceKind.ENGINE:
+                return engine.create_app(
+                    engine.EngineSettings(
+                        name=target.name,
+                        memory_tokens=target.memory,
+                        time_scale=self._settings.local.time_scale,
+                    )
+                )
+            case ServiceKind.PLAIN:
+                return service.create_app(service.ServiceSettings(name=target.name))
