--- /dev/null
+++ b/src/chicorycove/attempt.py
@@ -0,0 +1,102 @@
+"""The life cycle of an attempt, and the place of its bytes in an answer."""
+
+import dataclasses
+import enum
+
+import transitions
+
+from .board import AttemptState, RequestState
+
+SENT = "sent"
+ACCEPTED = "accepted"  # waits in its agent's queue
+STARTED = "started"
+BROKEN = "broken"  # its link or stream is lost, and may be resumed
+ENDED = "ended"
+FAILED = "failed"
+REFUSED = "refused"  # and never runs
+CANCELLED = "cancelled"
+
+LIVE = (SENT, ACCEPTED, STARTED, BROKEN)
+
+
+class Step(enum.Enum):
+    """What may happen to an attempt."""
+
+    ACCEPT = "accept"
+    START = "start"
+    CHUNK = "chunk"
+    BREAK = "break"
+    RESUME = "resume"
+    END = "end"
+    FAIL = "fail"
+    REFUSE = "refuse"
+    CANCEL = "cancel"
+
+
+# Messages overtake one another when a link is replaced, so that an attempt
+# may be seen to start or to stream before it is seen accepted.
+_TRANSITIONS = [
+    [Step.ACCEPT.value, SENT, ACCEPTED],
+    [Step.START.value, [SENT, ACCEPTED, STARTED], STARTED],
+    [Step.CHUNK.value, [SENT, ACCEPTED, STARTED], STARTED],
+    [Step.BREAK.value, [SENT, ACCEPTED, STARTED], BROKEN],
+    [Step.RESUME.value, BROKEN, STARTED],
+    [Step.END.value, [SENT, ACCEPTED, STARTED], ENDED],
+    [Step.FAIL.value, list(LIVE), FAILED],
+    [Step.REFUSE.value, [SENT, ACCEPTED, BROKEN], REFUSED],
+    [Step.CANCEL.value, list(LIVE), CANCELLED],
+]
+
+# One machine for all attempts: it holds no model, so that an attempt costs
+# no more than its own state.
+_MACHINE = transitions.Machine(
+    model=None,
+    states=[*LIVE, ENDED, FAILED, REFUSED, CANCELLED],
+    transitions=_TRANSITIONS,
+    initial=SENT,
+    auto_transitions=False,
+    ignore_invalid_triggers=True,
+)
+
+
+def advance(attempt: AttemptState, step: Step) -> bool:
+    """Take a step, or return False if the attempt is past it."""
+    return _MACHINE.events[step.value].trigger(attempt)
+
+
+def is_live(attempt: AttemptState) -> bool:
+    """Tell whether anything of an attempt is still awaited."""
+    return attempt.state in LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fresh:
+    """A chunk whose bytes after the first few have not been relayed."""
+
+    skip: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stale:
+    """A chunk all of whose bytes have been relayed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gap:
+    """A chunk before which bytes are missing."""
+
+
+Place = Fresh | Stale | Gap
+
+
+def place(state: RequestState, attempt: AttemptState, offset: int, size: int) -> Place:
+    """Take a chunk's bytes in, and tell which of them are to be relayed."""
+    if offset > attempt.received:
+        return Gap()
+    end = offset + size
+    attempt.received = max(attempt.received, end)
+    if end <= state.relayed:
+        return Stale()
+    skip = max(state.relayed - offset, 0)
+    state.relayed = end
+    return Fresh(skip)
--- a/src/chicorycove/board.py
+++ b/src/chicorycove/board.py
@@ -35,12 +35,13 @@
 
 @dataclasses.dataclass(slots=True)
 class AttemptState:
-    """One attempt as its entry sees it."""
+    """One attempt as its entry sees it; received counts its bytes."""
 
     id: AttemptId
     agent: AgentId
     state: str = "sent"
     grouped: bool = False
+    received: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/chicorycove/health.py
@@ -0,0 +1,79 @@
+"""Ejection of targets that fail or hang, with a floor on those that stay."""
+
+import dataclasses
+import math
+import typing as t
+
+from .board import EntryBoard, TargetState
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HealthSettings:
+    """When targets are ejected; times are in seconds."""
+
+    failures: int = 5  # in a row
+    ejection_base: float = 5.0  # doubled at each ejection in a row
+    ejection_cap: float = 120.0
+    floor: float = 0.5  # share of a service's targets that always stays
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    failures: int = 0
+    ejections: int = 0
+
+
+class OutlierDetector:
+    """Ejects targets on the board after failures in a row.
+
+    Only answers of targets count: a refusal for want of room, or a caller
+    who hangs up, says nothing of a target's health.
+    """
+
+    def __init__(self, board: EntryBoard, settings: HealthSettings) -> None:
+        self._board = board
+        self._settings = settings
+        self._records: dict[str, _Record] = {}
+
+    def note_success(self, target: str) -> None:
+        """Clear a target that has answered."""
+        self._records.pop(target, None)
+
+    def note_failure(self, target: str, peers: t.Collection[str], now: float) -> bool:
+        """Count a failure or a hang; tell whether the target is ejected now.
+
+        Peers are all targets of the service, this one included.
+        """
+        state = self._board.targets.get(target)
+        if state is None or state.ejected_until > now:
+            return False
+        record = self._records.setdefault(target, _Record())
+        record.failures += 1
+        if record.failures < self._settings.failures:
+            return False
+        if not self._has_room(peers, now):
+            return False
+        self._eject(state, record, now)
+        return True
+
+    def forget(self, target: str) -> None:
+        """Drop a target that is gone."""
+        self._records.pop(target, None)
+
+    def _has_room(self, peers: t.Collection[str], now: float) -> bool:
+        floor = math.ceil(len(peers) * self._settings.floor)
+        staying = sum(1 for peer in peers if self._is_usable(peer, now))
+        return staying - 1 >= max(floor, 1)
+
+    def _is_usable(self, target: str, now: float) -> bool:
+        state = self._board.targets.get(target)
+        if state is None or state.agent is None or state.leaving:
+            return False
+        return state.ejected_until <= now
+
+    def _eject(self, state: TargetState, record: _Record, now: float) -> None:
+        duration = self._settings.ejection_base * 2**record.ejections
+        state.ejected_until = now + min(duration, self._settings.ejection_cap)
+        record.ejections = min(record.ejections + 1, 16)
+        # One more failure ejects it again, one success clears it.
+        record.failures = self._settings.failures - 1
