--- /dev/null
+++ b/src/chicorycove/administration.py
@@ -0,0 +1,242 @@
+"""The operators' API over HTTP, under ``/admin/v1``."""
+
+import dataclasses
+import json
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .catalogue import KINDS, EntryId, Operator, entry_id
+from .change import (
+    Change,
+    Edit,
+    change_to_json,
+    diff,
+)
+from .exceptions import (
+    CatalogueError,
+    ChicorycoveError,
+    ConflictError,
+    GrantError,
+    PlatformError,
+    StoreUnavailable,
+    UnknownChangeError,
+)
+from .reason import Reason
+from .registry import Registry
+from .schema import Json, dump, dump_entry, json_schema, parse_entry
+from .verdict import Verdict
+
+PREFIX = "/admin/v1"
+MAX_BODY = 4_000_000  # bytes
+MAX_HISTORY = 1000  # changes in one answer
+PROBLEM_TYPE = "application/problem+json"
+
+
+class _Unauthenticated(ChicorycoveError):
+    """A request without the key of an operator."""
+
+
+class Administration:
+    """Answers operators from a registry."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+
+    def routes(self) -> list[Route]:
+        """Return the routes, to be mounted in an entry."""
+        table = [
+            ("/catalogue", self._catalogue, "GET"),
+            ("/entries/{kind}", self._list, "GET"),
+            ("/entries/{kind}/{name}", self._get, "GET"),
+            ("/changes", self._history, "GET"),
+            ("/changes", self._apply, "POST"),
+            ("/changes/{change}", self._show, "GET"),
+            ("/changes/{change}/revert", self._revert, "POST"),
+            ("/status", self._status, "GET"),
+            ("/schema", self._schema, "GET"),
+        ]
+        return [
+            Route(PREFIX + path, _guarded(handler), methods=[method])
+            for path, handler, method in table
+        ]
+
+    async def _catalogue(self, request: Request) -> Json:
+        self._operator(request)
+        return dump(self._registry.current)
+
+    async def _list(self, request: Request) -> Json:
+        self._operator(request)
+        kind = _kind(request)
+        names = sorted(self._registry.current.of_kind(kind))
+        return {"entries": [self._entry(EntryId(kind, name)) for name in names]}
+
+    async def _get(self, request: Request) -> Json:
+        self._operator(request)
+        id = EntryId(_kind(request), request.path_params["name"])
+        if self._registry.current.find(id) is None:
+            raise UnknownChangeError(f'there is no {id.kind} "{id.name}"')
+        return self._entry(id)
+
+    async def _history(self, request: Request) -> Json:
+        self._operator(request)
+        limit = request.query_params.get("limit", "50")
+        if not limit.isdecimal() or not 0 < int(limit) <= MAX_HISTORY:
+            raise CatalogueError(f"limit: expected a number from 1 to {MAX_HISTORY}")
+        changes = await self._registry.history(int(limit))
+        return {"changes": [self._change(change) for change in changes]}
+
+    async def _show(self, request: Request) -> Json:
+        self._operator(request)
+        change = await self._registry.find(request.path_params["change"])
+        return self._change(change) | {"diff": diff(change.replacements)}
+
+    async def _apply(self, request: Request) -> Json:
+        operator = self._operator(request)
+        body = await _body(request, {"id", "reason", "base", "edits", "dry_run"})
+        proposal = self._registry.proposal(
+            operator,
+            body.get("reason", ""),
+            tuple(_edit(item) for item in body.get("edits", ())),
+            body.get("base"),
+            body.get("id", ""),
+        )
+        return await self._carry_out(operator, proposal, body)
+
+    async def _revert(self, request: Request) -> Json:
+        operator = self._operator(request)
+        body = await _body(request, {"id", "reason", "dry_run"})
+        change = await self._registry.find(request.path_params["change"])
+        proposal = await self._registry.revert(
+            operator, change, body.get("reason", ""), body.get("id", "")
+        )
+        return await self._carry_out(operator, proposal, body)
+
+    async def _carry_out(self, operator, proposal, body) -> Json:
+        if body.get("dry_run", False):
+            change = await self._registry.preview(operator, proposal)
+            return {"dry_run": True, "diff": diff(change.replacements)}
+        change = await self._registry.apply(operator, proposal)
+        await self._registry.spread(change)
+        return self._change(change) | {"diff": diff(change.replacements)}
+
+    async def _status(self, request: Request) -> Json:
+        self._operator(request)
+        spreader = self._registry.spreader
+        processes = spreader.status() if spreader is not None else ()
+        return {
+            "revision": self._registry.current.revision,
+            "processes": [dataclasses.asdict(process) for process in processes],
+        }
+
+    async def _schema(self, request: Request) -> Json:
+        return json_schema()
+
+    def _operator(self, request: Request) -> Operator:
+        scheme, _, key = request.headers.get("authorization", "").partition(" ")
+        operator = self._registry.operator(key) if key else None
+        if scheme.lower() != "bearer" or operator is None:
+            raise _Unauthenticated("an operator's key is needed")
+        return operator
+
+    def _entry(self, id: EntryId) -> Json:
+        mark = self._registry.state.marks[id]
+        return {
+            "entry": dump_entry(self._registry.current.find(id)),
+            "changed": dataclasses.asdict(mark),
+        }
+
+    def _change(self, change: Change) -> Json:
+        data = change_to_json(change)
+        spread = self._registry.spread_of(change.revision)
+        if spread is not None:
+            data["in_force_at"] = spread.in_force_at
+            data["members"] = spread.members
+            data["laggards"] = [dataclasses.asdict(each) for each in spread.laggards]
+        return data
+
+
+def _guarded(handler):
+    async def endpoint(request: Request) -> Response:
+        try:
+            return JSONResponse(await handler(request))
+        except ChicorycoveError as error:
+            return _problem(error)
+
+    return endpoint
+
+
+def _problem(error: ChicorycoveError) -> Response:
+    verdict = Verdict.NOT_RUN
+    match error:
+        case _Unauthenticated():
+            status, reason = 401, Reason.UNAUTHENTICATED
+        case GrantError():
+            status, reason = 403, Reason.FORBIDDEN
+        case UnknownChangeError():
+            status, reason = 404, Reason.UNKNOWN_ENTRY
+        case ConflictError():
+            status, reason = 409, Reason.CONFLICT
+        case CatalogueError():
+            status, reason = 422, Reason.INVALID_CATALOGUE
+        case StoreUnavailable():
+            status, reason = 503, Reason.STORE_DOWN
+        case PlatformError():
+            status, reason = 503, Reason.STORE_DOWN
+            verdict = Verdict.MAY_HAVE_RUN
+        case _:
+            raise error
+    problem = {
+        "type": "about:blank",
+        "title": reason.value.replace("_", " "),
+        "status": status,
+        "detail": str(error),
+        "reason": reason.value,
+        "verdict": verdict.value,
+    }
+    return JSONResponse(problem, status, media_type=PROBLEM_TYPE)
+
+
+def _kind(request: Request) -> str:
+    kind = request.path_params["kind"]
+    if kind not in KINDS:
+        raise UnknownChangeError(f'there is no kind "{kind}"')
+    return kind
+
+
+_TYPES = {"id": str, "reason": str, "base": int, "edits": list, "dry_run": bool}
+
+
+async def _body(request: Request, keys: set[str]) -> Json:
+    size = 0
+    parts = []
+    async for part in request.stream():
+        size += len(part)
+        if size > MAX_BODY:
+            raise CatalogueError(f"the body is above {MAX_BODY} bytes")
+        parts.append(part)
+    try:
+        body = json.loads(b"".join(parts))
+    except ValueError as error:
+        raise CatalogueError(f"the body is not JSON: {error}") from None
+    if not isinstance(body, dict):
+        raise CatalogueError("the body is not an object")
+    for key, value in body.items():
+        if key not in keys:
+            raise CatalogueError(f'unknown key "{key}" in the body')
+        if type(value) is not _TYPES[key]:
+            raise CatalogueError(f'"{key}": expected {_TYPES[key].__name__}')
+    return body
+
+
+def _edit(data: Json) -> Edit:
+    match data:
+        case {"entry": entry, **rest} if not rest:
+            parsed = parse_entry(entry)
+            return Edit(id=entry_id(parsed), entry=parsed)
+        case {"delete": {"kind": str(kind), "name": str(name), **rest}} if not rest:
+            if kind not in KINDS:
+                raise CatalogueError(f'there is no kind "{kind}"')
+            return Edit(id=EntryId(kind, name), entry=None)
+    raise CatalogueError('an edit is {"entry": {...}} or {"delete": {"kind", "name"}}')
--- a/src/chicorycove/exceptions.py
+++ b/src/chicorycove/exceptions.py
@@ -17,6 +17,14 @@
     """A change that lost against another one."""
 
 
+class GrantError(CatalogueError):
+    """A change that its operator has no right to make."""
+
+
+class UnknownChangeError(CatalogueError):
+    """A change that the history does not have."""
+
+
 class PlatformError(ChicorycoveError):
     """Base of the errors of the platform's services."""
 
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -22,6 +22,11 @@
     KEY_REUSED = "key_reused"
     KEY_IN_PROGRESS = "key_in_progress"
 
+    # An operator's request is at fault.
+    CONFLICT = "conflict"
+    INVALID_CATALOGUE = "invalid_catalogue"
+    UNKNOWN_ENTRY = "unknown_entry"
+
     # The system is short of something.
     DEADLINE_INFEASIBLE = "deadline_infeasible"
     QUEUE_FULL = "queue_full"
--- /dev/null
+++ b/src/chicorycove/registry.py
@@ -0,0 +1,303 @@
+"""The catalogue in force in one process, kept up to date with the store."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import time
+import typing as t
+import uuid
+
+from . import commit
+from .catalogue import Catalogue, Entry, Operator, entry_id, key_digest
+from .change import Change, Edit, Proposal, State, check_grants, prepare, revert
+from .event import Found, Lost, StoreResult, Swapped, Unavailable, Unknown
+from .exceptions import StoreUnavailable, UnknownChangeError
+
+log = logging.getLogger(__name__)
+
+MAX_KEPT = 1000  # changes in memory
+WATCH_DELAY = 0.5  # seconds between tries of a broken watch
+BOOTSTRAP = "bootstrap"
+
+T = t.TypeVar("T")
+
+
+class Store(t.Protocol):
+    """The part of the platform's key-value service that is used here."""
+
+    async def get(self, key: str) -> Found | Unavailable:
+        """Read a key."""
+
+    async def swap(
+        self, key: str, version: int, value: bytes
+    ) -> Swapped | Lost | Unavailable | Unknown:
+        """Write a key if it still has a version; 0 for absent."""
+
+    async def delete(self, key: str, version: int) -> StoreResult:
+        """Delete a key if it still has a version."""
+
+    def watch(self, key: str, version: int) -> t.AsyncIterator[Found]:
+        """Yield each value of a key newer than a version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Laggard:
+    """A process that has not applied a revision, and what is known of why."""
+
+    name: str
+    revision: int
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """How far a revision has spread; times are in seconds since the epoch."""
+
+    revision: int
+    members: int = 1
+    in_force_at: float | None = None
+    laggards: tuple[Laggard, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessStatus:
+    """One process as its peers know it."""
+
+    name: str
+    role: str
+    failure_domain: str
+    state: str
+    incarnation: int
+    revision: int
+
+
+class Spreader(t.Protocol):
+    """Carries states from process to process."""
+
+    async def spread(self, change: Change, state: State) -> Spread:
+        """Push a change, and return when it is in force or time is up."""
+
+    def status(self) -> tuple[ProcessStatus, ...]:
+        """Return what is known of every process."""
+
+    def may_accept(self) -> bool:
+        """Tell whether this process may accept changes."""
+
+
+async def run(calls: commit.Calls[T], store: Store) -> T:
+    """Carry out the calls that a generator yields."""
+    result = None
+    while True:
+        try:
+            call = calls.send(result)
+        except StopIteration as stop:
+            return stop.value
+        match call:
+            case commit.Get(key=key):
+                result = await store.get(key)
+            case commit.Swap(key=key, version=version, value=value):
+                result = await store.swap(key, version, value)
+            case commit.Delete(key=key, version=version):
+                result = await store.delete(key, version)
+            case commit.Wait(seconds=seconds):
+                result = await asyncio.sleep(seconds)
+
+
+class Registry:
+    """Holds the catalogue in force, changes it, and tells subscribers."""
+
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        clock: t.Callable[[], float] = time.time,
+        spreader: Spreader | None = None,
+    ) -> None:
+        self.spreader = spreader
+        self._store = store
+        self._name = name
+        self._clock = clock
+        self._state = State()
+        self._subscribers: list[t.Callable[[Catalogue], None]] = []
+        self._kept: collections.OrderedDict[str, Change] = collections.OrderedDict()
+        self._spreads: dict[int, Spread] = {}
+
+    @property
+    def current(self) -> Catalogue:
+        """Return the catalogue in force."""
+        return self._state.catalogue
+
+    @property
+    def state(self) -> State:
+        """Return the catalogue in force with the last change of each entry."""
+        return self._state
+
+    def subscribe(self, callback: t.Callable[[Catalogue], None]) -> None:
+        """Have a callback told the catalogue now and at each new revision."""
+        self._subscribers.append(callback)
+        callback(self.current)
+
+    def install(self, state: State, changes: t.Iterable[Change] = ()) -> bool:
+        """Put a state in force if it is newer, and tell whether it was."""
+        for change in changes:
+            self._keep(change)
+        if state.revision <= self._state.revision:
+            return False
+        self._state = state
+        log.info("catalogue in force", extra={"revision": state.revision})
+        for callback in self._subscribers:
+            callback(state.catalogue)
+        return True
+
+    def operator(self, key: str) -> Operator | None:
+        """Return the operator that a key belongs to."""
+        digest = key_digest(key)
+        for operator in self.current.operators.values():
+            if digest in operator.key_digests:
+                return operator
+        return None
+
+    async def load(self) -> None:
+        """Read what is in force from the store.
+
+        :raises StoreUnavailable: if the store does not answer
+        """
+        stored = await run(commit.load(self._state), self._store)
+        self.install(stored.state, stored.changes)
+
+    async def seed(self, entries: t.Iterable[Entry]) -> None:
+        """Commit a first catalogue if there is none yet.
+
+        :raises CatalogueError: if the catalogue is not valid
+        :raises PlatformError: if the store does not answer
+        """
+        await self.load()
+        if self.current.revision:
+            return
+        edits = tuple(Edit(id=entry_id(entry), entry=entry) for entry in entries)
+        proposal = Proposal(
+            id=BOOTSTRAP,
+            operator=BOOTSTRAP,
+            owner=BOOTSTRAP,
+            reason="first catalogue",
+            edits=edits,
+            base=0,
+        )
+        await self._commit(proposal)
+
+    async def follow(self) -> None:
+        """Keep up with the store until cancelled."""
+        while True:
+            try:
+                await self.load()
+                async for _ in self._store.watch(commit.HEAD_KEY, 0):
+                    await self.load()
+            except StoreUnavailable as error:
+                log.warning("store unavailable", extra={"cause": str(error)})
+            await asyncio.sleep(WATCH_DELAY)
+
+    def proposal(
+        self,
+        operator: Operator,
+        reason: str,
+        edits: tuple[Edit, ...],
+        base: int | None = None,
+        id: str = "",
+    ) -> Proposal:
+        """Make a proposal on behalf of an operator."""
+        return Proposal(
+            id=id or uuid.uuid4().hex[:16],
+            operator=operator.name,
+            owner=operator.owner,
+            reason=reason,
+            edits=edits,
+            base=base,
+        )
+
+    async def preview(self, operator: Operator, proposal: Proposal) -> Change:
+        """Return the change that a proposal would make.
+
+        :raises CatalogueError: if it would be refused
+        """
+        check_grants(operator, proposal.edits)
+        await self.load()
+        return prepare(self._state, proposal, self._clock())
+
+    async def apply(self, operator: Operator, proposal: Proposal) -> Change:
+        """Commit a proposal; ``spread`` tells how far it has come.
+
+        :raises CatalogueError: if it is refused
+        :raises PlatformError: if the store does not answer
+        """
+        check_grants(operator, proposal.edits)
+        if self.spreader is not None and not self.spreader.may_accept():
+            raise StoreUnavailable("this entry is cut off from most others")
+        return await self._commit(proposal)
+
+    async def spread(self, change: Change) -> Spread:
+        """Push a change to every process and tell how far it has come."""
+        if self.spreader is None:
+            spread = Spread(change.revision, 1, self._clock())
+        else:
+            spread = await self.spreader.spread(change, self._state)
+        self._spreads[change.revision] = spread
+        return spread
+
+    def spread_of(self, revision: int) -> Spread | None:
+        """Return how far a revision had spread when that was last known."""
+        return self._spreads.get(revision)
+
+    async def revert(
+        self, operator: Operator, change: Change, reason: str, id: str = ""
+    ) -> Proposal:
+        """Make the proposal that undoes a change."""
+        return revert(change, self.proposal(operator, reason, (), id=id))
+
+    async def history(self, count: int = 50) -> tuple[Change, ...]:
+        """Return the newest changes, newest first."""
+        newest = self.current.revision
+        oldest = max(newest - count, 0)
+        kept = {change.revision: change for change in self._kept.values()}
+        wanted = range(newest, oldest, -1)
+        if all(revision in kept for revision in wanted):
+            return tuple(kept[revision] for revision in wanted)
+        head = await self._head()
+        changes = await run(commit.history(head, count), self._store)
+        for change in reversed(changes):
+            self._keep(change)
+        return changes
+
+    async def find(self, change: str) -> Change:
+        """Return a change by its id or its revision.
+
+        :raises UnknownChangeError: if there is none
+        """
+        for kept in reversed(self._kept.values()):
+            if change in (kept.id, str(kept.revision)):
+                return kept
+        head = await self._head()
+        revision = head.revision_of(change)
+        if revision is None and change.isdecimal():
+            revision = int(change)
+        if revision is None or not 0 < revision <= head.revision:
+            raise UnknownChangeError(f'there is no change "{change}"')
+        return await run(commit.find(head, revision), self._store)
+
+    async def _head(self) -> commit.Head:
+        stored = await run(commit.load(self._state), self._store)
+        self.install(stored.state, stored.changes)
+        return stored.head
+
+    async def _commit(self, proposal: Proposal) -> Change:
+        token = f"{self._name}.{uuid.uuid4().hex[:16]}"
+        calls = commit.commit(proposal, self._state, token, self._clock())
+        accepted = await run(calls, self._store)
+        self.install(accepted.stored.state, accepted.stored.changes)
+        self._keep(accepted.change)
+        return accepted.change
+
+    def _keep(self, change: Change) -> None:
+        self._kept[change.id] = change
+        if len(self._kept) > MAX_KEPT:
+            self._kept.popitem(last=False)
--- /dev/null
+++ b/tests/store.py
@@ -0,0 +1,79 @@
+"""A store in a dictionary, with faults to inject."""
+
+import asyncio
+
+from chicorycove.commit import Delete, Get, Swap, Wait
+from chicorycove.event import Found, Lost, Swapped, Unavailable, Unknown
+
+
+class DictStore:
+    """Carries calls out at once, with a fault for each where one is set."""
+
+    def __init__(self):
+        self.values = {}
+        self.version = 0
+        self.calls = 0
+        self.faults = []  # "down", "lost" or "" for each call to come
+        self.down = False
+
+    def carry_out(self, call):
+        """Return the result of a call."""
+        if isinstance(call, Wait):
+            return None
+        self.calls += 1
+        fault = self.faults.pop(0) if self.faults else ""
+        if self.down or fault == "down":
+            return Unavailable()
+        result = self._carry_out(call)
+        lost = fault == "lost" and not isinstance(call, Get)
+        return Unknown() if lost else result
+
+    def run(self, calls):
+        """Carry out every call that a generator yields."""
+        result = None
+        while True:
+            try:
+                result = self.carry_out(calls.send(result))
+            except StopIteration as stop:
+                return stop.value
+
+    def _carry_out(self, call):
+        value, version = self.values.get(call.key, (b"", 0))
+        match call:
+            case Get():
+                return Found(value, version)
+            case Swap() | Delete() if call.version != version:
+                return Lost(value, version)
+            case Swap(key=key, value=new):
+                self.version += 1
+                self.values[key] = (new, self.version)
+            case Delete(key=key):
+                self.version += 1
+                del self.values[key]
+        return Swapped(self.version)
+
+
+class AsyncStore:
+    """The same store behind the interface of the platform's adapter."""
+
+    def __init__(self, store=None):
+        self.store = store or DictStore()
+
+    async def get(self, key):
+        return self.store.carry_out(Get(key))
+
+    async def swap(self, key, version, value):
+        return self.store.carry_out(Swap(key, version, value))
+
+    async def delete(self, key, version):
+        return self.store.carry_out(Delete(key, version))
+
+    async def watch(self, key, version):
+        while True:
+            await asyncio.sleep(0.01)
+            found = self.store.carry_out(Get(key))
+            if isinstance(found, Unavailable):
+                return
+            if found.version > version:
+                version = found.version
+                yield found
