--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from .board import AttemptState, EntryBoard, RequestState
+from .claim import Claimer
 from .command import (
     Cancel,
     Claimed,
@@ -39,7 +40,6 @@
     StoreAnswered,
     Tick,
 )
-from .claim import Claimer
 from .group import GroupCoordinator
 from .identity import AgentId, AttemptId
 from .reason import Reason
@@ -228,9 +228,7 @@
         self._board.attempts[attempt].state = state
         return []
 
-    def _ended(
-        self, attempt: AttemptId, size: int, now: float
-    ) -> list[EntryCommand]:
+    def _ended(self, attempt: AttemptId, size: int, now: float) -> list[EntryCommand]:
         state = self.current(attempt)
         if state is None:
             return [CountDrop("end")]
@@ -346,9 +344,7 @@
         ]
 
     def _lost(self, record: AttemptState, now: float) -> list[EntryCommand]:
-        return self._broke(
-            record.id, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, None, now
-        )
+        return self._broke(record.id, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, None, now)
 
     def _load(self, agent: AgentId, load, now: float) -> list[EntryCommand]:
         target = self._board.targets.get(agent.target)
@@ -386,9 +382,7 @@
         target = self._board.targets.get(record.agent.target)
         return target is not None and target.agent == record.agent
 
-    def _settle(
-        self, commands: list[EntryCommand], now: float
-    ) -> list[EntryCommand]:
+    def _settle(self, commands: list[EntryCommand], now: float) -> list[EntryCommand]:
         """Carry out the commands that are meant for this class itself."""
         out: list[EntryCommand] = []
         for command in commands:
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -40,8 +40,8 @@
     StoreAnswered,
     Tick,
 )
-from .exchange import Exchange, prefill_tokens
 from .exceptions import PlatformError
+from .exchange import Exchange, prefill_tokens
 from .frame import headers
 from .group import GroupCoordinator, GroupSettings
 from .host import Host, HostState
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from . import probe
+from .administration import Administration
 from .clock import Clock
 from .entry import Entry
 from .front import Front, create_app
@@ -11,6 +12,7 @@
 from .metric import Metrics
 from .platform.hosts import HostList
 from .platform.store import EtcdStore
+from .registry import Registry
 from .settings import Settings
 
 STOP_POLL = 0.05  # seconds
@@ -26,7 +28,15 @@
         self._store = EtcdStore(platform.store, platform.store_timeout)
         self._hosts = HostList(platform.hosts)
         self._entry = Entry(settings, self._store, self._hosts, Clock(), self._metrics)
+        self._registry = Registry(self._store, settings.name)
+        self._registry.subscribe(self._entry.set_catalogue)
         self._listener: Listener | None = None
+        self._follower: asyncio.Task | None = None
+
+    @property
+    def registry(self) -> Registry:
+        """Return the catalogue's registry."""
+        return self._registry
 
     @property
     def entry(self) -> Entry:
@@ -44,9 +54,11 @@
         front = Front(self._entry, settings.max_body, settings.max_deadline)
         routes = [
             *front.routes(),
+            *Administration(self._registry).routes(),
             *probe.routes(self._metrics, lambda: self._entry.ready),
         ]
         self._entry.start()
+        self._follower = asyncio.create_task(self._registry.follow())
         self._listener = await listen(create_app(routes), settings.listen)
         LOGGER.info("entry listens on %s", self._listener.address)
 
@@ -65,6 +77,8 @@
         """Drop everything."""
         if self._listener is not None:
             await self._listener.close()
+        if self._follower is not None:
+            self._follower.cancel()
         await self._entry.close()
         await self._store.close()
         await self._hosts.close()
--- a/src/chicorycove/front.py
+++ b/src/chicorycove/front.py
@@ -179,7 +179,9 @@
             )
             raise Refusal(Reason.BAD_REQUEST, detail)
         if seconds <= 0:
-            raise Refusal(Reason.DEADLINE_PAST, f"the deadline passed {-seconds:g} s ago")
+            raise Refusal(
+                Reason.DEADLINE_PAST, f"the deadline passed {-seconds:g} s ago"
+            )
         return seconds
 
     def _authenticate(self, http: HttpRequest) -> Workspace:
--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -6,12 +6,12 @@
 from standin import engine, hosts, server as standin_server, service, store
 
 from .agent_process import AgentProcess
-from .catalogue import ServiceKind
+from .catalogue import Entry, ServiceKind
 from .conversion import Address
 from .entry_process import EntryProcess
 from .exceptions import SettingsError
 from .host import Host
-from .schema import parse
+from .schema import parse_file
 from .settings import (
     AgentSettings,
     EntrySettings,
@@ -49,7 +49,7 @@
     async def start(self) -> None:
         """Begin to serve."""
         local = self._settings.local
-        catalogue = self._read_catalogue(local)
+        entries = self._read_catalogue(local)
         host_list = [await self._start_target(target) for target in local.targets]
         host_server = await self._serve(
             hosts.create_app(hosts.HostsSettings(hosts=tuple(host_list)))
@@ -66,7 +66,7 @@
                 ),
             )
         )
-        self._entry.entry.set_catalogue(catalogue)
+        await self._entry.registry.seed(entries)
         await self._entry.start()
 
     async def stop(self) -> None:
@@ -77,10 +77,10 @@
         for each in self._servers:
             await each.close()
 
-    def _read_catalogue(self, local: LocalSettings) -> t.Any:
+    def _read_catalogue(self, local: LocalSettings) -> tuple[Entry, ...]:
         path = pathlib.Path(local.catalogue)
         try:
-            return parse(path.read_text(), revision=1)
+            return parse_file(path.read_text())
         except OSError as error:
             raise SettingsError(f"{path}: {error.strerror}") from None
 
--- a/src/chicorycove/prompt.py
+++ b/src/chicorycove/prompt.py
@@ -83,7 +83,9 @@
     )
 
 
-def segments(body: Body, bounds: t.Sequence[int], bytes_per_token: float) -> list[bytes]:
+def segments(
+    body: Body, bounds: t.Sequence[int], bytes_per_token: float
+) -> list[bytes]:
     """Cut a prompt at bounds in tokens, as octets."""
     data = body.text().encode()
     cuts = [math.floor(bound * bytes_per_token) for bound in bounds]
