--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -190,6 +190,13 @@
     attempt: AttemptId
 
 
+@frozen
+class Compute:
+    """Have the target compute a member's segment of a prompt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class Stop:
     """Have the target cancel an attempt and free its memory."""
@@ -204,6 +211,13 @@
     attempt: AttemptId
 
 
+@frozen
+class TellResumed:
+    """Send the owner what it has not had yet of a started attempt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class TellRefused:
     """Tell the owner that an attempt has not run and never will."""
@@ -236,8 +250,10 @@
 
 AgentCommand = t.Union[
     Run,
+    Compute,
     Stop,
     TellAccepted,
+    TellResumed,
     TellRefused,
     TellSealed,
     TellReserved,
