--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -5,8 +5,8 @@
 
 from . import probe
 from .agent import Agent, server
+from .application import create_app
 from .clock import Clock
-from .front import create_app
 from .identity import AgentId
 from .listener import Listener, listen
 from .log import LOGGER
--- /dev/null
+++ b/src/chicorycove/application.py
@@ -0,0 +1,43 @@
+"""HTTP applications whose errors are problem documents."""
+
+import typing as t
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute
+
+from .problem import Problem
+from .reason import Reason
+from .verdict import Verdict
+
+
+class Refusal(Exception):
+    """A request that is turned away before it is admitted."""
+
+    def __init__(self, reason: Reason, detail: str) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.detail = detail
+
+
+def problem_response(refusal: Refusal, request: str) -> Response:
+    """Return the problem document of a refusal."""
+    problem = Problem(
+        refusal.reason, Verdict.NOT_RUN, detail=refusal.detail, request=request
+    )
+    response = Response(problem.body(), problem.status)
+    response.raw_headers.extend(problem.headers)
+    return response
+
+
+async def not_found(http: Request, error: Exception) -> Response:
+    """Answer a request for a path that does not exist."""
+    refusal = Refusal(Reason.UNKNOWN_PATH, f'path "{http.url.path}" does not exist')
+    return problem_response(refusal, "")
+
+
+def create_app(routes: t.Sequence[BaseRoute]) -> Starlette:
+    """Return an application whose errors are problem documents."""
+    handlers = {404: not_found, 405: not_found}
+    return Starlette(routes=list(routes), exception_handlers=handlers)
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -1,23 +1,40 @@
 """The entry's process: its listener, its probes and its stop."""
 
 import asyncio
+import pathlib
 
 from . import probe
 from .administration import Administration
+from .application import create_app
+from .catalogue import Entry
 from .clock import Clock
-from .entry import Entry
-from .front import Front, create_app
+from .entry import Entry as EntryRole
+from .exceptions import SettingsError
+from .front import Front
 from .listener import Listener, listen
 from .log import LOGGER
 from .metric import Metrics
 from .platform.hosts import HostList
 from .platform.store import EtcdStore
 from .registry import Registry
+from .schema import parse_file
 from .settings import Settings
 
 STOP_POLL = 0.05  # seconds
 
 
+def read_entries(path: str) -> tuple[Entry, ...]:
+    """Read the entries of a catalogue's file.
+
+    :raises SettingsError: if it cannot be read
+    :raises CatalogueError: if it is not a catalogue
+    """
+    try:
+        return parse_file(pathlib.Path(path).read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+
+
 class EntryProcess:
     """Runs one entry."""
 
@@ -27,7 +44,9 @@
         platform = settings.platform
         self._store = EtcdStore(platform.store, platform.store_timeout)
         self._hosts = HostList(platform.hosts)
-        self._entry = Entry(settings, self._store, self._hosts, Clock(), self._metrics)
+        self._entry = EntryRole(
+            settings, self._store, self._hosts, Clock(), self._metrics
+        )
         self._registry = Registry(self._store, settings.name)
         self._registry.subscribe(self._entry.set_catalogue)
         self._listener: Listener | None = None
@@ -39,7 +58,7 @@
         return self._registry
 
     @property
-    def entry(self) -> Entry:
+    def entry(self) -> EntryRole:
         """Return the entry."""
         return self._entry
 
@@ -58,6 +77,8 @@
             *probe.routes(self._metrics, lambda: self._entry.ready),
         ]
         self._entry.start()
+        if settings.seed_catalogue is not None:
+            await self._registry.seed(read_entries(settings.seed_catalogue))
         self._follower = asyncio.create_task(self._registry.follow())
         self._listener = await listen(create_app(routes), settings.listen)
         LOGGER.info("entry listens on %s", self._listener.address)
--- a/src/chicorycove/front.py
+++ b/src/chicorycove/front.py
@@ -5,11 +5,11 @@
 import typing as t
 
 import xxhash
-from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request as HttpRequest
 from starlette.responses import JSONResponse, Response
 from starlette.routing import BaseRoute, Route
 
+from .application import Refusal, problem_response
 from .catalogue import Catalogue, PathRule, Service, Workspace
 from .entry import Entry
 from .exchange import Data, Done, Exchange, Head
@@ -17,7 +17,6 @@
 from .prompt import Body, read_body, read_prompt
 from .reason import Reason
 from .request import Call, Prompt, Request
-from .verdict import Verdict
 
 TIMEOUT_HEADER = "x-request-timeout"  # seconds from now
 KEY_HEADER = "idempotency-key"
@@ -44,15 +43,6 @@
 )
 
 
-class Refusal(Exception):
-    """A request that is turned away before it is admitted."""
-
-    def __init__(self, reason: Reason, detail: str) -> None:
-        super().__init__(detail)
-        self.reason = reason
-        self.detail = detail
-
-
 class Front:
     """Reads callers' requests and writes their answers."""
 
@@ -300,28 +290,6 @@
     return [(name.lower().encode(), value.encode()) for name, value in pairs]
 
 
-def problem_response(refusal: Refusal, request: str) -> Response:
-    """Return the problem document of a refusal."""
-    problem = Problem(
-        refusal.reason, Verdict.NOT_RUN, detail=refusal.detail, request=request
-    )
-    response = Response(problem.body(), problem.status)
-    response.raw_headers.extend(problem.headers)
-    return response
-
-
-async def not_found(http: HttpRequest, error: Exception) -> Response:
-    """Answer a request for a path that does not exist."""
-    refusal = Refusal(Reason.UNKNOWN_PATH, f'path "{http.url.path}" does not exist')
-    return problem_response(refusal, "")
-
-
-def create_app(routes: t.Sequence[BaseRoute]) -> Starlette:
-    """Return an application whose errors are problem documents."""
-    handlers = {404: not_found, 405: not_found}
-    return Starlette(routes=list(routes), exception_handlers=handlers)
-
-
 def find_rule(service: Service, method: str, path: str) -> PathRule | None:
     """Return the rule with the longest prefix that covers a call, if any."""
     rules = [
--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -1,21 +1,17 @@
 """The local role: entry, agents and stand-ins in one process on loopback."""
 
-import pathlib
 import typing as t
 
 from standin import engine, hosts, server as standin_server, service, store
 
 from .agent_process import AgentProcess
-from .catalogue import Entry, ServiceKind
+from .catalogue import ServiceKind
 from .conversion import Address
-from .entry_process import EntryProcess
-from .exceptions import SettingsError
+from .entry_process import EntryProcess, read_entries
 from .host import Host
-from .schema import parse_file
 from .settings import (
     AgentSettings,
     EntrySettings,
-    LocalSettings,
     LocalTarget,
     PlatformSettings,
     Role,
@@ -49,7 +45,7 @@
     async def start(self) -> None:
         """Begin to serve."""
         local = self._settings.local
-        entries = self._read_catalogue(local)
+        entries = read_entries(local.catalogue)
         host_list = [await self._start_target(target) for target in local.targets]
         host_server = await self._serve(
             hosts.create_app(hosts.HostsSettings(hosts=tuple(host_list)))
@@ -77,13 +73,6 @@
         for each in self._servers:
             await each.close()
 
-    def _read_catalogue(self, local: LocalSettings) -> tuple[Entry, ...]:
-        path = pathlib.Path(local.catalogue)
-        try:
-            return parse_file(path.read_text())
-        except OSError as error:
-            raise SettingsError(f"{path}: {error.strerror}") from None
-
     async def _serve(self, app: t.Any) -> standin_server.Server:
         result = await standin_server.serve(app)
         self._servers.append(result)
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -69,6 +69,7 @@
     reattach_timeout: float = 2.0
     links_per_service: int = 64
     seed: int | None = None
+    seed_catalogue: str | None = None  # a file, put in force if there is none
 
 
 @frozen
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,6 +13,7 @@
     "administration",
     "agent",
     "agent_process",
+    "application",
     "backend",
     "cli",
     "clock",
