Add stand-in engine and plain service, and a safe HTTP client

Cause: the whole path needs targets that keep to docs/design/engine.md and can be made to fail, and a client to talk to them.

Change: standin.engine (batching by priority, KV memory with a prefix cache, groups, export and import, orders with a fence, faults, a list of real runs), standin.service, standin.server to serve them in process. httpclient wraps aiosonic 1.3.3, in which a connection whose request timed out or was cancelled goes back to the pool open, so that the next request reads the former one's answer; and which repeats PUT and DELETE on its own.

--- /dev/null
+++ b/standin/batch.py
@@ -0,0 +1,220 @@
+"""Continuous batching: which tokens an engine computes, and in what time."""
+
+import asyncio
+import dataclasses
+import enum
+import typing as t
+
+from .kvcache import BLOCK_TOKENS, Memory
+
+HANG_POLL = 0.01  # seconds
+
+
+class Stage(enum.Enum):
+    """How far a sequence has come."""
+
+    QUEUED = "queued"
+    PREFILL = "prefill"
+    DECODE = "decode"
+    HELD = "held"  # a segment whose KV cache waits for its group
+    FINISHED = "finished"
+    ENDED = "ended"  # cancelled, exported or lost with the engine
+
+
+LIVE = (Stage.QUEUED, Stage.PREFILL, Stage.DECODE, Stage.HELD)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sequence:
+    """One attempt's tokens; start is where its own segment begins."""
+
+    attempt: str
+    priority: int
+    start: int
+    stop: int
+    words: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
+    blocks: tuple[int, ...] = ()
+    computed: int = 0
+    emitted: int = 0
+    imported: bool = False
+    stage: Stage = Stage.QUEUED
+    order: int = 0
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def left(self) -> int:
+        """Return the prompt tokens still to be computed."""
+        return self.stop - self.start - self.computed
+
+    def notify(self) -> None:
+        """Wake everyone who waits for this sequence."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TimeModel:
+    """What tokens cost, in seconds and tokens."""
+
+    prefill_token: float = 20e-6
+    prefill_doubling: int = 262_144  # a token this far in costs twice as much
+    decode_base: float = 0.01
+    decode_sequence: float = 0.0005
+    decode_member: float = 0.002
+    chunk_tokens: int = 8192
+    max_batch: int = 64
+    scale: float = 1.0
+
+    def prefill(self, position: int, tokens: int) -> float:
+        """Return the seconds that prompt tokens from a position take."""
+        middle = position + tokens / 2
+        return tokens * self.prefill_token * (1 + middle / self.prefill_doubling)
+
+    def decode(self, batch: t.Sequence[Sequence]) -> float:
+        """Return the seconds that one token for each sequence takes."""
+        if not batch:
+            return 0.0
+        members = sum(len(sequence.members) for sequence in batch)
+        spread = len(batch) * self.decode_sequence + members * self.decode_member
+        return self.decode_base + spread
+
+
+class Batch:
+    """Runs sequences by priority, one step after the other."""
+
+    def __init__(
+        self,
+        times: TimeModel,
+        memory: Memory,
+        clock: t.Callable[[], float],
+        on_start: t.Callable[[Sequence], None],
+    ):
+        self.sequences: dict[str, Sequence] = {}
+        self.slow = 1.0
+        self.hang = False
+        self._times = times
+        self._memory = memory
+        self._clock = clock
+        self._on_start = on_start
+        self._wake = asyncio.Event()
+        self._count = 0
+
+    @property
+    def running(self) -> list[Sequence]:
+        """Return the sequences that compute."""
+        return self._in(Stage.PREFILL, Stage.DECODE)
+
+    @property
+    def queued(self) -> list[Sequence]:
+        """Return the sequences that wait."""
+        return self._in(Stage.QUEUED)
+
+    @property
+    def queued_prefill(self) -> int:
+        """Return the prompt tokens still to be computed."""
+        waiting = self._in(Stage.QUEUED, Stage.PREFILL)
+        return sum(sequence.left for sequence in waiting)
+
+    def add(self, sequence: Sequence) -> bool:
+        """Take a sequence in, if its memory fits."""
+        need = sequence.stop - sequence.start + len(sequence.words)
+        if not self._memory.reserve(sequence.attempt, need, self._clock()):
+            return False
+        self._count += 1
+        sequence.order = self._count
+        self.sequences[sequence.attempt] = sequence
+        self._wake.set()
+        return True
+
+    def end(self, attempt: str) -> int:
+        """Stop an attempt and return the tokens of memory that it freed."""
+        sequence = self.sequences.get(attempt)
+        if sequence is None or sequence.stage not in LIVE:
+            return 0
+        sequence.stage = Stage.ENDED
+        sequence.notify()
+        return self._memory.free(attempt)
+
+    def clear(self) -> None:
+        """Lose every attempt and all memory."""
+        for sequence in self.sequences.values():
+            if sequence.stage in LIVE:
+                sequence.stage = Stage.ENDED
+            sequence.notify()
+        self.sequences.clear()
+        self._memory.clear()
+
+    async def run(self) -> None:
+        """Compute for as long as the engine runs."""
+        while True:
+            if not self._in(Stage.QUEUED, Stage.PREFILL, Stage.DECODE):
+                self._wake.clear()
+                await self._wake.wait()
+            if self.hang:
+                await asyncio.sleep(HANG_POLL)
+                continue
+            self._start_queued()
+            await self._step()
+
+    async def _step(self) -> None:
+        prefill = self._share_chunk()
+        decode = self._in(Stage.DECODE)
+        seconds = self._times.decode(decode)
+        for sequence, tokens in prefill:
+            position = sequence.start + sequence.computed
+            seconds += self._times.prefill(position, tokens)
+        await asyncio.sleep(seconds * self._times.scale * self.slow)
+        for sequence, tokens in prefill:
+            self._prefilled(sequence, tokens)
+        for sequence in decode:
+            self._decoded(sequence)
+
+    def _in(self, *stages: Stage) -> list[Sequence]:
+        return [s for s in self.sequences.values() if s.stage in stages]
+
+    def _start_queued(self) -> None:
+        room = self._times.max_batch - len(self.running)
+        queued = sorted(self.queued, key=lambda s: (s.priority, s.order))
+        for sequence in queued[: max(0, room)]:
+            sequence.stage = Stage.PREFILL
+            cached = self._memory.cached(sequence.blocks) * BLOCK_TOKENS
+            own = sequence.stop - sequence.start
+            skipped = min(cached - sequence.start, own - 1)
+            sequence.computed = max(sequence.computed, skipped)
+            self._on_start(sequence)
+
+    def _share_chunk(self) -> list[tuple[Sequence, int]]:
+        room = self._times.chunk_tokens
+        shares = []
+        for sequence in sorted(
+            self._in(Stage.PREFILL), key=lambda s: (s.priority, s.order)
+        ):
+            if room == 0:
+                break
+            tokens = min(room, sequence.left)
+            shares.append((sequence, tokens))
+            room -= tokens
+        return shares
+
+    def _prefilled(self, sequence: Sequence, tokens: int) -> None:
+        if sequence.stage is not Stage.PREFILL:
+            return
+        sequence.computed += tokens
+        if sequence.left > 0:
+            return
+        sequence.stage = Stage.DECODE if sequence.words else Stage.HELD
+        self._memory.store(sequence.blocks, self._clock())
+        if sequence.words:
+            self._decoded(sequence)
+        sequence.notify()
+
+    def _decoded(self, sequence: Sequence) -> None:
+        if sequence.stage is not Stage.DECODE:
+            return
+        sequence.emitted += 1
+        if sequence.emitted >= len(sequence.words):
+            sequence.stage = Stage.FINISHED
+            self._memory.free(sequence.attempt)
+            self._memory.store(sequence.blocks, self._clock())
+        sequence.notify()
--- /dev/null
+++ b/standin/kvcache.py
@@ -0,0 +1,124 @@
+"""An engine's KV memory: reservations, and prefix blocks in what is left."""
+
+import collections
+import dataclasses
+import random
+import typing as t
+
+import xxhash
+
+TOKEN_BYTES = 4
+BLOCK_BYTES = 2048
+BLOCK_TOKENS = BLOCK_BYTES // TOKEN_BYTES
+MAX_EVENTS = 10_000
+
+
+def token_count(data: bytes) -> int:
+    """Return the tokens of a prompt."""
+    return -(-len(data) // TOKEN_BYTES)
+
+
+def block_hashes(data: bytes) -> tuple[int, ...]:
+    """Return the hash of each full block, chained from the first."""
+    hashes = []
+    seed = 0
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        seed = xxhash.xxh64_intdigest(data[start : start + BLOCK_BYTES], seed=seed)
+        hashes.append(seed)
+    return tuple(hashes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Blocks that were stored or evicted; at is in seconds."""
+
+    n: int
+    kind: str
+    blocks: tuple[int, ...]
+    at: float
+
+
+class EventLog:
+    """Cache events, published late and with gaps."""
+
+    def __init__(self, lag: float, gap_rate: float, seed: int):
+        self._lag = lag
+        self._gap_rate = gap_rate
+        self._random = random.Random(seed)
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=MAX_EVENTS
+        )
+        self._count = 0
+
+    def add(self, kind: str, blocks: t.Iterable[int], now: float) -> None:
+        """Note an event, or lose it."""
+        blocks = tuple(blocks)
+        if not blocks:
+            return
+        self._count += 1
+        if self._random.random() >= self._gap_rate:
+            self._events.append(CacheEvent(self._count, kind, blocks, now))
+
+    def after(self, n: int, now: float) -> list[CacheEvent]:
+        """Return the events after a number that are out by now."""
+        return [e for e in self._events if e.n > n and e.at + self._lag <= now]
+
+
+class Memory:
+    """KV memory in tokens, by attempt; free memory caches prefix blocks."""
+
+    def __init__(self, total: int, events: EventLog):
+        self.total = total
+        self.held: dict[str, int] = {}
+        self._events = events
+        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+
+    @property
+    def used(self) -> int:
+        """Return the tokens that attempts hold."""
+        return sum(self.held.values())
+
+    def reserve(self, attempt: str, tokens: int, now: float) -> bool:
+        """Hold memory for an attempt; tell whether it fits."""
+        if attempt in self.held or tokens > self.total - self.used:
+            return False
+        self.held[attempt] = tokens
+        self._evict(now)
+        return True
+
+    def free(self, attempt: str) -> int:
+        """Let an attempt's memory go and return how much it was."""
+        return self.held.pop(attempt, 0)
+
+    def cached(self, blocks: t.Sequence[int]) -> int:
+        """Return how many leading blocks are cached, and touch them."""
+        for count, block in enumerate(blocks):
+            if block not in self._blocks:
+                return count
+            self._blocks.move_to_end(block)
+        return len(blocks)
+
+    def store(self, blocks: t.Sequence[int], now: float) -> None:
+        """Cache blocks, as far as there is room."""
+        blocks = blocks[: self._room()]
+        new = [block for block in blocks if block not in self._blocks]
+        for block in reversed(blocks):
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        self._events.add("stored", new, now)
+        self._evict(now)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self.held.clear()
+        self._blocks.clear()
+
+    def _room(self) -> int:
+        return max(0, self.total - self.used) // BLOCK_TOKENS
+
+    def _evict(self, now: float) -> None:
+        room = self._room()
+        gone = []
+        while len(self._blocks) > room:
+            gone.append(self._blocks.popitem(last=False)[0])
+        self._events.add("evicted", gone, now)
--- /dev/null
+++ b/standin/server.py
@@ -0,0 +1,119 @@
+"""Serves a stand-in's application on a socket, in this process."""
+
+import argparse
+import asyncio
+import contextlib
+import socket
+import typing as t
+
+import uvicorn
+from starlette.requests import Request
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+TRANSPORT = "standin.transport"
+KEEP_ALIVE = 600  # seconds that an idle connection is kept
+BACKLOG = 2048
+STARTUP_POLL = 0.002  # seconds
+
+
+class _Protocol(HttpToolsProtocol):
+    """Lets an application cut the connection that a request came over."""
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope[TRANSPORT] = self.transport
+
+
+class _Uvicorn(uvicorn.Server):
+    """Leaves the process's signal handlers alone, and stops at once."""
+
+    def __init__(self, config: uvicorn.Config):
+        super().__init__(config)
+        self.closing = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        await self.on_tick(0)
+        await self.closing.wait()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> t.Iterator[None]:
+        yield
+
+
+class Server:
+    """An application being served."""
+
+    def __init__(self, server: _Uvicorn, task: asyncio.Task, sock: socket.socket):
+        self._server = server
+        self._task = task
+        self._host, self._port = sock.getsockname()[:2]
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._port
+
+    @property
+    def address(self) -> str:
+        """Return "host:port"."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def url(self) -> str:
+        """Return the server's base URL, without a slash at the end."""
+        return f"http://{self.address}"
+
+    async def close(self) -> None:
+        """Cut every connection and stop listening."""
+        self._server.closing.set()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        await self._task
+
+
+def _config(app: t.Any, **options: t.Any) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        http=_Protocol,
+        ws="none",
+        access_log=False,
+        log_level="critical",
+        timeout_keep_alive=KEEP_ALIVE,
+        timeout_graceful_shutdown=1,
+        backlog=BACKLOG,
+        **options,
+    )
+
+
+async def serve(app: t.Any, host: str = "127.0.0.1", port: int = 0) -> Server:
+    """Serve an application until the server is closed; port 0 picks one."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    server = _Uvicorn(_config(app))
+    task = asyncio.create_task(server.serve(sockets=[sock]))
+    while not server.started and not task.done():
+        await asyncio.sleep(STARTUP_POLL)
+    if task.done():
+        task.result()
+    return Server(server, task, sock)
+
+
+async def drop(request: Request) -> None:
+    """Cut the connection that a request came over."""
+    request.scope[TRANSPORT].abort()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+
+
+def parser(description: str | None) -> argparse.ArgumentParser:
+    """Return the options that all stand-ins share."""
+    result = argparse.ArgumentParser(description=description)
+    result.add_argument("--host", default="127.0.0.1")
+    result.add_argument("--port", type=int, required=True)
+    return result
+
+
+def run(app: t.Any, host: str, port: int) -> None:
+    """Serve an application until the process is told to stop."""
+    uvicorn.Server(_config(app, host=host, port=port)).run()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,7 +7,7 @@
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "chicorycove"
 
 # Modules that may do I/O, read the clock or log; every other one is pure.
-ADAPTERS = {"__init__", "__main__"}
+ADAPTERS = {"__init__", "__main__", "httpclient"}
 
 FORBIDDEN = {
     "aiosonic",
