--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -22,6 +22,7 @@
     "entry_process",
     "exchange",
     "front",
+    "httpclient",
     "link",
     "listener",
     "local",
