--- a/bench/relay.py
+++ b/bench/relay.py
@@ -127,8 +127,12 @@
         "max_tokens": tokens,
         "stream": True,
     }
-    response = await client.post(
-        f"{url}/v1/completions", headers=HEADERS, data=json.dumps(body), stream=True
+    response = await client.request(
+        f"{url}/v1/completions",
+        method="POST",
+        headers=HEADERS,
+        data=json.dumps(body),
+        stream=True,
     )
     data = b""
     async for piece in response.read_chunks():
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -74,8 +74,9 @@
         began = time.monotonic()
         first = 0.0
         data = b""
-        response = await self._client.post(
+        response = await self._client.request(
             f"{self._url}/v1/completions",
+            method="POST",
             headers={"Authorization": f"Bearer {key}"},
             json=body,
             stream=True,
--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -4,9 +4,6 @@
 import contextlib
 import typing as t
 
-import grpc
-import grpc.aio
-
 from . import frame
 from .answer import AnswerBuffer
 from .backend import NOT_RUN_STATUSES, Answer, Backend, Work
@@ -44,17 +41,21 @@
 from .reason import Reason
 from .session import Session
 from .settings import AgentSettings
+from .stream import BROKEN, READ_LIMIT, MessageStream
 from .target import TargetBoard, TargetController
 from .verdict import Verdict
-from .wire import link_pb2 as wire, link_pb2_grpc
+from .wire import link_pb2 as wire
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
 LOAD_INTERVAL = 1.0  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
+MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
 
+EntryStream = MessageStream[wire.EntryBatch]
+
 
 class Agent:
     """Stands in the path of every request to one target."""
@@ -351,52 +352,68 @@
             LOGGER.error("task failed", exc_info=task.exception())
 
 
-class AgentServicer(link_pb2_grpc.AgentServicer):
+class LinkServer:
     """The agent's end of the links."""
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: Agent, settings: AgentSettings) -> None:
         self._agent = agent
+        self._settings = settings
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
 
-    async def Attach(
-        self,
-        request_iterator: t.AsyncIterator[wire.EntryBatch],
-        context: grpc.aio.ServicerContext,
-    ) -> t.AsyncIterator[wire.AgentBatch]:
-        """Serve one link until either side ends it."""
-        first = await anext(request_iterator)
-        session = self._agent.attach(first.frames[0].hello.owner)
-        reader = asyncio.create_task(self._read(request_iterator, session))
-        try:
-            async for batch in session.batches():
-                yield batch
-        finally:
-            reader.cancel()
-            self._agent.detach(session)
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Begin to take links.
+
+        :raises OSError: if the address cannot be listened on
+        """
+        address = self._settings.listen
+        self._server = await asyncio.start_server(
+            self._serve, address.host, address.port, limit=READ_LIMIT
+        )
 
-    async def _read(
-        self, batches: t.AsyncIterator[wire.EntryBatch], session: Session
+    async def close(self) -> None:
+        """Drop all links."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        max_size = self._settings.max_body + MESSAGE_MARGIN
+        stream = MessageStream(reader, writer, wire.EntryBatch, max_size)
+        with contextlib.suppress(*BROKEN, asyncio.CancelledError):
+            await self._run(stream)
+        stream.close()
+
+    async def _run(self, stream: EntryStream) -> None:
+        first = await stream.read()
+        session = self._agent.attach(first.frames[0].hello.owner)
+        for message in first.frames[1:]:
+            self._agent.receive(message, session.owner)
+        writing = asyncio.create_task(self._write(stream, session))
         try:
-            async for batch in batches:
-                for message in batch.frames:
+            while True:
+                for message in (await stream.read()).frames:
                     self._agent.receive(message, session.owner)
         finally:
-            session.close()
-
-
-def server(agent: Agent, settings: AgentSettings) -> tuple[grpc.aio.Server, int]:
-    """Return a gRPC server for an agent, not started, and its port."""
-    options = [
-        ("grpc.max_receive_message_length", settings.max_body + MESSAGE_MARGIN),
-        ("grpc.max_send_message_length", -1),
-        ("grpc.so_reuseport", 0),
-    ]
-    result = grpc.aio.server(options=options)
-    link_pb2_grpc.add_AgentServicer_to_server(AgentServicer(agent), result)
-    return result, result.add_insecure_port(str(settings.listen))
-
+            self._agent.detach(session)
+            writing.cancel()
 
-MESSAGE_MARGIN = 1024 * 1024  # bytes of a message beside a request's body
+    async def _write(self, stream: EntryStream, session: Session) -> None:
+        with contextlib.suppress(*BROKEN):
+            async for batch in session.batches():
+                await stream.write(batch)
+        stream.close()
 
 
 def _board(settings: AgentSettings, agent: AgentId) -> TargetBoard:
--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -4,7 +4,7 @@
 import secrets
 
 from . import probe
-from .agent import Agent, server
+from .agent import Agent, LinkServer
 from .application import create_app
 from .clock import Clock
 from .identity import AgentId
@@ -14,7 +14,7 @@
 from .settings import AgentSettings
 
 INCARNATION_BYTES = 8
-STOP_GRACE = 5.0  # seconds for frames that are still to be sent
+FLUSH_TIME = 0.1  # seconds for frames that are still to be sent
 
 
 class AgentProcess:
@@ -26,8 +26,8 @@
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         agent_id = AgentId(settings.target, incarnation)
         self._agent = Agent(settings, agent_id, Clock(), self._metrics)
+        self._server = LinkServer(self._agent, settings)
         self._listener: Listener | None = None
-        self._port = 0
 
     @property
     def agent(self) -> Agent:
@@ -37,16 +37,15 @@
     @property
     def port(self) -> int:
         """Return the port of the link server."""
-        return self._port
+        return self._server.port
 
     async def start(self) -> None:
         """Begin to serve."""
-        self._server, self._port = server(self._agent, self._settings)
         await self._server.start()
         routes = probe.routes(self._metrics, lambda: self._agent.ready)
         self._listener = await listen(create_app(routes), self._settings.http)
         self._agent.start()
-        LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self._port)
+        LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self.port)
 
     async def stop(self) -> None:
         """Take no new work, finish what there is, and close."""
@@ -60,7 +59,8 @@
 
     async def close(self) -> None:
         """Drop everything."""
+        await asyncio.sleep(FLUSH_TIME)
+        await self._server.close()
         await self._agent.close()
-        await self._server.stop(STOP_GRACE)
         if self._listener is not None:
             await self._listener.close()
--- a/src/chicorycove/link.py
+++ b/src/chicorycove/link.py
@@ -4,29 +4,22 @@
 import contextlib
 import typing as t
 
-import grpc
-import grpc.aio
-
 from .conversion import Address
 from .event import Attached, Detached, EntryEvent, LoadReported
 from .frame import read_agent_frame, read_load
 from .identity import AgentId, AttemptId
 from .log import LOGGER
 from .outbox import Outbox
-from .wire import link_pb2 as wire, link_pb2_grpc
+from .stream import BROKEN, READ_LIMIT, MessageStream
+from .wire import link_pb2 as wire
 
 RECONNECT_MIN = 0.05  # seconds
 RECONNECT_MAX = 1.0  # seconds
 SILENCE_FACTOR = 3  # heartbeats without a frame until a link counts as lost
+CONNECT_TIMEOUT = 2.0  # seconds
+MAX_MESSAGE = 64 * 1024 * 1024  # bytes of a batch of chunks
 
-OPTIONS = [
-    ("grpc.max_receive_message_length", -1),
-    ("grpc.max_send_message_length", -1),
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.initial_reconnect_backoff_ms", 50),
-    ("grpc.min_reconnect_backoff_ms", 50),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-]
+AgentStream = MessageStream[wire.AgentBatch]
 
 
 class Receiver(t.Protocol):
@@ -76,41 +69,52 @@
 
     async def _keep_attached(self) -> None:
         delay = RECONNECT_MIN
-        async with grpc.aio.insecure_channel(str(self._address), OPTIONS) as channel:
-            stub = link_pb2_grpc.AgentStub(channel)
-            while True:
-                try:
-                    await self._attach(stub)
-                    delay = RECONNECT_MIN
-                except (grpc.aio.AioRpcError, TimeoutError) as error:
-                    LOGGER.debug("link to %s: %r", self._address, error)
-                finally:
-                    self._lost()
-                await asyncio.sleep(delay)
-                delay = min(2 * delay, RECONNECT_MAX)
-
-    async def _attach(self, stub: link_pb2_grpc.AgentStub) -> None:
+        while True:
+            try:
+                stream = await self._connect()
+                delay = RECONNECT_MIN
+                await self._attach(stream)
+            except (*BROKEN, TimeoutError) as error:
+                LOGGER.debug("link to %s: %r", self._address, error)
+            finally:
+                self._lost()
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, RECONNECT_MAX)
+
+    async def _connect(self) -> AgentStream:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(
+                self._address.host, self._address.port, limit=READ_LIMIT
+            )
+        return MessageStream(reader, writer, wire.AgentBatch, MAX_MESSAGE)
+
+    async def _attach(self, stream: AgentStream) -> None:
         outbox: Outbox[wire.EntryFrame] = Outbox()
         outbox.put(wire.EntryFrame(hello=wire.Hello(owner=self._owner)))
-        call = stub.Attach(_batches(outbox))
-        beat = asyncio.create_task(self._beat(outbox))
+        tasks = [
+            asyncio.create_task(self._write(stream, outbox)),
+            asyncio.create_task(self._beat(outbox)),
+        ]
         try:
-            await self._read(call, outbox)
+            await self._read(stream, outbox)
         finally:
-            beat.cancel()
-            outbox.close()
-            call.cancel()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            stream.close()
 
-    async def _read(self, call: t.Any, outbox: Outbox) -> None:
+    async def _read(self, stream: AgentStream, outbox: Outbox) -> None:
         silence = SILENCE_FACTOR * self._heartbeat
         while True:
             async with asyncio.timeout(silence):
-                batch = await call.read()
-            if batch is grpc.aio.EOF:
-                return
+                batch = await stream.read()
             for frame in batch.frames:
                 self._take(frame, outbox)
 
+    async def _write(self, stream: AgentStream, outbox: Outbox) -> None:
+        while frames := await outbox.take():
+            await stream.write(wire.EntryBatch(frames=frames))
+
     def _take(self, frame: wire.AgentFrame, outbox: Outbox) -> None:
         kind = frame.WhichOneof("frame")
         if kind == "chunk":
@@ -141,8 +145,3 @@
         while True:
             await asyncio.sleep(self._heartbeat)
             outbox.put(wire.EntryFrame(heartbeat=wire.Heartbeat()))
-
-
-async def _batches(outbox: Outbox) -> t.AsyncIterator[wire.EntryBatch]:
-    while frames := await outbox.take():
-        yield wire.EntryBatch(frames=frames)
--- a/src/chicorycove/outbox.py
+++ b/src/chicorycove/outbox.py
@@ -6,7 +6,6 @@
 F = t.TypeVar("F")
 
 MAX_FRAMES = 256  # in one message
-MAX_BYTES = 1024 * 1024  # of chunks in one message
 
 
 class Outbox(t.Generic[F]):
--- /dev/null
+++ b/src/chicorycove/stream.py
@@ -0,0 +1,56 @@
+"""Protobuf messages over TCP, each with its length in front."""
+
+import asyncio
+import typing as t
+
+from google.protobuf.message import DecodeError, Message
+
+LENGTH_BYTES = 4
+READ_LIMIT = 1024 * 1024  # bytes that are buffered ahead of the reader
+
+M = t.TypeVar("M", bound=Message)
+
+BROKEN = (OSError, EOFError, DecodeError)
+
+
+class MessageStream(t.Generic[M]):
+    """Reads messages of one type and writes any; sizes are in bytes."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        cls: type[M],
+        max_size: int,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._cls = cls
+        self._max_size = max_size
+
+    async def read(self) -> M:
+        """Return the next message.
+
+        :raises OSError: if the connection is lost, or a message too large
+        :raises EOFError: if the other side has closed it
+        :raises DecodeError: if what comes is not a message
+        """
+        head = await self._reader.readexactly(LENGTH_BYTES)
+        size = int.from_bytes(head, "big")
+        if size > self._max_size:
+            raise OSError(f"message of {size} bytes, expected {self._max_size} at most")
+        return self._cls.FromString(await self._reader.readexactly(size))
+
+    async def write(self, message: Message) -> None:
+        """Send a message.
+
+        :raises OSError: if the connection is lost
+        """
+        data = message.SerializeToString()
+        self._writer.write(len(data).to_bytes(LENGTH_BYTES, "big"))
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._writer.close()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -32,6 +32,7 @@
     "probe",
     "registry",
     "session",
+    "stream",
 }
 
 FORBIDDEN = {
