--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -76,6 +76,15 @@
     members: tuple[AgentId, ...] = ()
 
 
+@frozen
+class GroupFailed:
+    """Give a request's group of engines up; the request may be retried."""
+
+    request: str
+    reason: Reason
+    verdict: Verdict
+
+
 # An entry speaks to callers.
 
 
@@ -155,6 +164,7 @@
     Reserve,
     Release,
     Prefill,
+    GroupFailed,
     Relay,
     Finish,
     Fail,
--- /dev/null
+++ b/src/chicorycove/routing.py
@@ -0,0 +1,299 @@
+"""Choice of a target for a request."""
+
+import dataclasses
+import random
+import typing as t
+
+import xxhash
+
+from .board import EntryBoard, TargetState
+from .catalogue import Catalogue
+from .host import Host
+from .request import Call, Prompt, Request
+
+frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@frozen
+class RoundRobin:
+    """Take the targets in turn."""
+
+
+@frozen
+class LeastOutstanding:
+    """Take the target with the fewest requests of this entry, by probes."""
+
+    probes: int = 4
+
+
+@frozen
+class LengthAware:
+    """Keep long prompts on few targets and send short ones past them.
+
+    Long prompts fill targets in a stable order that all entries share, up to
+    a bound of long work each; short ones take the least loaded probe.
+    """
+
+    long_tokens: int = 32_000
+    long_limit: int = 400_000  # tokens of long prompts on one target
+    probes: int = 4
+    scan: int = 32  # targets up to which all are looked at
+    min_lane: int = 1
+
+
+Policy = RoundRobin | LeastOutstanding | LengthAware
+
+
+@frozen
+class RoutingSettings:
+    """The policy, and how long the index of candidates may lag in seconds."""
+
+    policy: Policy = LengthAware()
+    index_age: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Pool:
+    """The targets of one service in their stable order."""
+
+    names: list[str]
+    largest_memory: int = 0  # tokens
+    turn: int = 0
+    lane: float = 1.0  # targets that long prompts fill first
+
+
+class Index:
+    """Targets by service, rebuilt when the catalogue or the hosts change."""
+
+    def __init__(self, max_age: float) -> None:
+        self._max_age = max_age
+        self._built_at = float("-inf")
+        self._catalogue: Catalogue | None = None
+        self._size = -1
+        self._pools: dict[str, _Pool] = {}
+
+    def pool(
+        self, request: Request, board: EntryBoard, now: float | None = None
+    ) -> _Pool | None:
+        """Return the pool of the service that answers a request."""
+        now = self._built_at if now is None else now
+        if self._stale(board, now):
+            self._rebuild(board, now)
+        match request.work:
+            case Prompt(model=model):
+                entry = board.catalogue.models.get(model)
+                return self._pools.get(entry.service) if entry else None
+            case Call(service=service):
+                return self._pools.get(service)
+
+    def _stale(self, board: EntryBoard, now: float) -> bool:
+        return (
+            board.catalogue is not self._catalogue
+            or len(board.targets) != self._size
+            or now >= self._built_at + self._max_age
+        )
+
+    def _rebuild(self, board: EntryBoard, now: float) -> None:
+        pools = {}
+        for name, service in board.catalogue.services.items():
+            targets = [
+                target
+                for target in board.targets.values()
+                if matches(target.host, service.selector)
+            ]
+            pools[name] = self._renew(name, targets)
+        self._pools = pools
+        self._catalogue = board.catalogue
+        self._size = len(board.targets)
+        self._built_at = now
+
+    def _renew(self, service: str, targets: list[TargetState]) -> _Pool:
+        pool = self._pools.get(service) or _Pool([])
+        names = [target.host.name for target in targets]
+        pool.names = sorted(names, key=stable_order)
+        sizes = [target.load.memory_total for target in targets]
+        pool.largest_memory = max(sizes, default=0)
+        return pool
+
+
+class Router:
+    """Chooses targets by a policy from what this entry knows."""
+
+    def __init__(self, settings: RoutingSettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._index = Index(settings.index_age)
+
+    def choose(
+        self,
+        request: Request,
+        board: EntryBoard,
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> str | None:
+        """Return the name of a target for a request, if there is one."""
+        pool = self._index.pool(request, board, now)
+        if pool is None or not pool.names:
+            return None
+        choice = _Choice(request, board, now, exclude, pool, self._rng)
+        match self._settings.policy:
+            case RoundRobin():
+                return choice.next_in_turn()
+            case LeastOutstanding(probes=probes):
+                return choice.least(probes, requests_outstanding)
+            case LengthAware() as policy:
+                return self._by_length(policy, choice)
+
+    def candidates(
+        self, request: Request, board: EntryBoard, now: float
+    ) -> t.Iterator[TargetState]:
+        """Yield the targets that may serve a request, in stable order."""
+        pool = self._index.pool(request, board, now)
+        for name in pool.names if pool else ():
+            target = board.targets.get(name)
+            if target is not None and usable(target, board, now):
+                yield target
+
+    def largest_memory(self, request: Request, board: EntryBoard) -> int:
+        """Return the largest engine memory for a request, 0 if unknown."""
+        pool = self._index.pool(request, board)
+        return pool.largest_memory if pool else 0
+
+    def _by_length(self, policy: LengthAware, choice: "_Choice") -> str | None:
+        work = choice.request.work
+        if isinstance(work, Call):
+            return choice.least(policy.probes, requests_outstanding)
+        probes = policy.probes
+        if len(choice.pool.names) <= policy.scan:
+            probes = policy.scan
+        if work.tokens < policy.long_tokens:
+            return choice.least(probes, pending_tokens)
+        return self._long(policy, choice, probes)
+
+    def _long(self, policy: LengthAware, choice: "_Choice", probes: int) -> str | None:
+        pool = choice.pool
+        size = len(pool.names)
+        pool.lane = min(max(pool.lane, policy.min_lane), size)
+        name = choice.first_under(policy.long_limit, int(pool.lane), probes)
+        if name is not None:
+            pool.lane -= LANE_SHRINK
+            return name
+        pool.lane += LANE_GROWTH
+        return choice.least(probes, pending_tokens)
+
+
+LANE_SHRINK = 0.05  # targets a long prompt that found room
+LANE_GROWTH = 1.0  # targets a long prompt that found none
+
+
+class _Choice:
+    """One decision: the request, the board and the pool it is made from."""
+
+    def __init__(
+        self,
+        request: Request,
+        board: EntryBoard,
+        now: float,
+        exclude: frozenset[str],
+        pool: _Pool,
+        rng: random.Random,
+    ) -> None:
+        self.request = request
+        self.pool = pool
+        self._board = board
+        self._now = now
+        self._exclude = exclude
+        self._rng = rng
+
+    def next_in_turn(self) -> str | None:
+        """Return the next usable target in turn."""
+        names = self.pool.names
+        for _ in names:
+            self.pool.turn = (self.pool.turn + 1) % len(names)
+            target = self._usable(names[self.pool.turn])
+            if target is not None:
+                return target.host.name
+        return None
+
+    def least(self, probes: int, cost: t.Callable[[TargetState], float]) -> str | None:
+        """Return the cheapest of some usable targets drawn at random."""
+        drawn = self._draw(probes, len(self.pool.names))
+        if not drawn:
+            drawn = self._first(probes)
+        if not drawn:
+            return None
+        return min(drawn, key=cost).host.name
+
+    def first_under(self, limit: int, lane: int, probes: int) -> str | None:
+        """Return the first target in stable order with room for long work."""
+        tokens = self.request.work.tokens
+        names = self.pool.names[:lane] if lane <= probes else None
+        if names is None:
+            drawn = self._draw(probes, lane)
+        else:
+            drawn = [x for x in map(self._usable, names) if x is not None]
+        for target in drawn:
+            pending = pending_tokens(target)
+            if not pending or pending + tokens <= limit:
+                return target.host.name
+        return None
+
+    def _draw(self, probes: int, among: int) -> list[TargetState]:
+        count = min(probes, among)
+        drawn = self._rng.sample(range(among), count)
+        targets = (self._usable(self.pool.names[i]) for i in drawn)
+        return [target for target in targets if target is not None]
+
+    def _first(self, count: int) -> list[TargetState]:
+        """Look at all targets from a random one on until some are usable."""
+        names = self.pool.names
+        start = self._rng.randrange(len(names))
+        found = []
+        for offset in range(len(names)):
+            target = self._usable(names[(start + offset) % len(names)])
+            if target is not None:
+                found.append(target)
+            if len(found) == count:
+                break
+        return found
+
+    def _usable(self, name: str) -> TargetState | None:
+        target = self._board.targets.get(name)
+        if target is None or name in self._exclude:
+            return None
+        if not usable(target, self._board, self._now):
+            return None
+        return target if self._fits(target) else None
+
+    def _fits(self, target: TargetState) -> bool:
+        work = self.request.work
+        total = target.load.memory_total
+        return isinstance(work, Call) or not total or work.memory <= total
+
+
+def matches(host: Host, selector: t.Mapping[str, str]) -> bool:
+    """Tell whether a host's labels hold all that a selector asks for."""
+    return all(host.labels.get(key) == value for key, value in selector.items())
+
+
+def usable(target: TargetState, board: EntryBoard, now: float) -> bool:
+    """Tell whether a target may get new work."""
+    if target.agent is None or target.leaving or target.ejected_until > now:
+        return False
+    entry = board.catalogue.targets.get(target.host.name)
+    return entry is None or not entry.drained
+
+
+def requests_outstanding(target: TargetState) -> int:
+    """Return the requests that this entry has at a target."""
+    return len(target.outstanding)
+
+
+def pending_tokens(target: TargetState) -> int:
+    """Return the work ahead at a target, own or reported, in tokens."""
+    return max(target.outstanding_tokens, target.load.queued_prefill)
+
+
+def stable_order(name: str) -> int:
+    """Return a target's place in the order that all entries share."""
+    return xxhash.xxh64_intdigest(name.encode())
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,217 @@
+"""The ledger against a simple account of an engine's memory."""
+
+import unittest
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from chicorycove.event import EngineReported
+from chicorycove.identity import AttemptId
+from chicorycove.ledger import Ledger, LedgerSettings
+
+CAPACITY = 1000
+SETTINGS = LedgerSettings(lease=3.0, cancel_retry=1.0, max_preemptions=2)
+
+
+def attempt(number):
+    return AttemptId("r", number, "n")
+
+
+def report(held, as_of, capacity=CAPACITY):
+    return EngineReported(capacity, sum(held.values()), dict(held), as_of)
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = Ledger(CAPACITY, SETTINGS)
+
+    def test_reserves_up_to_capacity(self):
+        self.assertTrue(self.ledger.reserve(attempt(1), "e", 1000, 0.0))
+        self.assertFalse(self.ledger.reserve(attempt(2), "e", 1, 0.0))
+        self.assertEqual(self.ledger.release(attempt(1)), 1000)
+        self.assertTrue(self.ledger.reserve(attempt(2), "e", 1, 0.0))
+
+    def test_same_attempt_is_counted_once(self):
+        self.assertTrue(self.ledger.reserve(attempt(1), "e", 600, 0.0))
+        self.assertTrue(self.ledger.reserve(attempt(1), "e", 600, 0.0))
+        self.assertEqual(self.ledger.used, 600)
+
+    def test_growth_stops_at_capacity(self):
+        self.ledger.reserve(attempt(1), "e", 600, 0.0)
+        self.assertTrue(self.ledger.grow(attempt(1), 1000))
+        self.assertFalse(self.ledger.grow(attempt(1), 1001))
+        self.assertEqual(self.ledger.used, 1000)
+
+    def test_silent_owner_lapses_and_memory_counts_until_released(self):
+        self.ledger.reserve(attempt(1), "silent", 400, 0.0)
+        self.ledger.reserve(attempt(2), "alive", 400, 0.0)
+        self.ledger.renew("alive", 2.0)
+        self.assertEqual(self.ledger.lapse(2.9), [])
+        self.assertEqual(self.ledger.lapse(3.0), [attempt(1)])
+        self.assertEqual(self.ledger.used, 800)
+        self.assertFalse(self.ledger.reserve(attempt(1), "silent", 400, 3.0))
+
+    def test_lost_cancel_is_repeated(self):
+        self.ledger.reserve(attempt(1), "e", 400, 0.0)
+        self.assertEqual(self.ledger.lapse(3.0), [attempt(1)])
+        self.assertEqual(self.ledger.lapse(3.5), [])
+        self.assertEqual(self.ledger.lapse(4.0), [attempt(1)])
+
+    def test_cancelled_attempt_that_the_engine_dropped_is_released(self):
+        self.ledger.reserve(attempt(1), "e", 400, 0.0)
+        self.ledger.lapse(3.0)
+        self.ledger.reconcile(report({}, as_of=2.9))
+        self.assertEqual(self.ledger.used, 400)
+        self.ledger.reconcile(report({}, as_of=3.1))
+        self.assertEqual(self.ledger.used, 0)
+
+    def test_memory_of_no_owner_is_cancelled_and_not_promised(self):
+        orphan = attempt(9)
+        cancels = self.ledger.reconcile(report({orphan: 700}, as_of=1.0))
+        self.assertEqual(cancels, [orphan])
+        self.assertFalse(self.ledger.reserve(attempt(1), "e", 400, 1.0))
+        self.ledger.reconcile(report({}, as_of=2.0))
+        self.assertTrue(self.ledger.reserve(attempt(1), "e", 400, 2.0))
+
+    def test_report_raises_a_reservation(self):
+        self.ledger.reserve(attempt(1), "e", 400, 0.0)
+        self.ledger.reconcile(report({attempt(1): 500}, as_of=1.0))
+        self.assertEqual(self.ledger.used, 500)
+
+    def test_smaller_engine_takes_no_more(self):
+        self.ledger.reserve(attempt(1), "e", 400, 0.0)
+        self.ledger.reconcile(report({}, as_of=1.0, capacity=300))
+        self.assertEqual(self.ledger.free, -100)
+        self.assertFalse(self.ledger.reserve(attempt(2), "e", 1, 1.0))
+
+
+class PreemptionTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = Ledger(CAPACITY, SETTINGS)
+        self.ledger.reserve(attempt(1), "e", 300, 0.0, priority=5)
+        self.ledger.reserve(attempt(2), "e", 300, 1.0, priority=9)
+        self.ledger.reserve(attempt(3), "e", 300, 2.0, priority=9)
+
+    def test_lowest_class_and_latest_goes_first(self):
+        self.assertEqual(self.ledger.victims(200, 0), [attempt(3)])
+        self.assertEqual(self.ledger.victims(500, 0), [attempt(3), attempt(2)])
+
+    def test_equal_class_is_never_preempted(self):
+        self.assertEqual(self.ledger.victims(200, 9), [])
+        self.assertEqual(self.ledger.victims(900, 5), [])
+
+    def test_nothing_is_preempted_in_vain(self):
+        self.assertEqual(self.ledger.victims(CAPACITY + 1, 0), [])
+
+    def test_one_attempt_is_preempted_a_bounded_number_of_times(self):
+        for _ in range(SETTINGS.max_preemptions):
+            self.assertEqual(self.ledger.victims(200, 0), [attempt(3)])
+            self.ledger.preempt(attempt(3))
+            self.ledger.reserve(attempt(3), "e", 300, 2.0, priority=9)
+        self.assertEqual(self.ledger.victims(200, 0), [attempt(2)])
+
+    def test_member_of_a_group_is_not_preempted(self):
+        self.ledger.release(attempt(3))
+        self.ledger.reserve(attempt(4), "e", 300, 3.0, 9, preemptible=False)
+        self.assertEqual(self.ledger.victims(200, 0), [attempt(2)])
+
+
+class MemoryMachine(RuleBasedStateMachine):
+    """An engine, owners that die, and cancels that are lost.
+
+    The oracle is the engine's own table.  An attempt that started holds the
+    engine's memory until the engine hears a cancel or ends it.
+    """
+
+    TICK = 0.5
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.ledger = Ledger(CAPACITY, SETTINGS)
+        self.engine = {}
+        self.alive = {"a", "b"}
+        self.numbers = 0
+        self.history = []
+
+    @rule(owner=st.sampled_from(["a", "b"]), memory=st.integers(1, 600))
+    def reserve(self, owner, memory):
+        if owner not in self.alive:
+            return
+        self.numbers += 1
+        new = attempt(self.numbers)
+        if self.ledger.reserve(new, owner, memory, self.now, priority=5):
+            self.ledger.renew(owner, self.now)
+            self.engine[new] = memory
+
+    @rule(memory=st.integers(1, 600))
+    def orphan(self, memory):
+        """Have the engine hold an attempt of an agent that died."""
+        if memory <= CAPACITY - self.ledger.used:
+            self.numbers += 1
+            self.engine[AttemptId("old", self.numbers, "n")] = memory
+            self.report()
+
+    @rule(data=st.data())
+    def finish(self, data):
+        if self.engine:
+            ended = data.draw(st.sampled_from(sorted(self.engine, key=str)))
+            del self.engine[ended]
+            self.ledger.release(ended)
+
+    @rule(owner=st.sampled_from(["a", "b"]))
+    def die(self, owner):
+        self.alive.discard(owner)
+
+    @rule(owner=st.sampled_from(["a", "b"]))
+    def return_to_life(self, owner):
+        self.alive.add(owner)
+        self.ledger.renew(owner, self.now)
+
+    @rule(lost=st.booleans())
+    def tick(self, lost):
+        self.now += self.TICK
+        for owner in self.alive:
+            self.ledger.renew(owner, self.now)
+        self.cancel(self.ledger.lapse(self.now), lost)
+
+    @rule(lag=st.integers(0, 3))
+    def report(self, lag=0):
+        """Have the engine report what it held some ticks ago."""
+        self.history.append((self.now, dict(self.engine)))
+        as_of, held = self.history[max(0, len(self.history) - 1 - lag)]
+        self.cancel(self.ledger.reconcile(report(held, as_of)), lost=False)
+
+    def cancel(self, attempts, lost):
+        if lost:
+            return
+        for cancelled in attempts:
+            self.engine.pop(cancelled, None)
+            self.ledger.release(cancelled)
+
+    @invariant()
+    def engine_is_never_promised_twice(self):
+        assert sum(self.engine.values()) <= CAPACITY
+        held = sum(m for a, m in self.engine.items() if a in self.ledger)
+        assert self.ledger.used >= held
+
+    def teardown(self):
+        """All memory comes back within two leases of the owners' death."""
+        self.alive.clear()
+        end = self.now + 2 * SETTINGS.lease
+        while self.now < end:
+            self.tick(lost=self.now < end - 2 * SETTINGS.cancel_retry)
+            self.report()
+        assert self.engine == {}, self.engine
+        assert self.ledger.used == 0, self.ledger.used
+
+
+MemoryTest = MemoryMachine.TestCase
+MemoryTest.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,223 @@
+"""The choice of a target."""
+
+import random
+import unittest
+
+from chicorycove.board import EntryBoard, TargetState
+from chicorycove.catalogue import Catalogue, Model, Service, ServiceKind, Target
+from chicorycove.event import Load
+from chicorycove.host import Host, HostState
+from chicorycove.identity import AgentId, AttemptId
+from chicorycove.request import Call, Prompt, Request
+from chicorycove.routing import (
+    LeastOutstanding,
+    LengthAware,
+    RoundRobin,
+    Router,
+    RoutingSettings,
+    stable_order,
+)
+
+MEMORY = 131_072  # tokens
+POLICIES = (RoundRobin(), LeastOutstanding(), LengthAware())
+
+
+def host(name, service="advisor", state=HostState.LIVE):
+    return Host(
+        name=name,
+        agent="127.0.0.1:1",
+        region="kyushu",
+        failure_domain="fukuoka",
+        state=state,
+        labels={"service": service},
+    )
+
+
+def make_board(count, memory=MEMORY):
+    catalogue = Catalogue(
+        models={"m": Model(name="m", owner="o", service="advisor")},
+        services={
+            "advisor": Service(
+                name="advisor",
+                owner="o",
+                kind=ServiceKind.ENGINE,
+                selector={"service": "advisor"},
+            ),
+            "purchasing": Service(
+                name="purchasing",
+                owner="o",
+                kind=ServiceKind.PLAIN,
+                selector={"service": "purchasing"},
+            ),
+        },
+    )
+    board = EntryBoard(catalogue=catalogue)
+    load = Load(memory_free=memory, memory_total=memory)
+    for number in range(count):
+        name = f"engine-{number}"
+        board.targets[name] = TargetState(host(name), AgentId(name, "1"), load)
+    board.targets["plain-0"] = TargetState(
+        host("plain-0", "purchasing"), AgentId("plain-0", "1")
+    )
+    return board
+
+
+def prompt(tokens, max_tokens=16, number=0):
+    work = Prompt("m", tokens, max_tokens)
+    return Request(f"r{number}", "w", "c", work, 0.0, 60.0)
+
+
+def make_router(policy=LengthAware()):
+    return Router(RoutingSettings(policy=policy), random.Random(1))
+
+
+def add_outstanding(board, name, tokens, number=0):
+    attempt = AttemptId("other", number, "n")
+    board.targets[name].outstanding[attempt] = tokens
+
+
+class EveryPolicyTest(unittest.TestCase):
+    def choices(self, policy, board, tokens=1000, exclude=frozenset()):
+        router = make_router(policy)
+        return {router.choose(prompt(tokens), board, 1.0, exclude) for _ in range(200)}
+
+    def test_unusable_targets_are_never_chosen(self):
+        for policy in POLICIES:
+            board = make_board(6)
+            targets = board.targets
+            targets["engine-0"].host = host("engine-0", state=HostState.LEAVING)
+            targets["engine-1"].load = Load(leaving=True)
+            targets["engine-2"].ejected_until = 2.0
+            targets["engine-3"].agent = None
+            drained = Target(name="engine-4", owner="o", drained=True)
+            board.catalogue = Catalogue(
+                models=board.catalogue.models,
+                services=board.catalogue.services,
+                targets={"engine-4": drained},
+            )
+            for tokens in (1000, 100_000):
+                with self.subTest(policy=policy, tokens=tokens):
+                    chosen = self.choices(policy, board, tokens)
+                    self.assertEqual(chosen, {"engine-5"})
+                    exclude = frozenset({"engine-5"})
+                    chosen = self.choices(policy, board, tokens, exclude)
+                    self.assertEqual(chosen, {None})
+
+    def test_last_usable_target_of_many_is_found(self):
+        for policy in POLICIES:
+            board = make_board(500)
+            for number in range(499):
+                board.targets[f"engine-{number}"].agent = None
+            with self.subTest(policy=policy):
+                self.assertEqual(self.choices(policy, board), {"engine-499"})
+
+    def test_engine_that_is_too_small_is_passed_over(self):
+        for policy in POLICIES:
+            board = make_board(3)
+            board.targets["engine-2"].load = Load(memory_total=4 * MEMORY)
+            with self.subTest(policy=policy):
+                chosen = self.choices(policy, board, 2 * MEMORY)
+                self.assertEqual(chosen, {"engine-2"})
+
+    def test_call_goes_to_its_service(self):
+        board = make_board(3)
+        call = Call("purchasing", "POST", "/orders", False)
+        request = Request("r", "w", "c", call, 0.0, 60.0)
+        for policy in POLICIES:
+            with self.subTest(policy=policy):
+                chosen = make_router(policy).choose(request, board, 0.0)
+                self.assertEqual(chosen, "plain-0")
+
+    def test_unknown_model_has_no_target(self):
+        request = Request("r", "w", "c", Prompt("x", 1, 1), 0.0, 60.0)
+        self.assertIsNone(make_router().choose(request, make_board(3), 0.0))
+
+
+class IndexTest(unittest.TestCase):
+    def test_new_target_is_chosen_at_once(self):
+        board = make_board(0)
+        router = make_router()
+        self.assertIsNone(router.choose(prompt(10), board, 0.0))
+        board.targets["n"] = TargetState(host("n"), AgentId("n", "1"))
+        self.assertEqual(router.choose(prompt(10), board, 0.0), "n")
+
+    def test_replaced_target_is_never_chosen_for_the_old_service(self):
+        board = make_board(1)
+        router = make_router()
+        router.choose(prompt(10), board, 0.0)
+        del board.targets["engine-0"]
+        board.targets["other"] = TargetState(host("other"), AgentId("other", "1"))
+        self.assertIsNone(router.choose(prompt(10), board, 0.1))
+        self.assertEqual(router.choose(prompt(10), board, 1.0), "other")
+
+    def test_changed_selector_is_in_force_at_once(self):
+        board = make_board(2)
+        router = make_router()
+        router.choose(prompt(10), board, 0.0)
+        moved = Service(
+            name="advisor",
+            owner="o",
+            kind=ServiceKind.ENGINE,
+            selector={"service": "nobody"},
+        )
+        board.catalogue = Catalogue(
+            models=board.catalogue.models, services={"advisor": moved}
+        )
+        self.assertIsNone(router.choose(prompt(10), board, 0.0))
+
+
+class LengthAwareTest(unittest.TestCase):
+    def order(self, board):
+        names = [name for name in board.targets if name.startswith("engine")]
+        return sorted(names, key=stable_order)
+
+    def test_long_prompts_share_first_targets_between_entries(self):
+        board = make_board(20)
+        first = self.order(board)[0]
+        for seed in range(5):
+            router = Router(RoutingSettings(), random.Random(seed))
+            self.assertEqual(router.choose(prompt(100_000), board, 0.0), first)
+
+    def test_long_work_on_a_target_is_bounded(self):
+        board = make_board(20, memory=1_000_000)
+        router = make_router()
+        for number in range(12):
+            request = prompt(100_000, number=number)
+            name = router.choose(request, board, 0.0)
+            add_outstanding(board, name, request.work.memory, number)
+        limit = LengthAware().long_limit
+        for target in board.targets.values():
+            self.assertLessEqual(target.outstanding_tokens, limit)
+
+    def test_long_prompts_leave_most_targets_free(self):
+        board = make_board(20, memory=1_000_000)
+        router = make_router()
+        for number in range(12):
+            request = prompt(100_000, number=number)
+            name = router.choose(request, board, 0.0)
+            add_outstanding(board, name, request.work.memory, number)
+        free = [x for x in board.targets.values() if not x.outstanding]
+        self.assertGreaterEqual(len(free), 12)
+
+    def test_short_prompts_go_past_long_work(self):
+        board = make_board(20)
+        for name in self.order(board)[:8]:
+            add_outstanding(board, name, 100_000)
+        router = make_router()
+        for number in range(50):
+            name = router.choose(prompt(1000, number=number), board, 0.0)
+            self.assertEqual(board.targets[name].outstanding_tokens, 0)
+
+    def test_idle_targets_of_long_prompts_are_lent_to_short_ones(self):
+        board = make_board(4)
+        order = self.order(board)
+        for name in order[1:]:
+            add_outstanding(board, name, 5000)
+        self.assertEqual(make_router().choose(prompt(1000), board, 0.0), order[0])
+
+    def test_reported_load_of_others_counts(self):
+        board = make_board(2)
+        board.targets["engine-0"].load = Load(
+            queued_prefill=50_000, memory_total=MEMORY
+        )
+        self.assertEqual(make_router().choose(prompt(10), board, 0.0), "engine-1")
