--- a/src/chicorycove/board.py
+++ b/src/chicorycove/board.py
@@ -35,12 +35,13 @@
 
 @dataclasses.dataclass(slots=True)
 class AttemptState:
-    """One attempt as its entry sees it."""
+    """One attempt as its entry sees it; received counts its bytes."""
 
     id: AttemptId
     agent: AgentId
     state: str = "sent"
     grouped: bool = False
+    received: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +51,7 @@
     request: Request
     attempts: list[AttemptState] = dataclasses.field(default_factory=list)
     relayed: int = 0
+    may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
 
 
--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -37,6 +37,7 @@
 
     attempt: AttemptId
     agent: AgentId
+    deadline: float = 0.0  # of the attempt, in seconds since the epoch
 
 
 @frozen
@@ -121,6 +122,13 @@
     result: bytes
 
 
+@frozen
+class Claimed:
+    """The claim of a keyed request stands: its attempt may be sent now."""
+
+    request: str
+
+
 # An entry speaks to the platform and to its own instruments.
 
 
@@ -134,12 +142,17 @@
 
 @frozen
 class StoreSwap:
-    """Write a key of the store if it still has a version; 0 for absent."""
+    """Write a key of the store if it still has a version; 0 for absent.
+
+    The store may drop the value some time after it expires, in seconds
+    since the epoch.
+    """
 
     call: int
     key: str
     version: int
     value: bytes
+    expires: float | None = None
 
 
 @frozen
@@ -169,6 +182,7 @@
     Finish,
     Fail,
     Replay,
+    Claimed,
     StoreRead,
     StoreSwap,
     CountRetry,
@@ -186,6 +200,13 @@
     attempt: AttemptId
 
 
+@frozen
+class Compute:
+    """Have the target compute a member's segment of a prompt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class Stop:
     """Have the target cancel an attempt and free its memory."""
@@ -200,6 +221,13 @@
     attempt: AttemptId
 
 
+@frozen
+class TellResumed:
+    """Send the owner what it has not had yet of a started attempt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class TellRefused:
     """Tell the owner that an attempt has not run and never will."""
@@ -232,8 +260,10 @@
 
 AgentCommand = t.Union[
     Run,
+    Compute,
     Stop,
     TellAccepted,
+    TellResumed,
     TellRefused,
     TellSealed,
     TellReserved,
