--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -55,7 +55,7 @@
             Settings(
                 role=Role.ENTRY,
                 name=self._settings.name,
-                entry=EntrySettings(listen=local.listen),
+                entry=EntrySettings(listen=local.listen, max_body=local.max_body),
                 platform=PlatformSettings(
                     store=Address(store_server.address),
                     hosts=Address(host_server.address),
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -109,6 +109,7 @@
     catalogue: str
     targets: tuple[LocalTarget, ...]
     time_scale: float = 1.0
+    max_body: int = 32 * 1024 * 1024  # bytes
 
 
 @frozen
--- /dev/null
+++ b/tests/test_local.py
@@ -0,0 +1,189 @@
+"""The whole path on loopback: callers' requests through the local role."""
+
+import asyncio
+import json
+import unittest
+
+import aiosonic
+from aiosonic.timeout import Timeouts
+
+from chicorycove.conversion import Address
+from chicorycove.local import LocalProcess
+from chicorycove.settings import LocalSettings, LocalTarget, Role, Settings
+from examples.demo import Caller
+
+MAX_BODY = 1_000_000  # bytes
+WAIT = 60.0  # seconds, far more than any step needs
+
+PROMPT = {"model": "advisor", "prompt": "Where does the gate go?"}
+
+# What is sent, and the status, reason and verdict that must come back.
+BAD_INPUT = [
+    ("broken JSON", {"data": b"{"}, 400, "bad_request"),
+    ("empty body", {"data": b""}, 400, "bad_request"),
+    ("not an object", {"data": b"[1]"}, 400, "bad_request"),
+    ("no model", {"json": {"prompt": "x"}}, 400, "bad_request"),
+    ("no prompt", {"json": {"model": "advisor"}}, 400, "bad_request"),
+    ("model unknown", {"json": PROMPT | {"model": "x"}}, 404, "unknown_model"),
+    ("stream not a bool", {"json": PROMPT | {"stream": "yes"}}, 400, "bad_request"),
+    ("no tokens wanted", {"json": PROMPT | {"max_tokens": 0}}, 400, "bad_request"),
+    ("key unknown", {"key": "wrong"}, 401, "unauthenticated"),
+    ("key empty", {"key": ""}, 401, "unauthenticated"),
+    ("path unknown", {"path": "/v1/nothing"}, 404, "unknown_path"),
+    ("service unknown", {"path": "/services/x/y"}, 404, "unknown_service"),
+    ("body too large", {"data": b"x" * (MAX_BODY + 1)}, 413, "body_too_large"),
+    ("deadline past", {"timeout": "-1"}, 400, "deadline_past"),
+    ("deadline no number", {"timeout": "soon"}, 400, "bad_request"),
+    ("deadline not a number", {"timeout": "nan"}, 400, "bad_request"),
+    ("deadline too far", {"timeout": "1e9"}, 400, "bad_request"),
+    ("key too long", {"idempotency": "k" * 256}, 400, "bad_request"),
+]
+
+
+def settings(engines=2, memory=4096):
+    targets = [
+        LocalTarget(
+            name=f"advisor-{number}",
+            service="advisor",
+            failure_domain="a",
+            memory=memory,
+        )
+        for number in range(1, engines + 1)
+    ]
+    plain = LocalTarget(
+        name="purchasing-1", service="purchasing", failure_domain="a", kind="plain"
+    )
+    return Settings(
+        role=Role.LOCAL,
+        name="local",
+        local=LocalSettings(
+            listen=Address("127.0.0.1:0"),
+            catalogue="examples/local/catalogue.json",
+            targets=(*targets, plain),
+            time_scale=0.01,
+            max_body=MAX_BODY,
+        ),
+    )
+
+
+class LocalTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.process = LocalProcess(settings())
+        await self.process.start()
+        self.url = f"http://{self.process.entry.listener.address}"
+        self.client = aiosonic.HTTPClient()
+        self.caller = Caller(self.url)
+        targets = self.process.entry.entry.board.targets
+        await self.caller.wait_until_ready(
+            lambda: sum(x.agent is not None for x in targets.values()) == 3
+        )
+
+    async def asyncTearDown(self):
+        await self.client.aclose()
+        await self.process.stop()
+
+    async def send(
+        self,
+        path="/v1/completions",
+        key="toolroom-key",
+        timeout=None,
+        idempotency=None,
+        **body,
+    ):
+        headers = {"Authorization": f"Bearer {key}"}
+        if timeout is not None:
+            headers["X-Request-Timeout"] = timeout
+        if idempotency is not None:
+            headers["Idempotency-Key"] = idempotency
+        if not body:
+            body = {"json": PROMPT}
+        return await self.client.post(
+            self.url + path,
+            headers=headers,
+            timeouts=Timeouts(sock_read=None, request_timeout=WAIT),
+            **body,
+        )
+
+    async def runs(self):
+        found = []
+        for name, url in self.process.targets.items():
+            kind = "service" if name.startswith("purchasing") else "engine"
+            response = await self.client.get(f"{url}/{kind}/runs")
+            found += (await response.json())["runs"]
+        return found
+
+    async def test_bad_input_is_refused_and_nothing_runs(self):
+        for name, change, status, reason in BAD_INPUT:
+            with self.subTest(name):
+                response = await self.send(**change)
+                problem = await response.json()
+                self.assertEqual(response.status_code, status, problem)
+                self.assertEqual(problem["reason"], reason)
+                self.assertEqual(problem["verdict"], "not_run")
+                self.assertTrue(problem["detail"])
+                self.assertIn("problem+json", response.headers["content-type"])
+        self.assertEqual(await self.runs(), [])
+        self.assertFalse(self.process.entry.entry.busy)
+
+    async def test_whole_answer_is_what_the_engine_sent(self):
+        response = await self.send(json=PROMPT | {"max_tokens": 9})
+        answer = await response.json()
+        (run,) = await self.runs()
+        self.assertEqual(answer["checksum"], run["checksum"])
+        self.assertEqual(response.headers["x-request-id"], run["request"])
+
+    async def test_answers_are_byte_equal_to_the_engines(self):
+        for stream in (False, True):
+            body = json.dumps(PROMPT | {"max_tokens": 9, "stream": stream}).encode()
+            with self.subTest(stream=stream):
+                relayed = await self.send(data=body)
+                name = relayed.headers["x-target"]
+                direct = await self.client.post(
+                    f"{self.process.targets[name]}/v1/completions",
+                    headers={
+                        "X-Request-Id": relayed.headers["x-request-id"],
+                        "X-Attempt-Id": "direct/1/n",
+                    },
+                    data=body,
+                )
+                self.assertEqual(await relayed.content(), await direct.content())
+
+    async def test_prompt_beyond_two_engines_runs_on_a_group(self):
+        outcome = await self.caller.complete("history", "design-office-key", 7000)
+        self.assertEqual(outcome.verdict, "ran", outcome.detail)
+        self.assertEqual(len(outcome.targets.split(",")), 2)
+
+    async def test_keyed_registration_runs_once(self):
+        first = await self.caller.register("secretariat-key", "steel-1")
+        again = await self.caller.register("secretariat-key", "steel-1")
+        other = await self.caller.register("secretariat-key", "steel-2")
+        self.assertEqual([first.verdict, again.verdict, other.verdict], ["ran"] * 3)
+        self.assertEqual([first.detail, again.detail], ["", "replayed"])
+        self.assertEqual(len(await self.runs()), 2)
+
+    async def test_key_with_another_body_is_refused(self):
+        await self.caller.register("secretariat-key", "steel-1")
+        response = await self.send(
+            path="/services/purchasing/registrations",
+            key="secretariat-key",
+            idempotency="steel-1",
+            json={"steel": "SKD61"},
+        )
+        self.assertEqual(response.status_code, 422)
+        self.assertEqual((await response.json())["reason"], "key_reused")
+        self.assertEqual(len(await self.runs()), 1)
+
+    async def test_many_at_once_each_get_their_own_answer(self):
+        async def one(number):
+            text = f"question {number}"
+            return await self.caller.complete(text, "toolroom-key", 50 + number)
+
+        outcomes = await asyncio.gather(*(one(number) for number in range(40)))
+        self.assertEqual([x.verdict for x in outcomes], ["ran"] * 40)
+
+    async def test_probes(self):
+        for path, text in [("/healthz", "ok\n"), ("/readyz", "ready\n")]:
+            response = await self.client.get(self.url + path)
+            self.assertEqual(await response.text(), text)
+        page = await (await self.client.get(f"{self.url}/metrics")).text()
+        self.assertIn("target_info", page)
