Make the demo's four requests work end to end

Cause: first runs on a scratch tree: xxhash wants bytes, 3.11 has no merge_extra, members of a group hold under attempts of their own, claims are told of requests and not of ids. Change: each mended; an engine's refusal keeps its reason; a link's failure is logged. Conclusion: land once the tests of the whole path pass.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -174,6 +174,7 @@
         host = {
             "name": target.name,
             "agent": f"{LOOPBACK}:{listen}",
+            "address": self._address(target.name),
             "region": "local",
             "failure_domain": target.failure_domain,
             "labels": {"service": target.service},
@@ -250,7 +251,7 @@
 def _environment() -> dict[str, str]:
     root = pathlib.Path(__file__).parent.parent
     path = os.pathsep.join((str(root / "src"), str(root)))
-    return {**os.environ, "PYTHONPATH": path}
+    return {**os.environ, "PYTHONPATH": path, "GRPC_VERBOSITY": "ERROR"}
 
 
 def _wait_for(url: str, name: str) -> None:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -112,7 +112,7 @@
     async def runs_of(self, service: str) -> list[t.Any]:
         """Return what a stand-in service has run."""
         response = await self._client.get(f"{service}/service/runs")
-        return (await response.json())["runs"]
+        return await response.json()
 
 
 def is_whole(stream: bytes) -> bool:
--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import typing as t
 
+import msgspec
+
 from . import frame
 from .answer import AnswerBuffer
 from .backend import NOT_RUN_STATUSES, Answer, Backend, Work
@@ -54,9 +57,27 @@
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
 
+ENGINE_REASONS = {
+    "memory_full": Reason.MEMORY_FULL,
+    "member_lost": Reason.RESERVATION_LOST,
+    "model_not_loaded": Reason.NOT_READY,
+}
+
 EntryStream = MessageStream[wire.EntryBatch]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RefusalError:
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """The body of an engine's answer that an attempt has not run."""
+
+    error: _RefusalError
+
+
 class Agent:
     """Stands in the path of every request to one target."""
 
@@ -255,7 +276,8 @@
     ) -> None:
         buffer = self._answers[attempt]
         if not start.plain and answer.head.status in NOT_RUN_STATUSES:
-            self._refuse(attempt, Reason.MEMORY_FULL, None)
+            body = b"".join([data async for data in answer.chunks()])
+            self._refuse(attempt, refusal_reason(body), None)
             return
         head = wire.Head(
             attempt=str(attempt),
@@ -426,6 +448,15 @@
     )
 
 
+def refusal_reason(body: bytes) -> Reason:
+    """Return why an engine did not run an attempt."""
+    try:
+        error = msgspec.json.decode(body, type=_Refusal).error
+    except msgspec.MsgspecError:
+        return Reason.NOT_READY
+    return ENGINE_REASONS.get(error.reason, Reason.NOT_READY)
+
+
 def _work(start: wire.Start) -> Work:
     headers = [(header.name, header.value) for header in start.headers]
     if start.members:
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -181,7 +181,7 @@
             return self._no_target(state, since, now)
         agent = self._board.targets[name].agent
         attempt = self._make_attempt(request.id, len(state.attempts) + 1)
-        if request.key is not None and not request.idempotent:
+        if request.claimable:
             self._planned[request.id] = (attempt, agent)
             return self._claims.begin(request, attempt, agent, now)
         return self._send(state, attempt, agent)
@@ -291,12 +291,12 @@
             if record.state in ("sent", "accepted", "started"):
                 commands.append(Cancel(record.id, record.agent))
         commands += self._groups.abandon(request.id, now)
-        if request.key is not None and not request.idempotent:
-            commands += self._claims.finish(request.id, None, now)
-        self._forget(state)
         known = self._verdict(state)
         if verdict is None or known is not Verdict.NOT_RUN:
             verdict = known
+        if request.claimable:
+            commands += self._claims.abandon(request, verdict, now)
+        self._forget(state)
         commands.append(Fail(request.id, reason, verdict, retry_after))
         return commands
 
@@ -388,7 +388,7 @@
         for command in commands:
             match command:
                 case Claimed(request):
-                    out += self._claimed(request, now)
+                    out += self._claimed(request)
                 case GroupFailed(request, reason, verdict):
                     out += self._group_failed(request, reason, verdict, now)
                 case Send(attempt, agent) if attempt not in self._board.attempts:
@@ -404,11 +404,11 @@
                     out.append(command)
         return out
 
-    def _claimed(self, request: str, now: float) -> list[EntryCommand]:
-        attempt, agent = self._planned.pop(request)
+    def _claimed(self, request: str) -> list[EntryCommand]:
         state = self._board.requests.get(request)
         if state is None:
-            return self._claims.finish(request, None, now)
+            return []
+        attempt, agent = self._planned.pop(request)
         return self._send(state, attempt, agent)
 
     def _group_failed(
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -255,9 +255,8 @@
     def _finish(self, request: str) -> None:
         exchange = self._exchanges.pop(request)
         self._metrics.answered(exchange.request.priority_class)
-        keyed = exchange.request.key is not None and not exchange.request.idempotent
-        if keyed:
-            self._feed(Captured(request, exchange.kept()))
+        if exchange.request.claimable:
+            self._feed(Captured(exchange.request, exchange.kept()))
         exchange.finish()
 
     def _fail(self, command: Fail) -> None:
@@ -307,7 +306,7 @@
             path=exchange.path,
             headers=headers(pairs),
             body=exchange.body,
-            members=[member.target for member in members],
+            members=exchange.members if members else [],
             plain=isinstance(request.work, Call),
         )
         if not self._send(agent, wire.EntryFrame(start=start)):
@@ -316,6 +315,8 @@
 
     def _send_prefill(self, command: Prefill) -> None:
         exchange = self._exchanges[command.attempt.request]
+        if not command.members:
+            exchange.begin_group()
         exchange.targets.append(command.agent.target)
         exchange.context = command.stop
         model = self.catalogue.models[exchange.request.work.model]
@@ -326,10 +327,11 @@
             start=command.start,
             stop=command.stop,
             model=model.name,
-            members=[member.target for member in command.members],
+            members=exchange.members,
             body=body,
         )
         self._send(command.agent, wire.EntryFrame(prefill=prefill))
+        self._remember_member(exchange, command)
 
     def _send_reserve(self, command: Reserve) -> None:
         request = self._exchanges[command.attempt.request].request
@@ -361,6 +363,10 @@
         )
         self._send(command.agent, wire.EntryFrame(seal=seal))
 
+    def _remember_member(self, exchange: Exchange, command: Prefill) -> None:
+        address = self._board.targets[command.agent.target].host.address
+        exchange.members.append(f"{address}/{command.attempt}")
+
     def _priority(self, request: Request) -> int:
         return self.catalogue.classes[request.priority_class].priority
 
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -41,7 +41,7 @@
 class Captured:
     """The whole answer of a keyed request is at hand, to be kept."""
 
-    request: str
+    request: Request
     result: bytes
 
 
--- a/src/chicorycove/exchange.py
+++ b/src/chicorycove/exchange.py
@@ -84,6 +84,7 @@
         self.body = body
         self.prompt = prompt
         self.context = 0  # tokens of the prompt that other engines hold
+        self.members: list[str] = []  # "ip:port/attempt" of other engines
         self.targets: list[str] = []
         self.first_byte: float | None = None
         self._head: Head | None = None
@@ -105,6 +106,12 @@
             self._held.clear()
             self._head = None
 
+    def begin_group(self) -> None:
+        """Forget the members of an earlier group."""
+        self.members.clear()
+        self.targets.clear()
+        self.context = 0
+
     def set_head(self, attempt: AttemptId, status: int, headers: HeaderList) -> None:
         """Take in an attempt's status and headers."""
         if self._begun and self.request.streamed:
--- a/src/chicorycove/host.py
+++ b/src/chicorycove/host.py
@@ -18,6 +18,7 @@
 
     name: str  # of the target, too
     agent: str  # "ip:port" where the agent listens
+    address: str = ""  # "ip:port" of the target, for the members of a group
     region: str
     failure_domain: str
     state: HostState = HostState.LIVE
--- a/src/chicorycove/link.py
+++ b/src/chicorycove/link.py
@@ -48,6 +48,7 @@
         self._outbox: Outbox[wire.EntryFrame] | None = None
         self._agent: AgentId | None = None
         self._task = asyncio.create_task(self._keep_attached())
+        self._task.add_done_callback(self._finished)
 
     @property
     def address(self) -> Address:
@@ -67,6 +68,10 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
+    def _finished(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("link to %s", self._address, exc_info=task.exception())
+
     async def _keep_attached(self) -> None:
         delay = RECONNECT_MIN
         while True:
--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -96,6 +96,7 @@
         return Host(
             name=target.name,
             agent=f"127.0.0.1:{agent.port}",
+            address=served.address,
             region=REGION,
             failure_domain=target.failure_domain,
             labels={"service": target.service},
--- a/src/chicorycove/log.py
+++ b/src/chicorycove/log.py
@@ -29,4 +29,4 @@
 
 def for_request(request: str) -> logging.LoggerAdapter:
     """Return a logger whose lines carry a request's id."""
-    return logging.LoggerAdapter(LOGGER, {"request": request}, merge_extra=True)
+    return logging.LoggerAdapter(LOGGER, {"request": request})
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -53,6 +53,11 @@
             case Call(idempotent=idempotent):
                 return idempotent
 
+    @property
+    def claimable(self) -> bool:
+        """Tell whether the request's key is to be claimed before it runs."""
+        return self.key is not None and not self.idempotent
+
     @property
     def service(self) -> str:
         """Return the name of the model or service that is to answer."""
--- a/src/chicorycove/subset.py
+++ b/src/chicorycove/subset.py
@@ -27,4 +27,4 @@
 
 
 def _rank(entry: str, host: Host) -> int:
-    return xxhash.xxh64_intdigest(f"{entry}\0{host.name}")
+    return xxhash.xxh64_intdigest(f"{entry}\0{host.name}".encode())
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -109,7 +109,7 @@
         for name, url in self.process.targets.items():
             kind = "service" if name.startswith("purchasing") else "engine"
             response = await self.client.get(f"{url}/{kind}/runs")
-            found += (await response.json())["runs"]
+            found += await response.json()
         return found
 
     async def test_bad_input_is_refused_and_nothing_runs(self):
