--- /dev/null
+++ b/src/chicorycove/platform/store.py
@@ -0,0 +1,311 @@
+"""The platform's key-value service: its interface, and etcd's JSON gateway."""
+
+import asyncio
+import base64
+import typing as t
+
+import aiosonic
+import msgspec
+from aiosonic.exceptions import (
+    AiosonicError,
+    ConnectionPoolAcquireTimeout,
+    ConnectTimeout,
+)
+
+from ..event import Found, Lost, Swapped, Unavailable, Unknown
+from ..exceptions import LeaseLost, StoreUnavailable, StoreUnknown
+from ..httpclient import new_client
+
+MAX_VALUE = 1024 * 1024  # bytes
+WATCH_SILENCE = 60.0  # seconds after which a silent watch counts as broken
+POOL_SIZE = 64
+
+# gRPC's status codes that say that a call was not carried out.
+INVALID_ARGUMENT = 3
+NOT_FOUND = 5
+NOT_CARRIED_OUT = {INVALID_ARGUMENT, NOT_FOUND, 7, 8, 11, 16}
+NO_LEADER = "no leader"
+
+BROKEN = (AiosonicError, OSError, EOFError, ValueError, asyncio.TimeoutError)
+NOT_SENT = (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError)
+
+SwapResult = Swapped | Lost | Unavailable | Unknown
+
+
+class Store(t.Protocol):
+    """What is asked of the key-value service; times are in seconds."""
+
+    async def get(self, key: str) -> Found | Unavailable:
+        """Read a key."""
+
+    async def swap(
+        self, key: str, version: int, value: bytes, lease: int | None = None
+    ) -> SwapResult:
+        """Write a key if it still has a version; 0 for absent.
+
+        :raises LeaseLost: if there is no such lease
+        """
+
+    async def delete(self, key: str, version: int) -> SwapResult:
+        """Delete a key if it still has a version."""
+
+    async def grant(self, ttl: float) -> int:
+        """Return the id of a new lease.
+
+        :raises StoreUnavailable: if there is none
+        :raises StoreUnknown: if there may be one; it lapses by itself
+        """
+
+    async def keep_alive(self, lease: int) -> float:
+        """Renew a lease and return its time to live.
+
+        :raises LeaseLost: if there is no such lease
+        :raises StoreUnavailable: if it is not known to be renewed
+        """
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys.
+
+        :raises StoreUnavailable: if that did not happen
+        :raises StoreUnknown: if it may have happened
+        """
+
+    def watch(self, key: str, version: int) -> t.AsyncIterator[Found]:
+        """Yield a key's value whenever it is newer than a version.
+
+        Versions between may be left out.
+
+        :raises StoreUnavailable: when the watch ends, which it does sometimes
+        """
+
+
+class _Refused(Exception):
+    """The gateway answered with an error."""
+
+    def __init__(self, code: int, message: str) -> None:
+        super().__init__(f"{message} (code {code})")
+        self.code = code
+        self.certain = code in NOT_CARRIED_OUT or NO_LEADER in message
+
+
+class EtcdStore:
+    """The store behind the JSON gateway of etcd v3."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        """Use the gateway at "ip:port"; timeout is in seconds, for a call."""
+        self._url = f"http://{address}/v3"
+        self._timeout = timeout
+        self._client = new_client(POOL_SIZE, timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def get(self, key: str) -> Found | Unavailable:
+        """Read a key."""
+        try:
+            return _found(await self._read(key))
+        except StoreUnavailable:
+            return Unavailable()
+
+    async def swap(
+        self, key: str, version: int, value: bytes, lease: int | None = None
+    ) -> SwapResult:
+        """Write a key if it still has a version; 0 for absent.
+
+        :raises LeaseLost: if there is no such lease
+        :raises ValueError: if the value is too large
+        """
+        if len(value) > MAX_VALUE:
+            raise ValueError(f'value of key "{key}" has {len(value)} bytes')
+        put = {"key": _encode(key), "value": base64.b64encode(value).decode()}
+        if lease is not None:
+            put["lease"] = str(lease)
+        return await self._commit(key, version, {"requestPut": put})
+
+    async def delete(self, key: str, version: int) -> SwapResult:
+        """Delete a key if it still has a version."""
+        return await self._commit(
+            key, version, {"requestDeleteRange": {"key": _encode(key)}}
+        )
+
+    async def grant(self, ttl: float) -> int:
+        """Return the id of a new lease.
+
+        :raises StoreUnavailable: if there is none
+        :raises StoreUnknown: if there may be one; it lapses by itself
+        """
+        seconds = max(1, round(ttl))
+        answer = await self._write("lease/grant", {"TTL": str(seconds), "ID": "0"})
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> float:
+        """Renew a lease and return its time to live, in seconds.
+
+        :raises LeaseLost: if there is no such lease
+        :raises StoreUnavailable: if it is not known to be renewed
+        """
+        try:
+            answer = await self._write("lease/keepalive", {"ID": str(lease)})
+        except StoreUnknown as error:
+            raise StoreUnavailable(str(error)) from None
+        ttl = float(answer["result"].get("TTL", 0))
+        if ttl <= 0:
+            raise LeaseLost(f"lease {lease} has lapsed")
+        return ttl
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys.
+
+        :raises StoreUnavailable: if that did not happen
+        :raises StoreUnknown: if it may have happened
+        """
+        try:
+            await self._write("lease/revoke", {"ID": str(lease)})
+        except LeaseLost:
+            pass
+
+    async def watch(self, key: str, version: int) -> t.AsyncIterator[Found]:
+        """Yield a key's value whenever it is newer than a version.
+
+        :raises StoreUnavailable: when the watch ends, which it does sometimes
+        """
+        while True:
+            answer = await self._read(key)
+            found = _found(answer)
+            if found.version != version:
+                version = found.version
+                yield found
+            start = int(answer["header"]["revision"]) + 1
+            async for found in self._events(key, start):
+                version = found.version
+                yield found
+            # The history from there on was compacted: read the key again.
+
+    async def _read(self, key: str) -> dict:
+        try:
+            return await self._call("kv/range", {"key": _encode(key)})
+        except (_Refused, *BROKEN) as error:
+            raise StoreUnavailable(f'cannot read "{key}": {error!r}') from None
+
+    async def _commit(self, key: str, version: int, operation: dict) -> SwapResult:
+        compare = {
+            "key": _encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "modRevision": str(version),
+        }
+        body = {
+            "compare": [compare],
+            "success": [operation],
+            "failure": [{"requestRange": {"key": _encode(key)}}],
+        }
+        try:
+            answer = await self._write("kv/txn", body)
+        except StoreUnavailable:
+            return Unavailable()
+        except StoreUnknown:
+            return Unknown()
+        if answer.get("succeeded"):
+            return Swapped(int(answer["header"]["revision"]))
+        found = _found(answer["responses"][0]["response_range"])
+        return Lost(found.value, found.version)
+
+    async def _write(self, path: str, body: dict) -> dict:
+        try:
+            return await self._call(path, body)
+        except NOT_SENT as error:
+            raise StoreUnavailable(f"{path}: {error!r}") from None
+        except _Refused as error:
+            if error.code == NOT_FOUND:
+                raise LeaseLost(str(error)) from None
+            if error.certain:
+                raise StoreUnavailable(f"{path}: {error}") from None
+            raise StoreUnknown(f"{path}: {error}") from None
+        except BROKEN as error:
+            raise StoreUnknown(f"{path}: {error!r}") from None
+
+    async def _call(self, path: str, body: dict) -> dict:
+        async with asyncio.timeout(self._timeout):
+            response = await self._client.post(
+                f"{self._url}/{path}", data=msgspec.json.encode(body)
+            )
+            content = await response.content()
+        if response.status_code == 200:
+            return msgspec.json.decode(content)
+        raise _refusal(content)
+
+    async def _events(self, key: str, start: int) -> t.AsyncIterator[Found]:
+        create = {
+            "key": _encode(key),
+            "start_revision": str(start),
+            "progress_notify": True,
+        }
+        body = msgspec.json.encode({"create_request": create})
+        try:
+            async with asyncio.timeout(self._timeout):
+                response = await self._client.request(
+                    f"{self._url}/watch", "POST", data=body, stream=True
+                )
+        except BROKEN as error:
+            raise StoreUnavailable(f'cannot watch "{key}": {error!r}') from None
+        try:
+            if response.status_code != 200:
+                raise StoreUnavailable(f'cannot watch "{key}"')
+            async for line in _lines(response):
+                result = msgspec.json.decode(line)["result"]
+                if result.get("canceled"):
+                    return
+                for event in result.get("events", ()):
+                    yield _event_value(event)
+        except (KeyError, *BROKEN) as error:
+            raise StoreUnavailable(f'watch of "{key}" ended: {error!r}') from None
+        finally:
+            await response.aclose()
+
+
+def _encode(key: str) -> str:
+    return base64.b64encode(key.encode()).decode()
+
+
+def _found(answer: dict) -> Found:
+    for kv in answer.get("kvs", ()):
+        return _value(kv)
+    return Found(b"", 0)
+
+
+def _value(kv: dict) -> Found:
+    return Found(base64.b64decode(kv.get("value", "")), int(kv["mod_revision"]))
+
+
+def _event_value(event: dict) -> Found:
+    if event.get("type") == "DELETE":
+        return Found(b"", 0)
+    return _value(event["kv"])
+
+
+def _refusal(content: bytes) -> _Refused:
+    try:
+        body = msgspec.json.decode(content)
+        return _Refused(int(body["code"]), str(body.get("message", "")))
+    except (KeyError, TypeError, ValueError):
+        return _Refused(-1, "an answer that is not the gateway's")
+
+
+async def _lines(response: aiosonic.HttpResponse) -> t.AsyncIterator[bytes]:
+    """Yield whole lines; the stream's end is an error.
+
+    :raises EOFError: at its end
+    :raises TimeoutError: after too long a silence
+    """
+    chunks = response.read_chunks()
+    pending = b""
+    while True:
+        async with asyncio.timeout(WATCH_SILENCE):
+            chunk = await anext(chunks, None)
+        if chunk is None:
+            raise EOFError("the stream ended")
+        *lines, pending = (pending + chunk).split(b"\n")
+        for line in lines:
+            if line.strip():
+                yield line
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -44,6 +44,7 @@
     name: str = "engine"
     memory_tokens: int = 131_072
     times: TimeModel = TimeModel()
+    time_scale: float = 1.0  # factor on all times of the model
     models: tuple[str, ...] = ("advisor",)
     version: str = "1"
     role: str = "mixed"
@@ -208,9 +209,9 @@
             settings.event_lag, settings.event_gap_rate, settings.seed
         )
         self._memory = Memory(settings.memory_tokens, self._events)
-        self._batch = Batch(
-            settings.times, self._memory, time.monotonic, self._on_start
-        )
+        self._scale = settings.times.scale * settings.time_scale
+        times = dataclasses.replace(settings.times, scale=self._scale)
+        self._batch = Batch(times, self._memory, time.monotonic, self._on_start)
         self._answers: dict[str, Answer] = {}
         self._models = {name: Loaded(settings.version) for name in settings.models}
         self._role = settings.role
@@ -563,7 +564,7 @@
 
     async def _fetch(self, loaded: Loaded, weights: str) -> None:
         if not self._settings.weights_url:
-            await asyncio.sleep(self._settings.load_time * self._settings.times.scale)
+            await asyncio.sleep(self._settings.load_time * self._scale)
             loaded.state = "ready"
             return
         url = f"{self._settings.weights_url}/weights/{weights}"
@@ -663,7 +664,7 @@
     settings = EngineSettings(
         name=options.name,
         memory_tokens=options.memory_tokens,
-        times=TimeModel(scale=options.time_scale),
+        time_scale=options.time_scale,
         models=tuple(options.model or ["advisor"]),
         version=options.version,
         checks_fence=not options.ignore_fence,
--- /dev/null
+++ b/standin/hosts.py
@@ -0,0 +1,104 @@
+"""The platform's host list, which shows changes after a lag."""
+
+import dataclasses
+import time
+import typing as t
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from chicorycove.host import Host
+
+from . import fault, server
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostsSettings:
+    """What the list holds at first, and its lag in seconds."""
+
+    hosts: tuple[Host, ...] = ()
+    lag: float = 0.0
+
+
+class HostTable:
+    """The host list behind the HTTP interface."""
+
+    def __init__(self, settings: HostsSettings):
+        self.faults = fault.Faults()
+        self._lag = settings.lag
+        self._shown = {host.name: host for host in settings.hosts}
+        self._changes: list[tuple[float, str, Host | None]] = []
+
+    def routes(self) -> list[Route]:
+        """Return the interface's calls."""
+        switch = fault.Switch(self.faults)
+        return [
+            Route("/hosts", self._list),
+            Route("/hosts/{name}", self._put, methods=["PUT"]),
+            Route("/hosts/{name}", self._delete, methods=["DELETE"]),
+            Route("/standin/faults", switch.__call__, methods=["GET", "POST"]),
+        ]
+
+    def set(self, name: str, host: Host | None) -> None:
+        """Add, change or remove a host; the list shows it after the lag."""
+        self._changes.append((time.monotonic() + self._lag, name, host))
+
+    def shown(self) -> list[Host]:
+        """Return what the list shows now."""
+        now = time.monotonic()
+        due = [change for change in self._changes if change[0] <= now]
+        self._changes = [change for change in self._changes if change[0] > now]
+        for _, name, host in due:
+            if host is None:
+                self._shown.pop(name, None)
+            else:
+                self._shown[name] = host
+        return list(self._shown.values())
+
+    async def _list(self, request: Request) -> Response:
+        if not await fault.meet(request, self.faults):
+            return Response()
+        return JSONResponse(msgspec.to_builtins(self.shown()))
+
+    async def _put(self, request: Request) -> Response:
+        try:
+            host = msgspec.json.decode(await request.body(), type=Host)
+        except msgspec.MsgspecError as error:
+            return JSONResponse({"error": str(error)}, 400)
+        self.set(request.path_params["name"], host)
+        return JSONResponse({})
+
+    async def _delete(self, request: Request) -> Response:
+        self.set(request.path_params["name"], None)
+        return JSONResponse({})
+
+
+def create_app(settings: HostsSettings = HostsSettings()) -> Starlette:
+    """Return the list's application; its state is ``app.state.hosts``."""
+    table = HostTable(settings)
+    app = Starlette(routes=table.routes())
+    app.state.hosts = table
+    return app
+
+
+def _read(path: str) -> tuple[Host, ...]:
+    with open(path, "rb") as file:
+        return msgspec.json.decode(file.read(), type=t.Tuple[Host, ...])
+
+
+def main() -> None:
+    """Serve the host list until the process is told to stop."""
+    parser = server.parser(__doc__.splitlines()[0])
+    parser.add_argument("--hosts", help="a JSON file with the first list")
+    parser.add_argument("--lag", type=float, default=0.0, help="in seconds")
+    options = parser.parse_args()
+    first = _read(options.hosts) if options.hosts else ()
+    app = create_app(HostsSettings(hosts=first, lag=options.lag))
+    server.run(app, options.host, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- a/standin/server.py
+++ b/standin/server.py
@@ -35,6 +35,17 @@
         await self.on_tick(0)
         await self.closing.wait()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        for each in [*self.servers, *(sockets or ())]:
+            each.close()
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+        tasks = list(self.server_state.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.lifespan.shutdown()
+
     @contextlib.contextmanager
     def capture_signals(self) -> t.Iterator[None]:
         yield
@@ -66,8 +77,6 @@
     async def close(self) -> None:
         """Cut every connection and stop listening."""
         self._server.closing.set()
-        for connection in list(self._server.server_state.connections):
-            connection.transport.abort()
         await self._task
 
 
--- /dev/null
+++ b/standin/store.py
@@ -0,0 +1,450 @@
+"""A key-value service: the part that we use of etcd v3's JSON gateway.
+
+What it leaves out: ranges of keys, options of reads and writes beyond key,
+value and lease, nested transactions, users, members. It is one process and
+keeps everything in memory.
+"""
+
+import asyncio
+import base64
+import collections
+import contextlib
+import dataclasses
+import itertools
+import random
+import time
+import typing as t
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from . import fault, server
+
+MAX_REQUEST = 1_572_864  # bytes, etcd's default limit
+LEASE_POLL = 0.02  # seconds
+
+# gRPC's status codes, which the gateway puts in its errors.
+INVALID = 3
+NOT_FOUND = 5
+UNAVAILABLE = 14
+
+HTTP_STATUS = {INVALID: 400, NOT_FOUND: 404, UNAVAILABLE: 503}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreSettings:
+    """How the store behaves; times are in seconds."""
+
+    progress: float = 10.0  # between the notes that an idle watch sends
+    seed: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """The faults in force; the last three strike once and reset."""
+
+    down: bool = False  # refuse every call: there is no leader
+    cut: bool = False  # cut each connection before carrying anything out
+    slow: float = 0.0  # seconds before each call is carried out
+    lose_answers: int = 0  # carry calls out and cut the connection
+    lose_probability: float = 0.0
+    drop_watches: bool = False
+    lapse_lease: int = 0
+    compact: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyValue:
+    """A key's value at one revision; a version of 0 marks a deletion."""
+
+    key: bytes
+    value: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    version: int = 0
+    lease: int = 0
+
+    def to_json(self) -> dict[str, str]:
+        """Return the gateway's form: integers are texts, zeros left out."""
+        fields = {"key": _b64(self.key), "value": _b64(self.value)}
+        for name in ("create_revision", "mod_revision", "version", "lease"):
+            fields[name] = str(getattr(self, name))
+        return {k: v for k, v in fields.items() if v not in ("", "0")}
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """A lease; times are in seconds."""
+
+    ttl: int
+    expires: float
+
+
+class StoreError(Exception):
+    """An error that the gateway answers with."""
+
+    def __init__(self, code: int, message: str):
+        super().__init__(message)
+        self.code = code
+
+    @property
+    def response(self) -> Response:
+        """Return the gateway's answer."""
+        text = str(self)
+        body = {"error": text, "code": self.code, "message": text}
+        return JSONResponse(body, HTTP_STATUS[self.code])
+
+
+def _b64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _key(body: dict) -> bytes:
+    return base64.b64decode(body["key"])
+
+
+def _either(body: dict, name: str) -> t.Any:
+    """Look a field up by its snake_case or lowerCamelCase name."""
+    first, *rest = name.split("_")
+    return body.get(name, body.get(first + "".join(word.title() for word in rest)))
+
+
+class Keys:
+    """The keys, their history and the leases."""
+
+    def __init__(self, clock: t.Callable[[], float]):
+        self.revision = 1
+        self.compacted = 0
+        self.leases: dict[int, Lease] = {}
+        self.changed = asyncio.Event()
+        self._clock = clock
+        self._values: dict[bytes, KeyValue] = {}
+        self._history: list[KeyValue] = []
+        self._lease_ids = itertools.count(7_587_000_000_001)
+
+    def get(self, key: bytes) -> KeyValue:
+        """Return a key's value; its version is 0 if there is none."""
+        return self._values.get(key, KeyValue(key))
+
+    def put(self, key: bytes, value: bytes, lease: int) -> None:
+        """Set a key at the revision at hand."""
+        if lease and lease not in self.leases:
+            raise StoreError(NOT_FOUND, "etcdserver: requested lease not found")
+        old = self.get(key)
+        self._record(
+            KeyValue(
+                key,
+                value,
+                old.create_revision or self.revision,
+                self.revision,
+                old.version + 1,
+                lease,
+            )
+        )
+
+    def delete(self, key: bytes) -> bool:
+        """Remove a key at the revision at hand; tell whether it was there."""
+        if key not in self._values:
+            return False
+        self._record(KeyValue(key, mod_revision=self.revision))
+        return True
+
+    def history(self, key: bytes, start: int) -> list[KeyValue]:
+        """Return what became of a key from a revision on."""
+        return [
+            kv for kv in self._history if kv.key == key and kv.mod_revision >= start
+        ]
+
+    def notify(self) -> None:
+        """Wake the watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self) -> None:
+        """Forget the history up to now."""
+        self.compacted = self.revision
+        self._history.clear()
+
+    def grant(self, ttl: int) -> int:
+        """Return the id of a new lease."""
+        lease = next(self._lease_ids)
+        self.leases[lease] = Lease(ttl, self._clock() + ttl)
+        return lease
+
+    def keep_alive(self, lease: int) -> int:
+        """Renew a lease and return its time to live; 0 if it is gone."""
+        if lease not in self.leases:
+            return 0
+        held = self.leases[lease]
+        held.expires = self._clock() + held.ttl
+        return held.ttl
+
+    def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        if lease not in self.leases:
+            raise StoreError(NOT_FOUND, "etcdserver: requested lease not found")
+        del self.leases[lease]
+        keys = [kv.key for kv in self._values.values() if kv.lease == lease]
+        if keys:
+            self.revision += 1
+        for key in keys:
+            self.delete(key)
+        self.notify()
+
+    def expire(self) -> None:
+        """End the leases whose time is up."""
+        now = self._clock()
+        for lease in [id for id, held in self.leases.items() if held.expires <= now]:
+            self.revoke(lease)
+
+    def _record(self, kv: KeyValue) -> None:
+        if kv.version:
+            self._values[kv.key] = kv
+        else:
+            self._values.pop(kv.key, None)
+        self._history.append(kv)
+
+
+class Store:
+    """The store behind the HTTP interface."""
+
+    def __init__(self, settings: StoreSettings):
+        self.faults = StoreFaults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.keys = Keys(time.monotonic)
+        self._settings = settings
+        self._random = random.Random(settings.seed)
+        self._watch_generation = 0
+
+    @contextlib.asynccontextmanager
+    async def lifespan(self, app: Starlette) -> t.AsyncIterator[None]:
+        """Let leases expire while the application is being served."""
+        task = asyncio.create_task(self._expire())
+        yield
+        task.cancel()
+
+    def routes(self) -> list[Route]:
+        """Return the interface's calls."""
+        calls = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+            "/v3/lease/revoke": self._revoke,
+        }
+        routes = [
+            Route(path, self._guarded(path, call), methods=["POST"])
+            for path, call in calls.items()
+        ]
+        switch = fault.Switch(self.faults, self._faults_changed)
+        routes.append(Route("/v3/watch", self._watch, methods=["POST"]))
+        routes.append(
+            Route("/standin/faults", switch.__call__, methods=["GET", "POST"])
+        )
+        routes.append(Route("/standin/calls", self._list_calls))
+        return routes
+
+    def _guarded(self, path: str, call: t.Callable[[dict], dict]) -> t.Callable:
+        async def handle(request: Request) -> Response:
+            self.calls[path] += 1
+            data = await request.body()
+            if not await self._admit(request):
+                return Response()
+            if self.faults.down:
+                return self._no_leader()
+            try:
+                if len(data) > MAX_REQUEST:
+                    raise StoreError(INVALID, "etcdserver: request is too large")
+                answer = call(msgspec.json.decode(data))
+            except StoreError as error:
+                return error.response
+            except (KeyError, TypeError, ValueError) as error:
+                return StoreError(INVALID, f"bad request: {error!r}").response
+            if self._lose():
+                await server.drop(request)
+                return Response()
+            return JSONResponse(answer)
+
+        return handle
+
+    async def _admit(self, request: Request) -> bool:
+        if self.faults.cut:
+            await server.drop(request)
+            return False
+        if self.faults.slow:
+            await asyncio.sleep(self.faults.slow)
+        return True
+
+    def _no_leader(self) -> Response:
+        return StoreError(UNAVAILABLE, "etcdserver: no leader").response
+
+    def _lose(self) -> bool:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        return self._random.random() < self.faults.lose_probability
+
+    def _faults_changed(self) -> None:
+        faults = self.faults
+        if faults.drop_watches or faults.down or faults.cut:
+            self._watch_generation += 1
+            self.keys.notify()
+        if faults.lapse_lease in self.keys.leases:
+            self.keys.revoke(faults.lapse_lease)
+        if faults.compact:
+            self.keys.compact()
+        faults.drop_watches = faults.compact = False
+        faults.lapse_lease = 0
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_POLL)
+            if not self.faults.down:
+                self.keys.expire()
+
+    def _header(self) -> dict[str, str]:
+        return {
+            "cluster_id": "1",
+            "member_id": "1",
+            "revision": str(self.keys.revision),
+        }
+
+    def _range(self, body: dict) -> dict:
+        kv = self.keys.get(_key(body))
+        if not kv.version:
+            return {"header": self._header()}
+        return {"header": self._header(), "kvs": [kv.to_json()], "count": "1"}
+
+    def _txn(self, body: dict) -> dict:
+        succeeded = all(self._holds(compare) for compare in body.get("compare", []))
+        operations = body.get("success" if succeeded else "failure", [])
+        written = [op for op in operations if _either(op, "request_range") is None]
+        self._check(written)
+        if written:
+            self.keys.revision += 1
+        responses = [self._operate(op) for op in operations]
+        if written:
+            self.keys.notify()
+        answer: dict[str, t.Any] = {"header": self._header(), "responses": responses}
+        if succeeded:
+            answer["succeeded"] = True
+        return answer
+
+    def _holds(self, compare: dict) -> bool:
+        if compare.get("result", "EQUAL") != "EQUAL":
+            raise StoreError(INVALID, "only EQUAL is known here")
+        kv = self.keys.get(_key(compare))
+        match compare.get("target", "VERSION"):
+            case "MOD":
+                return kv.mod_revision == int(_either(compare, "mod_revision") or 0)
+            case "VERSION":
+                return kv.version == int(compare.get("version", 0))
+            case target:
+                raise StoreError(INVALID, f"target {target!r} is not known here")
+
+    def _check(self, operations: list[dict]) -> None:
+        for operation in operations:
+            put = _either(operation, "request_put") or {}
+            lease = int(put.get("lease", 0))
+            if lease and lease not in self.keys.leases:
+                raise StoreError(NOT_FOUND, "etcdserver: requested lease not found")
+
+    def _operate(self, operation: dict) -> dict:
+        if (put := _either(operation, "request_put")) is not None:
+            value = base64.b64decode(put.get("value", ""))
+            self.keys.put(_key(put), value, int(put.get("lease", 0)))
+            return {"response_put": {"header": self._header()}}
+        if (delete := _either(operation, "request_delete_range")) is not None:
+            gone = self.keys.delete(_key(delete))
+            answer = {"header": self._header(), "deleted": str(int(gone))}
+            return {"response_delete_range": answer}
+        return {"response_range": self._range(_either(operation, "request_range"))}
+
+    def _grant(self, body: dict) -> dict:
+        ttl = int(body["TTL"])
+        lease = self.keys.grant(ttl)
+        return {"header": self._header(), "ID": str(lease), "TTL": str(ttl)}
+
+    def _keep_alive(self, body: dict) -> dict:
+        ttl = self.keys.keep_alive(int(body["ID"]))
+        result = {"header": self._header(), "ID": str(body["ID"])}
+        if ttl:
+            result["TTL"] = str(ttl)
+        return {"result": result}
+
+    def _revoke(self, body: dict) -> dict:
+        self.keys.revoke(int(body["ID"]))
+        return {"header": self._header()}
+
+    async def _watch(self, request: Request) -> Response:
+        self.calls["/v3/watch"] += 1
+        data = await request.body()
+        if not await self._admit(request):
+            return Response()
+        if self.faults.down:
+            return self._no_leader()
+        try:
+            create = _either(msgspec.json.decode(data), "create_request")
+            key = _key(create)
+            start = int(_either(create, "start_revision") or 0)
+        except (KeyError, TypeError, ValueError) as error:
+            return StoreError(INVALID, f"bad request: {error!r}").response
+        lines = self._events(request, key, start or self.keys.revision + 1)
+        return StreamingResponse(lines, media_type="application/json")
+
+    async def _events(
+        self, request: Request, key: bytes, start: int
+    ) -> t.AsyncIterator[bytes]:
+        generation = self._watch_generation
+        yield self._line(created=True)
+        while True:
+            changed = self.keys.changed
+            if generation != self._watch_generation:
+                await server.drop(request)
+                return
+            if start <= self.keys.compacted:
+                compacted = str(self.keys.compacted)
+                yield self._line(canceled=True, compact_revision=compacted)
+                return
+            if events := self.keys.history(key, start):
+                yield self._line(events=[_event(kv) for kv in events])
+            start = self.keys.revision + 1
+            try:
+                async with asyncio.timeout(self._settings.progress):
+                    await changed.wait()
+            except TimeoutError:
+                yield self._line()
+
+    def _line(self, **fields: t.Any) -> bytes:
+        result = {"header": self._header()} | fields
+        return msgspec.json.encode({"result": result}) + b"\n"
+
+    async def _list_calls(self, request: Request) -> Response:
+        return JSONResponse(dict(self.calls))
+
+
+def _event(kv: KeyValue) -> dict[str, t.Any]:
+    if kv.version:
+        return {"kv": kv.to_json()}
+    return {"type": "DELETE", "kv": kv.to_json()}
+
+
+def create_app(settings: StoreSettings = StoreSettings()) -> Starlette:
+    """Return the store's application; its state is ``app.state.store``."""
+    store = Store(settings)
+    app = Starlette(routes=store.routes(), lifespan=store.lifespan)
+    app.state.store = store
+    return app
+
+
+def main() -> None:
+    """Serve the store until the process is told to stop."""
+    options = server.parser(__doc__.splitlines()[0]).parse_args()
+    server.run(create_app(), options.host, options.port)
+
+
+if __name__ == "__main__":
+    main()
