--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -77,6 +77,15 @@
     members: tuple[AgentId, ...] = ()
 
 
+@frozen
+class GroupFailed:
+    """Give a request's group of engines up; the request may be retried."""
+
+    request: str
+    reason: Reason
+    verdict: Verdict
+
+
 # An entry speaks to callers.
 
 
@@ -168,6 +177,7 @@
     Reserve,
     Release,
     Prefill,
+    GroupFailed,
     Relay,
     Finish,
     Fail,
