Prove the whole path on loopback

Cause: the path needed a test of its own. Change: test_local: 18 kinds of bad input, byte-equal answers, a group, a keyed registration, 40 at once; the stand-in looks for a member's segment under the member's own attempt.

--- a/standin/engine.py
+++ b/standin/engine.py
@@ -427,8 +427,8 @@
 
     async def _members_hold(self, sequence: Sequence) -> bool:
         for member in sequence.members:
-            base = member if "://" in member else f"http://{member}"
-            url = f"{base}/engine/attempts/{sequence.attempt}"
+            address, _, attempt = member.partition("/")
+            url = f"http://{address}/engine/attempts/{attempt}"
             try:
                 response = await self._client.get(url)
                 await response.content()
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -7,6 +7,7 @@
 import aiosonic
 from aiosonic.timeout import Timeouts
 
+from chicorycove.catalogue import ServiceKind
 from chicorycove.conversion import Address
 from chicorycove.local import LocalProcess
 from chicorycove.settings import LocalSettings, LocalTarget, Role, Settings
@@ -51,7 +52,10 @@
         for number in range(1, engines + 1)
     ]
     plain = LocalTarget(
-        name="purchasing-1", service="purchasing", failure_domain="a", kind="plain"
+        name="purchasing-1",
+        service="purchasing",
+        failure_domain="a",
+        kind=ServiceKind.PLAIN,
     )
     return Settings(
         role=Role.LOCAL,
@@ -185,5 +189,6 @@
         for path, text in [("/healthz", "ok\n"), ("/readyz", "ready\n")]:
             response = await self.client.get(self.url + path)
             self.assertEqual(await response.text(), text)
+        await self.send(key="wrong")
         page = await (await self.client.get(f"{self.url}/metrics")).text()
-        self.assertIn("target_info", page)
+        self.assertIn('reason="unauthenticated"', page)
