--- a/tests/claim_spec.py
+++ b/tests/claim_spec.py
@@ -1,9 +1,10 @@
 """A specification of claim, seal and takeover, for the model checker.
 
 Two entries use one key, for two attempts each at one agent, whose restarts
-make new incarnations.  The key is written a bounded number of times.
-paused or dead entry is one that takes no step.  An answer of the store may
-be lost before or after the write took effect.  The first entry's attempts
+make new incarnations.  The key is written a bounded number of times.  A
+message on the wire is delivered late, or never; a paused or dead entry is
+one that takes no step.  An answer of the store may be lost before or after
+the write took effect.  The first entry's attempts
 have an earlier deadline, after which the agent starts none of them and may
 forget what it knew.
 
