--- a/tests/store.py
+++ b/tests/store.py
@@ -13,8 +13,9 @@
         self.values = {}
         self.version = 0
         self.calls = 0
-        self.faults = []  # "down", "lost" or "" for each call to come
+        self.faults = []  # "down", "lost", "late" or "" for each call to come
         self.down = False
+        self.late = []  # writes yet to take effect
 
     def carry_out(self, call):
         """Return the result of a call."""
@@ -24,10 +25,17 @@
         fault = self.faults.pop(0) if self.faults else ""
         if self.down or fault == "down":
             return Unavailable()
+        if fault == "late" and not isinstance(call, Get):
+            self.late.append(call)
+            return Unknown()
         result = self._carry_out(call)
         lost = fault == "lost" and not isinstance(call, Get)
         return Unknown() if lost else result
 
+    def deliver_late(self):
+        """Let a write that was answered as unknown take effect, if it can."""
+        self._carry_out(self.late.pop(0))
+
     def run(self, calls):
         """Carry out every call that a generator yields."""
         result = None
