Add membership and dissemination as decisions

Cause: a change reached other processes only through the store. No process uses them yet. Figures: 29 tests on a virtual clock.

--- /dev/null
+++ b/src/chicorycove/codec.py
@@ -0,0 +1,191 @@
+"""Messages between peers to and from their wire form."""
+
+import functools
+
+from .change import (
+    Change,
+    State,
+    decode_change,
+    decode_state,
+    encode_change,
+    encode_state,
+)
+from .dissemination import (
+    Applied,
+    Beat,
+    Lagging,
+    Message,
+    Pull,
+    Push,
+    Roster,
+    Scope,
+)
+from .membership import Member, MemberState, Probe, ProbeKind, Role
+from .wire import peer_pb2 as pb
+
+ROLES = tuple(Role)
+
+
+def encode(message: Message) -> pb.PeerMessage:
+    """Return the wire form of a message."""
+    match message:
+        case Probe():
+            return pb.PeerMessage(probe=_encode_probe(message))
+        case Push():
+            return pb.PeerMessage(push=_encode_push(message))
+        case Pull(sender=sender, have=have):
+            pull = pb.PeerPull(sender=_encode_member(sender), have=have)
+            return pb.PeerMessage(pull=pull)
+        case Applied():
+            return pb.PeerMessage(applied=_encode_applied(message))
+        case Beat(sender=sender):
+            beat = pb.PeerBeat(sender=_encode_member(sender))
+            return pb.PeerMessage(beat=beat)
+        case Roster(sender=sender, entries=entries):
+            roster = pb.PeerRoster(
+                sender=_encode_member(sender), entries=map(_encode_member, entries)
+            )
+            return pb.PeerMessage(roster=roster)
+
+
+def decode(wire: pb.PeerMessage) -> Message:
+    """Read a message from its wire form.
+
+    :raises ValueError: if it is no message of this version
+    """
+    match wire.WhichOneof("message"):
+        case "probe":
+            return _decode_probe(wire.probe)
+        case "push":
+            return _decode_push(wire.push)
+        case "pull":
+            return Pull(_decode_member(wire.pull.sender), wire.pull.have)
+        case "applied":
+            return _decode_applied(wire.applied)
+        case "beat":
+            return Beat(_decode_member(wire.beat.sender))
+        case "roster":
+            entries = tuple(map(_decode_member, wire.roster.entries))
+            return Roster(_decode_member(wire.roster.sender), entries)
+        case other:
+            raise ValueError(f"unknown message of a peer: {other}")
+
+
+def _encode_member(member: Member) -> pb.PeerMember:
+    return pb.PeerMember(
+        name=member.name,
+        address=member.address,
+        role=ROLES.index(member.role),
+        region=member.region,
+        failure_domain=member.failure_domain,
+        incarnation=member.incarnation,
+        state=member.state.value,
+        revision=member.revision,
+    )
+
+
+def _decode_member(wire: pb.PeerMember) -> Member:
+    return Member(
+        wire.name,
+        wire.address,
+        ROLES[wire.role],
+        wire.region,
+        wire.failure_domain,
+        wire.incarnation,
+        MemberState(wire.state),
+        wire.revision,
+    )
+
+
+def _encode_probe(probe: Probe) -> pb.PeerProbe:
+    return pb.PeerProbe(
+        kind=probe.kind.value,
+        number=probe.number,
+        sender=_encode_member(probe.sender),
+        target=probe.target,
+        updates=map(_encode_member, probe.updates),
+        store_age=probe.store_age,
+    )
+
+
+def _decode_probe(wire: pb.PeerProbe) -> Probe:
+    return Probe(
+        ProbeKind(wire.kind),
+        wire.number,
+        _decode_member(wire.sender),
+        wire.target,
+        tuple(map(_decode_member, wire.updates)),
+        wire.store_age if wire.HasField("store_age") else None,
+    )
+
+
+def _encode_push(push: Push) -> pb.PeerPush:
+    return pb.PeerPush(
+        sender=_encode_member(push.sender),
+        revision=push.revision,
+        scope=push.scope.value,
+        changes=[_encoded_change(change.id, change) for change in push.changes],
+        state=None if push.state is None else _encoded_state(push.state),
+    )
+
+
+def _decode_push(wire: pb.PeerPush) -> Push:
+    return Push(
+        _decode_member(wire.sender),
+        wire.revision,
+        Scope(wire.scope),
+        tuple(map(decode_change, wire.changes)),
+        decode_state(wire.state) if wire.HasField("state") else None,
+    )
+
+
+class _Keyed:
+    """A value that is cached by its key."""
+
+    def __init__(self, key, value) -> None:
+        self.key = key
+        self.value = value
+
+    def __eq__(self, other) -> bool:
+        return self.key == other.key
+
+    def __hash__(self) -> int:
+        return hash(self.key)
+
+
+def _encoded_change(id: str, change: Change) -> bytes:
+    return _change_octets(_Keyed((id, change.revision, change.accepted_at), change))
+
+
+def _encoded_state(state: State) -> bytes:
+    return _state_octets(_Keyed(id(state), state))
+
+
+@functools.lru_cache(maxsize=256)
+def _change_octets(keyed: _Keyed) -> bytes:
+    return encode_change(keyed.value)
+
+
+@functools.lru_cache(maxsize=1)
+def _state_octets(keyed: _Keyed) -> bytes:
+    return encode_state(keyed.value)
+
+
+def _encode_applied(applied: Applied) -> pb.PeerApplied:
+    laggards = [
+        pb.PeerLaggard(name=each.name, revision=each.revision, cause=each.cause)
+        for each in applied.laggards
+    ]
+    return pb.PeerApplied(
+        sender=_encode_member(applied.sender),
+        revision=applied.revision,
+        members=applied.members,
+        laggards=laggards,
+    )
+
+
+def _decode_applied(wire: pb.PeerApplied) -> Applied:
+    laggards = tuple(
+        Lagging(each.name, each.revision, each.cause) for each in wire.laggards
+    )
+    return Applied(_decode_member(wire.sender), wire.revision, wire.members, laggards)
--- /dev/null
+++ b/src/chicorycove/dissemination.py
@@ -0,0 +1,565 @@
+"""How a revision of the catalogue comes to every process.
+
+A change goes from the entry that accepted it to one relay a failure domain,
+from there to the domain's entries, and from each to the agents attached to
+it; what has been applied is counted back along the same way.  Whoever hears
+of a newer revision than its own asks for it.  All times are in seconds.
+"""
+
+import collections
+import dataclasses
+import enum
+import typing as t
+
+from .change import Change, State
+from .membership import (
+    Member,
+    Membership,
+    MemberState,
+    Probe,
+    Role,
+    Tell,
+    rank,
+)
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+MAX_LOG = 256  # changes kept to send in place of the whole
+RESEND_AFTER = 0.3
+RELAY_TIMEOUT = 1.2  # before the next relay of a failure domain is tried
+AGENT_TIMEOUT = 1.0  # for an entry's agents to apply a change
+DOMAIN_TIMEOUT = 1.8  # for a relay's domain
+SPREAD_TIMEOUT = 2.8  # for everyone
+PULL_TIMEOUT = 0.3
+BEAT_PERIOD = 0.5
+SILENCE_TIMEOUT = 1.6  # without an answer, an agent goes to another entry
+BEAT_TIMEOUT = 2.5  # without a beat, the other end of an attachment is gone
+ROSTER_SIZE = 10  # entries that an agent is told of
+MAX_LAGGARDS = 16  # named in one report
+
+
+class Scope(enum.Enum):
+    """Whom the receiver of a push passes it on to."""
+
+    DOMAIN = 0  # the entries of its failure domain and its own agents
+    AGENTS = 1  # its own agents
+    NONE = 2
+
+
+@frozen
+class Push:
+    """Changes, oldest first, or the whole where they do not suffice."""
+
+    sender: Member
+    revision: int
+    scope: Scope
+    changes: tuple[Change, ...] = ()
+    state: State | None = None
+
+
+@frozen
+class Pull:
+    """Ask for everything newer than a revision."""
+
+    sender: Member
+    have: int
+
+
+@frozen
+class Lagging:
+    """A process that has not applied a revision in time."""
+
+    name: str
+    revision: int
+    cause: str
+
+
+@frozen
+class Applied:
+    """How many processes below the sender are at a revision."""
+
+    sender: Member
+    revision: int
+    members: int
+    laggards: tuple[Lagging, ...] = ()
+
+
+@frozen
+class Beat:
+    """An agent is alive, attached and at a revision; or leaves."""
+
+    sender: Member
+
+
+@frozen
+class Roster:
+    """An entry answers a beat, and names entries that an agent may go to."""
+
+    sender: Member
+    entries: tuple[Member, ...]
+
+
+Message = Probe | Push | Pull | Applied | Beat | Roster
+
+
+@frozen
+class Install:
+    """Put a state in force in this process."""
+
+    state: State
+    changes: tuple[Change, ...]
+
+
+@frozen
+class Spread:
+    """A revision has spread as far as it did by now."""
+
+    revision: int
+    members: int
+    laggards: tuple[Lagging, ...]
+
+
+Command = Tell | Install | Spread
+
+
+class Replica:
+    """The state in force in a process and the changes that led to it."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self._log: collections.deque[Change] = collections.deque(maxlen=MAX_LOG)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self.state.revision
+
+    def offer(
+        self, changes: t.Iterable[Change], state: State | None = None
+    ) -> Install | None:
+        """Apply what is newer, and return it if there is any."""
+        applied = []
+        before = self.revision
+        if state is not None and state.revision > self.revision:
+            self.state = state
+            self._log.clear()
+        for change in changes:
+            if change.revision == self.revision + 1:
+                self.state = self.state.advanced(change)
+                self._log.append(change)
+                applied.append(change)
+        if self.revision == before:
+            return None
+        return Install(self.state, tuple(applied))
+
+    def since(self, revision: int) -> tuple[tuple[Change, ...], State | None]:
+        """Return the changes after a revision, or the whole."""
+        changes = tuple(c for c in self._log if c.revision > revision)
+        if changes and changes[0].revision == revision + 1:
+            return changes, None
+        return (), self.state
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    """A revision being passed on to those below this process."""
+
+    revision: int
+    scope: Scope
+    deadline: float
+    resend_at: float
+    waiting: dict[str, Member]
+    parents: dict[str, Member] = dataclasses.field(default_factory=dict)
+    reported: bool = False  # to this process, which accepted the change
+    relay_at: float = float("inf")
+    members: int = 1
+    laggards: list[Lagging] = dataclasses.field(default_factory=list)
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class EntryPeer:
+    """An entry's part in membership and dissemination."""
+
+    def __init__(self, membership: Membership) -> None:
+        self.membership = membership
+        self.replica = Replica()
+        self.agents: dict[str, Member] = {}
+        self._beats: dict[str, float] = {}
+        self._jobs: dict[int, _Job] = {}
+        self._pulled_at: dict[str, float] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self.replica.revision
+
+    def tick(self, now: float) -> list[Command]:
+        """Return what is due."""
+        commands: list[Command] = [*self.membership.tick(now)]
+        for name, seen in list(self._beats.items()):
+            if now - seen > BEAT_TIMEOUT:
+                self._detach(name)
+        for job in list(self._jobs.values()):
+            commands += self._continue(job, now)
+        return commands
+
+    def receive(self, message: Message, now: float) -> list[Command]:
+        """Take a message in, and return what to do."""
+        match message:
+            case Probe():
+                return [
+                    *self.membership.receive(message, now),
+                    *self._compare(message.sender, now),
+                ]
+            case Push():
+                return self._pushed(message, now)
+            case Pull(sender=sender, have=have):
+                return self._answer_pull(sender, have)
+            case Applied():
+                return self._applied(message, now)
+            case Beat(sender=sender):
+                return self._beaten(sender, now)
+        return []
+
+    def accepted(
+        self, changes: tuple[Change, ...], state: State, now: float
+    ) -> list[Command]:
+        """Spread a change that this entry has just had accepted."""
+        commands = self._install(changes, state)
+        return commands + self._spread_everywhere(state.revision, now)
+
+    def stored(
+        self, changes: tuple[Change, ...], state: State, now: float
+    ) -> list[Command]:
+        """Spread in the failure domain what this entry read from the store."""
+        commands = self._install(changes, state)
+        if commands and state.revision not in self._jobs:
+            commands += self._start(state.revision, Scope.DOMAIN, None, now)
+        return commands
+
+    def spread(self, now: float) -> list[Command]:
+        """Spread the revision in force, to learn who lags."""
+        return self._spread_everywhere(self.revision, now)
+
+    def _install(
+        self, changes: tuple[Change, ...], state: State | None
+    ) -> list[Command]:
+        install = self.replica.offer(changes)
+        if state is not None and state.revision > self.revision:
+            install = self.replica.offer((), state)
+        if install is None:
+            return []
+        self.membership.set_revision(self.revision)
+        return [install]
+
+    def _compare(self, peer: Member, now: float) -> list[Command]:
+        """Ask a peer that is ahead for what is missing."""
+        asked = self._pulled_at.get(peer.name, float("-inf"))
+        if peer.revision <= self.revision or now - asked < PULL_TIMEOUT:
+            return []
+        self._pulled_at[peer.name] = now
+        return [self._tell(peer, Pull(self.membership.me, self.revision))]
+
+    def _answer_pull(self, sender: Member, have: int) -> list[Command]:
+        if have >= self.revision:
+            return []
+        return [self._tell(sender, self._push(Scope.NONE, have))]
+
+    def _push(self, scope: Scope, have: int) -> Push:
+        changes, state = self.replica.since(have)
+        return Push(self.membership.me, self.revision, scope, changes, state)
+
+    def _pushed(self, push: Push, now: float) -> list[Command]:
+        commands = self._install(push.changes, push.state)
+        if commands and push.scope is Scope.NONE:
+            commands += self._start(self.revision, Scope.AGENTS, None, now)
+        if push.scope is not Scope.NONE:
+            commands += self._start(push.revision, push.scope, push.sender, now)
+        return commands + self._compare_push(push, now) + self._settle_all()
+
+    def _compare_push(self, push: Push, now: float) -> list[Command]:
+        if push.revision <= self.revision:
+            return []
+        ahead = dataclasses.replace(push.sender, revision=push.revision)
+        return self._compare(ahead, now)
+
+    def _start(
+        self, revision: int, scope: Scope, parent: Member | None, now: float
+    ) -> list[Command]:
+        parents = {} if parent is None else {parent.name: parent}
+        job = self._jobs.get(revision)
+        if job is not None:
+            parents |= job.parents
+            if job.scope.value <= scope.value:
+                job.parents = parents
+                return []
+        below = dict(self.agents)
+        timeout = AGENT_TIMEOUT
+        if scope is Scope.DOMAIN:
+            timeout = DOMAIN_TIMEOUT
+            domain = self.membership.me.failure_domain
+            below |= {m.name: m for m in self.membership.relays(domain)}
+            below.pop(self.membership.me.name, None)
+        deadline, resend_at = now + timeout, now + RESEND_AFTER
+        job = _Job(revision, scope, deadline, resend_at, below, parents)
+        self._jobs[revision] = job
+        return self._send(job)
+
+    def _spread_everywhere(self, revision: int, now: float) -> list[Command]:
+        domains = {m.failure_domain for m in self.membership.alive()}
+        mine = self.membership.me.failure_domain
+        commands = self._start(revision, Scope.DOMAIN, None, now)
+        job = self._jobs[revision]
+        job.reported = True
+        job.deadline = now + SPREAD_TIMEOUT
+        job.relay_at = now + RELAY_TIMEOUT
+        for domain in sorted(domains - {mine}):
+            commands += self._push_to_relay(job, domain)
+        return commands + self._settle(job)
+
+    def _push_to_relay(self, job: _Job, domain: str) -> list[Command]:
+        """Hand a revision to the next relay of a domain."""
+        members = self.membership.relays(domain)
+        relay = next((m for m in members if m.name not in job.tried), None)
+        if relay is None:
+            return []
+        job.tried.add(relay.name)
+        job.waiting[relay.name] = relay
+        return [self._tell(relay, self._push(Scope.DOMAIN, job.revision - 1))]
+
+    def _send(self, job: _Job) -> list[Command]:
+        commands: list[Command] = []
+        pushes: dict[Scope, Push] = {}
+        for name, member in job.waiting.items():
+            if name in job.tried:
+                continue
+            scope = Scope.NONE if member.role is Role.AGENT else Scope.AGENTS
+            if scope not in pushes:
+                pushes[scope] = self._push(scope, job.revision - 1)
+            commands.append(self._tell(member, pushes[scope]))
+        return commands
+
+    def _applied(self, message: Applied, now: float) -> list[Command]:
+        commands: list[Command] = []
+        self._note_agent(message.sender)
+        for job in list(self._jobs.values()):
+            waited = job.waiting.get(message.sender.name)
+            if waited is None or message.revision < job.revision:
+                continue
+            del job.waiting[message.sender.name]
+            job.members += message.members
+            job.laggards += message.laggards
+            self._drop_substitutes(job, waited)
+            commands += self._settle(job)
+        return commands
+
+    def _drop_substitutes(self, job: _Job, member: Member) -> None:
+        """Wait no longer for the other relays tried for the same domain."""
+        if member.name not in job.tried:
+            return
+        for name in job.tried & job.waiting.keys():
+            if job.waiting[name].failure_domain == member.failure_domain:
+                del job.waiting[name]
+
+    def _settle_all(self) -> list[Command]:
+        commands: list[Command] = []
+        for job in list(self._jobs.values()):
+            commands += self._settle(job)
+        return commands
+
+    def _settle(self, job: _Job) -> list[Command]:
+        """End a job that is complete."""
+        if job.waiting or self.revision < job.revision:
+            return []
+        return self._end(job)
+
+    def _continue(self, job: _Job, now: float) -> list[Command]:
+        if now >= job.deadline:
+            return self._end(job)
+        for name in [name for name in job.waiting if self._gone(name)]:
+            del job.waiting[name]
+        commands = self._settle(job)
+        if job.revision not in self._jobs:
+            return commands
+        if now >= job.resend_at:
+            job.resend_at = now + RESEND_AFTER
+            commands += self._send(job)
+        if now >= job.relay_at:
+            job.relay_at = now + RELAY_TIMEOUT
+            tried = [m for n, m in job.waiting.items() if n in job.tried]
+            for domain in sorted({member.failure_domain for member in tried}):
+                commands += self._push_to_relay(job, domain)
+        return commands
+
+    def _gone(self, name: str) -> bool:
+        """Tell whether a process has ended since it was sent a change."""
+        if name in self.agents:
+            return False
+        member = self.membership.members.get(name)
+        return member is None or member.state in (MemberState.DEAD, MemberState.LEFT)
+
+    def _end(self, job: _Job) -> list[Command]:
+        self._jobs.pop(job.revision, None)
+        laggards = [
+            Lagging(member.name, member.revision, self._cause(member))
+            for member in job.waiting.values()
+        ]
+        if self.revision < job.revision:
+            me = self.membership.me
+            laggards.append(Lagging(me.name, self.revision, "not applied"))
+        laggards = (*job.laggards, *laggards)[:MAX_LAGGARDS]
+        members = job.members + len(job.waiting)
+        message = Applied(self.membership.me, job.revision, members, laggards)
+        commands: list[Command] = [
+            self._tell(parent, message) for parent in job.parents.values()
+        ]
+        if job.reported:
+            commands.append(Spread(job.revision, members, laggards))
+        return commands
+
+    def _cause(self, member: Member) -> str:
+        known = self.membership.members.get(member.name, member)
+        if known.state is MemberState.ALIVE:
+            return "no answer in time"
+        return known.state.name.lower()
+
+    def _beaten(self, sender: Member, now: float) -> list[Command]:
+        if sender.state is MemberState.LEFT:
+            self._detach(sender.name)
+            return self._settle_all()
+        known = self.agents.get(sender.name)
+        if known is None or sender.incarnation >= known.incarnation:
+            self.agents[sender.name] = sender
+            self._beats[sender.name] = now
+        roster = Roster(self.membership.me, self._roster(sender, known is None))
+        commands: list[Command] = [self._tell(sender, roster)]
+        if sender.revision < self.revision:
+            push = self._push(Scope.NONE, sender.revision)
+            commands.append(self._tell(sender, push))
+        return commands
+
+    def _roster(self, agent: Member, full: bool) -> tuple[Member, ...]:
+        """Return where an agent may go, its own failure domain first."""
+        if not full:
+            return ()
+        members = sorted(
+            self.membership.alive(),
+            key=lambda m: (
+                m.failure_domain != agent.failure_domain,
+                rank(agent.name, m.name),
+            ),
+        )
+        half = ROSTER_SIZE // 2
+        near = members[:half]
+        far = sorted(members[half:], key=lambda m: rank(agent.name, m.name))
+        return (*near, *far[:half])
+
+    def _note_agent(self, sender: Member) -> None:
+        if sender.name in self.agents:
+            self.agents[sender.name] = sender
+
+    def _detach(self, name: str) -> None:
+        self.agents.pop(name, None)
+        self._beats.pop(name, None)
+        for job in self._jobs.values():
+            job.waiting.pop(name, None)
+
+    def _tell(self, member: Member, message: Message) -> Tell:
+        return Tell(member.name, member.address, message)
+
+
+class AgentPeer:
+    """An agent's part: attached to one entry, it knows where else to go."""
+
+    def __init__(self, me: Member, seeds: t.Iterable[Member], now: float) -> None:
+        self.me = me
+        self.replica = Replica()
+        self.entry: Member | None = None
+        self._seeds = {member.name: member for member in seeds}
+        self._entries = dict(self._seeds)
+        self._heard_at = now
+        self._next_beat = now
+        self._tried = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self.replica.revision
+
+    @property
+    def attached(self) -> bool:
+        """Tell whether an entry has answered."""
+        return self.entry is not None
+
+    def tick(self, now: float) -> list[Command]:
+        """Return the beat that is due."""
+        if now - self._heard_at > SILENCE_TIMEOUT:
+            self._give_up(now)
+        if now < self._next_beat:
+            return []
+        self._next_beat = now + BEAT_PERIOD
+        entry = self._choice()
+        return [self._tell(entry, Beat(self.me))] if entry is not None else []
+
+    def receive(self, message: Message, now: float) -> list[Command]:
+        """Take a message in, and return what to do."""
+        match message:
+            case Roster(sender=sender, entries=entries):
+                self._attach(sender, entries, now)
+                return self._compare(sender)
+            case Push():
+                return self._pushed(message)
+        return []
+
+    def leave(self, now: float) -> list[Command]:
+        """Tell the entry that this agent leaves."""
+        self.me = dataclasses.replace(self.me, state=MemberState.LEFT)
+        return [self._tell(self.entry, Beat(self.me))] if self.entry else []
+
+    def _attach(self, sender: Member, entries: tuple[Member, ...], now: float) -> None:
+        self._heard_at = now
+        self.entry = sender
+        self._entries[sender.name] = sender
+        if entries:
+            self._entries = {m.name: m for m in (sender, *entries)}
+
+    def _give_up(self, now: float) -> None:
+        if self.entry is not None:
+            self._entries.pop(self.entry.name, None)
+            self._entries = self._entries or dict(self._seeds)
+        self.entry = None
+        self._heard_at = now
+        self._next_beat = now
+        self._tried += 1
+
+    def _choice(self) -> Member | None:
+        if self.entry is not None:
+            return self.entry
+        ranked = sorted(
+            self._entries.values(),
+            key=lambda m: (
+                m.failure_domain != self.me.failure_domain,
+                rank(self.me.name, m.name),
+            ),
+        )
+        return ranked[self._tried % len(ranked)] if ranked else None
+
+    def _compare(self, peer: Member) -> list[Command]:
+        if peer.revision <= self.revision:
+            return []
+        return [self._tell(peer, Pull(self.me, self.revision))]
+
+    def _pushed(self, push: Push) -> list[Command]:
+        install = self.replica.offer(push.changes, push.state)
+        commands: list[Command] = []
+        if install is not None:
+            self.me = dataclasses.replace(self.me, revision=self.revision)
+            commands.append(install)
+        if self.revision >= push.revision:
+            commands.append(self._tell(push.sender, Applied(self.me, self.revision, 1)))
+        else:
+            commands.append(self._tell(push.sender, Pull(self.me, self.revision)))
+        return commands
+
+    def _tell(self, member: Member, message: Message) -> Tell:
+        return Tell(member.name, member.address, message)
--- /dev/null
+++ b/tests/test_dissemination.py
@@ -0,0 +1,316 @@
+"""Spread of revisions over a fleet on a virtual clock."""
+
+import unittest
+
+from chicorycove import codec
+from chicorycove.dissemination import AgentPeer, Applied, Lagging, Pull, Push, Scope
+from chicorycove.membership import MAX_STALENESS, MemberState, Role
+
+from .fleet import Fleet, History, change
+
+
+class SpreadTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(entries=12, agents=40, domains=4)
+        self.history = History()
+        self.fleet.run(3)
+
+    def accept(self, name="e0"):
+        """Have an entry accept the next change."""
+        made, state = self.history.next()
+        self.fleet.accept(name, made, state)
+        return made.revision
+
+    def lagging(self):
+        """Return who is not at the newest revision."""
+        newest = self.history.state.revision
+        return [n for n, r in self.fleet.revisions().items() if r < newest]
+
+    def test_a_change_comes_to_everyone_at_once(self):
+        self.accept()
+        self.fleet.run(0.1)
+        self.assertEqual(self.lagging(), [])
+        _, name, spread = self.fleet.spreads[0]
+        self.assertEqual((name, spread.members, spread.laggards), ("e0", 52, ()))
+
+    def test_every_entry_may_accept(self):
+        for name in self.fleet.entry_names:
+            self.accept(name)
+            self.fleet.run(0.1)
+        self.assertEqual(self.lagging(), [])
+
+    def test_two_changes_at_once_from_two_entries(self):
+        self.accept("e0")
+        first = self.history.state
+        made, state = self.history.next()
+        self.fleet.peers["e5"].replica.offer((), first)
+        self.fleet.accept("e5", made, state)
+        self.fleet.run(2)
+        self.assertEqual(self.lagging(), [])
+
+    def test_lost_messages_are_made_up_for(self):
+        self.fleet.loss = 0.2
+        for _ in range(5):
+            self.accept()
+            self.fleet.run(3)
+            self.assertEqual(self.lagging(), [])
+
+    def test_an_entry_that_dies_right_after_acceptance(self):
+        made, state = self.history.next()
+        self.fleet.peers["e0"].accepted((made,), state, self.fleet.now)
+        self.fleet.stop("e0")
+        watchers = [
+            n
+            for n in self.fleet.entry_names[1:]
+            if self.fleet.peers[n].membership.watches(self.fleet.now)
+        ]
+        for name in watchers:
+            commands = self.fleet.peers[name].stored((made,), state, self.fleet.now)
+            self.fleet.carry_out(name, commands)
+        self.fleet.run(0.1)
+        entries = set(self.fleet.entry_names) - {"e0"}
+        self.assertEqual(set(self.lagging()) & entries, set())
+        self.fleet.run(2.8)  # agents of the dead entry go to another
+        self.assertEqual(set(self.lagging()) - {"e0"}, set())
+
+    def test_watchers_are_few_whatever_the_size(self):
+        for entries in (12, 60):
+            fleet = Fleet(entries, 0, domains=4)
+            fleet.run(3)
+            watchers = [p for p in fleet.peers.values() if p.membership.watches(3)]
+            self.assertEqual(len(watchers), 8)
+
+    def test_a_stopped_agent_is_named(self):
+        name = "a7"
+        self.fleet.stop(name)
+        self.accept()
+        self.fleet.run(3)
+        _, _, spread = self.fleet.spreads[0]
+        self.assertEqual([each.name for each in spread.laggards], [name])
+
+    def test_an_agent_that_left_is_not_waited_for(self):
+        peer = self.fleet.peers["a7"]
+        self.fleet.carry_out("a7", peer.leave(self.fleet.now))
+        self.fleet.run(0.1)
+        self.fleet.stop("a7")
+        self.accept()
+        self.fleet.run(0.1)
+        self.assertEqual(self.fleet.spreads[0][2].laggards, ())
+
+    def test_agents_of_a_dead_entry_go_to_another(self):
+        self.fleet.stop("e3")
+        self.fleet.run(9)
+        self.accept()
+        self.fleet.run(1)
+        self.assertEqual(self.lagging(), [])
+
+    def test_agents_return_after_every_entry_was_gone(self):
+        for name in self.fleet.entry_names:
+            self.fleet.stop(name)
+        self.fleet.run(60)
+        for name in self.fleet.entry_names:
+            self.fleet.start_entry(name, incarnation=1)
+        self.fleet.run(25)
+        self.accept()
+        self.fleet.run(1)
+        self.assertEqual(self.lagging(), [])
+
+    def test_a_dead_relay_is_replaced(self):
+        peer = self.fleet.peers["e0"]
+        relay = peer.membership.relays("d1")[0].name
+        self.fleet.stop(relay)
+        self.accept()
+        self.fleet.run(3)
+        self.assertEqual(self.lagging(), [])
+
+    def test_a_cut_off_entry_is_named_and_stops_serving(self):
+        self.fleet.cut = lambda a, b: "e4" in (a, b)
+        self.accept()
+        self.fleet.run(3)
+        now = self.fleet.now
+        self.assertFalse(self.fleet.peers["e4"].membership.may_serve(now))
+        self.assertTrue(self.fleet.peers["e0"].membership.may_serve(now))
+        self.assertEqual(self.fleet.peers["e4"].revision, 0)
+        names = [each.name for each in self.fleet.spreads[0][2].laggards]
+        self.assertIn("e4", names)
+
+    def test_a_cut_off_entry_catches_up(self):
+        self.fleet.cut = lambda a, b: "e4" in (a, b)
+        for _ in range(3):
+            self.accept()
+            self.fleet.run(3)
+        self.fleet.cut = lambda a, b: False
+        self.fleet.run(5)
+        self.assertEqual(self.lagging(), [])
+        self.assertTrue(self.fleet.peers["e4"].membership.may_serve(self.fleet.now))
+
+    def test_a_failure_domain_cut_off_and_merging(self):
+        self.fleet.cut = lambda a, b: (int(a[1:]) % 4 == 3) != (int(b[1:]) % 4 == 3)
+        self.fleet.run(60)
+        self.accept()
+        self.fleet.run(3)
+        for name in self.fleet.entry_names:
+            membership = self.fleet.peers[name].membership
+            serves = int(name[1:]) % 4 != 3
+            self.assertEqual(membership.may_serve(self.fleet.now), serves, name)
+        self.fleet.cut = lambda a, b: False
+        self.fleet.run(20)
+        self.assertEqual(self.lagging(), [])
+        for name in self.fleet.entry_names:
+            alive = self.fleet.peers[name].membership.alive()
+            self.assertEqual(len(alive), 12)
+
+    def test_with_the_store_down_every_entry_serves_on(self):
+        self.fleet.run(3600 / 60)
+        for name in self.fleet.entry_names:
+            membership = self.fleet.peers[name].membership
+            self.assertTrue(membership.may_serve(self.fleet.now))
+
+    def test_a_restarted_entry_learns_the_newest_from_peers(self):
+        for _ in range(5):
+            self.accept()
+            self.fleet.run(1)
+        self.fleet.stop("e2")
+        self.fleet.run(5)
+        self.fleet.start_entry("e2", incarnation=1)
+        self.fleet.run(2)
+        self.assertEqual(self.lagging(), [])
+        alive = {m.name: m for m in self.fleet.peers["e1"].membership.alive()}
+        self.assertEqual(alive["e2"].incarnation, 1)
+
+    def test_a_restart_with_an_older_incarnation_takes_a_higher_one(self):
+        self.fleet.stop("e2")
+        self.fleet.start_entry("e2", incarnation=5)
+        self.fleet.run(3)
+        self.fleet.stop("e2")
+        self.fleet.start_entry("e2", incarnation=0)
+        self.fleet.run(5)
+        self.assertGreater(self.fleet.peers["e2"].membership.me.incarnation, 5)
+
+    def test_a_restarted_agent_gets_the_whole(self):
+        for _ in range(5):
+            self.accept()
+            self.fleet.run(1)
+        self.fleet.stop("a2")
+        self.fleet.start_agent("a2", incarnation=1)
+        self.fleet.run(1.5)
+        self.assertEqual(self.lagging(), [])
+
+    def test_a_gap_longer_than_the_log(self):
+        self.fleet.cut = lambda a, b: "e4" in (a, b)
+        for _ in range(300):
+            made, state = self.history.next()
+            self.fleet.accept("e0", made, state)
+            self.fleet.run(0.02)
+        self.fleet.cut = lambda a, b: False
+        self.fleet.run(10)
+        self.assertEqual(self.lagging(), [])
+
+
+class MembershipTest(unittest.TestCase):
+    def test_a_dead_entry_is_found_out_by_all(self):
+        fleet = Fleet(entries=20, agents=0, domains=4)
+        fleet.run(2)
+        fleet.stop("e3")
+        fleet.run(15)
+        for peer in fleet.peers.values():
+            state = peer.membership.members["e3"].state
+            self.assertIs(state, MemberState.DEAD)
+
+    def test_a_live_entry_is_not_thought_dead_under_loss(self):
+        fleet = Fleet(entries=20, agents=0, domains=4, loss=0.1)
+        fleet.run(60)
+        for peer in fleet.peers.values():
+            self.assertEqual(len(peer.membership.alive()), 20)
+
+    def test_a_leave_is_told(self):
+        fleet = Fleet(entries=20, agents=0, domains=4)
+        fleet.run(2)
+        commands = fleet.peers["e3"].membership.leave(fleet.now)
+        fleet.carry_out("e3", commands)
+        fleet.run(0.1)
+        fleet.stop("e3")
+        fleet.run(5)
+        for peer in fleet.peers.values():
+            state = peer.membership.members["e3"].state
+            self.assertIs(state, MemberState.LEFT)
+
+    def test_entries_meet_through_one_seed(self):
+        fleet = Fleet(entries=20, agents=0, domains=4, known=1)
+        fleet.run(20)
+        for peer in fleet.peers.values():
+            self.assertEqual(len(peer.membership.alive()), 20)
+
+    def test_half_counts_only_with_the_lowest_name(self):
+        fleet = Fleet(entries=2, agents=0, domains=1)
+        fleet.run(2)
+        fleet.cut = lambda a, b: True
+        fleet.run(MAX_STALENESS + 1)
+        serving = [
+            name
+            for name, peer in fleet.peers.items()
+            if peer.membership.may_serve(fleet.now)
+        ]
+        self.assertEqual(serving, ["e0"])
+
+    def test_the_store_alone_suffices(self):
+        fleet = Fleet(entries=3, agents=0, domains=1)
+        fleet.cut = lambda a, b: True
+        fleet.run(4)
+        membership = fleet.peers["e2"].membership
+        self.assertFalse(membership.may_serve(fleet.now))
+        self.assertTrue(membership.watches(fleet.now))
+        membership.store_read(fleet.now)
+        self.assertTrue(membership.may_serve(fleet.now))
+        self.assertFalse(membership.in_majority(fleet.now))
+
+
+class ReplicaTest(unittest.TestCase):
+    def test_revisions_only_go_up(self):
+        fleet = Fleet(entries=1, agents=0, domains=1)
+        member = fleet.member("a0", Role.AGENT)
+        agent = AgentPeer(member, fleet.seeds, 0.0)
+        history = History()
+        made, old = history.next()
+        agent.receive(Push(member, 1, Scope.NONE, (made,)), 0.0)
+        second, new = history.next()
+        agent.receive(Push(member, 2, Scope.NONE, (), new), 0.0)
+        commands = agent.receive(Push(member, 1, Scope.NONE, (), old), 0.0)
+        self.assertEqual(agent.revision, 2)
+        self.assertEqual(commands[0].message.revision, 2)
+
+    def test_a_gap_is_asked_for(self):
+        member = Fleet(0, 0, 1).member("a0", Role.AGENT)
+        agent = AgentPeer(member, (), 0.0)
+        (command,) = agent.receive(Push(member, 3, Scope.NONE, (change(3),)), 0.0)
+        self.assertEqual(command.message, Pull(member, 0))
+
+
+class CodecTest(unittest.TestCase):
+    def test_messages_are_read_back(self):
+        fleet = Fleet(entries=8, agents=8, domains=2)
+        history = History()
+        seen = {}
+
+        def check(name, to, message):
+            seen[type(message).__name__] = True
+            wire = codec.encode(message).SerializeToString()
+            read = codec.decode(codec.pb.PeerMessage.FromString(wire))
+            if getattr(message, "store_age", None) is None:
+                self.assertEqual(read, message)
+
+        fleet.on_message = check
+        fleet.run(2)
+        fleet.accept("e0", *history.next())
+        fleet.run(1)
+        fleet.stop("e1")
+        fleet.start_entry("e1", 1)
+        fleet.run(4)
+        self.assertEqual(
+            sorted(seen), ["Applied", "Beat", "Probe", "Pull", "Push", "Roster"]
+        )
+
+    def test_applied_with_laggards(self):
+        member = Fleet(0, 0, 1).member("e0", Role.ENTRY)
+        message = Applied(member, 3, 4, (Lagging("a", 1, "dead"),))
+        self.assertEqual(codec.decode(codec.encode(message)), message)
