--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -77,6 +77,15 @@
     members: tuple[AgentId, ...] = ()
 
 
+@frozen
+class GroupFailed:
+    """Give a request's group of engines up; the request may be retried."""
+
+    request: str
+    reason: Reason
+    verdict: Verdict
+
+
 # An entry speaks to callers.
 
 
@@ -168,6 +177,7 @@
     Reserve,
     Release,
     Prefill,
+    GroupFailed,
     Relay,
     Finish,
     Fail,
@@ -190,6 +200,13 @@
     attempt: AttemptId
 
 
+@frozen
+class Compute:
+    """Have the target compute a member's segment of a prompt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class Stop:
     """Have the target cancel an attempt and free its memory."""
@@ -204,6 +221,13 @@
     attempt: AttemptId
 
 
+@frozen
+class TellResumed:
+    """Send the owner what it has not had yet of a started attempt."""
+
+    attempt: AttemptId
+
+
 @frozen
 class TellRefused:
     """Tell the owner that an attempt has not run and never will."""
@@ -236,8 +260,10 @@
 
 AgentCommand = t.Union[
     Run,
+    Compute,
     Stop,
     TellAccepted,
+    TellResumed,
     TellRefused,
     TellSealed,
     TellReserved,
--- /dev/null
+++ b/src/chicorycove/entry_process.py
@@ -0,0 +1,105 @@
+"""The entry's process: its listener, its probes and its stop."""
+
+import asyncio
+import pathlib
+
+from . import probe
+from .administration import Administration
+from .application import create_app
+from .catalogue import Entry
+from .clock import Clock
+from .entry import Entry as EntryRole
+from .exceptions import SettingsError
+from .front import Front
+from .listener import Listener, listen
+from .log import LOGGER
+from .metric import Metrics
+from .platform.hosts import HostList
+from .platform.store import EtcdStore
+from .registry import Registry
+from .schema import parse_file
+from .settings import Settings
+
+STOP_POLL = 0.05  # seconds
+
+
+def read_entries(path: str) -> tuple[Entry, ...]:
+    """Read the entries of a catalogue's file.
+
+    :raises SettingsError: if it cannot be read
+    :raises CatalogueError: if it is not a catalogue
+    """
+    try:
+        return parse_file(pathlib.Path(path).read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+
+
+class EntryProcess:
+    """Runs one entry."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._metrics = Metrics(settings.name)
+        platform = settings.platform
+        self._store = EtcdStore(platform.store, platform.store_timeout)
+        self._hosts = HostList(platform.hosts)
+        self._entry = EntryRole(
+            settings, self._store, self._hosts, Clock(), self._metrics
+        )
+        self._registry = Registry(self._store, settings.name)
+        self._registry.subscribe(self._entry.set_catalogue)
+        self._listener: Listener | None = None
+        self._follower: asyncio.Task | None = None
+
+    @property
+    def registry(self) -> Registry:
+        """Return the catalogue's registry."""
+        return self._registry
+
+    @property
+    def entry(self) -> EntryRole:
+        """Return the entry."""
+        return self._entry
+
+    @property
+    def listener(self) -> Listener:
+        """Return the listener of callers."""
+        return self._listener
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        settings = self._settings.entry
+        front = Front(self._entry, settings.max_body, settings.max_deadline)
+        routes = [
+            *front.routes(),
+            *Administration(self._registry).routes(),
+            *probe.routes(self._metrics, lambda: self._entry.ready),
+        ]
+        self._entry.start()
+        if settings.seed_catalogue is not None:
+            await self._registry.seed(read_entries(settings.seed_catalogue))
+        self._follower = asyncio.create_task(self._registry.follow())
+        self._listener = await listen(create_app(routes), settings.listen)
+        LOGGER.info("entry listens on %s", self._listener.address)
+
+    async def stop(self) -> None:
+        """Take no new requests, finish what there is, and close."""
+        self._entry.stop()
+        try:
+            async with asyncio.timeout(self._settings.entry.stop_timeout):
+                while self._entry.busy:
+                    await asyncio.sleep(STOP_POLL)
+        except TimeoutError:
+            LOGGER.warning("entry stops with requests that did not finish")
+        await self.close()
+
+    async def close(self) -> None:
+        """Drop everything."""
+        if self._listener is not None:
+            await self._listener.close()
+        if self._follower is not None:
+            self._follower.cancel()
+        await self._entry.close()
+        await self._store.close()
+        await self._hosts.close()
