Settle claims by outcome; follow attempts and targets' health

Cause: a keyed request that failed called Claimer.finish with its id, which raised, and would have kept a failure as a result; a deadline during a contested claim said not_run; a rerun that gave a shorter answer asked for the rest for ever; nothing ejected a failing target; a cancel was lost with its link; a caller who hung up cut off a registration whose result its next try needs. Change: the dispatcher tells the claimer released or failed; attempts move by the life cycle; failures and hangs count against the target; attempts left at a lost agent are cancelled when it is attached again; a claimed attempt runs on after its caller is gone, and its result is kept.

--- a/src/chicorycove/attempt.py
+++ b/src/chicorycove/attempt.py
@@ -34,7 +34,8 @@
 
 
 # Messages overtake one another when a link is replaced, so that an attempt
-# may be seen to start or to stream before it is seen accepted.
+# may be seen to start or to stream before it is seen accepted.  An agent may
+# refuse after the start, when it could not connect to its target.
 _TRANSITIONS = [
     [Step.ACCEPT.value, SENT, ACCEPTED],
     [Step.START.value, [SENT, ACCEPTED, STARTED], STARTED],
@@ -43,7 +44,7 @@
     [Step.RESUME.value, BROKEN, STARTED],
     [Step.END.value, [SENT, ACCEPTED, STARTED], ENDED],
     [Step.FAIL.value, list(LIVE), FAILED],
-    [Step.REFUSE.value, [SENT, ACCEPTED, BROKEN], REFUSED],
+    [Step.REFUSE.value, list(LIVE), REFUSED],
     [Step.CANCEL.value, list(LIVE), CANCELLED],
 ]
 
@@ -59,8 +60,16 @@
 )
 
 
+_SOURCES = {
+    Step(trigger): frozenset([source] if isinstance(source, str) else source)
+    for trigger, source, _ in _TRANSITIONS
+}
+
+
 def advance(attempt: AttemptState, step: Step) -> bool:
     """Take a step, or return False if the attempt is past it."""
+    if attempt.state not in _SOURCES[step]:
+        return False  # late messages are no news: the machine would log each
     return _MACHINE.events[step.value].trigger(attempt)
 
 
--- a/src/chicorycove/claim.py
+++ b/src/chicorycove/claim.py
@@ -206,21 +206,26 @@
         return self._swap(claiming)
 
     def finish(
-        self, request: Request, result: bytes | None, now: float
+        self, request: str, result: bytes | None, now: float
     ) -> list[EntryCommand]:
-        """Keep the result of a claimed request that ran."""
+        """Keep the result of a claimed request that ran, by its id."""
         if result is not None and len(result) > self._settings.result_limit:
             result = None
         return self._settle(request, ClaimState.DONE, result, now)
 
-    def abandon(
-        self, request: Request, verdict: Verdict, now: float
-    ) -> list[EntryCommand]:
-        """Record that a claimed request ended without a result."""
+    def abandon(self, request: str, verdict: Verdict, now: float) -> list[EntryCommand]:
+        """Record that a claimed request, by its id, has no result."""
         if verdict is Verdict.NOT_RUN:
             return self._settle(request, ClaimState.RELEASED, None, now)
         return self._settle(request, ClaimState.FAILED, None, now)
 
+    def expire(self, request: str, now: float) -> list[EntryCommand]:
+        """Fail a request at its deadline if its claim does not stand yet."""
+        claiming = self._claimings.get(request)
+        if claiming is None or claiming.phase is _Phase.HELD or claiming.phase.over:
+            return []
+        return self._expire(claiming, now)
+
     def handle(self, event: EntryEvent, now: float) -> list[EntryCommand]:
         """Go on after an event."""
         match event:
@@ -376,12 +381,12 @@
 
     def _settle(
         self,
-        request: Request,
+        request: str,
         state: ClaimState,
         result: bytes | None,
         now: float,
     ) -> list[EntryCommand]:
-        claiming = self._claimings.get(request.id)
+        claiming = self._claimings.get(request)
         if claiming is None or claiming.phase.over:
             return []
         if claiming.phase is not _Phase.HELD:
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from .attempt import REFUSED, Step, advance, is_live
 from .board import AttemptState, EntryBoard, RequestState
 from .claim import Claimer
 from .command import (
@@ -41,6 +42,7 @@
     Tick,
 )
 from .group import GroupCoordinator
+from .health import HealthSettings, OutlierDetector
 from .identity import AgentId, AttemptId
 from .reason import Reason
 from .request import Request
@@ -53,6 +55,17 @@
 PLACE_TIMEOUT = 2.0  # seconds without any target until a request is refused
 RETRY_AFTER = 1.0  # seconds
 
+# Failures that tell of the target's health.
+TARGET_FAULTS = frozenset(
+    {
+        Reason.TARGET_FAILED,
+        Reason.TARGET_UNREACHABLE,
+        Reason.STREAM_BROKEN,
+        Reason.LINK_LOST,
+        Reason.DEADLINE_EXCEEDED,
+    }
+)
+
 AttemptFactory = t.Callable[[str, int], AttemptId]
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +107,14 @@
         self._retries = retries
         self._make_attempt = make_attempt
         self._settings = settings
+        self._health = OutlierDetector(board, HealthSettings())
         self._planned: dict[str, tuple[AttemptId, AgentId]] = {}
+        self._orphans: dict[AgentId, list[AttemptId]] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether claims are not settled yet."""
+        return self._claims.busy
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryCommand]:
         """Return what is to be done about an event."""
@@ -181,7 +201,7 @@
             return self._no_target(state, since, now)
         agent = self._board.targets[name].agent
         attempt = self._make_attempt(request.id, len(state.attempts) + 1)
-        if request.key is not None and not request.idempotent:
+        if request.claimed:
             self._planned[request.id] = (attempt, agent)
             return self._claims.begin(request, attempt, agent, now)
         return self._send(state, attempt, agent)
@@ -224,18 +244,22 @@
     ) -> list[EntryCommand]:
         if self.current(attempt) is None:
             return [CountDrop(type(event).__name__.lower())]
-        state = "started" if isinstance(event, Started) else "accepted"
-        self._board.attempts[attempt].state = state
+        step = Step.START if isinstance(event, Started) else Step.ACCEPT
+        advance(self._board.attempts[attempt], step)
         return []
 
     def _ended(self, attempt: AttemptId, size: int, now: float) -> list[EntryCommand]:
         state = self.current(attempt)
         if state is None:
             return [CountDrop("end")]
-        if state.relayed != size:
-            agent = state.attempts[-1].agent
-            return [CountDrop("gap"), Resume(attempt, agent, state.relayed)]
-        state.attempts[-1].state = "ended"
+        record = state.attempts[-1]
+        if size < state.relayed:  # a rerun gave another answer
+            reason, verdict = Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN
+            return self._broke(attempt, reason, verdict, None, now)
+        if size > state.relayed:
+            return [CountDrop("gap"), Resume(attempt, record.agent, state.relayed)]
+        advance(record, Step.END)
+        self._health.note_success(record.agent.target)
         self._forget(state)
         commands: list[EntryCommand] = [Finish(attempt.request)]
         if self._groups.owns(attempt):
@@ -256,8 +280,8 @@
         if state is None:
             return [CountDrop("failure")]
         record = state.attempts[-1]
-        record.state = "not_run" if verdict is Verdict.NOT_RUN else "broken"
-        self._release(record)
+        self._close(record, verdict)
+        self._note_failure(state, record, reason, now)
         state.tried.add(record.agent.target)
         return self._again(state, reason, verdict, retry_after, now)
 
@@ -269,7 +293,7 @@
         retry_after: float | None,
         now: float,
     ) -> list[EntryCommand]:
-        match self._retries.decide(state, reason, verdict, now):
+        match self._retries.decide(state, reason, verdict, now, retry_after):
             case Retry(at):
                 due = _PlaceDue(state.request.id, at)
                 self._board.timers.add(at, due)
@@ -288,35 +312,64 @@
         request = state.request
         commands: list[EntryCommand] = []
         for record in state.attempts:
-            if record.state in ("sent", "accepted", "started"):
-                commands.append(Cancel(record.id, record.agent))
+            if is_live(record):
+                commands += self._cancel(record)
         commands += self._groups.abandon(request.id, now)
-        if request.key is not None and not request.idempotent:
-            commands += self._claims.finish(request.id, None, now)
-        self._forget(state)
         known = self._verdict(state)
         if verdict is None or known is not Verdict.NOT_RUN:
             verdict = known
+        if request.claimed:
+            commands += self._claims.abandon(request.id, verdict, now)
+        self._forget(state)
         commands.append(Fail(request.id, reason, verdict, retry_after))
         return commands
 
     def _verdict(self, state: RequestState) -> Verdict:
         """Return what is known of a request's execution."""
-        if all(record.state == "not_run" for record in state.attempts):
+        proved = all(record.state == REFUSED for record in state.attempts)
+        if proved and not state.may_have_run:
             return Verdict.NOT_RUN
         return Verdict.MAY_HAVE_RUN
 
+    def _close(self, record: AttemptState, verdict: Verdict) -> None:
+        advance(record, Step.REFUSE if verdict is Verdict.NOT_RUN else Step.FAIL)
+        self._release(record)
+        if verdict is not Verdict.NOT_RUN:
+            self._orphan(record)
+
+    def _cancel(self, record: AttemptState) -> list[EntryCommand]:
+        """Cancel an attempt, now or when its agent is attached again."""
+        self._orphan(record)
+        return [Cancel(record.id, record.agent)]
+
+    def _orphan(self, record: AttemptState) -> None:
+        if not self._reattached(record):
+            self._orphans.setdefault(record.agent, []).append(record.id)
+
+    def _note_failure(
+        self, state: RequestState, record: AttemptState, reason: Reason, now: float
+    ) -> None:
+        if reason in TARGET_FAULTS:
+            peers = self._router.peers(state.request, self._board, now)
+            self._health.note_failure(record.agent.target, peers, now)
+
     def _caller_gone(self, request: str, now: float) -> list[EntryCommand]:
         state = self._board.requests.get(request)
         if state is None:
             return []
+        if state.request.claimed and state.attempts:
+            return []  # the result is kept for the caller's next try
         return self._fail(state, Reason.CALLER_GONE, None, None, now)
 
     def _attached(self, agent: AgentId, now: float) -> list[EntryCommand]:
         target = self._board.targets.get(agent.target)
         if target is not None:
             target.agent = agent
-        commands: list[EntryCommand] = []
+        commands: list[EntryCommand] = [
+            Cancel(attempt, agent) for attempt in self._orphans.pop(agent, ())
+        ]
+        for gone in [x for x in self._orphans if x.target == agent.target]:
+            del self._orphans[gone]
         for record in self._pending(agent.target):
             if record.agent == agent:
                 relayed = self._board.requests[record.id.request].relayed
@@ -339,7 +392,7 @@
             record
             for record in self._board.attempts.values()
             if record.agent.target == target
-            and record.state in ("sent", "accepted", "started")
+            and is_live(record)
             and record.id.request in self._board.requests
         ]
 
@@ -365,9 +418,7 @@
         match item:
             case _DeadlineDue(request):
                 state = self._board.requests.get(request)
-                if state is None:
-                    return []
-                return self._fail(state, Reason.DEADLINE_EXCEEDED, None, None, now)
+                return [] if state is None else self._expire(state, now)
             case _PlaceDue(request, since):
                 state = self._board.requests.get(request)
                 return [] if state is None else self._place(state, since, now)
@@ -378,6 +429,16 @@
                 return self._lost(record, now)
         return []
 
+    def _expire(self, state: RequestState, now: float) -> list[EntryCommand]:
+        """End a request at its deadline."""
+        unclaimed = self._claims.expire(state.request.id, now)
+        if unclaimed:
+            return unclaimed
+        if state.attempts and is_live(state.attempts[-1]):
+            reason = Reason.DEADLINE_EXCEEDED
+            self._note_failure(state, state.attempts[-1], reason, now)
+        return self._fail(state, Reason.DEADLINE_EXCEEDED, None, None, now)
+
     def _reattached(self, record: AttemptState) -> bool:
         target = self._board.targets.get(record.agent.target)
         return target is not None and target.agent == record.agent
@@ -408,7 +469,7 @@
         attempt, agent = self._planned.pop(request)
         state = self._board.requests.get(request)
         if state is None:
-            return self._claims.finish(request, None, now)
+            return self._claims.abandon(request, Verdict.NOT_RUN, now)
         return self._send(state, attempt, agent)
 
     def _group_failed(
@@ -418,9 +479,8 @@
         if state is None:
             return []
         for record in state.attempts:
-            if record.state in ("sent", "accepted", "started"):
-                record.state = "not_run" if verdict is Verdict.NOT_RUN else "broken"
-                self._release(record)
+            if is_live(record):
+                self._close(record, verdict)
         return self._settle(self._again(state, reason, verdict, None, now), now)
 
     def _release(self, record: AttemptState) -> None:
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -111,7 +111,7 @@
     @property
     def busy(self) -> bool:
         """Tell whether requests are not finished yet."""
-        return bool(self._exchanges)
+        return bool(self._exchanges) or self._dispatcher.busy
 
     @property
     def board(self) -> EntryBoard:
@@ -255,8 +255,7 @@
     def _finish(self, request: str) -> None:
         exchange = self._exchanges.pop(request)
         self._metrics.answered(exchange.request.priority_class)
-        keyed = exchange.request.key is not None and not exchange.request.idempotent
-        if keyed:
+        if exchange.request.claimed:
             self._feed(Captured(request, exchange.kept()))
         exchange.finish()
 
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -53,6 +53,11 @@
             case Call(idempotent=idempotent):
                 return idempotent
 
+    @property
+    def claimed(self) -> bool:
+        """Tell whether a claim of its key is needed before it is sent."""
+        return self.key is not None and not self.idempotent
+
     @property
     def service(self) -> str:
         """Return the name of the model or service that is to answer."""
--- a/src/chicorycove/retry.py
+++ b/src/chicorycove/retry.py
@@ -120,8 +120,8 @@
         retry_after: float | None = None,
     ) -> Decision:
         """Decide after the last attempt of a request has failed."""
-        if verdict is not Verdict.NOT_RUN or reason is Reason.ATTEMPT_SEALED:
-            state.may_have_run = True  # a seal is asked to run it elsewhere
+        if verdict is not Verdict.NOT_RUN or _is_taken_over(state, reason):
+            state.may_have_run = True
         if not self._may_rerun(state, reason, verdict):
             return self._give_up(state, reason)
         at = now + max(self._backoff(state, reason), retry_after or 0.0)
@@ -166,6 +166,11 @@
         return GiveUp(reason, Verdict.NOT_RUN)
 
 
+def _is_taken_over(state: RequestState, reason: Reason) -> bool:
+    """Tell whether another entry may run what the request's key stands for."""
+    return reason is Reason.ATTEMPT_SEALED and state.request.key is not None
+
+
 def _is_repeatable(state: RequestState) -> bool:
     match state.request.work:
         case Prompt(repeatable=repeatable):
--- a/src/chicorycove/routing.py
+++ b/src/chicorycove/routing.py
@@ -154,6 +154,11 @@
             if target is not None and usable(target, board, now):
                 yield target
 
+    def peers(self, request: Request, board: EntryBoard, now: float) -> list[str]:
+        """Return the names of all targets of a request's service."""
+        pool = self._index.pool(request, board, now)
+        return pool.names if pool else []
+
     def largest_memory(self, request: Request, board: EntryBoard) -> int:
         """Return the largest engine memory for a request, 0 if unknown."""
         pool = self._index.pool(request, board)
