--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -146,7 +146,7 @@
                     f"{self.process.targets[name]}/v1/completions",
                     headers={
                         "X-Request-Id": relayed.headers["x-request-id"],
-                        "X-Attempt-Id": "direct/1/n",
+                        "X-Attempt-Id": f"direct/{int(stream)}/n",
                     },
                     data=body,
                 )
