--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -21,6 +21,8 @@
 START_TIMEOUT = 60.0  # seconds
 POLL = 0.05  # seconds
 LOOPBACK = "127.0.0.1"
+TICKS = os.sysconf("SC_CLK_TCK")  # a second
+MEGABYTE = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -248,6 +250,18 @@
         response.read()
 
 
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time that a process has used, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident(pid: int) -> float:
+    """Return a process's resident memory in megabytes."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / MEGABYTE
+
+
 def _environment() -> dict[str, str]:
     root = pathlib.Path(__file__).parent.parent
     path = os.pathsep.join((str(root / "src"), str(root)))
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -9,7 +9,6 @@
 import asyncio
 import dataclasses
 import json
-import os
 import pathlib
 import typing as t
 
@@ -18,14 +17,18 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
-from bench.deployment import Deployment, DeploymentSpec, TargetSpec
+from bench.deployment import (
+    Deployment,
+    DeploymentSpec,
+    TargetSpec,
+    cpu_seconds,
+    resident,
+)
 from bench.report import save, table
 
 CATALOGUE = pathlib.Path("examples/local/catalogue.json")
 HEADERS = {"Authorization": "Bearer toolroom-key"}
-TICKS = os.sysconf("SC_CLK_TCK")  # a second
 MICRO = 1e6
-MEGABYTE = 1024 * 1024
 EVENTS_PER_SECOND = 34_000  # of one entry at the size to come
 
 
@@ -83,18 +86,6 @@
     return [_result(name, short, long, memory[name]) for name in parts]
 
 
-def cpu_seconds(pid: int) -> float:
-    """Return the CPU time that a process has used, in seconds."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def resident(pid: int) -> float:
-    """Return a process's resident memory in megabytes."""
-    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / MEGABYTE
-
-
 async def _sample(
     url: str, parts: dict[str, int], requests: int, streams: int, tokens: int
 ) -> Sample:
--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -1,5 +1,6 @@
 """The local role: entry, agents and stand-ins in one process on loopback."""
 
+import asyncio
 import typing as t
 
 from standin import engine, hosts, server as standin_server, service, store
@@ -68,10 +69,8 @@
     async def stop(self) -> None:
         """Finish all requests and close."""
         await self._entry.stop()
-        for agent in self._agents:
-            await agent.stop()
-        for each in self._servers:
-            await each.close()
+        await asyncio.gather(*(agent.stop() for agent in self._agents))
+        await asyncio.gather(*(each.close() for each in self._servers))
 
     async def _serve(self, app: t.Any) -> standin_server.Server:
         result = await standin_server.serve(app)
