--- /dev/null
+++ b/src/chicorycove/order.py
@@ -0,0 +1,359 @@
+"""What an agent decides about its planner's orders.
+
+An order says what a target is to have, not which steps to take. The agent
+compares it with what the engine reports, withdraws the target from service
+before a step that needs it, and reads back after each step.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+from .identity import AgentId
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+BACKOFF_MIN = 1.0  # seconds
+BACKOFF_MAX = 60.0  # seconds
+
+
+class Role(enum.Enum):
+    """What part of a request an engine does."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+    MEMBER = "member"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Placement:
+    """What one target is to have."""
+
+    model: str
+    version: str
+    weights: str = ""
+    adapters: tuple[str, ...] = ()
+    role: Role = Role.MIXED
+
+
+@frozen
+class EngineModel:
+    """A model as an engine has it; state is loading, ready or failed."""
+
+    name: str
+    version: str
+    state: str = "ready"
+    adapters: tuple[str, ...] = ()
+    error: str = ""
+
+
+@frozen
+class EngineState:
+    """What an engine has; fence is the greatest number it was ordered with."""
+
+    models: tuple[EngineModel, ...] = ()
+    role: Role = Role.MIXED
+    fence: int = 0
+
+    def find(self, name: str) -> EngineModel | None:
+        """Return a model by its name."""
+        return next((model for model in self.models if model.name == name), None)
+
+    @property
+    def loading(self) -> bool:
+        """Tell whether a load is in flight."""
+        return any(model.state == "loading" for model in self.models)
+
+
+@frozen
+class Order:
+    """A planner's order to one life of an agent."""
+
+    fence: int
+    agent: AgentId
+    placement: Placement
+
+
+class StepKind(enum.Enum):
+    """What an engine can be told; the words of docs/design/engine.md."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    ROLE = "role"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EngineStep:
+    """One order to an engine."""
+
+    kind: StepKind
+    model: str = ""
+    version: str = ""
+    weights: str = ""
+    adapter: str = ""
+    role: Role = Role.MIXED
+
+    @property
+    def disruptive(self) -> bool:
+        """Tell whether the target is to serve nothing meanwhile."""
+        return self.kind in (StepKind.LOAD_MODEL, StepKind.UNLOAD_MODEL)
+
+
+# Events
+
+
+@frozen
+class Polled:
+    """A planner asked for a report, and so showed its number."""
+
+    fence: int
+
+
+@frozen
+class Ordered:
+    """A planner sent an order."""
+
+    order: Order
+
+
+@frozen
+class EngineSeen:
+    """The engine told its state."""
+
+    engine: EngineState
+
+
+@frozen
+class StepFailed:
+    """A step was refused, or its answer was lost."""
+
+    error: str
+
+
+@frozen
+class StepStale:
+    """The engine has seen a greater number than the step's."""
+
+    fence: int
+
+
+@frozen
+class Idled:
+    """Nothing runs on the target."""
+
+
+@frozen
+class Passed:
+    """Time has passed."""
+
+
+OrderEvent = Polled | Ordered | EngineSeen | StepFailed | StepStale | Idled | Passed
+
+
+# Commands
+
+
+class Objection(enum.Enum):
+    """Why an agent does not follow a planner."""
+
+    STALE_FENCE = "stale_fence"
+    STALE_INCARNATION = "stale_incarnation"
+
+
+@frozen
+class Object:
+    """Tell the planner that it is not followed, and the number that is."""
+
+    objection: Objection
+    fence: int
+
+
+@frozen
+class Withdraw:
+    """Take no new work for the target."""
+
+
+@frozen
+class Readmit:
+    """Take new work again."""
+
+
+@frozen
+class Act:
+    """Give the engine a step, and read its state back."""
+
+    step: EngineStep
+    fence: int
+
+
+OrderCommand = Object | Withdraw | Readmit | Act
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderState:
+    """What an agent remembers of its planner; times are in seconds."""
+
+    agent: AgentId
+    fence: int = 0
+    wanted: Placement | None = None
+    engine: EngineState | None = None  # None until read since the last step
+    withdrawn: bool = False
+    acting: bool = False
+    tried: bool = False  # a load, whose failure is not counted yet
+    parked: bool = False  # after a failed load, until ordered again
+    valid_until: float = 0.0
+    failures: int = 0
+    retry_at: float = 0.0
+    error: str = ""
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether the engine has what is wanted."""
+        if self.wanted is None:
+            return True
+        return self.engine is not None and not missing(self.engine, self.wanted)
+
+
+class Decision(t.NamedTuple):
+    """The next state, and what is to be done."""
+
+    state: OrderState
+    commands: tuple[OrderCommand, ...] = ()
+
+
+def missing(engine: EngineState, wanted: Placement) -> tuple[EngineStep, ...]:
+    """Return the steps from what an engine has to what is wanted."""
+    steps = [
+        EngineStep(kind=StepKind.UNLOAD_MODEL, model=model.name)
+        for model in engine.models
+        if model.name != wanted.model
+    ]
+    model = engine.find(wanted.model)
+    if model is None or model.version != wanted.version or model.state == "failed":
+        steps.append(
+            EngineStep(
+                kind=StepKind.LOAD_MODEL,
+                model=wanted.model,
+                version=wanted.version,
+                weights=wanted.weights,
+            )
+        )
+        return tuple(steps)
+    steps += _adapter_steps(model, wanted)
+    if engine.role is not wanted.role:
+        steps.append(EngineStep(kind=StepKind.ROLE, role=wanted.role))
+    return tuple(steps)
+
+
+def _adapter_steps(model: EngineModel, wanted: Placement) -> list[EngineStep]:
+    have, want = set(model.adapters), set(wanted.adapters)
+    load, unload = StepKind.LOAD_ADAPTER, StepKind.UNLOAD_ADAPTER
+    return [
+        EngineStep(kind=kind, model=model.name, adapter=adapter)
+        for kind, adapters in ((load, want - have), (unload, have - want))
+        for adapter in sorted(adapters)
+    ]
+
+
+def decide(
+    state: OrderState, event: OrderEvent, now: float, validity: float = 10.0
+) -> Decision:
+    """Return what an agent does.
+
+    :param validity: how long a planner's word holds, in seconds
+    """
+    match event:
+        case Polled(fence):
+            if fence < state.fence:
+                return Decision(state, (Object(Objection.STALE_FENCE, state.fence),))
+            state = _follow(state, fence, now + validity)
+        case Ordered(order):
+            objection = _objection(state, order)
+            if objection is not None:
+                return Decision(state, (Object(objection, state.fence),))
+            state = _follow(state, order.fence, now + validity)
+            state = _want(state, order.placement)
+        case EngineSeen(engine):
+            state = dataclasses.replace(state, engine=engine, acting=False)
+            state = _note_failed_load(state, now)
+        case StepFailed(error):
+            state = _fail(state, error, now)
+        case StepStale(fence):
+            state = dataclasses.replace(
+                state, fence=max(state.fence, fence), wanted=None, acting=False
+            )
+    return _advance(state, isinstance(event, Idled), now)
+
+
+def _objection(state: OrderState, order: Order) -> Objection | None:
+    if order.agent != state.agent:
+        return Objection.STALE_INCARNATION
+    if order.fence < state.fence:
+        return Objection.STALE_FENCE
+    return None
+
+
+def _follow(state: OrderState, fence: int, valid_until: float) -> OrderState:
+    return dataclasses.replace(state, fence=fence, valid_until=valid_until)
+
+
+def _want(state: OrderState, placement: Placement) -> OrderState:
+    if placement == state.wanted:
+        return dataclasses.replace(state, parked=False, retry_at=0.0)
+    state = dataclasses.replace(state, parked=False)
+    return dataclasses.replace(
+        state, wanted=placement, failures=0, retry_at=0.0, error=""
+    )
+
+
+def _note_failed_load(state: OrderState, now: float) -> OrderState:
+    if state.wanted is None:
+        return state
+    model = state.engine.find(state.wanted.model)
+    if state.tried and model is not None and model.state == "failed":
+        engine = state.engine
+        state = _fail(state, model.error or "load failed", now)
+        return dataclasses.replace(state, engine=engine, tried=False, parked=True)
+    if state.settled and not state.engine.loading:
+        return dataclasses.replace(state, failures=0, error="", tried=False)
+    return state
+
+
+def _fail(state: OrderState, error: str, now: float) -> OrderState:
+    delay = min(BACKOFF_MAX, BACKOFF_MIN * 2**state.failures)
+    return dataclasses.replace(
+        state,
+        failures=state.failures + 1,
+        retry_at=now + delay,
+        error=error,
+        engine=None,
+        acting=False,
+    )
+
+
+def _advance(state: OrderState, idle: bool, now: float) -> Decision:
+    if state.acting or state.parked or state.engine is None:
+        return Decision(state)
+    steps = missing(state.engine, state.wanted) if state.wanted else ()
+    if state.engine.loading:
+        return Decision(state)  # a load in flight is not broken off
+    if not steps:
+        return _readmit(state)
+    if steps[0].disruptive and not state.withdrawn:
+        return Decision(dataclasses.replace(state, withdrawn=True), (Withdraw(),))
+    if steps[0].disruptive and not idle:
+        return Decision(state)
+    if now < state.retry_at or now >= state.valid_until:
+        return Decision(state)
+    tried = state.tried or steps[0].kind is StepKind.LOAD_MODEL
+    state = dataclasses.replace(state, acting=True, tried=tried, engine=None)
+    return Decision(state, (Act(steps[0], state.fence),))
+
+
+def _readmit(state: OrderState) -> Decision:
+    if not state.withdrawn:
+        return Decision(state)
+    return Decision(dataclasses.replace(state, withdrawn=False), (Readmit(),))
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,534 @@
+"""The planner: focused cases, and a stateful fuzz against an oracle."""
+
+import dataclasses
+import random
+import unittest
+
+from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from chicorycove.catalogue import (
+    Catalogue,
+    Model,
+    Service,
+    ServiceKind,
+    Target as TargetEntry,
+    Version,
+)
+from chicorycove.host import Host, HostState
+from chicorycove.identity import AgentId
+from chicorycove.order import EngineModel, EngineState, StepKind, missing
+from chicorycove.planner import (
+    RESTORE,
+    Planner,
+    PlannerSettings,
+    Report,
+    Target,
+)
+from chicorycove.rollout import Health, RolloutSettings
+
+FENCE = 7
+DOMAINS = "abc"
+SIZE = 100  # bytes of each version
+SETTINGS = PlannerSettings(
+    load_rate=100.0,
+    max_loads=2,
+    move_interval=20.0,
+    rollout=RolloutSettings(quiet=2.0, max_unavailable=0.5),
+)
+
+
+def model(name, version="1", floor=1, **fields):
+    versions = tuple(
+        Version(name=v, weights=f"{name}-{v}", size_bytes=SIZE) for v in "123"
+    )
+    return Model(
+        name=name,
+        owner="o",
+        service="s",
+        versions=versions,
+        version=version,
+        min_targets=floor,
+        **fields,
+    )
+
+
+def catalogue(*entries):
+    service = Service(name="s", owner="o", kind=ServiceKind.ENGINE)
+    return Catalogue.build([service, *entries], 1)
+
+
+class FakeTarget:
+    """An agent and engine that obey, a step of time later."""
+
+    def __init__(self, number, loaded=None, version="1"):
+        self.name = f"t{number:02}"
+        self.host = Host(
+            name=self.name,
+            agent="127.0.0.1:1",
+            region="r",
+            failure_domain=DOMAINS[number % len(DOMAINS)],
+        )
+        self.alive = True
+        self.models = ()
+        if loaded:
+            self.models = (EngineModel(loaded, version),)
+        self.wanted = None
+        self.withdrawn = False
+        self.demand = 0.0
+        self.fails = False
+        self.parked = False
+        self.failures = 0
+        self.health = Health()
+        self.load_left = 0
+        self.unseen = None  # an order on its way
+
+    @property
+    def loading(self):
+        return any(each.state == "loading" for each in self.models)
+
+    @property
+    def serving(self):
+        ready = [each for each in self.models if each.state == "ready"]
+        return ready[0].name if ready and not self.withdrawn and self.alive else None
+
+    def view(self):
+        if not self.alive:
+            return Target(self.host)
+        report = Report(
+            agent=AgentId(self.name, "i"),
+            fence=FENCE,
+            engine=EngineState(self.models),
+            wanted=self.wanted,
+            withdrawn=self.withdrawn,
+            demand=self.demand,
+            failures=self.failures,
+            parked=self.parked,
+            error="no such weights" if self.parked else "",
+            health=self.health,
+        )
+        return Target(self.host, report)
+
+    def disrupted_by(self, placement):
+        steps = missing(EngineState(self.models), placement)
+        return self.serving and any(step.disruptive for step in steps)
+
+    @property
+    def going(self):
+        """Tell whether an order that it has or will get ends its service."""
+        orders = [self.wanted, self.unseen and self.unseen[1]]
+        return any(self.disrupted_by(order) for order in orders if order)
+
+    def needs_load(self, placement):
+        steps = missing(EngineState(self.models), placement)
+        return any(step.kind is StepKind.LOAD_MODEL for step in steps)
+
+    def obey(self, now, load_time):
+        """Go on by a step."""
+        if not self.alive:
+            return
+        if self.unseen is not None and self.unseen[0] <= now:
+            self.wanted, self.unseen = self.unseen[1], None
+            self.parked = False
+        if self.loading:
+            self.load_left -= 1
+            if self.load_left <= 0:
+                self._end_load()
+            return
+        if self.wanted is None or self.parked:
+            return
+        steps = missing(EngineState(self.models), self.wanted)
+        if not steps:
+            self.withdrawn = False
+            return
+        if steps[0].disruptive and not self.withdrawn:
+            self.withdrawn = True
+            return
+        self._act(load_time)
+
+    def _act(self, load_time):
+        wanted = self.wanted
+        kept = [each for each in self.models if each.name == wanted.model]
+        if kept and kept[0].state == "ready" and kept[0].version == wanted.version:
+            self.models = (dataclasses.replace(kept[0], adapters=wanted.adapters),)
+            return
+        self.models = (
+            EngineModel(wanted.model, wanted.version, "loading", wanted.adapters),
+        )
+        self.load_left = load_time
+
+    def _end_load(self):
+        state = "failed" if self.fails else "ready"
+        self.models = (dataclasses.replace(self.models[0], state=state),)
+        if self.fails:
+            self.parked = True
+            self.failures += 1
+        else:
+            self.failures = 0
+
+
+class Fleet:
+    """Fake targets, a planner, and the oracle of what orders did."""
+
+    def __init__(self, targets, entries, plan_settings=SETTINGS, load_time=2):
+        self.targets = targets
+        self.catalogue = catalogue(*entries)
+        self.settings = plan_settings
+        self.planner = Planner(plan_settings, FENCE)
+        self.load_time = load_time
+        self.now = 0.0
+        self.moves = 0
+        self.plan = None
+        self.floor_breaches = []
+        self.delay = 0  # steps that an order is on its way
+        self.ordered_loads = []  # times
+        self.most_loading = 0
+
+    def serving(self, name):
+        """Count the targets that serve a model and are to go on with it."""
+        drained = {n for n, e in self.catalogue.targets.items() if e.drained}
+        return sum(
+            target.serving == name
+            and not target.going
+            and target.name not in drained
+            and target.host.state is HostState.LIVE
+            for target in self.targets
+        )
+
+    def check_floor(self, target, placement):
+        name = target.serving
+        floor = self.floors().get(name, 0)
+        if target.disrupted_by(placement) and self.serving(name) <= floor and floor:
+            self.floor_breaches.append((self.now, target.name, name))
+
+    def floors(self):
+        return {m.name: m.min_targets for m in self.catalogue.models.values()}
+
+    def step(self):
+        self.now += 1.0
+        self.plan = self.planner.plan(
+            self.catalogue, [target.view() for target in self.targets], self.now
+        )
+        by_name = {target.name: target for target in self.targets}
+        for move in self.plan.moves:
+            target = by_name[move.target]
+            self.check_floor(target, move.placement)
+            target.unseen = (self.now + self.delay, move.placement)
+            self.moves += 1
+            if target.needs_load(move.placement):
+                self.ordered_loads.append(self.now)
+        for target in self.targets:
+            target.obey(self.now, self.load_time)
+        loading = sum(target.loading for target in self.targets)
+        self.most_loading = max(self.most_loading, loading)
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.step()
+
+    def rest(self, limit=400):
+        """Run until nothing has been ordered or changed for a while."""
+        quiet = 0
+        for _ in range(limit):
+            self.step()
+            still = not self.plan.moves and not self.plan.waiting
+            still = still and not any(target.loading for target in self.targets)
+            quiet = quiet + 1 if still else 0
+            if quiet > 45:
+                return True
+        return False
+
+    def models(self):
+        return sorted(t.models[0].name for t in self.targets if t.alive and t.models)
+
+    def versions(self, name):
+        return {
+            each.version for t in self.targets for each in t.models if each.name == name
+        }
+
+
+class FillTest(unittest.TestCase):
+    def test_empty_targets_are_filled_and_spread(self):
+        fleet = Fleet([FakeTarget(n) for n in range(6)], [model("a"), model("b")])
+        self.assertTrue(fleet.rest())
+        self.assertEqual(fleet.models(), ["a"] * 3 + ["b"] * 3)
+        for name in "ab":
+            domains = {
+                t.host.failure_domain for t in fleet.targets if t.serving == name
+            }
+            self.assertEqual(domains, set(DOMAINS))
+
+    def test_lost_model_comes_first(self):
+        fleet = Fleet([FakeTarget(n) for n in range(4)], [model("a"), model("b")])
+        fleet.targets[0] = FakeTarget(0, "a")
+        fleet.step()
+        self.assertEqual(fleet.plan.moves[0].placement.model, "b")
+        self.assertEqual(fleet.plan.moves[0].urgency, RESTORE)
+
+    def test_placed_targets_stay(self):
+        targets = [FakeTarget(n, "ab"[n % 2]) for n in range(6)]
+        fleet = Fleet(targets, [model("a"), model("b")])
+        fleet.run(100)
+        self.assertEqual(fleet.moves, 0)
+
+    def test_new_model_takes_no_more_than_it_needs(self):
+        targets = [FakeTarget(n, "a") for n in range(6)]
+        fleet = Fleet(targets, [model("a"), model("b", floor=2)])
+        fleet.step()
+        self.assertEqual({move.urgency for move in fleet.plan.waiting}, {RESTORE})
+        self.assertTrue(fleet.rest())
+        self.assertGreaterEqual(fleet.models().count("b"), 2)
+        self.assertLessEqual(fleet.moves, 3)
+        self.assertEqual(fleet.floor_breaches, [])
+
+    def test_unmanaged_model_is_left_alone(self):
+        bare = Model(name="a", owner="o", service="s")
+        fleet = Fleet([FakeTarget(0, "a"), FakeTarget(1)], [bare])
+        fleet.run(10)
+        self.assertEqual(fleet.moves, 0)
+
+    def test_shortage_is_named(self):
+        fleet = Fleet([FakeTarget(0, "a")], [model("a", floor=3)])
+        fleet.step()
+        self.assertEqual([p.subject for p in fleet.plan.problems], ["model/a"])
+
+
+class RolloutTest(unittest.TestCase):
+    def fleet(self, count=4, floor=2, version="2", **fields):
+        targets = [FakeTarget(n, "a") for n in range(count)]
+        return Fleet(targets, [model("a", version, floor, **fields)])
+
+    def test_all_get_the_version_within_the_floor(self):
+        fleet = self.fleet()
+        self.assertTrue(fleet.rest())
+        self.assertEqual(fleet.versions("a"), {"2"})
+        self.assertEqual(fleet.floor_breaches, [])
+        self.assertEqual(fleet.plan.rollouts[0].state, "complete")
+
+    def test_one_target_goes_first(self):
+        fleet = self.fleet(8)
+        fleet.step()
+        self.assertEqual(len(fleet.plan.moves) + len(fleet.plan.waiting), 1)
+
+    def test_floor_that_stops_a_rollout_is_named(self):
+        fleet = self.fleet(2, floor=2)
+        fleet.run(50)
+        self.assertEqual(fleet.moves, 0)
+        self.assertEqual(fleet.plan.rollouts[0].state, "waiting")
+        self.assertIn("floor", fleet.plan.rollouts[0].cause)
+
+    def test_failing_requests_halt_it_until_the_catalogue_reverts(self):
+        fleet = self.fleet(6)
+        for target in fleet.targets:
+            target.health = Health(100, 0, 10.0)
+        while not any(t.serving and t.models[0].version == "2" for t in fleet.targets):
+            fleet.step()
+        for target in fleet.targets:
+            if target.models[0].version == "2":
+                target.health = Health(10, 10, 1.0)
+        fleet.run(60)
+        self.assertEqual(fleet.plan.rollouts[0].state, "halted")
+        self.assertIn("fail", fleet.plan.rollouts[0].cause)
+        self.assertLessEqual(sum(t.models[0].version == "2" for t in fleet.targets), 1)
+        fleet.catalogue = catalogue(model("a", "1", 2))
+        self.assertTrue(fleet.rest())
+        self.assertEqual(fleet.versions("a"), {"1"})
+
+    def test_slow_first_token_halts_it(self):
+        fleet = self.fleet(6)
+        for target in fleet.targets:
+            target.health = Health(100, 0, 10.0)
+        while not any(t.serving and t.models[0].version == "2" for t in fleet.targets):
+            fleet.step()
+        for target in fleet.targets:
+            if target.models[0].version == "2":
+                target.health = Health(100, 0, 60.0)
+        fleet.run(10)
+        self.assertIn("first token", fleet.plan.rollouts[0].cause)
+
+    def test_missing_weights_halt_it_with_a_clear_status(self):
+        fleet = self.fleet(6)
+        for target in fleet.targets:
+            target.fails = True
+        fleet.run(120)
+        self.assertEqual(fleet.plan.rollouts[0].state, "halted")
+        self.assertIn("no such weights", fleet.plan.rollouts[0].cause)
+        self.assertLessEqual(sum(t.serving is None for t in fleet.targets), 1)
+
+
+class DemandTest(unittest.TestCase):
+    def test_lasting_demand_moves_targets_one_by_one(self):
+        targets = [FakeTarget(n, "ab"[n % 2]) for n in range(12)]
+        fleet = Fleet(targets, [model("a"), model("b")])
+        for target in targets:
+            target.demand = 60.0 if target.models[0].name == "a" else 1.0
+        fleet.run(30)
+        self.assertLessEqual(fleet.moves, 2)
+        fleet.run(300)
+        self.assertGreater(fleet.models().count("a"), 8)
+        self.assertGreaterEqual(fleet.models().count("b"), 1)
+        self.assertEqual(fleet.floor_breaches, [])
+
+
+class StatusTest(unittest.TestCase):
+    def test_entry_of_a_target_that_nobody_reports(self):
+        fleet = Fleet(
+            [FakeTarget(0, "a")], [model("a"), TargetEntry(name="ghost", owner="o")]
+        )
+        fleet.step()
+        self.assertEqual(
+            [(p.subject, p.cause) for p in fleet.plan.problems],
+            [("target/ghost", "not in the host list")],
+        )
+
+    def test_reports_under_another_fence_are_not_planned_with(self):
+        fleet = Fleet([FakeTarget(0)], [model("a")])
+        planner = Planner(SETTINGS, FENCE + 1)
+        plan = planner.plan(fleet.catalogue, [t.view() for t in fleet.targets], 1.0)
+        self.assertEqual(plan.moves, ())
+
+
+class PlannerMachine(RuleBasedStateMachine):
+    """Orders never break a floor or the budget, and come to rest."""
+
+    @initialize(
+        count=st.integers(1, 9),
+        delay=st.integers(0, 3),
+        load_time=st.integers(1, 4),
+        loaded=st.lists(st.sampled_from(["a", "b", None]), min_size=9, max_size=9),
+    )
+    def begin(self, count, delay, load_time, loaded):
+        targets = [FakeTarget(n, loaded[n]) for n in range(count)]
+        self.entries = {"a": model("a", floor=1), "b": model("b", floor=2)}
+        self.fleet = Fleet(targets, self.entries.values(), load_time=load_time)
+        self.fleet.delay = delay
+
+    def apply(self):
+        self.fleet.catalogue = catalogue(*self.entries.values())
+
+    def pick(self, number):
+        return self.fleet.targets[number % len(self.fleet.targets)]
+
+    @rule(steps=st.integers(1, 12))
+    def run(self, steps):
+        self.fleet.run(steps)
+
+    @rule(name=st.sampled_from("ab"), version=st.sampled_from("123"))
+    def change_version(self, name, version):
+        self.entries[name] = dataclasses.replace(self.entries[name], version=version)
+        self.apply()
+
+    @rule(name=st.sampled_from("ab"), floor=st.integers(0, 3))
+    def change_floor(self, name, floor):
+        self.entries[name] = dataclasses.replace(self.entries[name], min_targets=floor)
+        self.apply()
+
+    @rule(name=st.sampled_from("ab"), adapters=st.sets(st.sampled_from("xy")))
+    def change_adapters(self, name, adapters):
+        self.entries[name] = dataclasses.replace(
+            self.entries[name], adapters=tuple(sorted(adapters))
+        )
+        self.apply()
+
+    @rule(number=st.integers(0, 8), drained=st.booleans())
+    def drain(self, number, drained):
+        name = self.pick(number).name
+        self.entries[name] = TargetEntry(name=name, owner="o", drained=drained)
+        self.apply()
+
+    @rule(number=st.integers(0, 8))
+    def die(self, number):
+        self.pick(number).alive = False
+
+    @rule(number=st.integers(0, 8))
+    def restart(self, number):
+        target = self.pick(number)
+        target.__init__(int(target.name[1:]))
+
+    @rule(number=st.integers(0, 8), leaving=st.booleans())
+    def leave(self, number, leaving):
+        target = self.pick(number)
+        state = HostState.LEAVING if leaving else HostState.LIVE
+        target.host = dataclasses.replace(target.host, state=state)
+
+    @rule(number=st.integers(0, 8), fails=st.booleans())
+    def break_weights(self, number, fails):
+        self.pick(number).fails = fails
+
+    @rule(demands=st.lists(st.floats(0, 100), min_size=9, max_size=9))
+    def demand(self, demands):
+        for target, demand in zip(self.fleet.targets, demands):
+            target.demand = demand
+
+    @rule()
+    def take_over(self):
+        """A new planner knows only what agents report."""
+        self.fleet.planner = Planner(SETTINGS, FENCE)
+        for target in self.fleet.targets:
+            target.unseen = None  # agents refuse what the old planner sent
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @rule()
+    def rest(self):
+        for target in self.fleet.targets:
+            target.fails = False
+        assert self.fleet.rest(), "orders do not come to rest"
+        usable = [t for t in self.fleet.targets if self.usable(t)]
+        for target in usable:
+            assert target.serving in self.entries, "a usable target has no model"
+        for rollout in self.fleet.plan.rollouts:
+            mine = [t for t in usable if t.serving == rollout.model]
+            versions = {t.models[0].version for t in mine}
+            if rollout.state == "complete":
+                assert versions <= {rollout.version}
+            else:
+                assert rollout.cause, rollout
+
+    def usable(self, target):
+        entry = self.entries.get(target.name)
+        drained = entry is not None and entry.drained
+        live = target.host.state is HostState.LIVE
+        return target.alive and live and not drained
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @invariant()
+    def floor_is_kept(self):
+        assert self.fleet.floor_breaches == []
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @invariant()
+    def budget_is_kept(self):
+        assert self.fleet.most_loading <= SETTINGS.max_loads
+        pace = SIZE / SETTINGS.load_rate
+        ordered = self.fleet.ordered_loads
+        for first, second in zip(ordered, ordered[1:]):
+            assert second - first >= pace
+
+
+PlannerMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+PlannerFuzzTest = PlannerMachine.TestCase
+
+
+class NoiseTest(unittest.TestCase):
+    def test_noisy_load_moves_nothing(self):
+        rng = random.Random(1)
+        targets = [FakeTarget(n, "ab"[n % 2]) for n in range(12)]
+        fleet = Fleet(targets, [model("a"), model("b")])
+        for _ in range(2000):
+            for target in targets:
+                target.demand = max(0.0, rng.gauss(20, 15))
+            fleet.step()
+        self.assertEqual(fleet.moves, 0)
