--- a/src/chicorycove/order.py
+++ b/src/chicorycove/order.py
@@ -199,11 +199,12 @@
     agent: AgentId
     fence: int = 0
     wanted: Placement | None = None
+    order_fence: int = 0  # of the planner that wanted it
     engine: EngineState | None = None  # None until read since the last step
     withdrawn: bool = False
     acting: bool = False
     tried: bool = False  # a load, whose failure is not counted yet
-    parked: bool = False  # after a failed load, until ordered again
+    parked: bool = False  # after a failed load or takeover, until ordered again
     valid_until: float = 0.0
     failures: int = 0
     retry_at: float = 0.0
@@ -275,7 +276,7 @@
             if objection is not None:
                 return Decision(state, (Object(objection, state.fence),))
             state = _follow(state, order.fence, now + validity)
-            state = _want(state, order.placement)
+            state = _want(state, order)
         case EngineSeen(engine):
             state = dataclasses.replace(state, engine=engine, acting=False)
             state = _note_failed_load(state, now)
@@ -300,13 +301,13 @@
     return dataclasses.replace(state, fence=fence, valid_until=valid_until)
 
 
-def _want(state: OrderState, placement: Placement) -> OrderState:
-    if placement == state.wanted:
-        return dataclasses.replace(state, parked=False, retry_at=0.0)
-    state = dataclasses.replace(state, parked=False)
-    return dataclasses.replace(
-        state, wanted=placement, failures=0, retry_at=0.0, error=""
+def _want(state: OrderState, order: Order) -> OrderState:
+    state = dataclasses.replace(
+        state, order_fence=order.fence, parked=False, retry_at=0.0
     )
+    if order.placement == state.wanted:
+        return state
+    return dataclasses.replace(state, wanted=order.placement, failures=0, error="")
 
 
 def _note_failed_load(state: OrderState, now: float) -> OrderState:
@@ -335,13 +336,16 @@
 
 
 def _advance(state: OrderState, idle: bool, now: float) -> Decision:
-    if state.acting or state.parked or state.engine is None:
+    if state.acting or state.engine is None:
         return Decision(state)
     steps = missing(state.engine, state.wanted) if state.wanted else ()
     if state.engine.loading:
         return Decision(state)  # a load in flight is not broken off
     if not steps:
         return _readmit(state)
+    if state.parked or state.order_fence < state.fence:
+        # An earlier planner's order waits until the new one repeats it.
+        return Decision(dataclasses.replace(state, parked=True))
     if steps[0].disruptive and not state.withdrawn:
         return Decision(dataclasses.replace(state, withdrawn=True), (Withdraw(),))
     if steps[0].disruptive and not idle:
@@ -350,10 +354,11 @@
         return Decision(state)
     tried = state.tried or steps[0].kind is StepKind.LOAD_MODEL
     state = dataclasses.replace(state, acting=True, tried=tried, engine=None)
-    return Decision(state, (Act(steps[0], state.fence),))
+    return Decision(state, (Act(steps[0], state.order_fence),))
 
 
 def _readmit(state: OrderState) -> Decision:
     if not state.withdrawn:
-        return Decision(state)
-    return Decision(dataclasses.replace(state, withdrawn=False), (Readmit(),))
+        return Decision(dataclasses.replace(state, parked=False))
+    state = dataclasses.replace(state, withdrawn=False, parked=False)
+    return Decision(state, (Readmit(),))
--- a/src/chicorycove/planner.py
+++ b/src/chicorycove/planner.py
@@ -44,7 +44,7 @@
     withdrawn: bool = False
     demand: float = 0.0  # requests running and queued
     failures: int = 0
-    parked: bool = False  # after a failed load, until ordered again
+    parked: bool = False  # after a failed load or takeover, until ordered again
     error: str = ""
     health: Health = Health()
 
@@ -382,14 +382,21 @@
                 self._board.failed_at.pop(slot.name, None)
                 continue
             since = self._board.failed_at.setdefault(slot.name, self._now)
-            delay = self._settings.retry_min * 2 ** min(report.failures - 1, 10)
-            due = since + min(delay, self._settings.retry_max)
+            due = since + self._retry_delay(report.failures)
             if slot.in_flight or slot.name in self._taken or self._now < due:
                 continue
             del self._board.failed_at[slot.name]
             cause = f"its load failed: {report.error}"
+            if not report.failures:
+                cause = "its order is an earlier planner's"
             self._move(slot, self._placement(slot.model), self._need(slot.model), cause)
 
+    def _retry_delay(self, failures: int) -> float:
+        if not failures:
+            return 0.0
+        delay = self._settings.retry_min * 2 ** min(failures - 1, 10)
+        return min(delay, self._settings.retry_max)
+
     def _neediest(self, wanted: dict[str, int]) -> str:
         return min(
             self._models,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -376,6 +376,27 @@
         self.assertEqual(fleet.floor_breaches, [])
 
 
+class TakeoverTest(unittest.TestCase):
+    def test_loads_in_flight_count_against_the_budget(self):
+        targets = [FakeTarget(n) for n in range(3)]
+        fleet = Fleet(targets, [model("a")], load_time=50)
+        targets[0].models = (EngineModel("a", "1", "loading"),)
+        fleet.step()
+        self.assertEqual(fleet.plan.moves, ())
+        self.assertEqual(len(fleet.plan.waiting), 2)
+
+    def test_order_of_an_earlier_planner_is_repeated(self):
+        target = FakeTarget(0)
+        fleet = Fleet([target], [model("a")])
+        target.wanted = (
+            fleet.planner.plan(fleet.catalogue, [target.view()], 0.0).moves[0].placement
+        )
+        target.parked = True
+        fleet.planner = Planner(SETTINGS, FENCE)
+        self.assertTrue(fleet.rest())
+        self.assertEqual(target.serving, "a")
+
+
 class StatusTest(unittest.TestCase):
     def test_entry_of_a_target_that_nobody_reports(self):
         fleet = Fleet(
@@ -523,6 +544,16 @@
 
 
 class NoiseTest(unittest.TestCase):
+    def test_a_few_requests_move_nothing(self):
+        rng = random.Random(2)
+        targets = [FakeTarget(n, "ab"[n % 2]) for n in range(12)]
+        fleet = Fleet(targets, [model("a"), model("b")])
+        for _ in range(2000):
+            for target in targets:
+                target.demand = 1.0 if rng.random() < 0.02 else 0.0
+            fleet.step()
+        self.assertEqual(fleet.moves, 0)
+
     def test_noisy_load_moves_nothing(self):
         rng = random.Random(1)
         targets = [FakeTarget(n, "ab"[n % 2]) for n in range(12)]
