Run membership and dissemination between processes

Cause: the decisions of membership and dissemination had no adapter. Change: peer.py (UDP for probes, beats and rosters, gRPC for pushes, pulls and counts, one address), PeerSettings, the entry's gate on staleness (not_ready when out of touch), the registry watches the store only where this entry is a watcher, a first catalogue is stored later if the store is down at the start. Conclusion: a change comes to all over sockets; agents' process follows.

--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -92,6 +92,7 @@
         self._known_hosts: tuple[Host, ...] = ()
         self._tasks: set[asyncio.Task] = set()
         self._dispatcher = self._build()
+        self._may_serve: t.Callable[[], bool] = lambda: True
 
     @property
     def clock(self) -> Clock:
@@ -106,7 +107,13 @@
     @property
     def ready(self) -> bool:
         """Tell whether the entry takes new requests."""
-        return not self._board.stopping and bool(self._board.catalogue.revision)
+        read = bool(self._board.catalogue.revision)
+        return not self._board.stopping and read and self.in_touch
+
+    @property
+    def in_touch(self) -> bool:
+        """Tell whether no catalogue change can have passed the entry by."""
+        return self._may_serve()
 
     @property
     def busy(self) -> bool:
@@ -118,6 +125,10 @@
         """Return the state that decisions read."""
         return self._board
 
+    def guard(self, may_serve: t.Callable[[], bool]) -> None:
+        """Take new requests only while a condition holds."""
+        self._may_serve = may_serve
+
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Put a catalogue in force, unless a later one already is."""
         if catalogue.revision > self._board.catalogue.revision:
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -9,11 +9,13 @@
 from .catalogue import Entry
 from .clock import Clock
 from .entry import Entry as EntryRole
-from .exceptions import SettingsError
+from .exceptions import PlatformError, SettingsError
 from .front import Front
 from .listener import Listener, listen
 from .log import LOGGER
+from .membership import Role as PeerRole
 from .metric import Metrics
+from .peer import EntryNode, Identity
 from .platform.hosts import HostList
 from .platform.store import EtcdStore
 from .registry import Registry
@@ -21,6 +23,7 @@
 from .settings import Settings
 
 STOP_POLL = 0.05  # seconds
+SEED_DELAY = 0.5  # seconds between attempts to store a first catalogue
 
 
 def read_entries(path: str) -> tuple[Entry, ...]:
@@ -49,6 +52,7 @@
         )
         self._registry = Registry(self._store, settings.name)
         self._registry.subscribe(self._entry.set_catalogue)
+        self._node = self._create_node()
         self._listener: Listener | None = None
         self._follower: asyncio.Task | None = None
 
@@ -76,13 +80,45 @@
             *Administration(self._registry).routes(),
             *probe.routes(self._metrics, lambda: self._entry.ready),
         ]
+        if self._node is not None:
+            await self._node.start()
         self._entry.start()
+        entries: tuple[Entry, ...] = ()
         if settings.seed_catalogue is not None:
-            await self._registry.seed(read_entries(settings.seed_catalogue))
-        self._follower = asyncio.create_task(self._registry.follow())
+            entries = read_entries(settings.seed_catalogue)
+        seeded = await self._seed(entries)
+        self._follower = asyncio.create_task(self._follow(() if seeded else entries))
         self._listener = await listen(create_app(routes), settings.listen)
         LOGGER.info("entry listens on %s", self._listener.address)
 
+    def _create_node(self) -> EntryNode | None:
+        settings = self._settings
+        if settings.peer is None:
+            return None
+        identity = Identity(
+            settings.name, PeerRole.ENTRY, settings.region, settings.failure_domain
+        )
+        node = EntryNode(identity, settings.peer, self._registry.install)
+        self._registry.spreader = node
+        self._entry.guard(node.may_serve)
+        return node
+
+    async def _seed(self, entries: tuple[Entry, ...]) -> bool:
+        """Put a first catalogue in force, if the store answers."""
+        if not entries:
+            return True
+        try:
+            await self._registry.seed(entries)
+        except PlatformError as error:
+            LOGGER.warning("first catalogue not stored yet: %s", error)
+            return False
+        return True
+
+    async def _follow(self, entries: tuple[Entry, ...]) -> None:
+        while not await self._seed(entries):
+            await asyncio.sleep(SEED_DELAY)
+        await self._registry.follow()
+
     async def stop(self) -> None:
         """Take no new requests, finish what there is, and close."""
         self._entry.stop()
@@ -100,6 +136,8 @@
             await self._listener.close()
         if self._follower is not None:
             self._follower.cancel()
+        if self._node is not None:
+            await self._node.close()
         await self._entry.close()
         await self._store.close()
         await self._hosts.close()
--- a/src/chicorycove/front.py
+++ b/src/chicorycove/front.py
@@ -177,6 +177,8 @@
     def _authenticate(self, http: HttpRequest) -> Workspace:
         if not self._entry.catalogue.revision:
             raise Refusal(Reason.NOT_READY, "no catalogue has been read yet")
+        if not self._entry.in_touch:
+            raise Refusal(Reason.NOT_READY, "no contact with most entries or the store")
         scheme, _, key = http.headers.get("authorization", "").partition(" ")
         workspace = self._keys.find(self._entry.catalogue, key.strip())
         if scheme.lower() != "bearer" or workspace is None:
--- a/src/chicorycove/membership.py
+++ b/src/chicorycove/membership.py
@@ -120,7 +120,12 @@
     """The entries as one entry knows them."""
 
     def __init__(
-        self, me: Member, seeds: t.Iterable[Member], seed: int, now: float
+        self,
+        me: Member,
+        seeds: t.Iterable[Member],
+        seed: int,
+        now: float,
+        addresses: tuple[str, ...] = (),
     ) -> None:
         self.me = me
         self.members: dict[str, Member] = {me.name: me}
@@ -133,7 +138,8 @@
         self._poll: _Poll | None = None
         self._next_round = now + self._random.random() * PERIOD
         self._next_reclaim = now + RECLAIM_PERIOD
-        self._contact_at = now  # with a majority
+        self._addresses = addresses  # of entries whose names are not known
+        self._contact_at = -math.inf if addresses else now  # with a majority
         self._store_at = -math.inf  # the store was read by me or a peer then
         for member in seeds:
             self._learn(member, now)
@@ -147,6 +153,7 @@
             for name in self._next_targets():
                 tells.append(self._ping(self.members[name], now))
             tells += self._reclaim(now)
+            tells += self._greet(now)
         return tells
 
     def receive(self, probe: Probe, now: float) -> list[Tell]:
@@ -328,6 +335,20 @@
                 del self.members[name]
                 self._updates.pop(name, None)
 
+    @property
+    def _alone(self) -> bool:
+        """Tell whether this entry has yet to meet any other."""
+        return bool(self._addresses) and len(self.members) == 1
+
+    def _greet(self, now: float) -> list[Tell]:
+        """Ping entries of which only the address is known."""
+        if not self._alone:
+            return []
+        return [
+            Tell("", address, Probe(ProbeKind.PING, 0, self.me))
+            for address in self._addresses
+        ]
+
     def _reclaim(self, now: float) -> list[Tell]:
         if now < self._next_reclaim:
             return []
@@ -363,6 +384,8 @@
         return self._start_poll(now)
 
     def _is_majority(self, poll: _Poll) -> bool:
+        if self._alone:
+            return False
         asked = len(poll.asked) + 1
         reached = len(poll.asked & poll.answered) + 1
         if 2 * reached != asked:
--- /dev/null
+++ b/src/chicorycove/peer.py
@@ -0,0 +1,314 @@
+"""Carries messages between peers: datagrams for probes, gRPC for the rest."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+import typing as t
+
+import grpc
+
+from . import codec
+from .change import Change, State
+from .conversion import Address
+from .dissemination import (
+    SPREAD_TIMEOUT,
+    AgentPeer,
+    Beat,
+    Command,
+    EntryPeer,
+    Install,
+    Message,
+    Roster,
+    Spread,
+)
+from .log import LOGGER
+from .membership import Member, Membership, Probe, Role, Tell
+from .registry import Laggard, ProcessStatus, Spread as SpreadReport
+from .settings import PeerSettings
+from .wire import peer_pb2 as pb, peer_pb2_grpc
+
+TICK = 0.1  # seconds
+MAX_DATAGRAM = 8192  # bytes; what is larger goes by gRPC
+MAX_CHANNELS = 128
+CALL_TIMEOUT = 1.0  # seconds
+MAX_MESSAGE = 16 * 1024 * 1024  # bytes
+GRACE = 0.2  # seconds for calls at hand when the transport closes
+
+
+class Transport(asyncio.DatagramProtocol, peer_pb2_grpc.PeerServicer):
+    """Sends and receives messages on one address, by UDP and by TCP."""
+
+    def __init__(self, receive: t.Callable[[Message], None]) -> None:
+        self._receive = receive
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._server: grpc.aio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
+            collections.OrderedDict()
+        )
+        self.address = ""
+
+    async def start(self, address: Address) -> None:
+        """Listen; port 0 picks one.
+
+        :raises OSError: if the address cannot be listened on
+        """
+        options = [
+            ("grpc.max_receive_message_length", MAX_MESSAGE),
+            ("grpc.so_reuseport", 0),
+        ]
+        self._server = grpc.aio.server(options=options)
+        peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
+        port = self._server.add_insecure_port(f"{address.host}:{address.port}")
+        if not port:
+            raise OSError(f"cannot listen on {address.host}:{address.port}")
+        await self._server.start()
+        loop = asyncio.get_running_loop()
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, port)
+        )
+        self.address = f"{address.host}:{port}"
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message; it may be lost."""
+        wire = codec.encode(message)
+        if isinstance(message, (Probe, Beat, Roster)):
+            octets = wire.SerializeToString()
+            if len(octets) <= MAX_DATAGRAM:
+                host, _, port = address.rpartition(":")
+                self._datagrams.sendto(octets, (host, int(port)))
+                return
+        task = asyncio.create_task(self._call(address, wire))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Stop listening and drop what is not yet sent."""
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=GRACE)
+        self._datagrams.close()
+        await self._server.stop(GRACE)
+        for channel in self._channels.values():
+            await channel.close()
+
+    def datagram_received(self, data: bytes, addr: t.Any) -> None:
+        """Take a datagram in, unless it is malformed."""
+        try:
+            message = codec.decode(pb.PeerMessage.FromString(data))
+        except Exception as error:  # whatever a stranger's octets lead to
+            LOGGER.warning("malformed datagram from a peer: %s", error)
+            return
+        self._receive(message)
+
+    async def Deliver(self, request, context) -> pb.PeerAnswer:
+        """Take messages in."""
+        for wire in request.messages:
+            self._receive(codec.decode(wire))
+        return pb.PeerAnswer()
+
+    async def _call(self, address: str, wire: pb.PeerMessage) -> None:
+        stub = peer_pb2_grpc.PeerStub(self._channel(address))
+        try:
+            await stub.Deliver(pb.PeerBatch(messages=[wire]), timeout=CALL_TIMEOUT)
+        except grpc.aio.AioRpcError as error:
+            LOGGER.debug("message to peer %s lost: %s", address, error.code())
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            options = [
+                ("grpc.max_reconnect_backoff_ms", 1000),
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.use_local_subchannel_pool", 1),
+            ]
+            channel = grpc.aio.insecure_channel(address, options=options)
+        self._channels[address] = channel
+        if len(self._channels) > MAX_CHANNELS:
+            _, oldest = self._channels.popitem(last=False)
+            asyncio.create_task(oldest.close())
+        return channel
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """What a process says of itself."""
+
+    name: str
+    role: Role
+    region: str
+    failure_domain: str
+
+    def member(self, address: str) -> Member:
+        """Return the process as a member, in a new incarnation."""
+        incarnation = time.time_ns() // 1_000_000
+        return Member(
+            self.name,
+            address,
+            self.role,
+            self.region,
+            self.failure_domain,
+            incarnation,
+        )
+
+
+class _Node:
+    """Runs the decisions of a peer."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: PeerSettings,
+        install: t.Callable[[State, tuple[Change, ...]], t.Any],
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._install = install
+        self._transport = Transport(self._receive)
+        self._peer: EntryPeer | AgentPeer | None = None
+        self._ticker: asyncio.Task | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address that peers reach this process at."""
+        return self._transport.address
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self._peer.revision if self._peer is not None else 0
+
+    async def start(self) -> None:
+        """Listen, and make contact.
+
+        :raises OSError: if the address cannot be listened on
+        """
+        await self._transport.start(self._settings.listen)
+        self._peer = self._create_peer(self._identity.member(self.address))
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def close(self) -> None:
+        """Take leave of the peers and stop listening."""
+        if self._ticker is None:
+            return
+        self._ticker.cancel()
+        self._leave()
+        await self._transport.close()
+
+    def _create_peer(self, me: Member) -> EntryPeer | AgentPeer:
+        raise NotImplementedError
+
+    def _leave(self) -> None:
+        raise NotImplementedError
+
+    async def _tick(self) -> None:
+        while True:
+            self._carry_out(self._peer.tick(time.monotonic()))
+            await asyncio.sleep(TICK)
+
+    def _receive(self, message: Message) -> None:
+        if self._peer is not None:
+            self._carry_out(self._peer.receive(message, time.monotonic()))
+
+    def _carry_out(self, commands: t.Iterable[Command]) -> None:
+        for command in commands:
+            match command:
+                case Tell(address=address, message=message):
+                    self._transport.send(address, message)
+                case Install(state=state, changes=changes):
+                    self._install(state, changes)
+                case Spread():
+                    self._note_spread(command)
+
+    def _note_spread(self, spread: Spread) -> None:
+        pass
+
+
+class AgentNode(_Node):
+    """An agent among its peers."""
+
+    def _create_peer(self, me: Member) -> AgentPeer:
+        return AgentPeer(me, _placeholders(self._settings.seeds), time.monotonic())
+
+    def _leave(self) -> None:
+        self._carry_out(self._peer.leave(time.monotonic()))
+
+
+class EntryNode(_Node):
+    """An entry among its peers; spreads what its registry accepts."""
+
+    def __init__(self, *args: t.Any) -> None:
+        super().__init__(*args)
+        self._waiting: dict[int, asyncio.Future[Spread]] = {}
+
+    async def spread(self, change: Change, state: State) -> SpreadReport:
+        """Push a change, and return when it is in force or time is up."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[state.revision] = future
+        now = time.monotonic()
+        self._carry_out(self._peer.accepted((change,), state, now))
+        try:
+            spread = await asyncio.wait_for(future, SPREAD_TIMEOUT + 2 * TICK)
+        except TimeoutError:
+            spread = Spread(state.revision, 1, ())
+        laggards = tuple(
+            Laggard(each.name, each.revision, each.cause) for each in spread.laggards
+        )
+        done = future.done() and not future.cancelled() and not laggards
+        in_force_at = time.time() if done else None
+        return SpreadReport(change.revision, spread.members, in_force_at, laggards)
+
+    def status(self) -> tuple[ProcessStatus, ...]:
+        """Return what is known of every entry and of the agents attached."""
+        members = [
+            *self._peer.membership.members.values(),
+            *self._peer.agents.values(),
+        ]
+        return tuple(
+            ProcessStatus(
+                m.name,
+                m.role.value,
+                m.failure_domain,
+                m.state.name.lower(),
+                m.incarnation,
+                m.revision,
+            )
+            for m in sorted(members, key=lambda m: (m.role.value, m.name))
+        )
+
+    def may_accept(self) -> bool:
+        """Tell whether this entry may accept changes."""
+        return self._peer.membership.in_majority(time.monotonic())
+
+    def may_serve(self) -> bool:
+        """Tell whether no accepted change can have passed this entry by."""
+        return self._peer.membership.may_serve(time.monotonic())
+
+    def watches(self) -> bool:
+        """Tell whether this process is to watch the store."""
+        return self._peer.membership.watches(time.monotonic())
+
+    def store_read(self, changes: tuple[Change, ...], state: State) -> None:
+        """Note that the store was read and what it holds."""
+        now = time.monotonic()
+        self._peer.membership.store_read(now)
+        self._carry_out(self._peer.stored(changes, state, now))
+
+    def _create_peer(self, me: Member) -> EntryPeer:
+        seed = random.SystemRandom().getrandbits(64)
+        seeds = tuple(s for s in self._settings.seeds if s != self.address)
+        return EntryPeer(Membership(me, (), seed, time.monotonic(), seeds))
+
+    def _leave(self) -> None:
+        self._carry_out(self._peer.membership.leave(time.monotonic()))
+
+    def _note_spread(self, spread: Spread) -> None:
+        future = self._waiting.pop(spread.revision, None)
+        if future is not None and not future.done():
+            future.set_result(spread)
+
+
+def _placeholders(addresses: t.Iterable[str]) -> tuple[Member, ...]:
+    """Return members of which only the address is known."""
+    return tuple(Member(a, a, Role.ENTRY, "", "") for a in addresses)
--- a/src/chicorycove/registry.py
+++ b/src/chicorycove/registry.py
@@ -12,12 +12,13 @@
 from .catalogue import Catalogue, Entry, Operator, entry_id, key_digest
 from .change import Change, Edit, Proposal, State, check_grants, prepare, revert
 from .event import Found, Lost, StoreResult, Swapped, Unavailable, Unknown
-from .exceptions import StoreUnavailable, UnknownChangeError
+from .exceptions import PlatformError, StoreUnavailable, UnknownChangeError
 
 log = logging.getLogger(__name__)
 
 MAX_KEPT = 1000  # changes in memory
 WATCH_DELAY = 0.5  # seconds between tries of a broken watch
+READ_PERIOD = 1.0  # seconds between reads beside a watch
 BOOTSTRAP = "bootstrap"
 
 T = t.TypeVar("T")
@@ -84,6 +85,12 @@
     def may_accept(self) -> bool:
         """Tell whether this process may accept changes."""
 
+    def watches(self) -> bool:
+        """Tell whether this process is to watch the store."""
+
+    def store_read(self, changes: tuple[Change, ...], state: State) -> None:
+        """Note that the store was read and what it holds."""
+
 
 async def run(calls: commit.Calls[T], store: Store) -> T:
     """Carry out the calls that a generator yields."""
@@ -165,6 +172,8 @@
         """
         stored = await run(commit.load(self._state), self._store)
         self.install(stored.state, stored.changes)
+        if self.spreader is not None:
+            self.spreader.store_read(stored.changes, stored.state)
 
     async def seed(self, entries: t.Iterable[Entry]) -> None:
         """Commit a first catalogue if there is none yet.
@@ -187,16 +196,33 @@
         await self._commit(proposal)
 
     async def follow(self) -> None:
-        """Keep up with the store until cancelled."""
+        """Keep up with the store, while it is this process's part."""
         while True:
-            try:
-                await self.load()
-                async for _ in self._store.watch(commit.HEAD_KEY, 0):
-                    await self.load()
-            except StoreUnavailable as error:
-                log.warning("store unavailable", extra={"cause": str(error)})
+            if self.spreader is None or self.spreader.watches():
+                await self._follow_once()
             await asyncio.sleep(WATCH_DELAY)
 
+    async def _follow_once(self) -> None:
+        """Watch the store until it fails or others are to watch it."""
+        watcher = asyncio.create_task(self._watch())
+        try:
+            while not watcher.done():
+                await self.load()
+                await asyncio.wait([watcher], timeout=READ_PERIOD)
+                if self.spreader is not None and not self.spreader.watches():
+                    return
+        except StoreUnavailable as error:
+            log.warning("store unavailable", extra={"cause": str(error)})
+        finally:
+            watcher.cancel()
+
+    async def _watch(self) -> None:
+        try:
+            async for _ in self._store.watch(commit.HEAD_KEY, 0):
+                await self.load()
+        except PlatformError as error:
+            log.warning("watch ended", extra={"cause": str(error)})
+
     def proposal(
         self,
         operator: Operator,
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -56,6 +56,14 @@
     hosts_interval: float = 1.0
 
 
+@frozen
+class PeerSettings:
+    """Where a process meets its peers: by UDP and TCP on one address."""
+
+    listen: Address
+    seeds: tuple[Address, ...] = ()  # of entries, to make first contact
+
+
 @frozen
 class EntrySettings:
     """Settings of an entry; times are in seconds, sizes in bytes."""
@@ -121,6 +129,7 @@
     failure_domain: str = "local"
     log: LogSettings = LogSettings()
     platform: PlatformSettings | None = None
+    peer: PeerSettings | None = None
     entry: EntrySettings | None = None
     agent: AgentSettings | None = None
     local: LocalSettings | None = None
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,6 +29,7 @@
     "log",
     "metric",
     "outbox",
+    "peer",
     "probe",
     "registry",
     "session",
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,161 @@
+"""Peers over UDP and gRPC on loopback, with a store in a dictionary."""
+
+import asyncio
+import unittest
+
+from chicorycove.catalogue import EntryId, Operator, Target, key_digest
+from chicorycove.change import Edit
+from chicorycove.conversion import Address
+from chicorycove.exceptions import StoreUnavailable
+from chicorycove.membership import Role
+from chicorycove.peer import AgentNode, EntryNode, Identity
+from chicorycove.registry import Registry
+from chicorycove.settings import PeerSettings
+
+from .store import AsyncStore, DictStore
+
+ANY_PORT = Address("127.0.0.1:0")
+TIMEOUT = 30.0  # seconds
+OPERATOR = Operator(
+    name="op", owner="board", grants=("*/*",), key_digests=(key_digest("k"),)
+)
+
+
+async def wait_for(condition):
+    """Wait until a condition holds.
+
+    :raises TimeoutError: if it does not
+    """
+    async with asyncio.timeout(TIMEOUT):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+class Process:
+    """An entry's registry and node."""
+
+    def __init__(self, name, store, seeds):
+        self.registry = Registry(AsyncStore(store), name)
+        identity = Identity(name, Role.ENTRY, "r", "d" + name[-1])
+        settings = PeerSettings(listen=ANY_PORT, seeds=seeds)
+        self.node = EntryNode(identity, settings, self.registry.install)
+        self.registry.spreader = self.node
+        self._follower = None
+
+    async def start(self):
+        await self.node.start()
+        self._follower = asyncio.create_task(self.registry.follow())
+
+    async def close(self):
+        self._follower.cancel()
+        await self.node.close()
+
+
+class PeerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = DictStore()
+        self.entries = []
+        self.agents = []
+        for number in range(3):
+            await self.start_entry(f"entry-{number}")
+        for number in range(4):
+            await self.start_agent(f"agent-{number}")
+        await wait_for(lambda: all(len(p.node.status()) > 2 for p in self.entries))
+        await wait_for(lambda: self.attached() == 4)
+        await wait_for(lambda: all(p.node.may_accept() for p in self.entries))
+
+    async def asyncTearDown(self):
+        for each in (*self.agents, *self.entries):
+            await each.close()
+
+    @property
+    def seeds(self):
+        return tuple(Address(p.node.address) for p in self.entries)
+
+    async def start_entry(self, name):
+        process = Process(name, self.store, self.seeds[:1])
+        await process.start()
+        self.entries.append(process)
+        return process
+
+    async def start_agent(self, name):
+        identity = Identity(name, Role.AGENT, "r", "d" + name[-1])
+        settings = PeerSettings(listen=ANY_PORT, seeds=self.seeds)
+        node = AgentNode(identity, settings, lambda state, changes: None)
+        await node.start()
+        self.agents.append(node)
+
+    def attached(self):
+        """Return how many agents are attached to the entries."""
+        rows = [row for p in self.entries for row in p.node.status()]
+        return sum(row.role == "agent" for row in rows)
+
+    async def apply(self, owner, process=None):
+        """Apply a change at an entry, and return how far it has spread."""
+        process = process or self.entries[0]
+        entry = Target(name="t", owner=owner)
+        edits = (Edit(id=EntryId("target", "t"), entry=entry),)
+        proposal = process.registry.proposal(OPERATOR, "r", edits)
+        change = await process.registry.apply(OPERATOR, proposal)
+        return await process.registry.spread(change)
+
+    async def test_a_change_is_in_force_everywhere(self):
+        for process in self.entries:
+            spread = await self.apply(process.node.address, process)
+            self.assertEqual((spread.members, spread.laggards), (7, ()))
+            revisions = {p.registry.current.revision for p in self.entries}
+            revisions |= {agent.revision for agent in self.agents}
+            self.assertEqual(revisions, {spread.revision})
+
+    async def test_store_calls_do_not_grow_with_agents(self):
+        await self.apply("a")
+        self.store.calls = 0
+        await asyncio.sleep(0.5)
+        before = self.store.calls
+        for number in range(4, 8):
+            await self.start_agent(f"agent-{number}")
+        await wait_for(lambda: self.attached() == 8)
+        self.assertEqual((await self.apply("b")).members, 11)
+        self.assertGreater(before, 0)
+
+    async def test_a_restart_with_the_store_down_learns_from_peers(self):
+        await self.apply("a")
+        process = self.entries.pop()
+        await process.close()
+        self.store.down = True
+        process = await self.start_entry("entry-2")
+        await wait_for(lambda: process.registry.current.revision == 1)
+        await wait_for(process.node.may_serve)
+        with self.assertRaises(StoreUnavailable):
+            await self.apply("b")
+        self.store.down = False
+        spread = await self.apply("c")
+        self.assertEqual(spread.laggards, ())
+
+    async def test_a_stopped_entry_is_not_waited_for(self):
+        process = self.entries.pop()
+        await process.close()
+        await wait_for(lambda: self.attached() == 4)
+        spread = await self.apply("a")
+        self.assertEqual((spread.members, spread.laggards), (6, ()))
+
+
+class AloneTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_entry_without_store_or_peers_does_not_serve(self):
+        store = DictStore()
+        store.down = True
+        process = Process("entry-0", store, (Address("127.0.0.1:9"),))
+        await process.start()
+        await asyncio.sleep(1)
+        self.assertFalse(process.node.may_serve())
+        store.down = False
+        await wait_for(process.node.may_serve)
+        await process.close()
+
+    async def test_malformed_datagrams_are_dropped(self):
+        process = Process("entry-0", DictStore(), ())
+        await process.start()
+        for octets in (b"", b"x", b"\x0a\x02\x08\x63", bytes(range(256))):
+            process.node._transport.datagram_received(octets, None)
+        self.assertTrue(process.node.may_serve())
+        await process.close()
