--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -55,7 +55,7 @@
             Settings(
                 role=Role.ENTRY,
                 name=self._settings.name,
-                entry=EntrySettings(listen=local.listen),
+                entry=EntrySettings(listen=local.listen, max_body=local.max_body),
                 platform=PlatformSettings(
                     store=Address(store_server.address),
                     hosts=Address(host_server.address),
@@ -96,6 +96,7 @@
         return Host(
             name=target.name,
             agent=f"127.0.0.1:{agent.port}",
+            address=served.address,
             region=REGION,
             failure_domain=target.failure_domain,
             labels={"service": target.service},
