--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -44,6 +44,7 @@
     entries: int = 2
     time_scale: float = 1.0
     log_level: str = "warning"
+    peers: bool = True  # whether entries and agents spread the catalogue
     entry_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
     agent_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
 
@@ -57,6 +58,10 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._commands: dict[str, list[str]] = {}
         self._urls: dict[str, str] = {}
+        self._seeds = {
+            f"entry-{number}": f"{LOOPBACK}:{free_port()}"
+            for number in range(1, spec.entries + 1)
+        }
 
     @property
     def urls(self) -> t.Mapping[str, str]:
@@ -207,6 +212,10 @@
             },
             role: section,
         }
+        if self._spec.peers:
+            listen = self._seeds.get(name) or f"{LOOPBACK}:{free_port()}"
+            seeds = list(self._seeds.values())
+            settings["peer"] = {"listen": listen, "seeds": seeds}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
         module = "chicorycove.daemon"
--- a/src/chicorycove/administration.py
+++ b/src/chicorycove/administration.py
@@ -127,6 +127,7 @@
         processes = spreader.status() if spreader is not None else ()
         return {
             "revision": self._registry.current.revision,
+            "accepts": spreader is None or spreader.may_accept(),
             "processes": [dataclasses.asdict(process) for process in processes],
         }
 
--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -11,6 +11,7 @@
 from .listener import Listener, listen
 from .log import LOGGER
 from .metric import Metrics
+from .peer import AgentNode
 from .settings import AgentSettings
 
 INCARNATION_BYTES = 8
@@ -20,8 +21,9 @@
 class AgentProcess:
     """Runs one agent."""
 
-    def __init__(self, settings: AgentSettings) -> None:
+    def __init__(self, settings: AgentSettings, node: AgentNode | None = None) -> None:
         self._settings = settings
+        self._node = node
         self._metrics = Metrics(settings.target)
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         agent_id = AgentId(settings.target, incarnation)
@@ -42,6 +44,8 @@
     async def start(self) -> None:
         """Begin to serve."""
         await self._server.start()
+        if self._node is not None:
+            await self._node.start()
         routes = probe.routes(self._metrics, lambda: self._agent.ready)
         self._listener = await listen(create_app(routes), self._settings.http)
         self._agent.start()
@@ -60,6 +64,8 @@
     async def close(self) -> None:
         """Drop everything."""
         await asyncio.sleep(FLUSH_TIME)
+        if self._node is not None:
+            await self._node.close()
         await self._server.close()
         await self._agent.close()
         if self._listener is not None:
--- a/src/chicorycove/cli.py
+++ b/src/chicorycove/cli.py
@@ -165,7 +165,8 @@
     if arguments.output == "json":
         print(json.dumps(data, indent=2))
         return DONE
-    print(f'revision {data["revision"]}')
+    accepts = "accepts" if data["accepts"] else "out of touch: does not accept"
+    print(f'revision {data["revision"]}; this entry {accepts} changes')
     columns = ["name", "role", "failure_domain", "state", "incarnation", "revision"]
     rows = [[str(row[name]) for name in columns] for row in data["processes"]]
     for row, process in zip(rows, data["processes"]):
--- a/src/chicorycove/codec.py
+++ b/src/chicorycove/codec.py
@@ -179,6 +179,7 @@
     return pb.PeerApplied(
         sender=_encode_member(applied.sender),
         revision=applied.revision,
+        scope=applied.scope.value,
         members=applied.members,
         laggards=laggards,
     )
@@ -188,4 +189,10 @@
     laggards = tuple(
         Lagging(each.name, each.revision, each.cause) for each in wire.laggards
     )
-    return Applied(_decode_member(wire.sender), wire.revision, wire.members, laggards)
+    return Applied(
+        _decode_member(wire.sender),
+        wire.revision,
+        Scope(wire.scope),
+        wire.members,
+        laggards,
+    )
--- a/src/chicorycove/daemon.py
+++ b/src/chicorycove/daemon.py
@@ -67,8 +67,9 @@
             return EntryProcess(settings)
         case Role.AGENT:
             from .agent_process import AgentProcess
+            from .peer import create_agent_node
 
-            return AgentProcess(settings.agent)
+            return AgentProcess(settings.agent, create_agent_node(settings))
         case Role.LOCAL:
             from .local import LocalProcess
 
--- a/src/chicorycove/dissemination.py
+++ b/src/chicorycove/dissemination.py
@@ -76,10 +76,11 @@
 
 @frozen
 class Applied:
-    """How many processes below the sender are at a revision."""
+    """How many processes are at a revision, as far as a push's scope went."""
 
     sender: Member
     revision: int
+    scope: Scope
     members: int
     laggards: tuple[Lagging, ...] = ()
 
@@ -185,7 +186,7 @@
         self.replica = Replica()
         self.agents: dict[str, Member] = {}
         self._beats: dict[str, float] = {}
-        self._jobs: dict[int, _Job] = {}
+        self._jobs: dict[tuple[int, Scope], _Job] = {}
         self._pulled_at: dict[str, float] = {}
 
     @property
@@ -233,7 +234,7 @@
     ) -> list[Command]:
         """Spread in the failure domain what this entry read from the store."""
         commands = self._install(changes, state)
-        if commands and state.revision not in self._jobs:
+        if commands:
             commands += self._start(state.revision, Scope.DOMAIN, None, now)
         return commands
 
@@ -287,12 +288,10 @@
         self, revision: int, scope: Scope, parent: Member | None, now: float
     ) -> list[Command]:
         parents = {} if parent is None else {parent.name: parent}
-        job = self._jobs.get(revision)
+        job = self._jobs.get((revision, scope))
         if job is not None:
-            parents |= job.parents
-            if job.scope.value <= scope.value:
-                job.parents = parents
-                return []
+            job.parents |= parents
+            return []
         below = dict(self.agents)
         timeout = AGENT_TIMEOUT
         if scope is Scope.DOMAIN:
@@ -302,14 +301,14 @@
             below.pop(self.membership.me.name, None)
         deadline, resend_at = now + timeout, now + RESEND_AFTER
         job = _Job(revision, scope, deadline, resend_at, below, parents)
-        self._jobs[revision] = job
+        self._jobs[revision, scope] = job
         return self._send(job)
 
     def _spread_everywhere(self, revision: int, now: float) -> list[Command]:
         domains = {m.failure_domain for m in self.membership.alive()}
         mine = self.membership.me.failure_domain
         commands = self._start(revision, Scope.DOMAIN, None, now)
-        job = self._jobs[revision]
+        job = self._jobs[revision, Scope.DOMAIN]
         job.reported = True
         job.deadline = now + SPREAD_TIMEOUT
         job.relay_at = now + RELAY_TIMEOUT
@@ -333,7 +332,7 @@
         for name, member in job.waiting.items():
             if name in job.tried:
                 continue
-            scope = Scope.NONE if member.role is Role.AGENT else Scope.AGENTS
+            scope = _scope_below(job, member)
             if scope not in pushes:
                 pushes[scope] = self._push(scope, job.revision - 1)
             commands.append(self._tell(member, pushes[scope]))
@@ -346,6 +345,8 @@
             waited = job.waiting.get(message.sender.name)
             if waited is None or message.revision < job.revision:
                 continue
+            if message.scope is not _scope_below(job, waited):
+                continue
             del job.waiting[message.sender.name]
             job.members += message.members
             job.laggards += message.laggards
@@ -379,7 +380,7 @@
         for name in [name for name in job.waiting if self._gone(name)]:
             del job.waiting[name]
         commands = self._settle(job)
-        if job.revision not in self._jobs:
+        if (job.revision, job.scope) not in self._jobs:
             return commands
         if now >= job.resend_at:
             job.resend_at = now + RESEND_AFTER
@@ -399,17 +400,18 @@
         return member is None or member.state in (MemberState.DEAD, MemberState.LEFT)
 
     def _end(self, job: _Job) -> list[Command]:
-        self._jobs.pop(job.revision, None)
+        self._jobs.pop((job.revision, job.scope), None)
         laggards = [
             Lagging(member.name, member.revision, self._cause(member))
             for member in job.waiting.values()
         ]
         if self.revision < job.revision:
-            me = self.membership.me
-            laggards.append(Lagging(me.name, self.revision, "not applied"))
+            name = self.membership.me.name
+            laggards.append(Lagging(name, self.revision, "not applied"))
         laggards = (*job.laggards, *laggards)[:MAX_LAGGARDS]
         members = job.members + len(job.waiting)
-        message = Applied(self.membership.me, job.revision, members, laggards)
+        me = self.membership.me
+        message = Applied(me, job.revision, job.scope, members, laggards)
         commands: list[Command] = [
             self._tell(parent, message) for parent in job.parents.values()
         ]
@@ -468,6 +470,13 @@
         return Tell(member.name, member.address, message)
 
 
+def _scope_below(job: _Job, member: Member) -> Scope:
+    """Return how far a member is to pass on what a job sends it."""
+    if member.role is Role.AGENT:
+        return Scope.NONE
+    return Scope.DOMAIN if member.name in job.tried else Scope.AGENTS
+
+
 class AgentPeer:
     """An agent's part: attached to one entry, it knows where else to go."""
 
@@ -556,7 +565,8 @@
             self.me = dataclasses.replace(self.me, revision=self.revision)
             commands.append(install)
         if self.revision >= push.revision:
-            commands.append(self._tell(push.sender, Applied(self.me, self.revision, 1)))
+            applied = Applied(self.me, self.revision, Scope.NONE, 1)
+            commands.append(self._tell(push.sender, applied))
         else:
             commands.append(self._tell(push.sender, Pull(self.me, self.revision)))
         return commands
--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -26,7 +26,7 @@
 from .log import LOGGER
 from .membership import Member, Membership, Probe, Role, Tell
 from .registry import Laggard, ProcessStatus, Spread as SpreadReport
-from .settings import PeerSettings
+from .settings import PeerSettings, Settings
 from .wire import peer_pb2 as pb, peer_pb2_grpc
 
 TICK = 0.1  # seconds
@@ -309,6 +309,20 @@
             future.set_result(spread)
 
 
+def create_agent_node(settings: Settings) -> AgentNode | None:
+    """Return the node of an agent, if its settings have it meet peers."""
+    if settings.peer is None:
+        return None
+    identity = Identity(
+        settings.name, Role.AGENT, settings.region, settings.failure_domain
+    )
+    return AgentNode(identity, settings.peer, _ignore)
+
+
+def _ignore(state: State, changes: tuple[Change, ...]) -> None:
+    """Let an agent's catalogue be: its entries decide by theirs."""
+
+
 def _placeholders(addresses: t.Iterable[str]) -> tuple[Member, ...]:
     """Return members of which only the address is known."""
     return tuple(Member(a, a, Role.ENTRY, "", "") for a in addresses)
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -48,6 +48,12 @@
     def may_accept(self):
         return self.accepts
 
+    def watches(self):
+        return True
+
+    def store_read(self, changes, state):
+        pass
+
 
 class Server:
     """An entry's administration API in a thread."""
