--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -172,9 +172,12 @@
 
 
 class GroupTest(EngineTestCase):
+    def held_at(self, engine):
+        return f"{engine.address}/r1/2/n"
+
     async def prefill(self, engine, start, stop):
         return await self.post(
-            f"{engine.url}/engine/prefill?attempt=r1/1/n&model=advisor"
+            f"{engine.url}/engine/prefill?attempt=r1/2/n&model=advisor"
             f"&start={start}&stop={stop}",
             b"x" * 4 * (stop - start),
         )
@@ -186,18 +189,18 @@
         status, _ = await self.complete(
             last,
             body("x" * 4 * 1700),
-            X_Members=member.address,
+            X_Members=self.held_at(member),
             X_Context="900",
         )
         self.assertEqual(status, 200)
         _, load = await self.get(f"{member.url}/engine/load")
-        self.assertEqual(load["attempts"], {"r1/1/n": 900})
+        self.assertEqual(load["attempts"], {"r1/2/n": 900})
 
     async def test_missing_member_means_not_run(self):
         member = await self.engine()
         last = await self.engine()
         status, answer = await self.complete(
-            last, body(), X_Members=member.address, X_Context="1"
+            last, body(), X_Members=self.held_at(member), X_Context="1"
         )
         self.assertEqual((status, answer["error"]["reason"]), (503, "member_lost"))
 
@@ -209,7 +212,7 @@
             self.complete(
                 last,
                 body(max_tokens=5000),
-                X_Members=member.address,
+                X_Members=self.held_at(member),
                 X_Context="2",
             )
         )
