--- a/src/chicorycove/board.py
+++ b/src/chicorycove/board.py
@@ -20,6 +20,7 @@
     load: Load = Load()
     load_at: float = 0.0
     outstanding: dict[AttemptId, int] = dataclasses.field(default_factory=dict)
+    prefill: dict[AttemptId, int] = dataclasses.field(default_factory=dict)
     ejected_until: float = 0.0
 
     @property
@@ -27,6 +28,12 @@
         """Tell whether the target is to get no new work."""
         return self.host.state is HostState.LEAVING or self.load.leaving
 
+    @property
+    def memory_free(self) -> int:
+        """Return the engine memory thought free, in tokens."""
+        reported = self.load.memory_total - self.load.memory_free
+        return self.load.memory_total - max(reported, self.outstanding_tokens)
+
     @property
     def outstanding_tokens(self) -> int:
         """Return the tokens that this entry has sent and not seen end."""
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -140,6 +140,7 @@
     running: int = 0
     queued: int = 0
     queued_prefill: int = 0
+    queued_long: int = 0  # of queued_prefill, in long prompts
     memory_free: int = 0
     memory_total: int = 0
     leaving: bool = False
--- a/src/chicorycove/group.py
+++ b/src/chicorycove/group.py
@@ -172,14 +172,22 @@
         prompt = request.work
         targets = list(self._router.candidates(request, self._board, now))
         fresh = [x for x in targets if x.host.name not in tried]
-        chosen = self._cover(prompt, fresh) or self._cover(prompt, targets)
+        lane = fresh[: self._router.lane(request, self._board, now)]
+        chosen = (
+            self._cover(prompt, lane)
+            or self._cover(prompt, fresh)
+            or self._cover(prompt, targets)
+        )
         chosen.sort(key=lambda target: target.host.name)
         return self._split(prompt, chosen)
 
     def _cover(self, prompt: Prompt, targets: list[TargetState]) -> list[TargetState]:
-        """Choose the fewest targets that hold a prompt, the freest first."""
+        """Choose targets that hold a prompt, free ones first.
+
+        Targets come in the stable order that long prompts fill.
+        """
         targets = [target for target in targets if target.load.memory_total]
-        targets.sort(key=lambda target: -target.load.memory_free)
+        targets.sort(key=lambda target: target.memory_free < self._room(target))
         chosen = []
         room = -prompt.memory
         for target in targets:
@@ -236,6 +244,7 @@
             return []
         if group.members[group.prefilled].attempt != attempt:
             return []
+        self._stop_computing(group.members[group.prefilled])
         group.prefilled += 1
         group.step_since = now
         return [self._compute(group)]
@@ -283,6 +292,7 @@
     def _compute(self, group: _Group) -> EntryCommand:
         member = group.members[group.prefilled]
         earlier = tuple(x.agent for x in group.members[: group.prefilled])
+        self._start_computing(member)
         if member is not group.last:
             return Prefill(
                 member.attempt, member.agent, member.start, member.stop, earlier
@@ -326,10 +336,21 @@
     def _enter(self, member: Member) -> None:
         self._owners[member.attempt] = member.attempt.request
         target = self._board.targets[member.agent.target]
-        target.outstanding[member.attempt] = member.stop - member.start
+        target.outstanding[member.attempt] = member.memory
+
+    def _start_computing(self, member: Member) -> None:
+        target = self._board.targets.get(member.agent.target)
+        if target is not None:
+            target.prefill[member.attempt] = member.stop - member.start
+
+    def _stop_computing(self, member: Member) -> None:
+        target = self._board.targets.get(member.agent.target)
+        if target is not None:
+            target.prefill.pop(member.attempt, None)
 
     def _leave(self, member: Member) -> None:
         del self._owners[member.attempt]
         target = self._board.targets.get(member.agent.target)
         if target is not None:
             target.outstanding.pop(member.attempt, None)
+            target.prefill.pop(member.attempt, None)
--- a/src/chicorycove/routing.py
+++ b/src/chicorycove/routing.py
@@ -1,6 +1,7 @@
 """Choice of a target for a request."""
 
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -34,11 +35,17 @@
     a bound of long work each; short ones take the least loaded probe.
     """
 
-    long_tokens: int = 32_000
-    long_limit: int = 400_000  # tokens of long prompts on one target
+    long_tokens: int = 16_384
+    long_limit: int = 120_000  # tokens of long prompts on one target
     probes: int = 4
     scan: int = 32  # targets up to which all are looked at
-    min_lane: int = 1
+    chunk_cost: int = 16_000  # tokens that a long prompt costs a short one
+    decode_cost: int = 100  # tokens that an answer under way costs
+    memory_cost: int = 60_000  # tokens that a wait for memory costs
+    lane_start: float = 0.5  # share of the targets before any is observed
+    lane_limit: float = 0.8  # share of the targets that long prompts may fill
+    lane_load: float = 0.9  # share of the lane that is to be busy
+    lane_weight: float = 0.03  # of a new observation
 
 
 Policy = RoundRobin | LeastOutstanding | LengthAware
@@ -59,7 +66,21 @@
     names: list[str]
     largest_memory: int = 0  # tokens
     turn: int = 0
-    lane: float = 1.0  # targets that long prompts fill first
+    busy: float | None = None  # targets of the lane that compute, on average
+
+    def lane(self, policy: LengthAware) -> int:
+        """Return how many targets, in stable order, long prompts fill."""
+        size = len(self.names)
+        if self.busy is None:
+            return math.ceil(size * policy.lane_start)
+        wanted = math.ceil(self.busy / policy.lane_load)
+        return min(max(wanted, 1), max(1, int(size * policy.lane_limit)))
+
+    def observe(self, busy: float, policy: LengthAware) -> None:
+        """Learn how many targets long prompts keep busy."""
+        if self.busy is None:
+            self.busy = self.lane(policy) * policy.lane_load
+        self.busy += policy.lane_weight * (busy - self.busy)
 
 
 class Index:
@@ -154,6 +175,15 @@
             if target is not None and usable(target, board, now):
                 yield target
 
+    def lane(self, request: Request, board: EntryBoard, now: float) -> int:
+        """Return how many targets, in stable order, long prompts fill now."""
+        pool = self._index.pool(request, board, now)
+        match self._settings.policy:
+            case LengthAware() as policy if pool is not None:
+                return pool.lane(policy)
+            case _:
+                return 0
+
     def largest_memory(self, request: Request, board: EntryBoard) -> int:
         """Return the largest engine memory for a request, 0 if unknown."""
         pool = self._index.pool(request, board)
@@ -167,23 +197,51 @@
         if len(choice.pool.names) <= policy.scan:
             probes = policy.scan
         if work.tokens < policy.long_tokens:
-            return choice.least(probes, pending_tokens)
+            return choice.least(probes, ShortCost(policy, work.memory))
         return self._long(policy, choice, probes)
 
     def _long(self, policy: LengthAware, choice: "_Choice", probes: int) -> str | None:
+        """Take the lane's first target with room, else its least loaded."""
         pool = choice.pool
-        size = len(pool.names)
-        pool.lane = min(max(pool.lane, policy.min_lane), size)
-        name = choice.first_under(policy.long_limit, int(pool.lane), probes)
-        if name is not None:
-            pool.lane -= LANE_SHRINK
-            return name
-        pool.lane += LANE_GROWTH
-        return choice.least(probes, pending_tokens)
+        size = pool.lane(policy)
+        lane = choice.lane(size, probes)
+        if not lane:
+            return choice.least(probes, pending_tokens)
+        busy = sum(1 for target in lane if pending_tokens(target))
+        pool.observe(busy * size / len(lane), policy)
+        limit = max(0, policy.long_limit - choice.request.work.tokens)
+        for target in lane:
+            if pending_tokens(target) <= limit and choice.has_room(target):
+                return target.host.name
+        return min(lane, key=pending_tokens).host.name
 
 
-LANE_SHRINK = 0.05  # targets a long prompt that found room
-LANE_GROWTH = 1.0  # targets a long prompt that found none
+class ShortCost:
+    """What a target would cost a short prompt, in tokens of waiting.
+
+    Short prompts go before long ones in an engine, so a long one costs them
+    the rest of a chunk and no more.
+    """
+
+    def __init__(self, policy: LengthAware, memory: int) -> None:
+        self._policy = policy
+        self._memory = memory
+
+    def __call__(self, target: TargetState) -> float:
+        policy = self._policy
+        total = long = 0
+        for tokens in target.prefill.values():
+            total += tokens
+            if tokens >= policy.long_tokens:
+                long += tokens
+        long = max(long, target.load.queued_long)
+        total = max(total, target.load.queued_prefill)
+        cost = max(0, total - long) + policy.decode_cost * len(target.outstanding)
+        if long:
+            cost += policy.chunk_cost
+        if target.load.memory_total and target.memory_free < self._memory:
+            cost += policy.memory_cost
+        return cost
 
 
 class _Choice:
@@ -224,19 +282,17 @@
             return None
         return min(drawn, key=cost).host.name
 
-    def first_under(self, limit: int, lane: int, probes: int) -> str | None:
-        """Return the first target in stable order with room for long work."""
-        tokens = self.request.work.tokens
-        names = self.pool.names[:lane] if lane <= probes else None
-        if names is None:
-            drawn = self._draw(probes, lane)
-        else:
-            drawn = [x for x in map(self._usable, names) if x is not None]
-        for target in drawn:
-            pending = pending_tokens(target)
-            if not pending or pending + tokens <= limit:
-                return target.host.name
-        return None
+    def lane(self, size: int, probes: int) -> list[TargetState]:
+        """Return usable targets among the first in stable order."""
+        if size > probes:
+            return self._draw(probes, size)
+        targets = map(self._usable, self.pool.names[:size])
+        return [target for target in targets if target is not None]
+
+    def has_room(self, target: TargetState) -> bool:
+        """Tell whether a target's memory is thought to hold the request."""
+        total = target.load.memory_total
+        return not total or target.memory_free >= self.request.work.memory
 
     def _draw(self, probes: int, among: int) -> list[TargetState]:
         count = min(probes, among)
@@ -290,8 +346,8 @@
 
 
 def pending_tokens(target: TargetState) -> int:
-    """Return the work ahead at a target, own or reported, in tokens."""
-    return max(target.outstanding_tokens, target.load.queued_prefill)
+    """Return the prompt tokens to compute at a target, own or reported."""
+    return max(sum(target.prefill.values()), target.load.queued_prefill)
 
 
 def stable_order(name: str) -> int:
