--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -28,6 +28,7 @@
 )
 from .event import (
     AgentEvent,
+    Answering,
     OwnerAlive,
     OwnerLost,
     ResumeAsked,
@@ -50,7 +51,7 @@
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
-LOAD_INTERVAL = 1.0  # seconds
+LOAD_INTERVAL = 0.25  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
@@ -263,7 +264,10 @@
         )
         buffer.head = wire.AgentFrame(head=head)
         self._tell(attempt, buffer.head)
+        streamed = SSE_TYPE in answer.head.get("content-type")
         async for data in answer.chunks():
+            if not buffer.size:
+                self._feed(Answering(attempt, streamed))
             buffer.append(data)
             self._flush(attempt)
         if SSE_TYPE in answer.head.get("content-type") and not start.plain:
--- a/src/chicorycove/backlog.py
+++ b/src/chicorycove/backlog.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import typing as t
 
 from .event import Offer
 from .identity import AttemptId
@@ -52,6 +53,11 @@
     def __contains__(self, attempt: AttemptId) -> bool:
         return attempt in self._waiting
 
+    @property
+    def offers(self) -> t.Iterator[Offer]:
+        """Return what waits, in no order."""
+        return (waiting.offer for waiting in self._waiting.values())
+
     @property
     def prefill(self) -> int:
         """Return the tokens of prompt that wait."""
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -174,6 +174,8 @@
             ]
         if skip >= size:
             return []
+        if not state.relayed:
+            self._answering(state.attempts[-1])
         state.relayed += size - skip
         return [Relay(attempt.request, skip)]
 
@@ -236,7 +238,8 @@
         self._board.attempts[attempt] = record
         target = self._board.targets.get(agent.target)
         if target is not None:
-            target.outstanding[attempt] = state.request.weight
+            target.outstanding.setdefault(attempt, state.request.weight)
+            target.prefill.setdefault(attempt, state.request.prefill)
         return record
 
     def _progressed(
@@ -487,6 +490,12 @@
         target = self._board.targets.get(record.agent.target)
         if target is not None:
             target.outstanding.pop(record.id, None)
+            target.prefill.pop(record.id, None)
+
+    def _answering(self, record: AttemptState) -> None:
+        target = self._board.targets.get(record.agent.target)
+        if target is not None:
+            target.prefill.pop(record.id, None)
 
     def _forget(self, state: RequestState) -> None:
         self._board.requests.pop(state.request.id, None)
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -6,6 +6,7 @@
 import random
 import typing as t
 
+from .admission import urgency
 from .board import EntryBoard, TargetState
 from .catalogue import Catalogue
 from .claim import Claimer, ClaimSettings
@@ -361,7 +362,7 @@
         self._send(command.agent, wire.EntryFrame(seal=seal))
 
     def _priority(self, request: Request) -> int:
-        return self.catalogue.classes[request.priority_class].priority
+        return urgency(request, self.catalogue)
 
     async def _read(self, call: int, key: str) -> None:
         self._feed(StoreAnswered(call, await self._store.get(key)))
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -140,10 +140,10 @@
     running: int = 0
     queued: int = 0
     queued_prefill: int = 0
-    queued_long: int = 0  # of queued_prefill, in long prompts
     memory_free: int = 0
     memory_total: int = 0
     leaving: bool = False
+    queued_long: int = 0  # of queued_prefill, in long prompts
 
 
 @frozen
@@ -328,6 +328,14 @@
 # An agent hears from its target.
 
 
+@frozen
+class Answering:
+    """The target sent the first of an answer: its prompt is computed."""
+
+    attempt: AttemptId
+    streamed: bool
+
+
 @frozen
 class RunEnded:
     """The target finished, failed or cancelled an attempt."""
@@ -355,6 +363,7 @@
     SealAsked,
     OwnerAlive,
     OwnerLost,
+    Answering,
     RunEnded,
     EngineReported,
     Tick,
--- a/src/chicorycove/frame.py
+++ b/src/chicorycove/frame.py
@@ -24,6 +24,7 @@
         memory_free=load.memory_free,
         memory_total=load.memory_total,
         leaving=load.leaving,
+        queued_long=load.queued_long,
     )
 
 
@@ -36,6 +37,7 @@
         message.memory_free,
         message.memory_total,
         message.leaving,
+        message.queued_long,
     )
 
 
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -76,6 +76,15 @@
             case Call():
                 return False
 
+    @property
+    def prefill(self) -> int:
+        """Return the tokens to compute before the answer begins."""
+        match self.work:
+            case Prompt(tokens=tokens):
+                return tokens
+            case Call():
+                return 0
+
     @property
     def weight(self) -> int:
         """Return the work that the request makes, in tokens."""
--- a/src/chicorycove/routing.py
+++ b/src/chicorycove/routing.py
@@ -44,7 +44,7 @@
     memory_cost: int = 60_000  # tokens that a wait for memory costs
     lane_start: float = 0.5  # share of the targets before any is observed
     lane_limit: float = 0.8  # share of the targets that long prompts may fill
-    lane_load: float = 0.9  # share of the lane that is to be busy
+    lane_load: float = 0.97  # share of the lane that is to be busy
     lane_weight: float = 0.03  # of a new observation
 
 
--- a/src/chicorycove/target.py
+++ b/src/chicorycove/target.py
@@ -18,6 +18,7 @@
 )
 from .event import (
     AgentEvent,
+    Answering,
     CancelAsked,
     EngineReported,
     Load,
@@ -40,6 +41,17 @@
 from .ledger import Ledger
 from .reason import Reason
 
+LONG_TOKENS = 16_384  # from which a prompt is reported as long
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prefill:
+    """A prompt that the engine computes; since is in seconds."""
+
+    offer: Offer
+    since: float
+    alone: bool
+
 
 @dataclasses.dataclass(slots=True)
 class TargetBoard:
@@ -51,6 +63,7 @@
     max_running: int
     running: dict[AttemptId, Offer] = dataclasses.field(default_factory=dict)
     reserved: dict[AttemptId, Offer] = dataclasses.field(default_factory=dict)
+    prefill: dict[AttemptId, Prefill] = dataclasses.field(default_factory=dict)
     stopping: bool = False
 
 
@@ -65,13 +78,16 @@
     def load(self) -> Load:
         """Return the target's load."""
         board = self._board
+        sizes = [prefill.offer.prefill for prefill in board.prefill.values()]
+        sizes += [offer.prefill for offer in board.backlog.offers]
         return Load(
             running=len(board.running),
             queued=len(board.backlog),
-            queued_prefill=board.backlog.prefill,
+            queued_prefill=sum(sizes),
             memory_free=max(board.ledger.free, 0),
             memory_total=board.ledger.capacity,
             leaving=board.gate.leaving,
+            queued_long=sum(size for size in sizes if size >= LONG_TOKENS),
         )
 
     def handle(self, event: AgentEvent, now: float) -> list[AgentCommand]:
@@ -92,6 +108,8 @@
                 commands = []
             case OwnerLost():
                 commands = []  # its lease goes on running
+            case Answering(attempt, streamed):
+                commands = self._answering(attempt, streamed, now)
             case RunEnded(attempt):
                 commands = self._ended(attempt, now)
             case EngineReported():
@@ -112,7 +130,7 @@
             return [CountDrop("start")]
         if reason is not None:
             return [TellRefused(offer.attempt, reason)]
-        reason = self._board.backlog.offer(offer, now)
+        reason = self._board.backlog.offer(offer, now, self._ahead(offer))
         if reason is not None:
             return [self._refuse(offer, reason, now)]
         return [TellAccepted(offer.attempt)]
@@ -131,13 +149,15 @@
     def _run(self, offer: Offer, now: float) -> list[AgentCommand]:
         if self._board.gate.start(offer.attempt, now):
             self._board.running[offer.attempt] = offer
+            alone = not self._board.prefill
+            self._board.prefill[offer.attempt] = Prefill(offer, now, alone)
             return [Run(offer.attempt)]
         self._board.ledger.release(offer.attempt)
         return [TellRefused(offer.attempt, Reason.ATTEMPT_EXPIRED)]
 
     def _refuse(self, offer: Offer, reason: Reason, now: float) -> TellRefused:
         self._board.gate.refuse(offer, reason)
-        retry_after = self._board.backlog.retry_after(now)
+        retry_after = self._board.backlog.retry_after(now, self._ahead(offer))
         return TellRefused(offer.attempt, reason, retry_after)
 
     def _cancel(self, attempt: AttemptId, now: float) -> list[AgentCommand]:
@@ -171,8 +191,27 @@
             self._board.backlog.remove(event.attempt)
         return [TellSealed(event.attempt, event.owner, outcome)]
 
+    def _answering(
+        self, attempt: AttemptId, streamed: bool, now: float
+    ) -> list[AgentCommand]:
+        """Note that a prompt is computed, and learn the engine's rate."""
+        prefill = self._board.prefill.pop(attempt, None)
+        if prefill is not None and prefill.alone and streamed:
+            backlog = self._board.backlog
+            backlog.observe(prefill.offer.prefill, now - prefill.since)
+        return []
+
+    def _ahead(self, offer: Offer) -> int:
+        """Return the tokens that the engine computes before an offer's."""
+        return sum(
+            prefill.offer.prefill
+            for prefill in self._board.prefill.values()
+            if prefill.offer.priority <= offer.priority
+        )
+
     def _ended(self, attempt: AttemptId, now: float) -> list[AgentCommand]:
         self._board.running.pop(attempt, None)
+        self._board.prefill.pop(attempt, None)
         self._board.reserved.pop(attempt, None)
         self._board.ledger.release(attempt)
         self._board.gate.end(attempt, now)
@@ -188,6 +227,8 @@
             self._refuse(offer, Reason.ATTEMPT_EXPIRED, now)
             for offer in board.backlog.expire(now)
         ]
+        for offer in board.backlog.lapse(now, board.ledger):
+            commands.append(self._refuse(offer, Reason.RESERVATION_LOST, now))
         for attempt in board.ledger.lapse(now):
             commands += self._cancel(attempt, now)
         if board.stopping and not board.gate.busy:
