--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -6,6 +6,7 @@
 import random
 import typing as t
 
+from .admission import urgency
 from .board import EntryBoard, TargetState
 from .catalogue import Catalogue
 from .claim import Claimer, ClaimSettings
@@ -118,7 +119,7 @@
     @property
     def busy(self) -> bool:
         """Tell whether requests are not finished yet."""
-        return bool(self._exchanges)
+        return bool(self._exchanges) or self._dispatcher.busy
 
     @property
     def board(self) -> EntryBoard:
@@ -266,8 +267,8 @@
     def _finish(self, request: str) -> None:
         exchange = self._exchanges.pop(request)
         self._metrics.answered(exchange.request.priority_class)
-        if exchange.request.claimable:
-            self._feed(Captured(exchange.request, exchange.kept()))
+        if exchange.request.claimed:
+            self._feed(Captured(request, exchange.kept()))
         exchange.finish()
 
     def _fail(self, command: Fail) -> None:
@@ -379,7 +380,7 @@
         exchange.members.append(f"{address}/{command.attempt}")
 
     def _priority(self, request: Request) -> int:
-        return self.catalogue.classes[request.priority_class].priority
+        return urgency(request, self.catalogue)
 
     async def _read(self, call: int, key: str) -> None:
         self._feed(StoreAnswered(call, await self._store.get(key)))
