--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -44,6 +44,7 @@
     entries: int = 2
     time_scale: float = 1.0
     log_level: str = "warning"
+    peers: bool = True  # whether entries and agents spread the catalogue
     entry_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
     agent_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
 
@@ -57,6 +58,10 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._commands: dict[str, list[str]] = {}
         self._urls: dict[str, str] = {}
+        self._seeds = {
+            f"entry-{number}": f"{LOOPBACK}:{free_port()}"
+            for number in range(1, spec.entries + 1)
+        }
 
     @property
     def urls(self) -> t.Mapping[str, str]:
@@ -174,6 +179,7 @@
         host = {
             "name": target.name,
             "agent": f"{LOOPBACK}:{listen}",
+            "address": self._address(target.name),
             "region": "local",
             "failure_domain": target.failure_domain,
             "labels": {"service": target.service},
@@ -206,6 +212,10 @@
             },
             role: section,
         }
+        if self._spec.peers:
+            listen = self._seeds.get(name) or f"{LOOPBACK}:{free_port()}"
+            seeds = list(self._seeds.values())
+            settings["peer"] = {"listen": listen, "seeds": seeds}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
         module = "chicorycove.daemon"
@@ -250,7 +260,7 @@
 def _environment() -> dict[str, str]:
     root = pathlib.Path(__file__).parent.parent
     path = os.pathsep.join((str(root / "src"), str(root)))
-    return {**os.environ, "PYTHONPATH": path}
+    return {**os.environ, "PYTHONPATH": path, "GRPC_VERBOSITY": "ERROR"}
 
 
 def _wait_for(url: str, name: str) -> None:
--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -4,30 +4,32 @@
 import secrets
 
 from . import probe
-from .agent import Agent, server
+from .agent import Agent, LinkServer
 from .application import create_app
 from .clock import Clock
 from .identity import AgentId
 from .listener import Listener, listen
 from .log import LOGGER
 from .metric import Metrics
+from .peer import AgentNode
 from .settings import AgentSettings
 
 INCARNATION_BYTES = 8
-STOP_GRACE = 5.0  # seconds for frames that are still to be sent
+FLUSH_TIME = 0.1  # seconds for frames that are still to be sent
 
 
 class AgentProcess:
     """Runs one agent."""
 
-    def __init__(self, settings: AgentSettings) -> None:
+    def __init__(self, settings: AgentSettings, node: AgentNode | None = None) -> None:
         self._settings = settings
+        self._node = node
         self._metrics = Metrics(settings.target)
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         agent_id = AgentId(settings.target, incarnation)
         self._agent = Agent(settings, agent_id, Clock(), self._metrics)
+        self._server = LinkServer(self._agent, settings)
         self._listener: Listener | None = None
-        self._port = 0
 
     @property
     def agent(self) -> Agent:
@@ -37,16 +39,17 @@
     @property
     def port(self) -> int:
         """Return the port of the link server."""
-        return self._port
+        return self._server.port
 
     async def start(self) -> None:
         """Begin to serve."""
-        self._server, self._port = server(self._agent, self._settings)
         await self._server.start()
+        if self._node is not None:
+            await self._node.start()
         routes = probe.routes(self._metrics, lambda: self._agent.ready)
         self._listener = await listen(create_app(routes), self._settings.http)
         self._agent.start()
-        LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self._port)
+        LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self.port)
 
     async def stop(self) -> None:
         """Take no new work, finish what there is, and close."""
@@ -60,7 +63,10 @@
 
     async def close(self) -> None:
         """Drop everything."""
+        await asyncio.sleep(FLUSH_TIME)
+        if self._node is not None:
+            await self._node.close()
+        await self._server.close()
         await self._agent.close()
-        await self._server.stop(STOP_GRACE)
         if self._listener is not None:
             await self._listener.close()
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -6,6 +6,7 @@
 import random
 import typing as t
 
+from .admission import urgency
 from .board import EntryBoard, TargetState
 from .catalogue import Catalogue
 from .claim import Claimer, ClaimSettings
@@ -92,6 +93,7 @@
         self._known_hosts: tuple[Host, ...] = ()
         self._tasks: set[asyncio.Task] = set()
         self._dispatcher = self._build()
+        self._may_serve: t.Callable[[], bool] = lambda: True
 
     @property
     def clock(self) -> Clock:
@@ -106,18 +108,28 @@
     @property
     def ready(self) -> bool:
         """Tell whether the entry takes new requests."""
-        return not self._board.stopping and bool(self._board.catalogue.revision)
+        read = bool(self._board.catalogue.revision)
+        return not self._board.stopping and read and self.in_touch
+
+    @property
+    def in_touch(self) -> bool:
+        """Tell whether no catalogue change can have passed the entry by."""
+        return self._may_serve()
 
     @property
     def busy(self) -> bool:
         """Tell whether requests are not finished yet."""
-        return bool(self._exchanges)
+        return bool(self._exchanges) or self._dispatcher.busy
 
     @property
     def board(self) -> EntryBoard:
         """Return the state that decisions read."""
         return self._board
 
+    def guard(self, may_serve: t.Callable[[], bool]) -> None:
+        """Take new requests only while a condition holds."""
+        self._may_serve = may_serve
+
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Put a catalogue in force, unless a later one already is."""
         if catalogue.revision > self._board.catalogue.revision:
@@ -255,8 +267,7 @@
     def _finish(self, request: str) -> None:
         exchange = self._exchanges.pop(request)
         self._metrics.answered(exchange.request.priority_class)
-        keyed = exchange.request.key is not None and not exchange.request.idempotent
-        if keyed:
+        if exchange.request.claimed:
             self._feed(Captured(request, exchange.kept()))
         exchange.finish()
 
@@ -307,7 +318,7 @@
             path=exchange.path,
             headers=headers(pairs),
             body=exchange.body,
-            members=[member.target for member in members],
+            members=exchange.members if members else [],
             plain=isinstance(request.work, Call),
         )
         if not self._send(agent, wire.EntryFrame(start=start)):
@@ -316,6 +327,8 @@
 
     def _send_prefill(self, command: Prefill) -> None:
         exchange = self._exchanges[command.attempt.request]
+        if not command.members:
+            exchange.begin_group()
         exchange.targets.append(command.agent.target)
         exchange.context = command.stop
         model = self.catalogue.models[exchange.request.work.model]
@@ -326,10 +339,11 @@
             start=command.start,
             stop=command.stop,
             model=model.name,
-            members=[member.target for member in command.members],
+            members=exchange.members,
             body=body,
         )
         self._send(command.agent, wire.EntryFrame(prefill=prefill))
+        self._remember_member(exchange, command)
 
     def _send_reserve(self, command: Reserve) -> None:
         request = self._exchanges[command.attempt.request].request
@@ -361,8 +375,12 @@
         )
         self._send(command.agent, wire.EntryFrame(seal=seal))
 
+    def _remember_member(self, exchange: Exchange, command: Prefill) -> None:
+        address = self._board.targets[command.agent.target].host.address
+        exchange.members.append(f"{address}/{command.attempt}")
+
     def _priority(self, request: Request) -> int:
-        return self.catalogue.classes[request.priority_class].priority
+        return urgency(request, self.catalogue)
 
     async def _read(self, call: int, key: str) -> None:
         self._feed(StoreAnswered(call, await self._store.get(key)))
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -53,6 +53,11 @@
             case Call(idempotent=idempotent):
                 return idempotent
 
+    @property
+    def claimed(self) -> bool:
+        """Tell whether a claim of its key is needed before it is sent."""
+        return self.key is not None and not self.idempotent
+
     @property
     def service(self) -> str:
         """Return the name of the model or service that is to answer."""
@@ -71,6 +76,15 @@
             case Call():
                 return False
 
+    @property
+    def prefill(self) -> int:
+        """Return the tokens to compute before the answer begins."""
+        match self.work:
+            case Prompt(tokens=tokens):
+                return tokens
+            case Call():
+                return 0
+
     @property
     def weight(self) -> int:
         """Return the work that the request makes, in tokens."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,9 +29,11 @@
     "log",
     "metric",
     "outbox",
+    "peer",
     "probe",
     "registry",
     "session",
+    "stream",
 }
 
 FORBIDDEN = {
