Plan with engines that load what no order named

Cause: a planner that took over while an engine loaded without an order on record failed with an AttributeError; the takeover test found it.

Change: what an engine loads counts as what it is to have. The test fails without the budget's start from loads in flight.

--- a/src/chicorycove/planner.py
+++ b/src/chicorycove/planner.py
@@ -213,8 +213,9 @@
             wanted = sent.placement
         ready = [m for m in report.engine.models if m.state == "ready"]
         serving = ready[0].name if ready and not report.withdrawn else None
-        if wanted is None and ready:
-            wanted = _present(ready[0], report.engine.role)
+        present = ready or [m for m in report.engine.models if m.state == "loading"]
+        if wanted is None and present:
+            wanted = _present(present[0], report.engine.role)
         if wanted is not None and _disrupts(report, wanted):
             serving = None  # it is about to be withdrawn
         in_flight = sent is not None or _in_flight(report, wanted)
