Carry orders from the planner to the engines

Cause: planner, lease and orders were decisions without adapters.

Change: orchestrator stands for the lease in each entry, polls all engines' agents over links of its own, plans, checks its lease again before each order and keeps the plan's head in the store; executor runs order.decide in the agent: withdraws the target at the gate, waits until nothing runs, orders the engine and reads back. /admin/v1/plan shows the head at any entry.

--- a/src/chicorycove/administration.py
+++ b/src/chicorycove/administration.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import typing as t
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -38,11 +39,22 @@
     """A request without the key of an operator."""
 
 
+class Plans(t.Protocol):
+    """Tells what the planner is doing."""
+
+    async def head(self) -> Json:
+        """Return the plan's head.
+
+        :raises StoreUnavailable: if it cannot be read
+        """
+
+
 class Administration:
     """Answers operators from a registry."""
 
-    def __init__(self, registry: Registry) -> None:
+    def __init__(self, registry: Registry, plans: Plans | None = None) -> None:
         self._registry = registry
+        self._plans = plans
 
     def routes(self) -> list[Route]:
         """Return the routes, to be mounted in an entry."""
@@ -56,6 +68,7 @@
             ("/changes/{change}/revert", self._revert, "POST"),
             ("/status", self._status, "GET"),
             ("/schema", self._schema, "GET"),
+            ("/plan", self._plan, "GET"),
         ]
         return [
             Route(PREFIX + path, _guarded(handler), methods=[method])
@@ -134,6 +147,10 @@
     async def _schema(self, request: Request) -> Json:
         return json_schema()
 
+    async def _plan(self, request: Request) -> Json:
+        self._operator(request)
+        return await self._plans.head() if self._plans is not None else {}
+
     def _operator(self, request: Request) -> Operator:
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         operator = self._registry.operator(key) if key else None
--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -37,6 +37,7 @@
     Tick,
 )
 from .exceptions import TargetError, TargetFailed, TargetUnreachable
+from .executor import Executor
 from .gate import Gate, GateSettings
 from .identity import AgentId, AttemptId
 from .ledger import Ledger, LedgerSettings
@@ -91,6 +92,7 @@
         self._metrics = metrics
         self._backend = Backend(settings.address)
         self._controller = TargetController(agent, _board(settings, agent))
+        self._executor = Executor(agent, self._backend, self._controller, clock)
         self._sessions: dict[str, Session] = {}
         self._answers: dict[AttemptId, AnswerBuffer] = {}
         self._owners: dict[AttemptId, str] = {}
@@ -127,6 +129,7 @@
         self._spawn(self._report_load())
         if self._settings.kind is ServiceKind.ENGINE:
             self._spawn(self._watch_engine())
+            self._spawn(self._executor.run())
 
     def stop(self) -> None:
         """Take no new work; ``exited`` is set when all is finished."""
@@ -164,7 +167,11 @@
             self._feed(OwnerLost(session.owner))
 
     def receive(self, message: wire.EntryFrame, owner: str) -> None:
-        """Take in a frame from an entry."""
+        """Take in a frame from an entry or a planner."""
+        if message.WhichOneof("frame") == "direct":
+            report = self._executor.direct(message.direct)
+            self._send(owner, wire.AgentFrame(report=report))
+            return
         event = frame.read_entry_frame(message, owner)
         match message.WhichOneof("frame"):
             case "start":
@@ -266,6 +273,7 @@
             self._refuse(attempt, Reason.TARGET_UNREACHABLE, None)
         except TargetFailed as error:
             for_request(attempt.request).warning("target failed: %s", error)
+            self._executor.note_failure()
             reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
             self._end(attempt, _failed(attempt, reason, verdict))
         finally:
@@ -276,6 +284,7 @@
         self, attempt: AttemptId, start: wire.Start, answer: Answer
     ) -> None:
         buffer = self._answers[attempt]
+        begun = self._clock.now()
         if not start.plain and answer.head.status in NOT_RUN_STATUSES:
             body = b"".join([data async for data in answer.chunks()])
             self._refuse(attempt, refusal_reason(body), None)
@@ -290,12 +299,15 @@
         streamed = SSE_TYPE in answer.head.get("content-type")
         async for data in answer.chunks():
             if not buffer.size:
+                first = self._clock.now() - begun
                 self._feed(Answering(attempt, streamed))
             buffer.append(data)
             self._flush(attempt)
         if SSE_TYPE in answer.head.get("content-type") and not start.plain:
             if buffer.tail(len(SSE_END)) != SSE_END:
                 raise TargetFailed("the stream ended before its last event")
+        if buffer.size:
+            self._executor.note_answer(first)
         ended = wire.Ended(attempt=str(attempt), size=buffer.size)
         self._end(attempt, wire.AgentFrame(ended=ended))
 
--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -73,6 +73,14 @@
             raise TargetFailed(f"answer broke off: {error!r}") from None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """An engine's answer to an order."""
+
+    status: int
+    body: t.Any
+
+
 class Backend:
     """A target, reached over HTTP."""
 
@@ -120,6 +128,21 @@
         """
         return await self._control(Work("GET", path, [], b""))
 
+    async def order(self, body: t.Any) -> "OrderAnswer":
+        """Give an engine an order and return its answer.
+
+        :raises TargetError: if there is none; the order may be carried out
+        """
+        headers = [("Content-Type", "application/json")]
+        work = Work("POST", "/engine/order", headers, msgspec.json.encode(body), False)
+        try:
+            async with asyncio.timeout(CONTROL_TIMEOUT):
+                async with self.open(work) as answer:
+                    data = b"".join([chunk async for chunk in answer.chunks()])
+            return OrderAnswer(answer.head.status, msgspec.json.decode(data))
+        except (TimeoutError, ValueError) as error:
+            raise TargetFailed(f"/engine/order: {error!r}") from None
+
     async def report(self) -> EngineReported:
         """Read an engine's account of its memory.
 
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -116,6 +116,11 @@
         """Tell whether no catalogue change can have passed the entry by."""
         return self._may_serve()
 
+    @property
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the hosts that the host list showed last."""
+        return self._known_hosts
+
     @property
     def busy(self) -> bool:
         """Tell whether requests are not finished yet."""
@@ -172,6 +177,10 @@
         """Count a request that was not admitted."""
         self._metrics.refused(reason, Verdict.NOT_RUN)
 
+    def on_report(self, agent: AgentId, report: wire.Report) -> None:
+        """Drop a report, which no link of an entry's requests asks for."""
+        self._metrics.dropped("report")
+
     def on_event(self, event: EntryEvent) -> None:
         """Take in an event from a link."""
         self._feed(event)
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -15,6 +15,7 @@
 from .log import LOGGER
 from .membership import Role as PeerRole
 from .metric import Metrics
+from .orchestrator import Orchestrator
 from .peer import EntryNode, Identity
 from .platform.hosts import HostList
 from .platform.store import EtcdStore
@@ -52,6 +53,7 @@
         )
         self._registry = Registry(self._store, settings.name)
         self._registry.subscribe(self._entry.set_catalogue)
+        self._orchestrator = Orchestrator(settings, self._store, self._entry)
         self._node = self._create_node()
         self._listener: Listener | None = None
         self._follower: asyncio.Task | None = None
@@ -66,6 +68,11 @@
         """Return the entry."""
         return self._entry
 
+    @property
+    def orchestrator(self) -> Orchestrator:
+        """Return what runs the planner when it is this entry's turn."""
+        return self._orchestrator
+
     @property
     def listener(self) -> Listener:
         """Return the listener of callers."""
@@ -77,7 +84,7 @@
         front = Front(self._entry, settings.max_body, settings.max_deadline)
         routes = [
             *front.routes(),
-            *Administration(self._registry).routes(),
+            *Administration(self._registry, self._orchestrator).routes(),
             *probe.routes(self._metrics, lambda: self._entry.ready),
         ]
         if self._node is not None:
@@ -89,6 +96,7 @@
         seeded = await self._seed(entries)
         self._follower = asyncio.create_task(self._follow(() if seeded else entries))
         self._listener = await listen(create_app(routes), settings.listen)
+        self._orchestrator.start()
         LOGGER.info("entry listens on %s", self._listener.address)
 
     def _create_node(self) -> EntryNode | None:
@@ -121,6 +129,7 @@
 
     async def stop(self) -> None:
         """Take no new requests, finish what there is, and close."""
+        await self._orchestrator.stop()
         self._entry.stop()
         try:
             async with asyncio.timeout(self._settings.entry.stop_timeout):
@@ -132,6 +141,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
+        await self._orchestrator.close()
         if self._listener is not None:
             await self._listener.close()
         if self._follower is not None:
--- /dev/null
+++ b/src/chicorycove/executor.py
@@ -0,0 +1,185 @@
+"""Carries out a planner's orders at an agent's engine."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+
+from .backend import Backend
+from .clock import Clock
+from .exceptions import TargetError, TargetFailed
+from .identity import AgentId
+from .log import LOGGER
+from .order import (
+    Act,
+    EngineModel,
+    EngineSeen,
+    EngineState,
+    Idled,
+    Object,
+    Order,
+    OrderCommand,
+    Ordered,
+    OrderEvent,
+    OrderState,
+    Passed,
+    Placement,
+    Polled,
+    Readmit,
+    Role,
+    StepFailed,
+    StepStale,
+    Withdraw,
+    decide,
+)
+from .planner import Report
+from .rollout import Health
+from .target import TargetController
+from .wire import link_pb2 as wire
+
+READ_INTERVAL = 0.5  # seconds between looks at the engine's state
+BUSY_INTERVAL = 0.1  # seconds, while an order is being carried out
+STALE_STATUS = 409
+
+
+class Executor:
+    """Keeps one engine at what the planner wants."""
+
+    def __init__(
+        self,
+        agent: AgentId,
+        backend: Backend,
+        target: TargetController,
+        clock: Clock,
+    ) -> None:
+        self._backend = backend
+        self._target = target
+        self._clock = clock
+        self._state = OrderState(agent=agent)
+        self._seen = EngineState()
+        self._health = Health()
+        self._acting: asyncio.Task | None = None
+
+    def direct(self, message: wire.Direct) -> wire.Report:
+        """Take in a planner's poll or order, and answer it."""
+        commands = self._feed(self._read_direct(message))
+        for command in commands:
+            match command:
+                case Object(objection, fence):
+                    return wire.Report(fence=fence, objection=objection.value)
+        report = msgspec.json.encode(self._report())
+        return wire.Report(fence=self._state.fence, report=report)
+
+    def note_answer(self, first_token: float) -> None:
+        """Count a whole answer; its first token's time is in seconds."""
+        self._health += Health(finished=1, first_token=first_token)
+
+    def note_failure(self) -> None:
+        """Count an attempt that broke."""
+        self._health += Health(failed=1)
+
+    async def run(self) -> None:
+        """Watch the engine until cancelled."""
+        while True:
+            await self._look()
+            self._feed(Idled() if self._target.idle else Passed())
+            settled = self._state.settled
+            await asyncio.sleep(READ_INTERVAL if settled else BUSY_INTERVAL)
+
+    def _read_direct(self, message: wire.Direct) -> OrderEvent:
+        if not message.placement:
+            return Polled(message.fence)
+        placement = msgspec.json.decode(message.placement, type=Placement)
+        agent = AgentId(self._state.agent.target, message.incarnation)
+        return Ordered(Order(message.fence, agent, placement))
+
+    def _report(self) -> Report:
+        state, load = self._state, self._target.load
+        return Report(
+            agent=state.agent,
+            fence=state.fence,
+            engine=self._seen,
+            wanted=state.wanted,
+            withdrawn=state.withdrawn or load.leaving,
+            demand=float(load.running + load.queued),
+            failures=state.failures,
+            parked=state.parked,
+            error=state.error,
+            health=self._health,
+        )
+
+    def _feed(self, event: OrderEvent) -> tuple[OrderCommand, ...]:
+        decision = decide(self._state, event, self._clock.now())
+        self._state = decision.state
+        for command in decision.commands:
+            match command:
+                case Withdraw():
+                    self._target.withdraw()
+                case Readmit():
+                    self._target.readmit()
+                case Act():
+                    self._acting = asyncio.create_task(self._act(command))
+        return decision.commands
+
+    async def _look(self) -> None:
+        if self._state.acting:
+            return
+        try:
+            engine = await self._read()
+        except TargetError as error:
+            LOGGER.debug("engine state not read: %s", error)
+            return
+        if not self._state.acting:
+            self._saw(engine)
+
+    async def _read(self) -> EngineState:
+        try:
+            return _engine_state(await self._backend.get("/engine/state"))
+        except (KeyError, TypeError, ValueError) as error:
+            raise TargetFailed(f"engine state not understood: {error!r}") from None
+
+    def _saw(self, engine: EngineState) -> None:
+        if _versions(engine) != _versions(self._seen):
+            self._health = Health()
+        self._seen = engine
+        self._feed(EngineSeen(engine))
+
+    async def _act(self, command: Act) -> None:
+        body = _order_body(command)
+        LOGGER.info("order to the engine", extra={"order": body})
+        try:
+            answer = await self._backend.order(body)
+        except TargetError as error:
+            self._feed(StepFailed(str(error)))
+            return
+        if answer.status == STALE_STATUS:
+            self._feed(StepStale(int(answer.body.get("fence", 0))))
+        elif answer.status >= 400:
+            self._feed(StepFailed(f"order refused with status {answer.status}"))
+        else:
+            self._saw(_engine_state(answer.body))
+
+
+def _order_body(command: Act) -> dict[str, str | int]:
+    step = dataclasses.asdict(command.step)
+    step["kind"] = command.step.kind.value
+    step["role"] = command.step.role.value
+    return step | {"fence": command.fence}
+
+
+def _engine_state(body: dict) -> EngineState:
+    models = tuple(
+        EngineModel(
+            name,
+            model["version"],
+            model["state"],
+            tuple(sorted(model.get("adapters", ()))),
+            model.get("error", ""),
+        )
+        for name, model in sorted(body["models"].items())
+    )
+    return EngineState(models, Role(body["role"]), body["fence"])
+
+
+def _versions(engine: EngineState) -> set[tuple[str, str]]:
+    return {(model.name, model.version) for model in engine.models}
--- a/src/chicorycove/gate.py
+++ b/src/chicorycove/gate.py
@@ -147,6 +147,10 @@
         """Turn new attempts away from now on."""
         self._leaving = True
 
+    def readmit(self) -> None:
+        """Take new attempts again."""
+        self._leaving = False
+
     def prune(self, now: float) -> None:
         """Forget attempts whose deadline has passed on every clock."""
         while self._due and self._due[0][0] <= now:
--- a/src/chicorycove/link.py
+++ b/src/chicorycove/link.py
@@ -34,6 +34,9 @@
     def on_chunk(self, attempt: AttemptId, offset: int, data: bytes) -> None:
         """Take in a piece of an answer."""
 
+    def on_report(self, agent: AgentId, report: wire.Report) -> None:
+        """Take in an agent's report to a planner."""
+
 
 class Link:
     """Keeps one stream to an agent up, and attaches again when it breaks."""
@@ -129,6 +132,8 @@
         elif kind == "head":
             attempt = AttemptId.parse(frame.head.attempt)
             self._receiver.on_head(attempt, frame.head)
+        elif kind == "report":
+            self._receiver.on_report(self._agent, frame.report)
         elif kind == "welcome":
             self._welcomed(frame.welcome, outbox)
         else:
--- /dev/null
+++ b/src/chicorycove/orchestrator.py
@@ -0,0 +1,335 @@
+"""Runs the planner in one entry at a time, and sends its orders."""
+
+import asyncio
+import dataclasses
+import secrets
+import typing as t
+
+import msgspec
+
+from .catalogue import ServiceKind
+from .conversion import Address
+from .entry import Entry
+from .event import EntryEvent, Found
+from .exceptions import LeaseLost, PlatformError, StoreUnavailable
+from .host import Host
+from .identity import AgentId, AttemptId
+from .lease import (
+    Claim,
+    GiveUpLease,
+    Grant,
+    Granted,
+    GrantFailed,
+    Inspect,
+    Leading,
+    LeaseCommand,
+    LeaseController,
+    LeaseEvent,
+    LeaseGone,
+    LeaseState,
+    Passed,
+    Renew,
+    Renewed,
+    RenewFailed,
+    Waiting,
+)
+from .link import Link
+from .log import LOGGER
+from .planner import Move, Plan, Planner, Report, Target
+from .platform.store import Store
+from .routing import matches
+from .settings import Settings
+from .wire import link_pb2 as wire
+
+HEAD_KEY = "planner/head"
+HEAD_INTERVAL = 2.0  # seconds between writes of a head that changes
+HEAD_LIMIT = 100  # moves and problems that are shown
+LEASE_TICK = 0.25  # seconds
+REPORT_AGE = 5.0  # plan intervals after which a report counts no more
+NONCE_BYTES = 8
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    report: Report
+    at: float
+
+
+class Orchestrator:
+    """Stands for the lease, plans while it holds it, and sends orders."""
+
+    def __init__(self, settings: Settings, store: Store, entry: Entry) -> None:
+        self._name = settings.name
+        self._settings = settings.entry
+        self._store = store
+        self._entry = entry
+        holder = f"{settings.name} {secrets.token_hex(NONCE_BYTES)}"
+        self._holder = holder.encode()
+        self._lease = LeaseController(settings.entry.lease, self._holder)
+        self._state: LeaseState = Waiting()
+        self._planner: Planner | None = None
+        self._planner_fence: int | None = None
+        self._links: dict[str, Link] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._head_version = 0
+        self._head_written = b""
+        self._head_at = 0.0
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def fence(self) -> int | None:
+        """Return the fencing number while this entry may plan."""
+        return self._lease.fence(self._state, self._now())
+
+    def start(self) -> None:
+        """Begin to stand for the lease."""
+        for work in (self._keep_lease(), self._keep_planning()):
+            task = asyncio.create_task(work)
+            task.add_done_callback(_log_failure)
+            self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Plan no more, and give the lease back."""
+        await self._cancel()
+        match self._state:
+            case Leading(lease=lease):
+                self._state = Waiting()
+                await self._carry_out(GiveUpLease(lease))
+
+    async def close(self) -> None:
+        """Drop everything."""
+        await self._cancel()
+        await self._unlink(set(self._links))
+
+    async def head(self) -> dict[str, t.Any]:
+        """Return how the plan stands, as its maker last wrote it.
+
+        :raises StoreUnavailable: if it cannot be read
+        """
+        match await self._store.get(HEAD_KEY):
+            case Found(value) if value:
+                return msgspec.json.decode(value)
+            case Found():
+                return {}
+        raise StoreUnavailable("the plan's head cannot be read")
+
+    # on_*: what comes over the planner's own links
+
+    def on_report(self, agent: AgentId, message: wire.Report) -> None:
+        """Take in an agent's report."""
+        if message.objection:
+            LOGGER.warning("%s does not follow: %s", agent.target, message.objection)
+            return
+        report = msgspec.json.decode(message.report, type=Report)
+        self._heard[agent.target] = _Heard(report, self._now())
+
+    def on_event(self, event: EntryEvent) -> None:
+        """Ignore what concerns requests."""
+
+    def on_head(self, attempt: AttemptId, head: wire.Head) -> None:
+        """Ignore what concerns requests."""
+
+    def on_chunk(self, attempt: AttemptId, offset: int, data: bytes) -> None:
+        """Ignore what concerns requests."""
+
+    # The lease
+
+    async def _keep_lease(self) -> None:
+        while True:
+            if self._needed or isinstance(self._state, Leading):
+                await self._step(Passed())
+            await asyncio.sleep(LEASE_TICK)
+
+    @property
+    def _needed(self) -> bool:
+        """Tell whether the catalogue has any model with versions to place."""
+        models = self._entry.catalogue.models.values()
+        return any(model.versions for model in models)
+
+    async def _step(self, event: LeaseEvent) -> None:
+        step = self._lease.step(self._state, event, self._now())
+        self._state = step.state
+        if step.command is not None:
+            answer = await self._carry_out(step.command)
+            if answer is not None:
+                await self._step(answer)
+
+    async def _carry_out(self, command: LeaseCommand) -> LeaseEvent | None:
+        asked_at = self._now()
+        try:
+            match command:
+                case Inspect(key):
+                    return await self._store.get(key)
+                case Grant(ttl):
+                    return Granted(await self._store.grant(ttl), asked_at)
+                case Claim(key, lease):
+                    return await self._store.swap(key, 0, self._holder, lease)
+                case Renew(lease):
+                    await self._store.keep_alive(lease)
+                    return Renewed()
+                case GiveUpLease(lease):
+                    await self._store.revoke(lease)
+        except LeaseLost:
+            return LeaseGone()
+        except PlatformError as error:
+            LOGGER.warning("planner's lease: %s", error)
+            return _failure(command)
+        return None
+
+    # The plan
+
+    async def _keep_planning(self) -> None:
+        while True:
+            fence = self.fence
+            if fence is None:
+                await self._rest()
+            else:
+                await self._plan(fence)
+            await asyncio.sleep(self._settings.plan_interval)
+
+    async def _rest(self) -> None:
+        if self._planner is not None:
+            LOGGER.info("planner rests")
+        self._planner = self._planner_fence = None
+        self._heard.clear()
+        await self._unlink(set(self._links))
+
+    async def _plan(self, fence: int) -> None:
+        if fence != self._planner_fence:
+            await self._take_over(fence)
+        hosts = self._hosts()
+        await self._relink(hosts)
+        for name in self._links:
+            self._send(name, wire.Direct(fence=fence))
+        plan = self._planner.plan(
+            self._entry.catalogue, [self._view(host) for host in hosts], self._now()
+        )
+        for move in plan.moves:
+            self._order(move, fence)
+        await self._write_head(plan, fence)
+
+    async def _take_over(self, fence: int) -> None:
+        LOGGER.info("planner leads", extra={"fence": fence})
+        self._planner = Planner(self._settings.planner, fence)
+        self._planner_fence = fence
+        self._heard.clear()
+        found = await self._store.get(HEAD_KEY)
+        if isinstance(found, Found) and found.value:
+            self._head_version = found.version
+            for model, version, cause in msgspec.json.decode(found.value)["halted"]:
+                self._planner.board.halted[model, version] = cause
+
+    def _hosts(self) -> list[Host]:
+        """Return the hosts of engines."""
+        selectors = [
+            service.selector
+            for service in self._entry.catalogue.services.values()
+            if service.kind is ServiceKind.ENGINE
+        ]
+        return [
+            host
+            for host in self._entry.hosts
+            if any(matches(host, selector) for selector in selectors)
+        ]
+
+    def _view(self, host: Host) -> Target:
+        heard = self._heard.get(host.name)
+        limit = REPORT_AGE * self._settings.plan_interval
+        if heard is None or self._now() - heard.at > limit:
+            return Target(host)
+        return Target(host, heard.report)
+
+    def _order(self, move: Move, fence: int) -> None:
+        if self.fence != fence:
+            return  # the lease may have lapsed while the plan was made
+        LOGGER.info("order to %s: %s", move.target, move.cause, extra={"fence": fence})
+        direct = wire.Direct(
+            fence=fence,
+            incarnation=move.agent.incarnation,
+            placement=msgspec.json.encode(move.placement),
+        )
+        self._send(move.target, direct)
+
+    def _send(self, target: str, direct: wire.Direct) -> None:
+        self._links[target].send(wire.EntryFrame(direct=direct))
+
+    async def _relink(self, hosts: t.Sequence[Host]) -> None:
+        wanted = {host.name: host.agent for host in hosts}
+        await self._unlink(
+            {n for n, link in self._links.items() if wanted.get(n) != link.address}
+        )
+        for name, address in wanted.items():
+            if name not in self._links:
+                owner = self._holder.decode()
+                heartbeat = self._settings.heartbeat
+                self._links[name] = Link(Address(address), owner, heartbeat, self)
+
+    async def _unlink(self, names: set[str]) -> None:
+        links = [self._links.pop(name) for name in names]
+        for name in names:
+            self._heard.pop(name, None)
+        await asyncio.gather(*(link.close() for link in links))
+
+    async def _write_head(self, plan: Plan, fence: int) -> None:
+        data = msgspec.json.encode(self._describe(plan, fence))
+        now = self._now()
+        if data == self._head_written or now < self._head_at + HEAD_INTERVAL:
+            return
+        self._head_at = now
+        result = await self._store.swap(HEAD_KEY, self._head_version, data)
+        version = getattr(result, "version", None)
+        if version is None:
+            found = await self._store.get(HEAD_KEY)
+            version = getattr(found, "version", self._head_version)
+        elif not hasattr(result, "value"):
+            self._head_written = data
+        self._head_version = version
+
+    def _describe(self, plan: Plan, fence: int) -> dict[str, t.Any]:
+        halted = self._planner.board.halted
+        return {
+            "planner": self._name,
+            "fence": fence,
+            "revision": self._entry.catalogue.revision,
+            "moves": [_row(move) for move in plan.moves[:HEAD_LIMIT]],
+            "waiting": [_row(move) for move in plan.waiting[:HEAD_LIMIT]],
+            "moves_total": len(plan.moves) + len(plan.waiting),
+            "problems": [
+                dataclasses.asdict(each) for each in plan.problems[:HEAD_LIMIT]
+            ],
+            "rollouts": [rollout._asdict() for rollout in plan.rollouts],
+            "halted": [[*key, cause] for key, cause in sorted(halted.items())],
+        }
+
+    async def _cancel(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def _now(self) -> float:
+        return self._entry.clock.now()
+
+
+def _failure(command: LeaseCommand) -> LeaseEvent | None:
+    match command:
+        case Grant():
+            return GrantFailed()
+        case Renew():
+            return RenewFailed()
+    return None
+
+
+def _row(move: Move) -> dict[str, t.Any]:
+    return {
+        "target": move.target,
+        "model": move.placement.model,
+        "version": move.placement.version,
+        "urgency": move.urgency.name,
+        "cause": move.cause,
+    }
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        LOGGER.error("planner failed", exc_info=task.exception())
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -10,6 +10,8 @@
 from .catalogue import ServiceKind
 from .conversion import Address, convert
 from .exceptions import SettingsError
+from .lease import LeaseSettings
+from .planner import PlannerSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -77,6 +79,9 @@
     reattach_timeout: float = 2.0
     links_per_service: int = 64
     seed: int | None = None
+    planner: PlannerSettings = PlannerSettings()
+    lease: LeaseSettings = LeaseSettings()
+    plan_interval: float = 1.0
     seed_catalogue: str | None = None  # a file, put in force if there is none
 
 
--- a/src/chicorycove/target.py
+++ b/src/chicorycove/target.py
@@ -90,6 +90,20 @@
             queued_long=sum(size for size in sizes if size >= LONG_TOKENS),
         )
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing waits or runs."""
+        return not self._board.gate.busy
+
+    def withdraw(self) -> None:
+        """Take no new work until readmitted."""
+        self._board.gate.drain()
+
+    def readmit(self) -> None:
+        """Take new work again, unless the agent is stopping."""
+        if not self._board.stopping:
+            self._board.gate.readmit()
+
     def handle(self, event: AgentEvent, now: float) -> list[AgentCommand]:
         """Return what is to be done about an event."""
         match event:
