Let claims expire; bound whole answers; seal at unlinked targets

Cause: the claims' expiry hint was not acted on, so keys would have stayed in the store for good; max_answer was a setting without effect; a seal for an agent outside the entry's subset of links went nowhere. Change: expiry.py shares one lease an hour among claims; an answer that is held and too large ends as answer_too_large; an entry opens a link for a seal and the claimer repeats it. Conclusion: three gaps closed; the seal over an unlinked target has no whole-path test yet.

--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -36,13 +36,17 @@
     CallerGone,
     Captured,
     EntryEvent,
+    Failed,
     Refused,
     StopAsked,
     StoreAnswered,
+    StoreResult,
     Tick,
+    Unavailable,
 )
-from .exceptions import PlatformError
+from .exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
 from .exchange import Exchange, prefill_tokens
+from .expiry import ExpiryLeases
 from .frame import headers
 from .group import GroupCoordinator, GroupSettings
 from .host import Host, HostState
@@ -64,6 +68,7 @@
 from .wire import link_pb2 as wire
 
 TICK = 0.02  # seconds
+SEAL_LINK_TIME = 60.0  # seconds
 NONCE_BITS = 64
 
 
@@ -87,8 +92,10 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random(settings.entry.seed)
+        self._expiry = ExpiryLeases(store, clock)
         self._board = EntryBoard()
         self._links: dict[str, Link] = {}
+        self._sealing: dict[str, float] = {}  # until when a link is kept
         self._exchanges: dict[str, Exchange] = {}
         self._known_hosts: tuple[Host, ...] = ()
         self._tasks: set[asyncio.Task] = set()
@@ -266,6 +273,13 @@
             exchange.first_byte = self._clock.now()
             self._record_first(exchange)
         exchange.add(data)
+        if exchange.held > self._settings.max_answer:
+            self._drop_answer(exchange)
+
+    def _drop_answer(self, exchange: Exchange) -> None:
+        attempt = exchange.attempt
+        reason, verdict = Reason.ANSWER_TOO_LARGE, Verdict.MAY_HAVE_RUN
+        self._feed(Failed(attempt, reason, verdict))
 
     def _record_first(self, exchange: Exchange) -> None:
         request = exchange.request
@@ -382,7 +396,13 @@
             incarnation=command.agent.incarnation,
             deadline=command.deadline,
         )
-        self._send(command.agent, wire.EntryFrame(seal=seal))
+        if not self._send(command.agent, wire.EntryFrame(seal=seal)):
+            self._link_for_seal(command.agent.target)
+
+    def _link_for_seal(self, name: str) -> None:
+        """Open a link to a target of another entry's; the seal is repeated."""
+        self._sealing[name] = self._clock.now() + SEAL_LINK_TIME
+        self._relink()
 
     def _remember_member(self, exchange: Exchange, command: Prefill) -> None:
         address = self._board.targets[command.agent.target].host.address
@@ -395,9 +415,23 @@
         self._feed(StoreAnswered(call, await self._store.get(key)))
 
     async def _swap(self, command: StoreSwap) -> None:
-        result = await self._store.swap(command.key, command.version, command.value)
+        result = await self._try_swap(command)
         self._feed(StoreAnswered(command.call, result))
 
+    async def _try_swap(self, command: StoreSwap) -> StoreResult:
+        lease = None
+        try:
+            if command.expires is not None:
+                lease = await self._expiry.covering(command.expires)
+            return await self._store.swap(
+                command.key, command.version, command.value, lease
+            )
+        except LeaseLost:
+            self._expiry.forget(lease)
+            return Unavailable()
+        except (StoreUnavailable, StoreUnknown):
+            return Unavailable()  # no lease was granted, so nothing was written
+
     async def _keep_time(self) -> None:
         while True:
             await asyncio.sleep(TICK)
@@ -416,7 +450,9 @@
         """Bring links and targets in line with hosts and catalogue."""
         count = self._settings.links_per_service
         wanted = choose(self._name, self._known_hosts, self._board.catalogue, count)
-        for name in set(self._links) - set(wanted):
+        for host in self._hosts_to_seal(wanted):
+            self._link_only(host)
+        for name in set(self._links) - set(wanted) - set(self._sealing):
             self._unlink(name)
         for name, host in wanted.items():
             self._link(name, host)
@@ -431,9 +467,22 @@
         else:
             self._board.targets[name] = TargetState(host)
         if link is None:
-            heartbeat = self._settings.heartbeat
-            address = Address(host.agent)
-            self._links[name] = Link(address, self._owner, heartbeat, self)
+            self._links[name] = self._new_link(host)
+
+    def _hosts_to_seal(self, wanted: t.Mapping[str, Host]) -> list[Host]:
+        now = self._clock.now()
+        self._sealing = {k: v for k, v in self._sealing.items() if v > now}
+        names = set(self._sealing) - set(wanted)
+        return [host for host in self._known_hosts if host.name in names]
+
+    def _link_only(self, host: Host) -> None:
+        """Open a link to a host that gets no requests from here."""
+        if host.name not in self._links:
+            self._links[host.name] = self._new_link(host)
+
+    def _new_link(self, host: Host) -> Link:
+        heartbeat = self._settings.heartbeat
+        return Link(Address(host.agent), self._owner, heartbeat, self)
 
     def _unlink(self, name: str) -> None:
         target = self._board.targets.get(name)
--- a/src/chicorycove/exchange.py
+++ b/src/chicorycove/exchange.py
@@ -99,6 +99,16 @@
         """Tell whether the caller has got a status already."""
         return self._begun
 
+    @property
+    def held(self) -> int:
+        """Return the bytes that are held until the answer is whole."""
+        return len(self._held)
+
+    @property
+    def attempt(self) -> AttemptId | None:
+        """Return the attempt whose head came last."""
+        return self._head_of
+
     def begin_attempt(self, target: str) -> None:
         """Forget what an earlier attempt left, unless it was passed on."""
         self.targets.append(target)
--- a/src/chicorycove/local.py
+++ b/src/chicorycove/local.py
@@ -56,7 +56,11 @@
             Settings(
                 role=Role.ENTRY,
                 name=self._settings.name,
-                entry=EntrySettings(listen=local.listen, max_body=local.max_body),
+                entry=EntrySettings(
+                    listen=local.listen,
+                    max_body=local.max_body,
+                    max_answer=local.max_answer,
+                ),
                 platform=PlatformSettings(
                     store=Address(store_server.address),
                     hosts=Address(host_server.address),
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -53,6 +53,7 @@
     TARGET_FAILED = "target_failed"
     LINK_LOST = "link_lost"
     STREAM_BROKEN = "stream_broken"
+    ANSWER_TOO_LARGE = "answer_too_large"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CALLER_GONE = "caller_gone"
     CLAIM_UNSETTLED = "claim_unsettled"
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -123,6 +123,7 @@
     targets: tuple[LocalTarget, ...]
     time_scale: float = 1.0
     max_body: int = 32 * 1024 * 1024  # bytes
+    max_answer: int = 16 * 1024 * 1024  # bytes
 
 
 @frozen
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -21,6 +21,7 @@
     "entry",
     "entry_process",
     "exchange",
+    "expiry",
     "executor",
     "front",
     "httpclient",
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -14,6 +14,7 @@
 from examples.demo import Caller
 
 MAX_BODY = 1_000_000  # bytes
+MAX_ANSWER = 4_000  # bytes
 WAIT = 60.0  # seconds, far more than any step needs
 
 PROMPT = {"model": "advisor", "prompt": "Where does the gate go?"}
@@ -66,6 +67,7 @@
             targets=(*targets, plain),
             time_scale=0.01,
             max_body=MAX_BODY,
+            max_answer=MAX_ANSWER,
         ),
     )
 
@@ -177,6 +179,12 @@
         self.assertEqual((await response.json())["reason"], "key_reused")
         self.assertEqual(len(await self.runs()), 1)
 
+    async def test_whole_answer_beyond_the_limit_is_a_problem(self):
+        response = await self.send(json=PROMPT | {"max_tokens": 1024})
+        problem = await response.json()
+        self.assertEqual(problem["reason"], "answer_too_large")
+        self.assertEqual(problem["verdict"], "may_have_run")
+
     async def test_many_at_once_each_get_their_own_answer(self):
         async def one(number):
             text = f"question {number}"
