--- a/src/chicorycove/claim.py
+++ b/src/chicorycove/claim.py
@@ -206,9 +206,9 @@
         return self._swap(claiming)
 
     def finish(
-        self, request: str, result: bytes | None, now: float
+        self, request: Request, result: bytes | None, now: float
     ) -> list[EntryCommand]:
-        """Keep the result of a claimed request that ran, by its id."""
+        """Keep the result of a claimed request that ran."""
         if result is not None and len(result) > self._settings.result_limit:
             result = None
         return self._settle(request, ClaimState.DONE, result, now)
@@ -381,12 +381,12 @@
 
     def _settle(
         self,
-        request: str,
+        request: Request,
         state: ClaimState,
         result: bytes | None,
         now: float,
     ) -> list[EntryCommand]:
-        claiming = self._claimings.get(request)
+        claiming = self._claimings.get(request.id)
         if claiming is None or claiming.phase.over:
             return []
         if claiming.phase is not _Phase.HELD:
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -201,7 +201,7 @@
             return self._no_target(state, since, now)
         agent = self._board.targets[name].agent
         attempt = self._make_attempt(request.id, len(state.attempts) + 1)
-        if request.claimed:
+        if request.claimable:
             self._planned[request.id] = (attempt, agent)
             return self._claims.begin(request, attempt, agent, now)
         return self._send(state, attempt, agent)
@@ -318,8 +318,8 @@
         known = self._verdict(state)
         if verdict is None or known is not Verdict.NOT_RUN:
             verdict = known
-        if request.claimed:
-            commands += self._claims.abandon(request.id, verdict, now)
+        if request.claimable:
+            commands += self._claims.abandon(request, verdict, now)
         self._forget(state)
         commands.append(Fail(request.id, reason, verdict, retry_after))
         return commands
@@ -357,7 +357,7 @@
         state = self._board.requests.get(request)
         if state is None:
             return []
-        if state.request.claimed and state.attempts:
+        if state.request.claimable and state.attempts:
             return []  # the result is kept for the caller's next try
         return self._fail(state, Reason.CALLER_GONE, None, None, now)
 
@@ -449,7 +449,7 @@
         for command in commands:
             match command:
                 case Claimed(request):
-                    out += self._claimed(request, now)
+                    out += self._claimed(request)
                 case GroupFailed(request, reason, verdict):
                     out += self._group_failed(request, reason, verdict, now)
                 case Send(attempt, agent) if attempt not in self._board.attempts:
@@ -465,11 +465,11 @@
                     out.append(command)
         return out
 
-    def _claimed(self, request: str, now: float) -> list[EntryCommand]:
-        attempt, agent = self._planned.pop(request)
+    def _claimed(self, request: str) -> list[EntryCommand]:
         state = self._board.requests.get(request)
         if state is None:
-            return self._claims.abandon(request, Verdict.NOT_RUN, now)
+            return []
+        attempt, agent = self._planned.pop(request)
         return self._send(state, attempt, agent)
 
     def _group_failed(
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -54,8 +54,8 @@
                 return idempotent
 
     @property
-    def claimed(self) -> bool:
-        """Tell whether a claim of its key is needed before it is sent."""
+    def claimable(self) -> bool:
+        """Tell whether the request's key is to be claimed before it runs."""
         return self.key is not None and not self.idempotent
 
     @property
