--- a/src/chicorycove/retry.py
+++ b/src/chicorycove/retry.py
@@ -138,7 +138,8 @@
             return False
         if not verdict.retryable and not state.request.idempotent:
             return False
-        return state.relayed == 0 or _is_repeatable(state)
+        passed_on = state.relayed > 0 and state.request.streamed
+        return not passed_on or _is_repeatable(state)
 
     def _backoff(self, state: RequestState, reason: Reason) -> float:
         if reason in UNBUDGETED:
