--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -21,6 +21,8 @@
 START_TIMEOUT = 60.0  # seconds
 POLL = 0.05  # seconds
 LOOPBACK = "127.0.0.1"
+TICKS = os.sysconf("SC_CLK_TCK")  # a second
+MEGABYTE = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +46,7 @@
     entries: int = 2
     time_scale: float = 1.0
     log_level: str = "warning"
+    peers: bool = True  # whether entries and agents spread the catalogue
     entry_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
     agent_overrides: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
 
@@ -57,6 +60,10 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._commands: dict[str, list[str]] = {}
         self._urls: dict[str, str] = {}
+        self._seeds = {
+            f"entry-{number}": f"{LOOPBACK}:{free_port()}"
+            for number in range(1, spec.entries + 1)
+        }
 
     @property
     def urls(self) -> t.Mapping[str, str]:
@@ -207,6 +214,10 @@
             },
             role: section,
         }
+        if self._spec.peers:
+            listen = self._seeds.get(name) or f"{LOOPBACK}:{free_port()}"
+            seeds = list(self._seeds.values())
+            settings["peer"] = {"listen": listen, "seeds": seeds}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
         module = "chicorycove.daemon"
@@ -248,6 +259,18 @@
         response.read()
 
 
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time that a process has used, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident(pid: int) -> float:
+    """Return a process's resident memory in megabytes."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / MEGABYTE
+
+
 def _environment() -> dict[str, str]:
     root = pathlib.Path(__file__).parent.parent
     path = os.pathsep.join((str(root / "src"), str(root)))
--- a/src/chicorycove/claim.py
+++ b/src/chicorycove/claim.py
@@ -206,9 +206,9 @@
         return self._swap(claiming)
 
     def finish(
-        self, request: Request, result: bytes | None, now: float
+        self, request: str, result: bytes | None, now: float
     ) -> list[EntryCommand]:
-        """Keep the result of a claimed request that ran."""
+        """Keep the result of a claimed request that ran, by its id."""
         if result is not None and len(result) > self._settings.result_limit:
             result = None
         return self._settle(request, ClaimState.DONE, result, now)
@@ -381,12 +381,12 @@
 
     def _settle(
         self,
-        request: Request,
+        request: str,
         state: ClaimState,
         result: bytes | None,
         now: float,
     ) -> list[EntryCommand]:
-        claiming = self._claimings.get(request.id)
+        claiming = self._claimings.get(request)
         if claiming is None or claiming.phase.over:
             return []
         if claiming.phase is not _Phase.HELD:
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -174,6 +174,8 @@
             ]
         if skip >= size:
             return []
+        if not state.relayed:
+            self._answering(state.attempts[-1])
         state.relayed += size - skip
         return [Relay(attempt.request, skip)]
 
@@ -201,7 +203,7 @@
             return self._no_target(state, since, now)
         agent = self._board.targets[name].agent
         attempt = self._make_attempt(request.id, len(state.attempts) + 1)
-        if request.claimable:
+        if request.claimed:
             self._planned[request.id] = (attempt, agent)
             return self._claims.begin(request, attempt, agent, now)
         return self._send(state, attempt, agent)
@@ -236,7 +238,8 @@
         self._board.attempts[attempt] = record
         target = self._board.targets.get(agent.target)
         if target is not None:
-            target.outstanding[attempt] = state.request.weight
+            target.outstanding.setdefault(attempt, state.request.weight)
+            target.prefill.setdefault(attempt, state.request.prefill)
         return record
 
     def _progressed(
@@ -318,8 +321,8 @@
         known = self._verdict(state)
         if verdict is None or known is not Verdict.NOT_RUN:
             verdict = known
-        if request.claimable:
-            commands += self._claims.abandon(request, verdict, now)
+        if request.claimed:
+            commands += self._claims.abandon(request.id, verdict, now)
         self._forget(state)
         commands.append(Fail(request.id, reason, verdict, retry_after))
         return commands
@@ -357,7 +360,7 @@
         state = self._board.requests.get(request)
         if state is None:
             return []
-        if state.request.claimable and state.attempts:
+        if state.request.claimed and state.attempts:
             return []  # the result is kept for the caller's next try
         return self._fail(state, Reason.CALLER_GONE, None, None, now)
 
@@ -449,7 +452,7 @@
         for command in commands:
             match command:
                 case Claimed(request):
-                    out += self._claimed(request)
+                    out += self._claimed(request, now)
                 case GroupFailed(request, reason, verdict):
                     out += self._group_failed(request, reason, verdict, now)
                 case Send(attempt, agent) if attempt not in self._board.attempts:
@@ -465,11 +468,11 @@
                     out.append(command)
         return out
 
-    def _claimed(self, request: str) -> list[EntryCommand]:
+    def _claimed(self, request: str, now: float) -> list[EntryCommand]:
+        attempt, agent = self._planned.pop(request)
         state = self._board.requests.get(request)
         if state is None:
-            return []
-        attempt, agent = self._planned.pop(request)
+            return self._claims.abandon(request, Verdict.NOT_RUN, now)
         return self._send(state, attempt, agent)
 
     def _group_failed(
@@ -487,6 +490,12 @@
         target = self._board.targets.get(record.agent.target)
         if target is not None:
             target.outstanding.pop(record.id, None)
+            target.prefill.pop(record.id, None)
+
+    def _answering(self, record: AttemptState) -> None:
+        target = self._board.targets.get(record.agent.target)
+        if target is not None:
+            target.prefill.pop(record.id, None)
 
     def _forget(self, state: RequestState) -> None:
         self._board.requests.pop(state.request.id, None)
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -54,8 +54,8 @@
                 return idempotent
 
     @property
-    def claimable(self) -> bool:
-        """Tell whether the request's key is to be claimed before it runs."""
+    def claimed(self) -> bool:
+        """Tell whether a claim of its key is needed before it is sent."""
         return self.key is not None and not self.idempotent
 
     @property
@@ -76,6 +76,15 @@
             case Call():
                 return False
 
+    @property
+    def prefill(self) -> int:
+        """Return the tokens to compute before the answer begins."""
+        match self.work:
+            case Prompt(tokens=tokens):
+                return tokens
+            case Call():
+                return 0
+
     @property
     def weight(self) -> int:
         """Return the work that the request makes, in tokens."""
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -7,7 +7,7 @@
 import os
 import unittest
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from chicorycove.event import StopAsked
@@ -152,6 +152,7 @@
     deadline=None,
     derandomize=True,
     database=None,
+    phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
 )
 
