--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -48,14 +48,20 @@
         self.assertEqual(last, GiveUp(Reason.PROMPT_TOO_LONG, Verdict.MAY_HAVE_RUN))
 
     def test_relayed_bytes_are_repeated_only_where_they_are_the_same(self):
-        again = self.decide(state(relayed=10), Reason.STREAM_BROKEN)
+        streamed = Prompt("advisor", 100, 10, stream=True)
+        again = self.decide(state(streamed, relayed=10), Reason.STREAM_BROKEN)
         self.assertIsInstance(again, Retry)
-        sampled = Prompt("advisor", 100, 10, repeatable=False)
+        sampled = Prompt("advisor", 100, 10, stream=True, repeatable=False)
         cut = self.decide(state(sampled, relayed=10), Reason.STREAM_BROKEN)
         self.assertIsInstance(cut, GiveUp)
         whole = self.decide(state(sampled), Reason.STREAM_BROKEN)
         self.assertIsInstance(whole, Retry)
 
+    def test_bytes_held_back_may_be_fetched_again(self):
+        sampled = Prompt("advisor", 100, 10, repeatable=False)
+        held = self.decide(state(sampled, relayed=10), Reason.STREAM_BROKEN)
+        self.assertIsInstance(held, Retry)
+
     def test_no_retry_past_the_deadline(self):
         decision = self.decide(state(), Reason.LINK_LOST, now=29.9999)
         self.assertIsInstance(decision, GiveUp)
