Cancel a closing process's tasks until they end

Suspected: asyncio.wait_for, which the HTTP client uses, loses a cancellation that comes as the call returns, and the loops around it went on. Not reproduced on purpose. Ruled out: a busy entry (close does not wait for requests). Change: utils.cancel_all cancels again until a task has ended; agent, entry, link, orchestrator and the follower use it. Conclusion: a loop can no longer outlive its owner's close.

--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -48,6 +48,7 @@
 from .settings import AgentSettings
 from .stream import BROKEN, READ_LIMIT, MessageStream
 from .target import TargetBoard, TargetController
+from .utils import cancel_all
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
@@ -137,9 +138,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         for session in self._sessions.values():
             session.close()
         await self._backend.close()
@@ -416,9 +415,7 @@
     async def close(self) -> None:
         """Drop all links."""
         self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -64,6 +64,7 @@
 from .routing import Router, RoutingSettings
 from .settings import EntrySettings, Settings
 from .subset import choose
+from .utils import cancel_all
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
@@ -162,9 +163,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         await asyncio.gather(*(link.close() for link in self._links.values()))
 
     def new_id(self) -> str:
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -22,6 +22,7 @@
 from .registry import Registry
 from .schema import parse_file
 from .settings import Settings
+from .utils import cancel_all
 
 STOP_POLL = 0.05  # seconds
 SEED_DELAY = 0.5  # seconds between attempts to store a first catalogue
@@ -145,7 +146,7 @@
         if self._listener is not None:
             await self._listener.close()
         if self._follower is not None:
-            self._follower.cancel()
+            await cancel_all([self._follower])
         if self._node is not None:
             await self._node.close()
         await self._entry.close()
--- a/src/chicorycove/link.py
+++ b/src/chicorycove/link.py
@@ -1,7 +1,6 @@
 """An entry's link to an agent, on the entry's side."""
 
 import asyncio
-import contextlib
 import typing as t
 
 from .conversion import Address
@@ -11,6 +10,7 @@
 from .log import LOGGER
 from .outbox import Outbox
 from .stream import BROKEN, READ_LIMIT, MessageStream
+from .utils import cancel_all
 from .wire import link_pb2 as wire
 
 RECONNECT_MIN = 0.05  # seconds
@@ -67,9 +67,7 @@
 
     async def close(self) -> None:
         """Drop the link for good."""
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
+        await cancel_all([self._task])
 
     def _finished(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -106,10 +104,8 @@
         try:
             await self._read(stream, outbox)
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             stream.close()
+            await cancel_all(tasks)
 
     async def _read(self, stream: AgentStream, outbox: Outbox) -> None:
         silence = SILENCE_FACTOR * self._heartbeat
--- a/src/chicorycove/orchestrator.py
+++ b/src/chicorycove/orchestrator.py
@@ -39,6 +39,7 @@
 from .platform.store import Store
 from .routing import matches
 from .settings import Settings
+from .utils import cancel_all
 from .wire import link_pb2 as wire
 
 HEAD_KEY = "planner/head"
@@ -302,9 +303,7 @@
         }
 
     async def _cancel(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         self._tasks.clear()
 
     def _now(self) -> float:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -37,6 +37,7 @@
     "registry",
     "session",
     "stream",
+    "utils",
 }
 
 FORBIDDEN = {
