--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -47,6 +47,8 @@
     text = PAGE.read_text()
     text = _replace(text, "slopes", table(load("scale")["slopes"]))
     text = _replace(text, "roles", table([_row(line) for line in lines()]))
+    text = _replace(text, "planner", _planner())
+    text = _replace(text, "catalogue", _catalogue())
     PAGE.write_text(text)
 
 
@@ -137,6 +139,28 @@
     )
 
 
+def _planner() -> str:
+    """Return the planner's cost by size, and its share at the size to come."""
+    costs = load("orders")["costs"]
+    rows = [
+        {
+            "targets": cost["targets"],
+            "a plan, ms": round(cost["steady"], 1),
+            "memory of a plan, MB": round(cost["peak_memory"], 2),
+            "% of a core, a plan each 10 s": round(cost["steady"] / 100, 2),
+        }
+        for cost in costs
+    ]
+    return table(rows)
+
+
+def _catalogue() -> str:
+    """Return what dissemination and membership cost at 8,070 members."""
+    measured = load("catalogue")
+    parts = (measured["in force everywhere"], measured["rates"], measured["store"])
+    return "\n\n".join(table(rows) for rows in parts)
+
+
 def _row(line: Line) -> dict[str, str]:
     row = dataclasses.asdict(line)
     row["from"] = row.pop("from_")
