--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -1,53 +1,48 @@
-"""Carries messages between peers: datagrams for probes, gRPC for the rest."""
+"""Carries messages between peers: small ones in datagrams, others by TCP."""
 
 import asyncio
-import collections
+import contextlib
 import dataclasses
 import random
 import time
 import typing as t
 
-import grpc
-
 from . import codec
 from .change import Change, State
 from .conversion import Address
 from .dissemination import (
     SPREAD_TIMEOUT,
     AgentPeer,
-    Beat,
     Command,
     EntryPeer,
     Install,
     Message,
-    Roster,
     Spread,
 )
 from .log import LOGGER
-from .membership import Member, Membership, Probe, Role, Tell
+from .membership import Member, Membership, Role, Tell
 from .registry import Laggard, ProcessStatus, Spread as SpreadReport
 from .settings import PeerSettings, Settings
-from .wire import peer_pb2 as pb, peer_pb2_grpc
+from .stream import BROKEN, MessageStream
+from .utils import cancel_all
+from .wire import peer_pb2 as pb
 
 TICK = 0.1  # seconds
-MAX_DATAGRAM = 8192  # bytes; what is larger goes by gRPC
-MAX_CHANNELS = 128
+MAX_DATAGRAM = 1400  # bytes, to fit a frame; what is larger goes by TCP
 CALL_TIMEOUT = 1.0  # seconds
 MAX_MESSAGE = 16 * 1024 * 1024  # bytes
-GRACE = 0.2  # seconds for calls at hand when the transport closes
+GRACE = 0.2  # seconds for messages at hand when the transport closes
 
 
-class Transport(asyncio.DatagramProtocol, peer_pb2_grpc.PeerServicer):
+class Transport(asyncio.DatagramProtocol):
     """Sends and receives messages on one address, by UDP and by TCP."""
 
     def __init__(self, receive: t.Callable[[Message], None]) -> None:
         self._receive = receive
         self._datagrams: asyncio.DatagramTransport | None = None
-        self._server: grpc.aio.Server | None = None
+        self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
-            collections.OrderedDict()
-        )
+        self._readers: set[asyncio.Task] = set()
         self.address = ""
 
     async def start(self, address: Address) -> None:
@@ -55,16 +50,10 @@
 
         :raises OSError: if the address cannot be listened on
         """
-        options = [
-            ("grpc.max_receive_message_length", MAX_MESSAGE),
-            ("grpc.so_reuseport", 0),
-        ]
-        self._server = grpc.aio.server(options=options)
-        peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
-        port = self._server.add_insecure_port(f"{address.host}:{address.port}")
-        if not port:
-            raise OSError(f"cannot listen on {address.host}:{address.port}")
-        await self._server.start()
+        self._server = await asyncio.start_server(
+            self._serve, address.host, address.port
+        )
+        port = self._server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
         self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(address.host, port)
@@ -74,12 +63,11 @@
     def send(self, address: str, message: Message) -> None:
         """Send a message; it may be lost."""
         wire = codec.encode(message)
-        if isinstance(message, (Probe, Beat, Roster)):
-            octets = wire.SerializeToString()
-            if len(octets) <= MAX_DATAGRAM:
-                host, _, port = address.rpartition(":")
-                self._datagrams.sendto(octets, (host, int(port)))
-                return
+        octets = wire.SerializeToString()
+        if len(octets) <= MAX_DATAGRAM:
+            host, _, port = address.rpartition(":")
+            self._datagrams.sendto(octets, (host, int(port)))
+            return
         task = asyncio.create_task(self._call(address, wire))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -89,9 +77,8 @@
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=GRACE)
         self._datagrams.close()
-        await self._server.stop(GRACE)
-        for channel in self._channels.values():
-            await channel.close()
+        self._server.close()
+        await cancel_all(self._readers)
 
     def datagram_received(self, data: bytes, addr: t.Any) -> None:
         """Take a datagram in, unless it is malformed."""
@@ -102,33 +89,29 @@
             return
         self._receive(message)
 
-    async def Deliver(self, request, context) -> pb.PeerAnswer:
-        """Take messages in."""
-        for wire in request.messages:
-            self._receive(codec.decode(wire))
-        return pb.PeerAnswer()
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
+        stream = MessageStream(reader, writer, pb.PeerMessage, MAX_MESSAGE)
+        with contextlib.suppress(*BROKEN, asyncio.CancelledError):
+            while True:
+                self._receive(codec.decode(await stream.read()))
+        stream.close()
 
     async def _call(self, address: str, wire: pb.PeerMessage) -> None:
-        stub = peer_pb2_grpc.PeerStub(self._channel(address))
+        host, _, port = address.rpartition(":")
         try:
-            await stub.Deliver(pb.PeerBatch(messages=[wire]), timeout=CALL_TIMEOUT)
-        except grpc.aio.AioRpcError as error:
-            LOGGER.debug("message to peer %s lost: %s", address, error.code())
-
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        channel = self._channels.pop(address, None)
-        if channel is None:
-            options = [
-                ("grpc.max_reconnect_backoff_ms", 1000),
-                ("grpc.initial_reconnect_backoff_ms", 100),
-                ("grpc.use_local_subchannel_pool", 1),
-            ]
-            channel = grpc.aio.insecure_channel(address, options=options)
-        self._channels[address] = channel
-        if len(self._channels) > MAX_CHANNELS:
-            _, oldest = self._channels.popitem(last=False)
-            asyncio.create_task(oldest.close())
-        return channel
+            async with asyncio.timeout(CALL_TIMEOUT):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                stream = MessageStream(reader, writer, pb.PeerMessage, MAX_MESSAGE)
+                await stream.write(wire)
+                stream.close()
+                await writer.wait_closed()
+        except (OSError, TimeoutError) as error:
+            LOGGER.debug("message to peer %s lost: %r", address, error)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
