--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -4,7 +4,9 @@
 itself starts no process.
 """
 
+import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -21,6 +23,12 @@
 START_TIMEOUT = 60.0  # seconds
 POLL = 0.05  # seconds
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+PORT_STRIDE = 500  # between processes that look for ports at the same time
+
+_first = FIRST_PORT + os.getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT)
+_PORTS = itertools.cycle([*range(_first, LAST_PORT), *range(FIRST_PORT, _first)])
 
 
 @dataclasses.dataclass(frozen=True)
@@ -233,10 +241,16 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a loopback port that nothing listens on, another each time.
+
+    It lies outside the range that outgoing connections are given ports from,
+    so that none of them takes it before its process listens.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
 
 
 def get_json(url: str) -> t.Any:
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -54,16 +54,28 @@
 from .platform.store import Store
 from .problem import Problem
 from .prompt import segments
+from .quota import Quotas, QuotaSettings
 from .reason import Reason
 from .request import Call, Prompt, Request
 from .retry import RetryPolicy, RetrySettings
-from .routing import Router, RoutingSettings
-from .settings import EntrySettings, Settings
+from .routing import (
+    LeastOutstanding,
+    LengthAware,
+    RoundRobin,
+    Router,
+    RoutingSettings,
+)
+from .settings import EntrySettings, PolicyName, Settings
 from .subset import choose
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.02  # seconds
+POLICIES = {
+    PolicyName.LENGTH_AWARE: LengthAware(),
+    PolicyName.LEAST_OUTSTANDING: LeastOutstanding(probes=64),
+    PolicyName.ROUND_ROBIN: RoundRobin(),
+}
 NONCE_BITS = 64
 
 
@@ -92,6 +104,7 @@
         self._exchanges: dict[str, Exchange] = {}
         self._known_hosts: tuple[Host, ...] = ()
         self._tasks: set[asyncio.Task] = set()
+        self._quotas = Quotas(QuotaSettings(entries=settings.entry.quota_entries))
         self._dispatcher = self._build()
         self._may_serve: t.Callable[[], bool] = lambda: True
 
@@ -161,6 +174,11 @@
         request = exchange.request
         self._exchanges[request.id] = exchange
         self._metrics.arrived(request.priority_class)
+        over = self._quotas.admit(request, self.catalogue, self._clock.now())
+        if over is not None:
+            verdict = Verdict.NOT_RUN
+            self._fail(Fail(request.id, over.reason, verdict, over.retry_after))
+            return
         self._feed(Arrived(request))
 
     def hang_up(self, exchange: Exchange) -> None:
@@ -196,7 +214,8 @@
 
     def _build(self) -> Dispatcher:
         rng = random.Random(self._random.getrandbits(NONCE_BITS))
-        router = Router(RoutingSettings(), rng)
+        policy = POLICIES[self._settings.routing]
+        router = Router(RoutingSettings(policy=policy), rng)
         groups = GroupCoordinator(
             GroupSettings(), self._board, router, self._make_attempt
         )
@@ -242,6 +261,7 @@
             case Fail():
                 self._fail(command)
             case Replay(request, result):
+                self._quotas.end(request)
                 self._exchanges.pop(request).replay(result)
             case StoreRead(call, key):
                 self._spawn(self._read(call, key))
@@ -265,6 +285,7 @@
             self._metrics.first_token(seconds, request.work.tokens)
 
     def _finish(self, request: str) -> None:
+        self._quotas.end(request)
         exchange = self._exchanges.pop(request)
         self._metrics.answered(exchange.request.priority_class)
         if exchange.request.claimed:
@@ -272,6 +293,7 @@
         exchange.finish()
 
     def _fail(self, command: Fail) -> None:
+        self._quotas.end(command.request)
         exchange = self._exchanges.pop(command.request, None)
         if exchange is None:
             return
@@ -380,7 +402,8 @@
         exchange.members.append(f"{address}/{command.attempt}")
 
     def _priority(self, request: Request) -> int:
-        return urgency(request, self.catalogue)
+        by_length = self._settings.routing is PolicyName.LENGTH_AWARE
+        return urgency(request, self.catalogue, by_length)
 
     async def _read(self, call: int, key: str) -> None:
         self._feed(StoreAnswered(call, await self._store.get(key)))
--- /dev/null
+++ b/src/chicorycove/quota.py
@@ -0,0 +1,224 @@
+"""Limits of workspaces, held across entries by shares that are lent."""
+
+import dataclasses
+
+from .catalogue import Catalogue, Limits
+from .reason import Reason
+from .request import Prompt, Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaSettings:
+    """How a limit is shared; times are in seconds.
+
+    Entries is the most that ever run at the same time; each of them may use
+    its share without hearing from another.
+    """
+
+    entries: int = 1
+    burst: float = 2.0  # of a rate that may be used at once
+    loan: float = 5.0
+    skew: float = 0.5  # between clocks; a lender waits for so long in addition
+    keep: float = 0.25  # share of its own that an entry does not lend
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loan:
+    """A part of a limit that one entry gives another until a time."""
+
+    amount: float
+    expires: float
+
+
+class Share:
+    """One entry's part of one limit, in units of that limit.
+
+    What is lent counts as given away until the loan has run out on every
+    clock; what is borrowed ends when it says.  So the shares of all entries
+    never exceed the limit.
+    """
+
+    def __init__(self, limit: float, settings: QuotaSettings) -> None:
+        self._own = limit / settings.entries
+        self._settings = settings
+        self._lent: list[Loan] = []
+        self._borrowed: list[Loan] = []
+
+    def usable(self, now: float) -> float:
+        """Return what may be used at a time."""
+        self._expire(now)
+        lent = sum(loan.amount for loan in self._lent)
+        return self._own - lent + sum(loan.amount for loan in self._borrowed)
+
+    def lend(self, amount: float, in_use: float, now: float) -> Loan | None:
+        """Lend what is neither in use nor kept, up to an amount."""
+        free = self.usable(now) - in_use - self._own * self._settings.keep
+        free -= sum(loan.amount for loan in self._borrowed)
+        amount = min(amount, free)
+        if amount <= 0:
+            return None
+        loan = Loan(amount, now + self._settings.loan)
+        self._lent.append(loan)
+        return loan
+
+    def borrow(self, loan: Loan, now: float) -> None:
+        """Take a loan in; one that has run out on the way is worth nothing."""
+        if loan.expires > now:
+            self._borrowed.append(loan)
+
+    def _expire(self, now: float) -> None:
+        skew = self._settings.skew
+        self._lent = [loan for loan in self._lent if loan.expires + skew > now]
+        self._borrowed = [loan for loan in self._borrowed if loan.expires > now]
+
+
+class Rate:
+    """A rate a second, as a bucket that fills by this entry's share."""
+
+    def __init__(self, limit: float, settings: QuotaSettings, now: float) -> None:
+        self.share = Share(limit, settings)
+        self._burst = settings.burst
+        self._level = self.share.usable(now) * self._burst
+        self._filled_at = now
+
+    def take(self, amount: float, now: float) -> float:
+        """Take an amount, or return the seconds until it may be taken.
+
+        One larger than the whole bucket is taken from a full one, which then
+        is in debt.
+        """
+        rate = self.share.usable(now)
+        size = rate * self._burst
+        elapsed = max(0.0, now - self._filled_at)
+        self._level = min(size, self._level + elapsed * rate)
+        self._filled_at = max(now, self._filled_at)
+        missing = min(amount, size) - self._level
+        if missing > 0:
+            return missing / rate if rate > 0 else self._burst
+        self._level -= amount
+        return 0.0
+
+    def give_back(self, amount: float) -> None:
+        """Return an amount that was taken in vain."""
+        self._level += amount
+
+
+class Pool:
+    """An amount that requests hold while they run."""
+
+    def __init__(self, limit: float, settings: QuotaSettings) -> None:
+        self.share = Share(limit, settings)
+        self.in_use = 0.0
+
+    def take(self, amount: float, now: float) -> bool:
+        """Hold an amount, if it is free."""
+        if self.in_use + amount > self.share.usable(now):
+            return False
+        self.in_use += amount
+        return True
+
+    def give_back(self, amount: float) -> None:
+        """Let an amount go."""
+        self.in_use -= amount
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverLimit:
+    """A request beyond a limit; retry_after is in seconds."""
+
+    reason: Reason
+    retry_after: float
+
+
+class Account:
+    """What one workspace uses at this entry."""
+
+    def __init__(self, limits: Limits, settings: QuotaSettings, now: float) -> None:
+        self.limits = limits
+        self.requests = _rate(limits.requests_per_second, settings, now)
+        self.tokens = _rate(limits.tokens_per_second, settings, now)
+        self.memory = _pool(limits.memory_tokens, settings)
+
+    def admit(self, request: Request, now: float) -> OverLimit | None:
+        """Charge a request, or charge nothing and say which limit it meets."""
+        tokens = _tokens(request)
+        if self.requests and (wait := self.requests.take(1, now)):
+            return OverLimit(Reason.LIMIT_REQUESTS, wait)
+        if self.tokens and (wait := self.tokens.take(tokens, now)):
+            self._give_back_request()
+            return OverLimit(Reason.LIMIT_TOKENS, wait)
+        if self.memory and not self.memory.take(tokens, now):
+            self._give_back_request()
+            if self.tokens:
+                self.tokens.give_back(tokens)
+            return OverLimit(Reason.LIMIT_MEMORY, RETRY_AFTER)
+        return None
+
+    def end(self, request: Request) -> None:
+        """Let go what a request held while it ran."""
+        if self.memory:
+            self.memory.give_back(_tokens(request))
+
+    def _give_back_request(self) -> None:
+        if self.requests:
+            self.requests.give_back(1)
+
+
+RETRY_AFTER = 1.0  # seconds, where no estimate can be given
+
+
+class Quotas:
+    """The accounts of all workspaces at this entry."""
+
+    def __init__(self, settings: QuotaSettings) -> None:
+        self._settings = settings
+        self._accounts: dict[str, Account] = {}
+        self._running: dict[str, tuple[Account, Request]] = {}
+
+    def admit(
+        self, request: Request, catalogue: Catalogue, now: float
+    ) -> OverLimit | None:
+        """Charge a request to its workspace, or say why not."""
+        account = self.account(request.workspace, catalogue, now)
+        over = account.admit(request, now)
+        if over is None:
+            self._running[request.id] = (account, request)
+        return over
+
+    def end(self, request: str) -> None:
+        """Let go what a request held; unknown ones hold nothing."""
+        held = self._running.pop(request, None)
+        if held is not None:
+            account, charged = held
+            account.end(charged)
+
+    def account(self, workspace: str, catalogue: Catalogue, now: float) -> Account:
+        """Return a workspace's account, new if its limits have changed."""
+        limits = catalogue.workspaces[workspace].limits
+        account = self._accounts.get(workspace)
+        if account is None or account.limits != limits:
+            account = self._renew(account, limits, now)
+            self._accounts[workspace] = account
+        return account
+
+    def _renew(self, old: Account | None, limits: Limits, now: float) -> Account:
+        """Return an account in which what runs is still held."""
+        account = Account(limits, self._settings, now)
+        for request, (holder, charged) in list(self._running.items()):
+            if holder is old:
+                self._running[request] = (account, charged)
+                if account.memory:
+                    account.memory.in_use += _tokens(charged)
+        return account
+
+
+def _tokens(request: Request) -> int:
+    return request.work.memory if isinstance(request.work, Prompt) else 0
+
+
+def _rate(limit: float | None, settings: QuotaSettings, now: float) -> Rate | None:
+    return None if limit is None else Rate(limit, settings, now)
+
+
+def _pool(limit: int | None, settings: QuotaSettings) -> Pool | None:
+    return None if limit is None else Pool(limit, settings)
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -64,6 +64,14 @@
     seeds: tuple[Address, ...] = ()  # of entries, to make first contact
 
 
+class PolicyName(enum.Enum):
+    """How an entry chooses targets."""
+
+    LENGTH_AWARE = "length_aware"
+    LEAST_OUTSTANDING = "least_outstanding"
+    ROUND_ROBIN = "round_robin"
+
+
 @frozen
 class EntrySettings:
     """Settings of an entry; times are in seconds, sizes in bytes."""
@@ -78,6 +86,8 @@
     links_per_service: int = 64
     seed: int | None = None
     seed_catalogue: str | None = None  # a file, put in force if there is none
+    routing: PolicyName = PolicyName.LENGTH_AWARE
+    quota_entries: int = 1  # the most that run at once; each may use a share
 
 
 @frozen
--- /dev/null
+++ b/tests/test_group_spec.py
@@ -0,0 +1,24 @@
+"""Group reservation ends clean, and with any guard removed it does not."""
+
+import unittest
+
+from .group_spec import Guard, check
+
+
+class GroupSpecTest(unittest.TestCase):
+    def test_every_run_ends_and_holds_nothing(self):
+        result = check(restarts=1, deaths=1)
+        self.assertTrue(result["exhaustive"])
+        self.assertGreater(result["reachable_states"], 1000)
+        self.assertIs(result["properties"]["ends_clean"]["holds"], True)
+
+    def test_each_guard_is_needed(self):
+        for guard in Guard:
+            with self.subTest(missing=guard.name):
+                result = check({guard})
+                self.assertIs(result["properties"]["ends_clean"]["holds"], False)
+
+    def test_unordered_groups_deadlock_without_any_failure(self):
+        result = check({Guard.ORDERED}, restarts=0, deaths=0)
+        outcome = result["properties"]["ends_clean"]
+        self.assertIs(outcome["holds"], False)
