Test the experiments' arrivals and ports

Cause: an agent's port was taken by an outgoing connection once, and the deployment did not become ready.

Change: tests of the port range and of the workload's mix.

--- /dev/null
+++ b/tests/test_workload.py
@@ -0,0 +1,37 @@
+"""The experiments' arrivals and ports."""
+
+import unittest
+
+from bench import workload
+from bench.deployment import FIRST_PORT, LAST_PORT, free_port
+
+
+class ArrivalsTest(unittest.TestCase):
+    def setUp(self):
+        self.arrivals = list(workload.arrivals(100.0, 100.0, seed=1))
+
+    def test_same_seed_gives_same_arrivals(self):
+        again = list(workload.arrivals(100.0, 100.0, seed=1))
+        self.assertEqual(self.arrivals, again)
+        other = list(workload.arrivals(100.0, 100.0, seed=2))
+        self.assertNotEqual(self.arrivals, other)
+
+    def test_one_prompt_in_fifty_is_long(self):
+        long = sum(x.tokens > workload.LONG for x in self.arrivals)
+        self.assertAlmostEqual(long / len(self.arrivals), 1 / 50, delta=0.005)
+
+    def test_some_prompts_need_more_than_two_engines(self):
+        largest = max(x.tokens for x in self.arrivals)
+        self.assertGreater(largest, 2 * workload.MEMORY)
+
+    def test_prompt_has_its_tokens(self):
+        arrival = self.arrivals[0]
+        size = len(workload.text(arrival).encode())
+        self.assertEqual(size, arrival.tokens * workload.TOKEN_BYTES)
+
+
+class PortTest(unittest.TestCase):
+    def test_port_is_never_one_that_an_outgoing_connection_gets(self):
+        ports = [free_port() for _ in range(100)]
+        self.assertEqual(len(set(ports)), len(ports))
+        self.assertTrue(all(FIRST_PORT <= port < LAST_PORT for port in ports))
