--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -54,9 +54,7 @@
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
-LOAD_INTERVAL = 0.25  # seconds between reports that nothing asks for
-LOAD_DELAY = 0.02  # seconds in which changes of the load are gathered
-LOAD_RATE = 250  # reports a second to all entries together
+LOAD_INTERVAL = 0.25  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
 SSE_END = b"data: [DONE]\n\n"
@@ -68,6 +66,9 @@
     "model_not_loaded": Reason.NOT_READY,
 }
 
+LOAD_DELAY = 0.02  # seconds in which changes of the load are gathered
+LOAD_RATE = 250  # reports a second to all entries together
+
 EntryStream = MessageStream[wire.EntryBatch]
 
 
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -71,12 +71,13 @@
 from .wire import link_pb2 as wire
 
 TICK = 0.02  # seconds
+NONCE_BITS = 64
+
 POLICIES = {
     PolicyName.LENGTH_AWARE: LengthAware(),
     PolicyName.LEAST_OUTSTANDING: LeastOutstanding(probes=64),
     PolicyName.ROUND_ROBIN: RoundRobin(),
 }
-NONCE_BITS = 64
 
 
 class Entry:
