--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -33,7 +33,6 @@
     OwnerLost,
     ResumeAsked,
     RunEnded,
-    StartAsked,
     StopAsked,
     Tick,
 )
@@ -66,9 +65,6 @@
     "model_not_loaded": Reason.NOT_READY,
 }
 
-LOAD_DELAY = 0.02  # seconds in which changes of the load are gathered
-LOAD_RATE = 250  # reports a second to all entries together
-
 EntryStream = MessageStream[wire.EntryBatch]
 
 
@@ -104,7 +100,6 @@
         self._prefills: dict[AttemptId, wire.Prefill] = {}
         self._runs: dict[AttemptId, asyncio.Task] = {}
         self._offsets: dict[AttemptId, int] = {}
-        self._report_due = False
         self._exited = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
@@ -200,16 +195,6 @@
     def _feed(self, event: AgentEvent) -> None:
         for command in self._controller.handle(event, self._clock.now()):
             self._carry_out(command)
-        if isinstance(event, (StartAsked, Answering, RunEnded)):
-            self._report_soon()
-
-    def _report_soon(self) -> None:
-        """Tell entries of a changed load; each sees only its own work."""
-        if self._report_due:
-            return
-        self._report_due = True
-        delay = max(LOAD_DELAY, len(self._sessions) / LOAD_RATE)
-        asyncio.get_running_loop().call_later(delay, self._broadcast_load)
 
     def _carry_out(self, command: AgentCommand) -> None:
         match command:
@@ -381,7 +366,6 @@
             self._broadcast_load()
 
     def _broadcast_load(self) -> None:
-        self._report_due = False
         message = frame.load_frame(self._controller.load)
         for session in self._sessions.values():
             session.send(message)
