--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -48,12 +48,12 @@
 from .settings import AgentSettings
 from .stream import BROKEN, READ_LIMIT, MessageStream
 from .target import TargetBoard, TargetController
+from .utils import cancel_all
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
-LOAD_INTERVAL = 0.25  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
 SSE_END = b"data: [DONE]\n\n"
@@ -138,9 +138,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         for session in self._sessions.values():
             session.close()
         await self._backend.close()
@@ -362,7 +360,7 @@
 
     async def _report_load(self) -> None:
         while True:
-            await asyncio.sleep(LOAD_INTERVAL)
+            await asyncio.sleep(self._settings.load_interval)
             self._broadcast_load()
 
     def _broadcast_load(self) -> None:
@@ -417,9 +415,7 @@
     async def close(self) -> None:
         """Drop all links."""
         self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
