Test the subset of links, and a seal beyond it

Cause: the seal over a target that an entry has no link to was untested. Change: test_subset: pure tests, and real processes: entry 1 is killed while its registration runs, entry 2, linked to the other target only, is asked for the same key; the deployment's readiness probe no longer counts as a run.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -22,6 +22,7 @@
 
 START_TIMEOUT = 60.0  # seconds
 POLL = 0.05  # seconds
+STANDIN_PROBE = "/service/runs"  # any answer will do; "/" would be a run
 LOOPBACK = "127.0.0.1"
 TICKS = os.sysconf("SC_CLK_TCK")  # a second
 MEGABYTE = 1024 * 1024
@@ -144,7 +145,9 @@
         :raises TimeoutError: naming the part that is not
         """
         for name in names if names is not None else list(self._urls):
-            probe = "/readyz" if name.startswith(("entry-", "agent-")) else "/"
+            probe = (
+                "/readyz" if name.startswith(("entry-", "agent-")) else STANDIN_PROBE
+            )
             _wait_for(self._urls[name] + probe, name)
 
     def _start_all(self) -> None:
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,152 @@
+"""Which targets an entry links to, and seals beyond them."""
+
+import collections
+import json
+import pathlib
+import signal
+import threading
+import unittest
+import urllib.error
+import urllib.request
+
+from bench.deployment import Deployment, DeploymentSpec, TargetSpec, get_json
+from chicorycove.catalogue import Catalogue, Service, ServiceKind
+from chicorycove.host import Host
+from chicorycove.subset import choose
+
+CATALOGUE = pathlib.Path("examples/local/catalogue.json")
+WAIT = 60  # seconds, far more than any step needs
+
+
+def make_hosts(count, service="advisor"):
+    return [
+        Host(
+            name=f"{service}-{number}",
+            agent="127.0.0.1:1",
+            region="r",
+            failure_domain="a",
+            labels={"service": service},
+        )
+        for number in range(count)
+    ]
+
+
+def make_catalogue(*names):
+    services = [
+        Service(
+            name=name, owner="o", kind=ServiceKind.ENGINE, selector={"service": name}
+        )
+        for name in names
+    ]
+    return Catalogue.build(services, 1)
+
+
+class ChooseTest(unittest.TestCase):
+    def test_some_of_each_service(self):
+        hosts = make_hosts(50, "advisor") + make_hosts(5, "purchasing")
+        chosen = choose("e", hosts, make_catalogue("advisor", "purchasing"), 8)
+        services = collections.Counter(h.labels["service"] for h in chosen.values())
+        self.assertEqual(services, {"advisor": 8, "purchasing": 5})
+
+    def test_same_whatever_the_order(self):
+        hosts = make_hosts(50)
+        catalogue = make_catalogue("advisor")
+        once = choose("e", hosts, catalogue, 8)
+        again = choose("e", reversed(hosts), catalogue, 8)
+        self.assertEqual(set(once), set(again))
+
+    def test_one_lost_host_changes_one_link(self):
+        hosts = make_hosts(50)
+        catalogue = make_catalogue("advisor")
+        before = choose("e", hosts, catalogue, 8)
+        lost = next(iter(before))
+        left = [host for host in hosts if host.name != lost]
+        after = choose("e", left, catalogue, 8)
+        self.assertEqual(len(set(after) - set(before)), 1)
+
+    def test_every_host_is_linked_by_some_entry(self):
+        hosts = make_hosts(40)
+        catalogue = make_catalogue("advisor")
+        linked = collections.Counter()
+        for number in range(100):
+            linked.update(list(choose(f"entry-{number}", hosts, catalogue, 8)))
+        self.assertEqual(len(linked), 40)
+
+
+class SealBeyondLinksTest(unittest.TestCase):
+    """Each entry links to one of two targets only."""
+
+    def register(self, url, timeout):
+        request = urllib.request.Request(
+            f"{url}/services/purchasing/registrations",
+            json.dumps({"steel": "NAK80"}).encode(),
+            {
+                "Authorization": "Bearer secretariat-key",
+                "Idempotency-Key": "steel-1",
+                "X-Request-Timeout": str(timeout),
+            },
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=WAIT) as response:
+                return response.status, json.load(response)
+        except urllib.error.HTTPError as error:
+            return error.code, json.load(error)
+        except OSError:
+            return 0, {}
+
+    def test_dead_entry_s_attempt_is_sealed_at_a_target_not_linked(self):
+        names = self.disjoint_entries()
+        targets = tuple(
+            TargetSpec(
+                f"purchasing-{number}",
+                "purchasing",
+                kind="plain",
+                options=("--work-time", "3"),
+            )
+            for number in range(2)
+        )
+        spec = DeploymentSpec(
+            CATALOGUE,
+            targets,
+            entries=max(names),
+            entry_overrides={"links_per_service": 1},
+        )
+        with Deployment(spec) as deployment:
+            first, second = (deployment.urls[f"entry-{n}"] for n in names)
+            caller = threading.Thread(target=self.register, args=(first, 30))
+            caller.start()
+            self.wait_for_a_run(deployment, targets)
+            deployment.signal(f"entry-{names[0]}", signal.SIGKILL)
+            caller.join(WAIT)
+            status, problem = self.register(second, 10)
+            self.assertEqual(problem["verdict"], "may_have_run", problem)
+            self.assertGreaterEqual(status, 400)
+            runs = sum(len(self.runs(deployment, target)) for target in targets)
+            self.assertEqual(runs, 1)
+
+    def disjoint_entries(self):
+        """Return the numbers of two entries that link to different targets."""
+        hosts = make_hosts(2, "purchasing")
+        catalogue = make_catalogue("purchasing")
+        linked = {
+            number: set(choose(f"entry-{number}", hosts, catalogue, 1))
+            for number in range(1, 9)
+        }
+        other = next(n for n in linked if linked[n] != linked[1])
+        return 1, other
+
+    def wait_for_a_run(self, deployment, targets):
+        event = threading.Event()
+        for _ in range(WAIT * 20):
+            if any(self.started(deployment, target) for target in targets):
+                return
+            event.wait(0.05)
+        self.fail("the registration never started")
+
+    def started(self, deployment, target):
+        url = f"{deployment.urls[f'agent-{target.name}']}/metrics"
+        with urllib.request.urlopen(url, timeout=WAIT) as response:
+            return b'outcome="run"' in response.read()
+
+    def runs(self, deployment, target):
+        return get_json(f"{deployment.urls[target.name]}/service/runs")
