--- a/src/chicorycove/membership.py
+++ b/src/chicorycove/membership.py
@@ -24,7 +24,8 @@
 SPREAD_FACTOR = 3  # an update is told this many times log2(members)
 POLL_SIZE = 48  # members asked when contact with most is in doubt
 POLL_TIMEOUT = 0.4
-POLL_RETRY = 1.5  # seconds from a poll without a majority to the next
+SAMPLES = 2  # polls in a row that settle a doubt, where they are samples
+POLL_RETRY = 1.0  # seconds from a poll without a majority to the next
 MAX_STALENESS = 2.5  # an entry without contact serves no longer than this
 RELAYS = 2  # entries of a failure domain that watch the store and relay
 
@@ -139,6 +140,7 @@
         self._poll: _Poll | None = None
         self._next_poll = now
         self._doubted = bool(addresses)
+        self._agreed = 0  # polls in a row
         self._next_round = now + self._random.random() * PERIOD
         self._next_reclaim = now + RECLAIM_PERIOD
         self._addresses = addresses  # of entries whose names are not known
@@ -385,11 +387,15 @@
         if poll is None or now - poll.started < POLL_TIMEOUT:
             return []
         self._poll = None
-        if self._is_majority(poll):
+        if not self._is_majority(poll):
+            self._agreed = 0
+            self._next_poll = now + POLL_RETRY
+            return []
+        self._agreed += 1
+        if self._agreed >= (SAMPLES if len(poll.asked) == POLL_SIZE else 1):
+            self._agreed = 0
             self._contact_at = now
             self._doubted = False
-        else:
-            self._next_poll = now + POLL_RETRY
         return []
 
     def _is_majority(self, poll: _Poll) -> bool:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -266,6 +266,15 @@
         ]
         self.assertEqual(serving, ["e0"])
 
+    def test_a_third_cut_off_stops_where_polls_are_samples(self):
+        fleet = Fleet(entries=150, agents=0, domains=3)
+        fleet.run(1)
+        fleet.cut = lambda a, b: (int(a[1:]) % 3 == 0) != (int(b[1:]) % 3 == 0)
+        fleet.run(5)
+        for name, peer in fleet.peers.items():
+            serves = peer.membership.may_serve(fleet.now)
+            self.assertEqual(serves, int(name[1:]) % 3 != 0, name)
+
     def test_one_answer_is_not_contact_with_most(self):
         fleet = Fleet(entries=20, agents=0, domains=4)
         fleet.run(2)
