Write down when a change was in force everywhere

Cause: only the entry that accepted a change could tell, until its restart. Change: one value a change, read back by history and show at any entry. Figures: one more store call a change. Conclusion: the history is the same at every entry.

--- a/src/chicorycove/administration.py
+++ b/src/chicorycove/administration.py
@@ -85,12 +85,12 @@
         if not limit.isdecimal() or not 0 < int(limit) <= MAX_HISTORY:
             raise CatalogueError(f"limit: expected a number from 1 to {MAX_HISTORY}")
         changes = await self._registry.history(int(limit))
-        return {"changes": [self._change(change) for change in changes]}
+        return {"changes": [await self._change(change) for change in changes]}
 
     async def _show(self, request: Request) -> Json:
         self._operator(request)
         change = await self._registry.find(request.path_params["change"])
-        return self._change(change) | {"diff": diff(change.replacements)}
+        return await self._change(change) | {"diff": diff(change.replacements)}
 
     async def _apply(self, request: Request) -> Json:
         operator = self._operator(request)
@@ -119,7 +119,7 @@
             return {"dry_run": True, "diff": diff(change.replacements)}
         change = await self._registry.apply(operator, proposal)
         await self._registry.spread(change)
-        return self._change(change) | {"diff": diff(change.replacements)}
+        return await self._change(change) | {"diff": diff(change.replacements)}
 
     async def _status(self, request: Request) -> Json:
         self._operator(request)
@@ -148,9 +148,9 @@
             "changed": dataclasses.asdict(mark),
         }
 
-    def _change(self, change: Change) -> Json:
+    async def _change(self, change: Change) -> Json:
         data = change_to_json(change)
-        spread = self._registry.spread_of(change.revision)
+        spread = await self._registry.spread_of(change.revision)
         if spread is not None:
             data["in_force_at"] = spread.in_force_at
             data["members"] = spread.members
--- a/src/chicorycove/registry.py
+++ b/src/chicorycove/registry.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import json
 import logging
 import time
 import typing as t
@@ -73,6 +74,16 @@
     revision: int
 
 
+def _spread_key(revision: int) -> str:
+    return f"{commit.PREFIX}spreads/{revision}"
+
+
+def _decode_spread(value: bytes) -> Spread:
+    data = json.loads(value)
+    laggards = tuple(Laggard(**each) for each in data["laggards"])
+    return Spread(**{**data, "laggards": laggards})
+
+
 class Spreader(t.Protocol):
     """Carries states from process to process."""
 
@@ -267,11 +278,17 @@
             spread = Spread(change.revision, 1, self._clock())
         else:
             spread = await self.spreader.spread(change, self._state)
-        self._spreads[change.revision] = spread
+        self._keep_spread(spread)
+        value = json.dumps(dataclasses.asdict(spread)).encode()
+        await self._store.swap(_spread_key(change.revision), 0, value)
         return spread
 
-    def spread_of(self, revision: int) -> Spread | None:
-        """Return how far a revision had spread when that was last known."""
+    async def spread_of(self, revision: int) -> Spread | None:
+        """Return how far a revision had spread when its acceptor told."""
+        if revision not in self._spreads:
+            found = await self._store.get(_spread_key(revision))
+            if isinstance(found, Found) and found.version:
+                self._keep_spread(_decode_spread(found.value))
         return self._spreads.get(revision)
 
     async def revert(
@@ -323,6 +340,11 @@
         self._keep(accepted.change)
         return accepted.change
 
+    def _keep_spread(self, spread: Spread) -> None:
+        self._spreads[spread.revision] = spread
+        if len(self._spreads) > MAX_KEPT:
+            del self._spreads[next(iter(self._spreads))]
+
     def _keep(self, change: Change) -> None:
         self._kept[change.id] = change
         if len(self._kept) > MAX_KEPT:
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -201,6 +201,12 @@
         self.assertEqual(code, cli.UNAVAILABLE)
         self.assertEqual(self.server.registry.current.revision, 1)
 
+    def test_another_entry_tells_when_a_change_was_in_force(self):
+        self.apply(self.workspace("w"))
+        other = Registry(self.server.store, "b")
+        spread = asyncio.run(other.spread_of(2))
+        self.assertEqual((spread.in_force_at, spread.members), (5.0, 3))
+
     def test_status(self):
         code, out, _ = self.run_cli("status")
         self.assertEqual(code, cli.DONE)
