--- a/src/chicorycove/codec.py
+++ b/src/chicorycove/codec.py
@@ -12,7 +12,7 @@
 )
 from .dissemination import (
     Applied,
-    Beat,
+    Heartbeat,
     Lagging,
     Message,
     Pull,
@@ -38,9 +38,9 @@
             return pb.PeerMessage(pull=pull)
         case Applied():
             return pb.PeerMessage(applied=_encode_applied(message))
-        case Beat(sender=sender):
-            beat = pb.PeerBeat(sender=_encode_member(sender))
-            return pb.PeerMessage(beat=beat)
+        case Heartbeat(sender=sender):
+            heartbeat = pb.PeerHeartbeat(sender=_encode_member(sender))
+            return pb.PeerMessage(heartbeat=heartbeat)
         case Roster(sender=sender, entries=entries):
             roster = pb.PeerRoster(
                 sender=_encode_member(sender), entries=map(_encode_member, entries)
@@ -62,8 +62,8 @@
             return Pull(_decode_member(wire.pull.sender), wire.pull.have)
         case "applied":
             return _decode_applied(wire.applied)
-        case "beat":
-            return Beat(_decode_member(wire.beat.sender))
+        case "heartbeat":
+            return Heartbeat(_decode_member(wire.heartbeat.sender))
         case "roster":
             entries = tuple(map(_decode_member, wire.roster.entries))
             return Roster(_decode_member(wire.roster.sender), entries)
--- a/src/chicorycove/dissemination.py
+++ b/src/chicorycove/dissemination.py
@@ -31,9 +31,9 @@
 DOMAIN_TIMEOUT = 1.8  # for a relay's domain
 SPREAD_TIMEOUT = 2.8  # for everyone
 PULL_TIMEOUT = 0.3
-BEAT_PERIOD = 0.5
+HEARTBEAT_PERIOD = 0.5
 SILENCE_TIMEOUT = 1.6  # without an answer, an agent goes to another entry
-BEAT_TIMEOUT = 2.5  # without a beat, the other end of an attachment is gone
+HEARTBEAT_TIMEOUT = 2.5  # without a heartbeat, the other end of an attachment is gone
 ROSTER_SIZE = 10  # entries that an agent is told of
 MAX_LAGGARDS = 16  # named in one report
 
@@ -86,7 +86,7 @@
 
 
 @frozen
-class Beat:
+class Heartbeat:
     """An agent is alive, attached and at a revision; or leaves."""
 
     sender: Member
@@ -94,13 +94,13 @@
 
 @frozen
 class Roster:
-    """An entry answers a beat, and names entries that an agent may go to."""
+    """An entry answers a heartbeat, and names entries to go to."""
 
     sender: Member
     entries: tuple[Member, ...]
 
 
-Message = Probe | Push | Pull | Applied | Beat | Roster
+Message = Probe | Push | Pull | Applied | Heartbeat | Roster
 
 
 @frozen
@@ -185,7 +185,7 @@
         self.membership = membership
         self.replica = Replica()
         self.agents: dict[str, Member] = {}
-        self._beats: dict[str, float] = {}
+        self._heartbeats: dict[str, float] = {}
         self._jobs: dict[tuple[int, Scope], _Job] = {}
         self._pulled_at: dict[str, float] = {}
 
@@ -197,8 +197,8 @@
     def tick(self, now: float) -> list[Command]:
         """Return what is due."""
         commands: list[Command] = [*self.membership.tick(now)]
-        for name, seen in list(self._beats.items()):
-            if now - seen > BEAT_TIMEOUT:
+        for name, seen in list(self._heartbeats.items()):
+            if now - seen > HEARTBEAT_TIMEOUT:
                 self._detach(name)
         for job in list(self._jobs.values()):
             commands += self._continue(job, now)
@@ -218,8 +218,8 @@
                 return self._answer_pull(sender, have)
             case Applied():
                 return self._applied(message, now)
-            case Beat(sender=sender):
-                return self._beaten(sender, now)
+            case Heartbeat(sender=sender):
+                return self._note_heartbeat(sender, now)
         return []
 
     def accepted(
@@ -425,14 +425,14 @@
             return "no answer in time"
         return known.state.name.lower()
 
-    def _beaten(self, sender: Member, now: float) -> list[Command]:
+    def _note_heartbeat(self, sender: Member, now: float) -> list[Command]:
         if sender.state is MemberState.LEFT:
             self._detach(sender.name)
             return self._settle_all()
         known = self.agents.get(sender.name)
         if known is None or sender.incarnation >= known.incarnation:
             self.agents[sender.name] = sender
-            self._beats[sender.name] = now
+            self._heartbeats[sender.name] = now
         roster = Roster(self.membership.me, self._roster(sender, known is None))
         commands: list[Command] = [self._tell(sender, roster)]
         if sender.revision < self.revision:
@@ -462,7 +462,7 @@
 
     def _detach(self, name: str) -> None:
         self.agents.pop(name, None)
-        self._beats.pop(name, None)
+        self._heartbeats.pop(name, None)
         for job in self._jobs.values():
             job.waiting.pop(name, None)
 
@@ -487,7 +487,7 @@
         self._seeds = {member.name: member for member in seeds}
         self._entries = dict(self._seeds)
         self._heard_at = now
-        self._next_beat = now
+        self._next_heartbeat = now
         self._tried = 0
 
     @property
@@ -501,14 +501,14 @@
         return self.entry is not None
 
     def tick(self, now: float) -> list[Command]:
-        """Return the beat that is due."""
+        """Return the heartbeat that is due."""
         if now - self._heard_at > SILENCE_TIMEOUT:
             self._give_up(now)
-        if now < self._next_beat:
+        if now < self._next_heartbeat:
             return []
-        self._next_beat = now + BEAT_PERIOD
+        self._next_heartbeat = now + HEARTBEAT_PERIOD
         entry = self._choice()
-        return [self._tell(entry, Beat(self.me))] if entry is not None else []
+        return [self._tell(entry, Heartbeat(self.me))] if entry is not None else []
 
     def receive(self, message: Message, now: float) -> list[Command]:
         """Take a message in, and return what to do."""
@@ -523,7 +523,7 @@
     def leave(self, now: float) -> list[Command]:
         """Tell the entry that this agent leaves."""
         self.me = dataclasses.replace(self.me, state=MemberState.LEFT)
-        return [self._tell(self.entry, Beat(self.me))] if self.entry else []
+        return [self._tell(self.entry, Heartbeat(self.me))] if self.entry else []
 
     def _attach(self, sender: Member, entries: tuple[Member, ...], now: float) -> None:
         self._heard_at = now
@@ -538,7 +538,7 @@
             self._entries = self._entries or dict(self._seeds)
         self.entry = None
         self._heard_at = now
-        self._next_beat = now
+        self._next_heartbeat = now
         self._tried += 1
 
     def _choice(self) -> Member | None:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -337,7 +337,7 @@
         fleet.start_entry("e1", 1)
         fleet.run(4)
         self.assertEqual(
-            sorted(seen), ["Applied", "Beat", "Probe", "Pull", "Push", "Roster"]
+            sorted(seen), ["Applied", "Heartbeat", "Probe", "Pull", "Push", "Roster"]
         )
 
     def test_applied_with_laggards(self):
