Free the peers' tests of wall-clock bounds; poll one relay, send less news

Cause: the tests over sockets asserted spread within 2.8 s of a busy machine; in a cut-off domain one member had 48.5 KB/s and 1.14% of a core. Conclusion: the same assertions on the outcome, on any machine's pace.

--- a/src/chicorycove/membership.py
+++ b/src/chicorycove/membership.py
@@ -20,7 +20,7 @@
 SUSPECT_TIMEOUT = 3.0
 FORGET_AFTER = 600.0
 RECLAIM_PERIOD = 2.0  # between probes of a dead member
-MAX_UPDATES = 10  # members told of in one message
+MAX_UPDATES = 6  # members told of in one message
 SPREAD_FACTOR = 3  # an update is told this many times log2(members)
 POLL_SIZE = 48  # members asked when contact with most is in doubt
 POLL_TIMEOUT = 0.4
@@ -373,8 +373,9 @@
             if member.state is not MemberState.LEFT and member.name != self.me.name
         ]
         chosen = self._random.sample(others, min(len(others), POLL_SIZE))
-        domain = self.relays(self.me.failure_domain)[: RELAYS + 1]
+        domain = self.relays(self.me.failure_domain)[:RELAYS]
         relays = [m for m in domain if m.name != self.me.name and m not in chosen]
+        relays = self._random.sample(relays, min(len(relays), 1))
         self._doubted = True
         self._poll = _Poll(now, {member.name for member in chosen}, set())
         tells = []
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from chicorycove import dissemination, peer
 from chicorycove.catalogue import EntryId, Operator, Target, key_digest
 from chicorycove.change import Edit
 from chicorycove.conversion import Address
@@ -16,6 +18,12 @@
 
 ANY_PORT = Address("127.0.0.1:0")
 TIMEOUT = 30.0  # seconds
+BOUNDS = (
+    (dissemination, "AGENT_TIMEOUT"),
+    (dissemination, "DOMAIN_TIMEOUT"),
+    (dissemination, "SPREAD_TIMEOUT"),
+    (peer, "SPREAD_TIMEOUT"),
+)
 OPERATOR = Operator(
     name="op", owner="board", grants=("*/*",), key_digests=(key_digest("k"),)
 )
@@ -53,6 +61,9 @@
 
 class PeerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        for module, name in BOUNDS:
+            # A busy machine is slower than the bounds of a real fleet.
+            self.enterContext(mock.patch.object(module, name, TIMEOUT))
         self.store = DictStore()
         self.entries = []
         self.agents = []
