--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -37,6 +37,7 @@
     Tick,
 )
 from .exceptions import TargetError, TargetFailed, TargetUnreachable
+from .executor import Executor
 from .gate import Gate, GateSettings
 from .identity import AgentId, AttemptId
 from .ledger import Ledger, LedgerSettings
@@ -47,12 +48,12 @@
 from .settings import AgentSettings
 from .stream import BROKEN, READ_LIMIT, MessageStream
 from .target import TargetBoard, TargetController
+from .utils import cancel_all
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
-LOAD_INTERVAL = 0.25  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
 SSE_END = b"data: [DONE]\n\n"
@@ -91,6 +92,7 @@
         self._metrics = metrics
         self._backend = Backend(settings.address)
         self._controller = TargetController(agent, _board(settings, agent))
+        self._executor = Executor(agent, self._backend, self._controller, clock)
         self._sessions: dict[str, Session] = {}
         self._answers: dict[AttemptId, AnswerBuffer] = {}
         self._owners: dict[AttemptId, str] = {}
@@ -127,6 +129,7 @@
         self._spawn(self._report_load())
         if self._settings.kind is ServiceKind.ENGINE:
             self._spawn(self._watch_engine())
+            self._spawn(self._executor.run())
 
     def stop(self) -> None:
         """Take no new work; ``exited`` is set when all is finished."""
@@ -135,9 +138,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         for session in self._sessions.values():
             session.close()
         await self._backend.close()
@@ -164,7 +165,11 @@
             self._feed(OwnerLost(session.owner))
 
     def receive(self, message: wire.EntryFrame, owner: str) -> None:
-        """Take in a frame from an entry."""
+        """Take in a frame from an entry or a planner."""
+        if message.WhichOneof("frame") == "direct":
+            report = self._executor.direct(message.direct)
+            self._send(owner, wire.AgentFrame(report=report))
+            return
         event = frame.read_entry_frame(message, owner)
         match message.WhichOneof("frame"):
             case "start":
@@ -266,6 +271,7 @@
             self._refuse(attempt, Reason.TARGET_UNREACHABLE, None)
         except TargetFailed as error:
             for_request(attempt.request).warning("target failed: %s", error)
+            self._executor.note_failure()
             reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
             self._end(attempt, _failed(attempt, reason, verdict))
         finally:
@@ -276,6 +282,7 @@
         self, attempt: AttemptId, start: wire.Start, answer: Answer
     ) -> None:
         buffer = self._answers[attempt]
+        begun = self._clock.now()
         if not start.plain and answer.head.status in NOT_RUN_STATUSES:
             body = b"".join([data async for data in answer.chunks()])
             self._refuse(attempt, refusal_reason(body), None)
@@ -290,12 +297,15 @@
         streamed = SSE_TYPE in answer.head.get("content-type")
         async for data in answer.chunks():
             if not buffer.size:
+                first = self._clock.now() - begun
                 self._feed(Answering(attempt, streamed))
             buffer.append(data)
             self._flush(attempt)
         if SSE_TYPE in answer.head.get("content-type") and not start.plain:
             if buffer.tail(len(SSE_END)) != SSE_END:
                 raise TargetFailed("the stream ended before its last event")
+        if buffer.size:
+            self._executor.note_answer(first)
         ended = wire.Ended(attempt=str(attempt), size=buffer.size)
         self._end(attempt, wire.AgentFrame(ended=ended))
 
@@ -350,7 +360,7 @@
 
     async def _report_load(self) -> None:
         while True:
-            await asyncio.sleep(LOAD_INTERVAL)
+            await asyncio.sleep(self._settings.load_interval)
             self._broadcast_load()
 
     def _broadcast_load(self) -> None:
@@ -405,9 +415,7 @@
     async def close(self) -> None:
         """Drop all links."""
         self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -10,6 +10,8 @@
 from .catalogue import ServiceKind
 from .conversion import Address, convert
 from .exceptions import SettingsError
+from .lease import LeaseSettings
+from .planner import PlannerSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -75,8 +77,11 @@
     stop_timeout: float = 600.0
     heartbeat: float = 1.0
     reattach_timeout: float = 2.0
-    links_per_service: int = 64
+    links_per_service: int = 24
     seed: int | None = None
+    planner: PlannerSettings = PlannerSettings()
+    lease: LeaseSettings = LeaseSettings()
+    plan_interval: float = 1.0
     seed_catalogue: str | None = None  # a file, put in force if there is none
 
 
@@ -93,6 +98,7 @@
     max_running: int = 64
     queue_limit: int = 1000
     owner_lease: float = 5.0
+    load_interval: float = 0.25
     clock_skew: float = 0.5
     stop_timeout: float = 600.0
     max_body: int = 32 * 1024 * 1024
@@ -118,6 +124,7 @@
     targets: tuple[LocalTarget, ...]
     time_scale: float = 1.0
     max_body: int = 32 * 1024 * 1024  # bytes
+    max_answer: int = 16 * 1024 * 1024  # bytes
 
 
 @frozen
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -21,6 +21,8 @@
     "entry",
     "entry_process",
     "exchange",
+    "expiry",
+    "executor",
     "front",
     "httpclient",
     "link",
@@ -28,12 +30,14 @@
     "local",
     "log",
     "metric",
+    "orchestrator",
     "outbox",
     "peer",
     "probe",
     "registry",
     "session",
     "stream",
+    "utils",
 }
 
 FORBIDDEN = {
