Name the quotas' machine so that a test process can load it

Change: a subclass in the test's module, as for ledger and groups.

Conclusion: what the machine checks is unchanged.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -220,7 +220,10 @@
         assert held <= LIMIT + overhang + 1e-6, held
 
 
-LentQuotaTest = LentQuotaMachine.TestCase
+class LentQuotaTest(LentQuotaMachine.TestCase):
+    """Runs the machine, under a name that a test process can load."""
+
+
 LentQuotaTest.settings = settings(
     max_examples=80, stateful_step_count=40, deadline=None, derandomize=True
 )
