--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -46,7 +46,6 @@
 from .reason import Reason
 from .session import Session
 from .settings import AgentSettings
-from .stream import BROKEN, READ_LIMIT, MessageStream
 from .target import TargetBoard, TargetController
 from .utils import cancel_all
 from .verdict import Verdict
@@ -55,7 +54,6 @@
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
-MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
 
@@ -65,8 +63,6 @@
     "model_not_loaded": Reason.NOT_READY,
 }
 
-EntryStream = MessageStream[wire.EntryBatch]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RefusalError:
@@ -388,68 +384,6 @@
             LOGGER.error("task failed", exc_info=task.exception())
 
 
-class LinkServer:
-    """The agent's end of the links."""
-
-    def __init__(self, agent: Agent, settings: AgentSettings) -> None:
-        self._agent = agent
-        self._settings = settings
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task] = set()
-
-    @property
-    def port(self) -> int:
-        """Return the port that is listened on."""
-        return self._server.sockets[0].getsockname()[1]
-
-    async def start(self) -> None:
-        """Begin to take links.
-
-        :raises OSError: if the address cannot be listened on
-        """
-        address = self._settings.listen
-        self._server = await asyncio.start_server(
-            self._serve, address.host, address.port, limit=READ_LIMIT
-        )
-
-    async def close(self) -> None:
-        """Drop all links."""
-        self._server.close()
-        await cancel_all(self._tasks)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        max_size = self._settings.max_body + MESSAGE_MARGIN
-        stream = MessageStream(reader, writer, wire.EntryBatch, max_size)
-        with contextlib.suppress(*BROKEN, asyncio.CancelledError):
-            await self._run(stream)
-        stream.close()
-
-    async def _run(self, stream: EntryStream) -> None:
-        first = await stream.read()
-        session = self._agent.attach(first.frames[0].hello.owner)
-        for message in first.frames[1:]:
-            self._agent.receive(message, session.owner)
-        writing = asyncio.create_task(self._write(stream, session))
-        try:
-            while True:
-                for message in (await stream.read()).frames:
-                    self._agent.receive(message, session.owner)
-        finally:
-            self._agent.detach(session)
-            writing.cancel()
-
-    async def _write(self, stream: EntryStream, session: Session) -> None:
-        with contextlib.suppress(*BROKEN):
-            async for batch in session.batches():
-                await stream.write(batch)
-        stream.close()
-
-
 def _board(settings: AgentSettings, agent: AgentId) -> TargetBoard:
     ledger = LedgerSettings(lease=settings.owner_lease)
     return TargetBoard(
--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -4,7 +4,7 @@
 import secrets
 
 from . import probe
-from .agent import Agent, LinkServer
+from .agent import Agent
 from .application import create_app
 from .clock import Clock
 from .identity import AgentId
@@ -12,6 +12,7 @@
 from .log import LOGGER
 from .metric import Metrics
 from .peer import AgentNode
+from .session import LinkServer
 from .settings import AgentSettings
 
 INCARNATION_BYTES = 8
--- a/src/chicorycove/session.py
+++ b/src/chicorycove/session.py
@@ -1,11 +1,20 @@
-"""An entry's link to an agent, on the agent's side."""
+"""The links of entries to an agent, on the agent's side."""
 
+import asyncio
+import contextlib
 import typing as t
 
 from .answer import AnswerBuffer
 from .outbox import Outbox
+from .settings import AgentSettings
+from .stream import BROKEN, READ_LIMIT, MessageStream
+from .utils import cancel_all
 from .wire import link_pb2 as wire
 
+MESSAGE_MARGIN = 16 * 1024 * 1024  # bytes of a batch beside a request's body
+
+EntryStream = MessageStream[wire.EntryBatch]
+
 
 class Session:
     """Sends frames and answers to one entry, in order and coalesced."""
@@ -49,6 +58,81 @@
                 yield wire.AgentBatch(frames=frames)
 
 
+class Receiver(t.Protocol):
+    """Hears what comes over links."""
+
+    def attach(self, owner: str) -> Session:
+        """Begin a session with an entry."""
+
+    def detach(self, session: Session) -> None:
+        """End a session."""
+
+    def receive(self, message: wire.EntryFrame, owner: str) -> None:
+        """Take in a frame."""
+
+
+class LinkServer:
+    """The agent's end of the links."""
+
+    def __init__(self, receiver: Receiver, settings: AgentSettings) -> None:
+        self._receiver = receiver
+        self._settings = settings
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Begin to take links.
+
+        :raises OSError: if the address cannot be listened on
+        """
+        address = self._settings.listen
+        self._server = await asyncio.start_server(
+            self._serve, address.host, address.port, limit=READ_LIMIT
+        )
+
+    async def close(self) -> None:
+        """Drop all links."""
+        self._server.close()
+        await cancel_all(self._tasks)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        max_size = self._settings.max_body + MESSAGE_MARGIN
+        stream = MessageStream(reader, writer, wire.EntryBatch, max_size)
+        with contextlib.suppress(*BROKEN, asyncio.CancelledError):
+            await self._run(stream)
+        stream.close()
+
+    async def _run(self, stream: EntryStream) -> None:
+        first = await stream.read()
+        session = self._receiver.attach(first.frames[0].hello.owner)
+        for message in first.frames[1:]:
+            self._receiver.receive(message, session.owner)
+        writing = asyncio.create_task(self._write(stream, session))
+        try:
+            while True:
+                for message in (await stream.read()).frames:
+                    self._receiver.receive(message, session.owner)
+        finally:
+            self._receiver.detach(session)
+            writing.cancel()
+
+    async def _write(self, stream: EntryStream, session: Session) -> None:
+        with contextlib.suppress(*BROKEN):
+            async for batch in session.batches():
+                await stream.write(batch)
+        stream.close()
+
+
 def _frame(item: wire.AgentFrame | AnswerBuffer) -> wire.AgentFrame | None:
     if isinstance(item, AnswerBuffer):
         return item.next_chunk()
