End crossed answers between an agent and its target

Cause: aiosonic gives a connection whose call was cancelled back to its pool; the next call read the cancelled one's answer ('/late' in place of '/next-0'), and a PUT that was cut was sent again by the client itself. The agent cancels a call whenever a caller hangs up, so one caller could have got another's answer, and a non-idempotent PUT could have run twice. Found by the developer of httpclient.py for the platform's adapters; the agent's backend had it too. Change: backend.py uses httpclient.new_client. Ruled out: the fresh connection of calls that may not be repeated, which was never shared. Conclusion: a cancelled call closes its connection.

--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -7,14 +7,12 @@
 
 import aiosonic
 import msgspec
-from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError, ConnectTimeout
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
 
 from .conversion import Address
 from .event import EngineReported
 from .exceptions import TargetFailed, TargetUnreachable
+from .httpclient import new_client
 from .identity import AttemptId
 
 CONNECT_TIMEOUT = 2.0  # seconds
@@ -86,7 +84,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._pooled = _client()
+        self._pooled = new_client(POOL_SIZE, CONNECT_TIMEOUT)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -103,9 +101,9 @@
             async with self._exchange(self._pooled, work) as answer:
                 yield answer
             return
-        # The client sends again over a reused connection that has dropped;
-        # a fresh one leaves no doubt whether anything was sent.
-        client = _client()
+        # A kept connection that its target has just closed would leave open
+        # whether the call ran; a fresh one does not.
+        client = new_client(1, CONNECT_TIMEOUT)
         try:
             async with self._exchange(client, work) as answer:
                 yield answer
@@ -189,11 +187,3 @@
         if answer.head.status >= 400:
             raise TargetFailed(f"{work.path}: status {answer.head.status}")
         return msgspec.json.decode(body) if body else None
-
-
-def _client() -> aiosonic.HTTPClient:
-    timeouts = Timeouts(
-        sock_connect=CONNECT_TIMEOUT, sock_read=None, request_timeout=None
-    )
-    pools = {":default": PoolConfig(size=POOL_SIZE, max_conn_requests=None)}
-    return aiosonic.HTTPClient(TCPConnector(pool_configs=pools, timeouts=timeouts))
