--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -66,6 +66,14 @@
     seeds: tuple[Address, ...] = ()  # of entries, to make first contact
 
 
+class PolicyName(enum.Enum):
+    """How an entry chooses targets."""
+
+    LENGTH_AWARE = "length_aware"
+    LEAST_OUTSTANDING = "least_outstanding"
+    ROUND_ROBIN = "round_robin"
+
+
 @frozen
 class EntrySettings:
     """Settings of an entry; times are in seconds, sizes in bytes."""
@@ -77,12 +85,14 @@
     stop_timeout: float = 600.0
     heartbeat: float = 1.0
     reattach_timeout: float = 2.0
-    links_per_service: int = 64
+    links_per_service: int = 24
     seed: int | None = None
     planner: PlannerSettings = PlannerSettings()
     lease: LeaseSettings = LeaseSettings()
     plan_interval: float = 1.0
     seed_catalogue: str | None = None  # a file, put in force if there is none
+    routing: PolicyName = PolicyName.LENGTH_AWARE
+    quota_entries: int = 1  # the most that run at once; each may use a share
 
 
 @frozen
@@ -98,6 +108,7 @@
     max_running: int = 64
     queue_limit: int = 1000
     owner_lease: float = 5.0
+    load_interval: float = 0.25
     clock_skew: float = 0.5
     stop_timeout: float = 600.0
     max_body: int = 32 * 1024 * 1024
@@ -123,6 +134,7 @@
     targets: tuple[LocalTarget, ...]
     time_scale: float = 1.0
     max_body: int = 32 * 1024 * 1024  # bytes
+    max_answer: int = 16 * 1024 * 1024  # bytes
 
 
 @frozen
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -21,6 +21,7 @@
     "entry",
     "entry_process",
     "exchange",
+    "expiry",
     "executor",
     "front",
     "httpclient",
@@ -37,6 +38,7 @@
     "registry",
     "session",
     "stream",
+    "utils",
 }
 
 FORBIDDEN = {
