--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -30,6 +30,7 @@
     "local",
     "log",
     "metric",
+    "operation",
     "orchestrator",
     "outbox",
     "peer",
