Lock ports among deployments that start at the same time

Cause: two test runs at once lost deployments ('agent-purchasing-1 is not ready', 'hosts is not ready'): ports started from the process id times 500 modulo 17,000, 34 different places, so processes took one another's. Change: a port is locked by a file among the processes of the machine. Conclusion: deployments no longer meet.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import fcntl
 import itertools
 import json
 import os
@@ -31,6 +32,7 @@
 PORT_STRIDE = 500  # between processes that look for ports at the same time
 
 _first = FIRST_PORT + os.getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT)
+_locks: list[t.IO[str]] = []  # held until this process ends
 _PORTS = itertools.cycle([*range(_first, LAST_PORT), *range(FIRST_PORT, _first)])
 
 
@@ -249,15 +251,33 @@
     """Return a loopback port that nothing listens on, another each time.
 
     It lies outside the range that outgoing connections are given ports from,
-    so that none of them takes it before its process listens.
+    and is locked until this process ends, so that no other deployment that
+    starts at the same time is given it before its process listens.
     """
     while True:
         port = next(_PORTS)
         with socket.socket() as sock, contextlib.suppress(OSError):
+            _locks.append(_lock_port(port))
             sock.bind((LOOPBACK, port))
             return port
 
 
+def _lock_port(port: int) -> t.IO[str]:
+    """Lock a port among the processes of this machine.
+
+    :raises OSError: if another one holds it
+    """
+    folder = pathlib.Path(tempfile.gettempdir()) / "chicorycove-ports"
+    folder.mkdir(exist_ok=True)
+    lock = open(folder / str(port), "w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        raise
+    return lock
+
+
 def get_json(url: str) -> t.Any:
     """Read a JSON document."""
     with urllib.request.urlopen(url, timeout=10) as response:
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -1,5 +1,8 @@
 """The experiments' arrivals and ports."""
 
+import json
+import subprocess
+import sys
 import unittest
 
 from bench import workload
@@ -35,3 +38,23 @@
         ports = [free_port() for _ in range(100)]
         self.assertEqual(len(set(ports)), len(ports))
         self.assertTrue(all(FIRST_PORT <= port < LAST_PORT for port in ports))
+
+    def test_processes_at_the_same_time_get_other_ports(self):
+        command = (
+            "import os; os.getpid = lambda: 7\n"
+            "from bench.deployment import free_port\n"
+            "print([free_port() for _ in range(20)]); input()"
+        )
+        processes = [
+            subprocess.Popen(
+                [sys.executable, "-c", command],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for _ in range(2)
+        ]
+        ports = [json.loads(process.stdout.readline()) for process in processes]
+        for process in processes:
+            process.communicate("\n")
+        self.assertEqual(len({*ports[0], *ports[1]}), 40)
