--- a/src/chicorycove/administration.py
+++ b/src/chicorycove/administration.py
@@ -8,6 +8,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from .application import Count
 from .catalogue import KINDS, EntryId, Operator, entry_id
 from .change import (
     Change,
@@ -50,10 +51,13 @@
 
 
 class Administration:
-    """Answers operators from a registry."""
+    """Answers operators from a registry, and counts what it refuses."""
 
-    def __init__(self, registry: Registry, plans: Plans | None = None) -> None:
+    def __init__(
+        self, registry: Registry, count: Count, plans: Plans | None = None
+    ) -> None:
         self._registry = registry
+        self._count = count
         self._plans = plans
 
     def routes(self) -> list[Route]:
@@ -71,10 +75,24 @@
             ("/plan", self._plan, "GET"),
         ]
         return [
-            Route(PREFIX + path, _guarded(handler), methods=[method])
+            Route(PREFIX + path, self._guarded(handler), methods=[method])
             for path, handler, method in table
         ]
 
+    def _guarded(self, handler):
+        async def endpoint(request: Request) -> Response:
+            try:
+                return JSONResponse(await handler(request))
+            except ChicorycoveError as error:
+                return self._refuse(error)
+
+        return endpoint
+
+    def _refuse(self, error: ChicorycoveError) -> Response:
+        answer = _answer_to(error)
+        self._count(answer.reason, answer.verdict)
+        return answer.response(str(error))
+
     async def _catalogue(self, request: Request) -> Json:
         self._operator(request)
         return dump(self._registry.current)
@@ -175,45 +193,44 @@
         return data
 
 
-def _guarded(handler):
-    async def endpoint(request: Request) -> Response:
-        try:
-            return JSONResponse(await handler(request))
-        except ChicorycoveError as error:
-            return _problem(error)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """How an error is answered."""
 
-    return endpoint
+    status: int
+    reason: Reason
+    verdict: Verdict = Verdict.NOT_RUN
+
+    def response(self, detail: str) -> Response:
+        """Return the problem document."""
+        problem = {
+            "type": "about:blank",
+            "title": self.reason.value.replace("_", " "),
+            "status": self.status,
+            "detail": detail,
+            "reason": self.reason.value,
+            "verdict": self.verdict.value,
+        }
+        return JSONResponse(problem, self.status, media_type=PROBLEM_TYPE)
 
 
-def _problem(error: ChicorycoveError) -> Response:
-    verdict = Verdict.NOT_RUN
+def _answer_to(error: ChicorycoveError) -> _Answer:
     match error:
         case _Unauthenticated():
-            status, reason = 401, Reason.UNAUTHENTICATED
+            return _Answer(401, Reason.UNAUTHENTICATED)
         case GrantError():
-            status, reason = 403, Reason.FORBIDDEN
+            return _Answer(403, Reason.FORBIDDEN)
         case UnknownChangeError():
-            status, reason = 404, Reason.UNKNOWN_ENTRY
+            return _Answer(404, Reason.UNKNOWN_ENTRY)
         case ConflictError():
-            status, reason = 409, Reason.CONFLICT
+            return _Answer(409, Reason.CONFLICT)
         case CatalogueError():
-            status, reason = 422, Reason.INVALID_CATALOGUE
+            return _Answer(422, Reason.INVALID_CATALOGUE)
         case StoreUnavailable():
-            status, reason = 503, Reason.STORE_DOWN
+            return _Answer(503, Reason.STORE_DOWN)
         case PlatformError():
-            status, reason = 503, Reason.STORE_DOWN
-            verdict = Verdict.MAY_HAVE_RUN
-        case _:
-            raise error
-    problem = {
-        "type": "about:blank",
-        "title": reason.value.replace("_", " "),
-        "status": status,
-        "detail": str(error),
-        "reason": reason.value,
-        "verdict": verdict.value,
-    }
-    return JSONResponse(problem, status, media_type=PROBLEM_TYPE)
+            return _Answer(503, Reason.STORE_DOWN, Verdict.MAY_HAVE_RUN)
+    raise error
 
 
 def _kind(request: Request) -> str:
--- a/src/chicorycove/agent_process.py
+++ b/src/chicorycove/agent_process.py
@@ -47,7 +47,9 @@
         if self._node is not None:
             await self._node.start()
         routes = probe.routes(self._metrics, lambda: self._agent.ready)
-        self._listener = await listen(create_app(routes), self._settings.http)
+        self._listener = await listen(
+            create_app(routes, self._metrics.refused), self._settings.http
+        )
         self._agent.start()
         LOGGER.info("agent of %s listens on port %d", self._agent.id.target, self.port)
 
--- a/src/chicorycove/application.py
+++ b/src/chicorycove/application.py
@@ -11,6 +11,8 @@
 from .reason import Reason
 from .verdict import Verdict
 
+Count = t.Callable[[Reason, Verdict], None]
+
 
 class Refusal(Exception):
     """A request that is turned away before it is admitted."""
@@ -31,13 +33,13 @@
     return response
 
 
-async def not_found(http: Request, error: Exception) -> Response:
-    """Answer a request for a path that does not exist."""
-    refusal = Refusal(Reason.UNKNOWN_PATH, f'path "{http.url.path}" does not exist')
-    return problem_response(refusal, "")
+def create_app(routes: t.Sequence[BaseRoute], count: Count) -> Starlette:
+    """Return an application whose errors are problem documents, counted."""
 
+    async def not_found(http: Request, error: Exception) -> Response:
+        count(Reason.UNKNOWN_PATH, Verdict.NOT_RUN)
+        refusal = Refusal(Reason.UNKNOWN_PATH, f'path "{http.url.path}" does not exist')
+        return problem_response(refusal, "")
 
-def create_app(routes: t.Sequence[BaseRoute]) -> Starlette:
-    """Return an application whose errors are problem documents."""
     handlers = {404: not_found, 405: not_found}
     return Starlette(routes=list(routes), exception_handlers=handlers)
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -84,7 +84,9 @@
         front = Front(self._entry, settings.max_body, settings.max_deadline)
         routes = [
             *front.routes(),
-            *Administration(self._registry, self._orchestrator).routes(),
+            *Administration(
+                self._registry, self._metrics.refused, self._orchestrator
+            ).routes(),
             *probe.routes(self._metrics, lambda: self._entry.ready),
         ]
         if self._node is not None:
@@ -95,7 +97,9 @@
             entries = read_entries(settings.seed_catalogue)
         seeded = await self._seed(entries)
         self._follower = asyncio.create_task(self._follow(() if seeded else entries))
-        self._listener = await listen(create_app(routes), settings.listen)
+        self._listener = await listen(
+            create_app(routes, self._metrics.refused), settings.listen
+        )
         self._orchestrator.start()
         LOGGER.info("entry listens on %s", self._listener.address)
 
--- a/src/chicorycove/front.py
+++ b/src/chicorycove/front.py
@@ -69,7 +69,7 @@
         try:
             self._authenticate(http)
         except Refusal as refusal:
-            return problem_response(refusal, self._entry.new_id())
+            return self.refuse(refusal)
         models = [
             {"id": name, "object": "model", "owned_by": model.owner}
             for name, model in sorted(self._entry.catalogue.models.items())
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -25,17 +25,29 @@
 
     name: str
     description: str
+    labels: tuple[str, ...]
     unit: str = "1"
 
 
-REQUESTS = Instrument("chicorycove_requests", "Requests that callers sent")
-ANSWERS = Instrument("chicorycove_answers", "Requests answered whole")
-REFUSALS = Instrument("chicorycove_refusals", "Requests ended by a reason")
-RETRIES = Instrument("chicorycove_retries", "Attempts made again, by reason")
-DROPS = Instrument("chicorycove_drops", "Late or crossed messages dropped")
-ATTEMPTS = Instrument("chicorycove_attempts", "Attempts that an agent decided on")
+REQUESTS = Instrument(
+    "chicorycove_requests", "Requests authenticated and read whole", ("class",)
+)
+ANSWERS = Instrument("chicorycove_answers", "Requests answered whole", ("class",))
+REFUSALS = Instrument(
+    "chicorycove_refusals", "Requests ended by a reason", ("reason", "verdict")
+)
+RETRIES = Instrument(
+    "chicorycove_retries", "Attempts made again, by reason", ("reason",)
+)
+DROPS = Instrument("chicorycove_drops", "Late or crossed messages dropped", ("kind",))
+ATTEMPTS = Instrument(
+    "chicorycove_attempts", "Attempts that an agent decided on", ("outcome",)
+)
 FIRST_TOKEN = Instrument(
-    "chicorycove_time_to_first_token", "From arrival to the first byte", "s"
+    "chicorycove_time_to_first_token",
+    "From arrival to the first byte",
+    ("length",),
+    "s",
 )
 
 INSTRUMENTS = (REQUESTS, ANSWERS, REFUSALS, RETRIES, DROPS, ATTEMPTS, FIRST_TOKEN)
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -16,6 +16,7 @@
 from chicorycove import cli
 from chicorycove.administration import Administration
 from chicorycove.catalogue import key_digest
+from chicorycove.metric import Metrics
 from chicorycove.registry import Laggard, ProcessStatus, Registry, Spread
 from chicorycove.schema import parse_file
 
@@ -62,7 +63,8 @@
         self.store = AsyncStore()
         self.spreader = FakeSpreader()
         self.registry = Registry(self.store, "a", spreader=self.spreader)
-        routes = Administration(self.registry).routes()
+        self.metrics = Metrics("a")
+        routes = Administration(self.registry, self.metrics.refused).routes()
         config = uvicorn.Config(Starlette(routes=routes), log_level="error")
         self._server = uvicorn.Server(config)
         self._socket = socket.create_server(("127.0.0.1", 0))
@@ -201,6 +203,24 @@
         self.assertEqual(code, cli.UNAVAILABLE)
         self.assertEqual(self.server.registry.current.revision, 1)
 
+    def test_refusals_are_counted(self):
+        self.run_cli("list", "model", key="nonsense")
+        self.apply(self.workspace("w"))
+        self.apply(self.workspace("w", "other"), revision=1)
+        self.apply(self.workspace("w") | {"class": "nothing"})
+        self.run_cli("get", "workspace", "nobody")
+        self.server.store.store.down = True
+        self.apply(self.workspace("x"))
+        page = self.server.metrics.page().decode()
+        for reason in (
+            "unauthenticated",
+            "conflict",
+            "invalid_catalogue",
+            "unknown_entry",
+            "store_down",
+        ):
+            self.assertRegex(page, f'reason="{reason}",verdict="not_run"}} 1')
+
     def test_status(self):
         code, out, _ = self.run_cli("status")
         self.assertEqual(code, cli.DONE)
