Add the settings and catalogues of the two deployments

Cause: the examples held one local catalogue only.

Conclusion: each of the two can begin from files that the daemon accepts.

--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,206 @@
+"""The examples of the two deployments: their settings and catalogues."""
+
+import asyncio
+import contextlib
+import dataclasses
+import io
+import pathlib
+import unittest
+
+import aiosonic
+
+from chicorycove import daemon, schema
+from chicorycove.catalogue import ServiceKind
+from chicorycove.conversion import Address
+from chicorycove.local import LocalProcess
+from chicorycove.settings import LocalSettings, LocalTarget, Role, Settings, load
+
+EXAMPLES = pathlib.Path("examples")
+WAIT = 60.0  # seconds, far more than any step needs
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """What the brief says of a deployment."""
+
+    folder: str
+    region: str
+    domains: tuple[str, ...]
+    engine: str
+    plain: str
+    path: str  # of the calls that must not be repeated
+    caller: str
+
+
+DEPLOYMENTS = (
+    Deployment(
+        folder="kyushu",
+        region="kyushu",
+        domains=("fukuoka", "kitakyushu", "kumamoto"),
+        engine="advisor",
+        plain="purchasing",
+        path="/registrations",
+        caller="secretariat",
+    ),
+    Deployment(
+        folder="fjordvik",
+        region="vestland",
+        domains=("vestland-a", "vestland-b", "vestland-c"),
+        engine="skrivemodell",
+        plain="nyhetsportal",
+        path="/notices",
+        caller="news-desk",
+    ),
+)
+
+
+def settings_of(deployment, role):
+    """Return a deployment's settings of a role, by failure domain."""
+    folder = EXAMPLES / deployment.folder
+    return {
+        domain: load(folder / domain / f"{role}-settings.json")
+        for domain in deployment.domains
+    }
+
+
+def catalogue_of(deployment):
+    """Return a deployment's catalogue, validated."""
+    text = (EXAMPLES / deployment.folder / "catalogue.json").read_text()
+    return schema.parse(text)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_daemon_accepts_each_file(self):
+        for path in sorted(EXAMPLES.rglob("*settings.json")):
+            with self.subTest(path=path):
+                out = io.StringIO()
+                with contextlib.redirect_stdout(out):
+                    code = daemon.main(["--settings", str(path), "--check"])
+                self.assertEqual((code, out.getvalue()), (0, f"{path}: ok\n"))
+
+    def test_each_failure_domain_has_an_entry_and_an_agent(self):
+        for deployment in DEPLOYMENTS:
+            for role in ("entry", "agent"):
+                for domain, settings in settings_of(deployment, role).items():
+                    with self.subTest(role=role, domain=domain):
+                        self.assertEqual(settings.role, Role(role))
+                        self.assertEqual(settings.region, deployment.region)
+                        self.assertEqual(settings.failure_domain, domain)
+
+    def test_names_and_addresses_are_unique(self):
+        for deployment in DEPLOYMENTS:
+            entries = settings_of(deployment, "entry").values()
+            agents = settings_of(deployment, "agent").values()
+            everyone = [*entries, *agents]
+            for values in (
+                [settings.name for settings in everyone],
+                [settings.peer.listen for settings in everyone],
+                [settings.agent.listen for settings in agents],
+                [settings.agent.target for settings in agents],
+            ):
+                with self.subTest(deployment=deployment.folder):
+                    self.assertEqual(len(set(values)), len(values), values)
+
+    def test_seeds_are_the_entries(self):
+        for deployment in DEPLOYMENTS:
+            entries = settings_of(deployment, "entry").values()
+            agents = settings_of(deployment, "agent").values()
+            listening = {settings.peer.listen for settings in entries}
+            for settings in (*entries, *agents):
+                with self.subTest(name=settings.name):
+                    self.assertEqual(set(settings.peer.seeds), listening)
+
+    def test_entries_seed_a_catalogue_that_exists(self):
+        for deployment in DEPLOYMENTS:
+            for settings in settings_of(deployment, "entry").values():
+                path = pathlib.Path(settings.entry.seed_catalogue)
+                self.assertEqual(path, EXAMPLES / deployment.folder / "catalogue.json")
+
+
+class CatalogueTest(unittest.TestCase):
+    def test_services(self):
+        for deployment in DEPLOYMENTS:
+            services = catalogue_of(deployment).services
+            kinds = {name: service.kind for name, service in services.items()}
+            expected = {
+                deployment.engine: ServiceKind.ENGINE,
+                deployment.plain: ServiceKind.PLAIN,
+            }
+            self.assertEqual(kinds, expected)
+
+    def test_calls_that_must_not_be_repeated(self):
+        for deployment in DEPLOYMENTS:
+            service = catalogue_of(deployment).services[deployment.plain]
+            rule = next(
+                rule for rule in service.paths if rule.prefix == deployment.path
+            )
+            self.assertFalse(rule.idempotent)
+            self.assertIn("POST", rule.methods)
+
+    def test_they_go_first(self):
+        for deployment in DEPLOYMENTS:
+            catalogue = catalogue_of(deployment)
+            first = min(catalogue.classes.values(), key=lambda each: each.priority)
+            service = catalogue.services[deployment.plain]
+            self.assertEqual(service.priority_class, first.name)
+
+    def test_ten_workspaces_some_with_limits(self):
+        for deployment in DEPLOYMENTS:
+            workspaces = catalogue_of(deployment).workspaces.values()
+            self.assertEqual(len(workspaces), 10)
+            limited = [each for each in workspaces if each.limits.tokens_per_second]
+            self.assertGreaterEqual(len(limited), 3)
+
+    def test_each_workspace_has_its_own_key(self):
+        for deployment in DEPLOYMENTS:
+            for workspace in catalogue_of(deployment).workspaces.values():
+                self.assertEqual(len(workspace.key_digests), 1)
+
+    def test_operators_have_separate_owners(self):
+        for deployment in DEPLOYMENTS:
+            operators = catalogue_of(deployment).operators.values()
+            owners = {operator.owner for operator in operators}
+            self.assertEqual(len(owners), len(operators))
+
+
+class ServeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_that_must_not_be_repeated_runs(self):
+        for deployment in DEPLOYMENTS:
+            with self.subTest(deployment=deployment.folder):
+                await self.serve(deployment)
+
+    async def serve(self, deployment):
+        process = LocalProcess(local_settings(deployment))
+        await process.start()
+        try:
+            async with asyncio.timeout(WAIT), aiosonic.HTTPClient() as client:
+                url = f"http://{process.entry.listener.address}"
+                while (await client.get(f"{url}/readyz")).status_code != 200:
+                    await asyncio.sleep(0.02)
+                response = await client.post(
+                    f"{url}/services/{deployment.plain}{deployment.path}",
+                    headers={
+                        "Authorization": f"Bearer {deployment.caller}-key",
+                        "Idempotency-Key": "one",
+                    },
+                    json={"text": "once"},
+                )
+                self.assertEqual(response.status_code, 200, await response.content())
+        finally:
+            await process.stop()
+
+
+def local_settings(deployment):
+    """Return settings that serve a deployment's catalogue on loopback."""
+    target = LocalTarget(
+        name=f"{deployment.plain}-1",
+        service=deployment.plain,
+        failure_domain=deployment.domains[0],
+        kind=ServiceKind.PLAIN,
+    )
+    local = LocalSettings(
+        listen=Address("127.0.0.1:0"),
+        catalogue=str(EXAMPLES / deployment.folder / "catalogue.json"),
+        targets=(target,),
+    )
+    return Settings(role=Role.LOCAL, name="local", local=local)
