Mend what surprises at a first try

Change: an address is listened on once, and the daemon and the demo say which one is in use and exit 1; status shows the entry itself; messages use the names of JSON; a wrong URL or file is wrong usage, exit 2.

Conclusion: what a newcomer does wrong is answered by what to mend.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -166,7 +166,8 @@
         f"-H 'Content-Type: application/json' "
         f"""-d '{{"model": "advisor", "prompt": "Where does the gate go?", """
         f""""max_tokens": 16, "stream": true}}'\n"""
-        f"chicorycove --server {url} --key board-key status"
+        f".venv/bin/chicorycove --server {url} --key board-key status",
+        flush=True,
     )
     await asyncio.Event().wait()
 
@@ -195,6 +196,9 @@
         return asyncio.run(run(options.settings, options.serve))
     except KeyboardInterrupt:
         return 0
+    except OSError as error:
+        print(f"demo: {error.strerror or error}", file=sys.stderr)
+        return 1
 
 
 if __name__ == "__main__":
--- a/src/chicorycove/administration.py
+++ b/src/chicorycove/administration.py
@@ -155,7 +155,8 @@
     async def _status(self, request: Request) -> Json:
         self._operator(request)
         spreader = self._registry.spreader
-        processes = spreader.status() if spreader is not None else ()
+        alone = (self._registry.status(),)
+        processes = spreader.status() if spreader is not None else alone
         return {
             "revision": self._registry.current.revision,
             "accepts": spreader is None or spreader.may_accept(),
--- a/src/chicorycove/cli.py
+++ b/src/chicorycove/cli.py
@@ -58,7 +58,10 @@
     except _Problem as problem:
         print(f"chicorycove: {problem}", file=sys.stderr)
         return problem.code
-    except (CatalogueError, OSError, UnicodeDecodeError) as error:
+    except OSError as error:
+        print(f"chicorycove: {error.filename}: {error.strerror}", file=sys.stderr)
+        return USAGE
+    except (CatalogueError, UnicodeDecodeError) as error:
         print(f"chicorycove: {error}", file=sys.stderr)
         return REFUSED
 
@@ -214,6 +217,12 @@
     key = arguments.key or os.environ.get(KEY_VARIABLE, "")
     if not key:
         raise _Problem(DENIED, f"no key: give --key or set {KEY_VARIABLE}")
+    if not arguments.server.startswith(("http://", "https://")):
+        raise _Problem(
+            USAGE,
+            f"--server: expected a URL such as {DEFAULT_SERVER}, "
+            f'got "{arguments.server}"',
+        )
     url = arguments.server.rstrip("/") + PREFIX + path
     headers = {"Authorization": f"Bearer {key}"}
     data = None
--- a/src/chicorycove/daemon.py
+++ b/src/chicorycove/daemon.py
@@ -38,6 +38,9 @@
     except ChicorycoveError as error:
         print(f"chicorycoved: {error}", file=sys.stderr)
         return EXIT_SETTINGS if isinstance(error, SettingsError) else 1
+    except OSError as error:
+        print(f"chicorycoved: {error.strerror or error}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/src/chicorycove/listener.py
+++ b/src/chicorycove/listener.py
@@ -48,8 +48,13 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    sock.bind((address.host, address.port))
+    try:
+        sock.bind((address.host, address.port))
+    except OSError as error:
+        sock.close()
+        raise OSError(
+            error.errno, f"cannot listen on {address}: {error.strerror}"
+        ) from None
     config = uvicorn.Config(
         app,
         http="httptools",
--- a/src/chicorycove/registry.py
+++ b/src/chicorycove/registry.py
@@ -165,6 +165,11 @@
                 return operator
         return None
 
+    def status(self) -> ProcessStatus:
+        """Return the status of a process that has no peers."""
+        revision = self.current.revision
+        return ProcessStatus(self._name, "entry", "", "alive", 0, revision)
+
     async def load(self) -> None:
         """Read what is in force from the store.
 
--- a/src/chicorycove/schema.py
+++ b/src/chicorycove/schema.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import re
 import types
 import typing as t
 
@@ -35,7 +36,7 @@
     try:
         return msgspec.convert(_renamed(KINDS[kind], fields, where), KINDS[kind])
     except msgspec.ValidationError as error:
-        raise CatalogueError(f"{where}: {error}") from None
+        raise CatalogueError(f"{where}: {_in_json_names(str(error))}") from None
 
 
 def dump_entry(entry: Entry) -> dict[str, Json]:
@@ -117,6 +118,12 @@
     return msgspec.json.decode(msgspec.json.encode(schema))
 
 
+def _in_json_names(message: str) -> str:
+    for name, alias in ALIASES.items():
+        message = re.sub(rf"(?<=[`.]){name}\b", alias, message)
+    return message
+
+
 def _closed(part: dict[str, Json]) -> dict[str, Json]:
     if part.get("type") != "object":
         return part
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -226,6 +226,23 @@
         self.assertEqual(code, cli.DONE)
         self.assertIn("fukuoka", out)
 
+    def test_status_of_an_entry_without_peers(self):
+        self.server.registry.spreader = None
+        code, out, _ = self.run_cli("status")
+        self.assertEqual(code, cli.DONE)
+        self.assertRegex(out, r"\na +entry +alive +0 +1 +0\n")
+
+    def test_server_without_a_scheme(self):
+        self.server.url = "127.0.0.1:8080"
+        code, _, err = self.run_cli("status")
+        self.assertEqual(code, cli.USAGE)
+        self.assertIn('expected a URL such as http://127.0.0.1:8080, got "127', err)
+
+    def test_file_that_does_not_exist(self):
+        code, _, err = self.run_cli("apply", "/nonexistent/x.json", "--reason", "r")
+        self.assertEqual(code, cli.USAGE)
+        self.assertIn("/nonexistent/x.json: No such file or directory", err)
+
     def test_server_gone(self):
         self.server.url = "http://127.0.0.1:9"
         code, _, err = self.run_cli("status")
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,64 @@
+"""Listening on an address, and the address being in use."""
+
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from chicorycove.application import create_app
+from chicorycove.conversion import Address
+from chicorycove.listener import listen
+
+MESSAGE = "cannot listen on {}: Address already in use"
+WAIT = 60.0  # seconds, far more than any step needs
+
+
+def ignore(reason, verdict):
+    pass
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_address_is_listened_on_once(self):
+        app = create_app([], ignore)
+        first = await listen(app, Address("127.0.0.1:0"))
+        self.addAsyncCleanup(first.close)
+        with self.assertRaises(OSError) as caught:
+            await listen(app, first.address)
+        self.assertEqual(caught.exception.strerror, MESSAGE.format(first.address))
+
+
+class DaemonTest(unittest.TestCase):
+    def test_address_in_use_ends_the_daemon_with_a_message(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = "127.0.0.1:%d" % taken.getsockname()[1]
+            settings = {
+                "role": "local",
+                "name": "local",
+                "log": {"level": "error"},
+                "local": {
+                    "listen": address,
+                    "catalogue": "examples/local/catalogue.json",
+                    "targets": [],
+                },
+            }
+            code, err = self.run_daemon(settings)
+        self.assertEqual(code, 1)
+        self.assertEqual(err, f"chicorycoved: {MESSAGE.format(address)}\n")
+
+    def run_daemon(self, settings):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.json"
+            path.write_text(json.dumps(settings))
+            command = [sys.executable, "-m", "chicorycove.daemon"]
+            ended = subprocess.run(
+                [*command, "--settings", str(path)],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                stderr=subprocess.PIPE,
+                text=True,
+                timeout=WAIT,
+            )
+        return ended.returncode, ended.stderr
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -58,6 +58,11 @@
             '"class": "c", "limits": {"requests": 1}}]}': (
                 'workspace "w", limits: unknown key "requests"'
             ),
+            '{"entries": [{"kind": "workspace", "name": "w", "owner": "o"}]}': (
+                'workspace "w": Object missing required field `class`'
+            ),
+            '{"entries": [{"kind": "service", "name": "s", "owner": "o", '
+            '"type": 1}]}': "Expected `str`, got `int` - at `$.type`",
             '{"entries": [{"kind": "workspace", "name": "w", "owner": "o", '
             '"class": "c"}]}': 'workspace "w" names class "c", which does not exist',
             '{"entries": [{"kind": "target", "name": "a", "owner": "o"}, '
