--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -10,10 +10,11 @@
 import aiosonic
 
 from chicorycove import daemon, schema
-from chicorycove.catalogue import ServiceKind
+from chicorycove.catalogue import Catalogue, ServiceKind
 from chicorycove.conversion import Address
 from chicorycove.local import LocalProcess
 from chicorycove.settings import LocalSettings, LocalTarget, Role, Settings, load
+from chicorycove.validation import validate
 
 EXAMPLES = pathlib.Path("examples")
 WAIT = 60.0  # seconds, far more than any step needs
@@ -117,6 +118,16 @@
                 self.assertEqual(path, EXAMPLES / deployment.folder / "catalogue.json")
 
 
+class LocalExampleTest(unittest.TestCase):
+    def test_first_change_leaves_the_catalogue_valid(self):
+        folder = EXAMPLES / "local"
+        entries = schema.parse_file((folder / "catalogue.json").read_text())
+        change = schema.parse_file((folder / "drain.json").read_text())
+        validate(Catalogue.build((*entries, *change)))
+        target = load(folder / "settings.json").local.targets[0]
+        self.assertEqual([entry.name for entry in change], [target.name])
+
+
 class CatalogueTest(unittest.TestCase):
     def test_services(self):
         for deployment in DEPLOYMENTS:
