--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -35,11 +35,7 @@
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
 - `verdict`: {verdicts}.
 - `reason`: the word that stands in the caller's problem document too, one of
-  the reasons below.
-
-## Reasons
-
-{reasons}
+  `chicorycove.reason.Reason`. Each has its counter from its first use on.
 """
 
 
@@ -49,7 +45,6 @@
     rows = [_row(instrument, families) for instrument in INSTRUMENTS]
     labels = LABELS.format(
         verdicts=", ".join(f"`{verdict.value}`" for verdict in Verdict),
-        reasons="\n".join(f"- `{reason.value}`" for reason in Reason),
     )
     return "\n".join((INTRODUCTION, table(rows), "", labels))
 
