--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -247,16 +247,19 @@
         return json.load(response)
 
 
-def put_json(url: str, document: t.Any, method: str = "PUT") -> None:
-    """Send a JSON document."""
+def put_json(
+    url: str, document: t.Any, method: str = "PUT", key: str | None = None
+) -> t.Any:
+    """Send a JSON document and return the one that answers, if any."""
+    headers = {"Content-Type": "application/json"}
+    if key is not None:
+        headers["Authorization"] = f"Bearer {key}"
     request = urllib.request.Request(
-        url,
-        json.dumps(document).encode(),
-        {"Content-Type": "application/json"},
-        method=method,
+        url, json.dumps(document).encode(), headers, method=method
     )
-    with urllib.request.urlopen(request, timeout=10) as response:
-        response.read()
+    with urllib.request.urlopen(request, timeout=30) as response:
+        content = response.read()
+    return json.loads(content) if content else None
 
 
 def cpu_seconds(pid: int) -> float:
