--- a/bench/once.py
+++ b/bench/once.py
@@ -19,13 +19,13 @@
 import time
 import typing as t
 
-import aiosonic
 import xxhash
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 
 from bench.deployment import Deployment, DeploymentSpec, TargetSpec, get_json, put_json
 from bench.report import save, table
+from chicorycove.httpclient import new_client
 
 CATALOGUE = pathlib.Path("examples/local/catalogue.json")
 TARGETS = tuple(
@@ -37,6 +37,7 @@
 PATH = "/services/purchasing/registrations"
 DEADLINE = 6.0  # seconds, told to the entry
 CALLER_TIMEOUT = 8.0  # seconds
+POOL_SIZE = 512  # connections to one entry
 TRIES = 6  # of a keyed call
 STOP_TIME = 8.0  # seconds that a stopped entry stands still, past its claims
 FAULT_INTERVAL = 1.5  # seconds
@@ -51,7 +52,7 @@
     verdict: str  # as told; "ran" for an answer, "" if none came
     reason: str
     latency: float
-    order: t.Any = None
+    text: str = ""
 
 
 @dataclasses.dataclass
@@ -74,7 +75,7 @@
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         self._turn = itertools.count()
-        self._client = aiosonic.HTTPClient()
+        self._client = new_client(POOL_SIZE, CALLER_TIMEOUT)
         self.records: list[CallRecord] = []
 
     async def call(self, number: int, keyed: bool, tries: int = TRIES) -> CallRecord:
@@ -114,7 +115,7 @@
         latency = time.monotonic() - began
         request = response.headers.get("x-request-id", "")
         if response.status_code == 200:
-            return Reply(request, "ran", "", latency, document["order"])
+            return Reply(request, "ran", "", latency, document["text"])
         reason = document.get("reason", str(response.status_code))
         return Reply(request, document.get("verdict", ""), reason, latency)
 
@@ -215,10 +216,11 @@
         result["doubled"] += count > 1
         result["lost"] += record.answered and count == 0
         result["not_run_in_the_end"] += count == 0
+        result["crossed"] += _is_crossed(record)
         for reply in record.replies:
             reasons[reply.reason or "answered"] += 1
             result["wrong_verdicts"] += _is_wrong(record, reply, count, by_request)
-    names = ("lost", "doubled", "wrong_verdicts", "calls", "answered")
+    names = ("lost", "doubled", "wrong_verdicts", "crossed", "calls", "answered")
     share = round(result["answered"] / max(result["calls"], 1), 4)
     return {
         **{name: result[name] for name in names},
@@ -228,6 +230,10 @@
     }
 
 
+def _is_crossed(record: CallRecord) -> bool:
+    return record.answered and record.digest not in record.replies[-1].text
+
+
 def _is_wrong(
     record: CallRecord, reply: Reply, count: int, by_request: t.Mapping[str, int]
 ) -> bool:
@@ -316,5 +322,5 @@
     print(table([{"kind": kind, **result[kind]} for kind in kinds]))
     print(json.dumps({k: result[k] for k in ("faults", "latency_ms")}, indent=2))
     save(options.output, {"options": vars(options), "results": result})
-    bad = ("lost", "doubled", "wrong_verdicts")
+    bad = ("lost", "doubled", "wrong_verdicts", "crossed")
     return int(any(result[kind][name] for kind in kinds for name in bad))
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -50,6 +50,7 @@
 from .link import Link
 from .log import LOGGER, for_request
 from .metric import Metrics
+from .platform.expiry import ExpiringWriter
 from .platform.hosts import HostList
 from .platform.store import Store
 from .problem import Problem
@@ -83,6 +84,7 @@
         self._settings: EntrySettings = settings.entry
         self._hosts_interval = settings.platform.hosts_interval
         self._store = store
+        self._claims_writer = ExpiringWriter(store)
         self._hosts = hosts
         self._clock = clock
         self._metrics = metrics
@@ -395,7 +397,7 @@
         self._feed(StoreAnswered(call, await self._store.get(key)))
 
     async def _swap(self, command: StoreSwap) -> None:
-        result = await self._store.swap(command.key, command.version, command.value)
+        result = await self._claims_writer.swap(command, self._clock.now())
         self._feed(StoreAnswered(command.call, result))
 
     async def _keep_time(self) -> None:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -6,10 +6,17 @@
 
 import os
 import unittest
+from unittest import mock
 
 from hypothesis import HealthCheck, Phase, settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
+from chicorycove.claim import Claimer
 from chicorycove.event import StopAsked
 
 from .world import PROMPT, REGISTRATION, TARGETS, World
@@ -157,6 +164,16 @@
 )
 
 
+class MutantTest(unittest.TestCase):
+    def test_takeover_without_a_seal_is_found(self):
+        def grab(self, claiming, found, now):
+            return self._swap(claiming)
+
+        with mock.patch.object(Claimer, "_contest", grab):
+            with self.assertRaisesRegex(AssertionError, "ran [2-9] times"):
+                run_state_machine_as_test(Serving, settings=ServingTest.settings)
+
+
 if __name__ == "__main__":
     unittest.main(exit=False)
     print(f"steps: {Serving.steps}")
