--- a/tests/test_metric.py
+++ b/tests/test_metric.py
@@ -50,6 +50,13 @@
         self.assertEqual(found, expected)
 
 
+class FailurePageTest(unittest.TestCase):
+    def test_each_reason_is_named(self):
+        text = (metrics.PAGE.parent / "operations" / "failures.md").read_text()
+        lacking = [reason.value for reason in Reason if f"`{reason.value}`" not in text]
+        self.assertEqual(lacking, [])
+
+
 class ReferenceTest(unittest.TestCase):
     def test_page_is_what_the_generator_writes(self):
         message = "run python -m bench metrics"
