Let entry processes share an address only where settings say so

Change: share_listen in an entry's settings, off by default. Conclusion: sharing is meant or refused.

--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -98,9 +98,8 @@
             entries = read_entries(settings.seed_catalogue)
         seeded = await self._seed(entries)
         self._follower = asyncio.create_task(self._follow(() if seeded else entries))
-        self._listener = await listen(
-            create_app(routes, self._metrics.refused), settings.listen
-        )
+        app = create_app(routes, self._metrics.refused)
+        self._listener = await listen(app, settings.listen, settings.share_listen)
         self._orchestrator.start()
         LOGGER.info("entry listens on %s", self._listener.address)
 
--- a/src/chicorycove/listener.py
+++ b/src/chicorycove/listener.py
@@ -41,13 +41,16 @@
         await self._task
 
 
-async def listen(app: t.Any, address: Address) -> Listener:
+async def listen(app: t.Any, address: Address, shared: bool = False) -> Listener:
     """Serve an application until the listener is closed; port 0 picks one.
 
+    :param shared: let other processes of this host listen there as well
     :raises OSError: if the address cannot be listened on
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     try:
         sock.bind((address.host, address.port))
     except OSError as error:
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -79,6 +79,7 @@
     """Settings of an entry; times are in seconds, sizes in bytes."""
 
     listen: Address
+    share_listen: bool = False  # with other entry processes of this host
     max_body: int = 32 * 1024 * 1024
     max_answer: int = 16 * 1024 * 1024
     max_deadline: float = 3600.0
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -30,6 +30,16 @@
             await listen(app, first.address)
         self.assertEqual(caught.exception.strerror, MESSAGE.format(first.address))
 
+    async def test_processes_that_agree_share_an_address(self):
+        app = create_app([], ignore)
+        first = await listen(app, Address("127.0.0.1:0"), shared=True)
+        self.addAsyncCleanup(first.close)
+        second = await listen(app, first.address, shared=True)
+        self.addAsyncCleanup(second.close)
+        self.assertEqual(first.address, second.address)
+        with self.assertRaises(OSError):
+            await listen(app, first.address)
+
 
 class DaemonTest(unittest.TestCase):
     def test_address_in_use_ends_the_daemon_with_a_message(self):
