--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,9 @@
 
 proto: $(VENV)/.installed
 	$(PYTHON) -m grpc_tools.protoc --proto_path=src --python_out=src \
-		--grpc_python_out=src src/chicorycove/wire/*.proto
+		src/chicorycove/wire/link.proto src/chicorycove/wire/peer.proto
+	$(PYTHON) -m grpc_tools.protoc --proto_path=src --grpc_python_out=src \
+		src/chicorycove/wire/link.proto
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -251,7 +251,7 @@
     messages = {
         "probe, UDP": Probe(ProbeKind.PING, 1, member, "", (member,) * 2, 0.5),
         "push of a change, UDP": Push(member, 1, Scope.AGENTS, (made,)),
-        "push of a large change, gRPC": Push(member, 1, Scope.AGENTS, (large,)),
+        "push of a large change, TCP": Push(member, 1, Scope.AGENTS, (large,)),
     }
     rows = []
     for name, message in messages.items():
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,4 +1,4 @@
-"""Peers over UDP and gRPC on loopback, with a store in a dictionary."""
+"""Peers over UDP and TCP on loopback, with a store in a dictionary."""
 
 import asyncio
 import unittest
