--- a/src/chicorycove/daemon.py
+++ b/src/chicorycove/daemon.py
@@ -39,7 +39,8 @@
         print(f"chicorycoved: {error}", file=sys.stderr)
         return EXIT_SETTINGS if isinstance(error, SettingsError) else 1
     except OSError as error:
-        print(f"chicorycoved: {options.settings}: {error}", file=sys.stderr)
+        detail = error.strerror or error
+        print(f"chicorycoved: {options.settings}: {detail}", file=sys.stderr)
         return 1
     return 0
 
