Resume an engine's broken answer at its offset

Change: the agent reads /engine/streams from the bytes it has, three tries within 0.6 s; plain services are left alone. Conclusion: a broken connection no longer costs a second prefill.

--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -53,6 +53,8 @@
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
+RESUME_DELAYS = (0.0, 0.1, 0.5)  # seconds before each try
+STATUS_OK = 200
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
@@ -260,8 +262,7 @@
         start = self._work[attempt]
         self._tell(attempt, wire.AgentFrame(started=wire.Started(attempt=str(attempt))))
         try:
-            async with self._backend.open(_work(start)) as answer:
-                await self._read(attempt, start, answer)
+            await self._answer(attempt, start)
         except TargetUnreachable as error:
             for_request(attempt.request).warning("target unreachable: %s", error)
             self._refuse(attempt, Reason.TARGET_UNREACHABLE, None)
@@ -274,6 +275,40 @@
             self._runs.pop(attempt, None)
         self._feed(RunEnded(attempt))
 
+    async def _answer(self, attempt: AttemptId, start: wire.Start) -> None:
+        """Have the target answer; go on with an engine whose answer breaks.
+
+        :raises TargetUnreachable: if nothing was sent
+        :raises TargetFailed: if the answer is not to be had
+        """
+        try:
+            async with self._backend.open(_work(start)) as answer:
+                await self._read(attempt, start, answer)
+        except TargetFailed as error:
+            if start.plain:
+                raise
+            for_request(attempt.request).info("answer broke, resuming: %s", error)
+            await self._resume(attempt, start)
+
+    async def _resume(self, attempt: AttemptId, start: wire.Start) -> None:
+        """Read the rest of an answer that the engine still keeps.
+
+        :raises TargetFailed: if it does not
+        """
+        for delay in RESUME_DELAYS:
+            await asyncio.sleep(delay)
+            size = self._answers[attempt].size
+            path = f"/engine/streams/{attempt}?offset={size}"
+            try:
+                async with self._backend.open(Work("GET", path, [], b"")) as answer:
+                    if answer.head.status != STATUS_OK:
+                        raise TargetFailed(f"{path}: status {answer.head.status}")
+                    await self._read(attempt, start, answer)
+                    return
+            except TargetError as error:
+                for_request(attempt.request).info("not resumed: %s", error)
+        raise TargetFailed(f"answer broke off after {size} bytes")
+
     async def _read(
         self, attempt: AttemptId, start: wire.Start, answer: Answer
     ) -> None:
@@ -288,8 +323,10 @@
             status=answer.head.status,
             headers=frame.headers(answer.head.headers),
         )
-        buffer.head = wire.AgentFrame(head=head)
-        self._tell(attempt, buffer.head)
+        if buffer.head is None:
+            buffer.head = wire.AgentFrame(head=head)
+            self._tell(attempt, buffer.head)
+        first = None
         streamed = SSE_TYPE in answer.head.get("content-type")
         async for data in answer.chunks():
             if not buffer.size:
@@ -300,7 +337,7 @@
         if SSE_TYPE in answer.head.get("content-type") and not start.plain:
             if buffer.tail(len(SSE_END)) != SSE_END:
                 raise TargetFailed("the stream ended before its last event")
-        if buffer.size:
+        if buffer.size and first is not None:
             self._executor.note_answer(first)
         ended = wire.Ended(attempt=str(attempt), size=buffer.size)
         self._end(attempt, wire.AgentFrame(ended=ended))
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -185,6 +185,18 @@
         self.assertEqual(problem["reason"], "answer_too_large")
         self.assertEqual(problem["verdict"], "may_have_run")
 
+    async def test_answer_that_the_engine_lost_is_resumed(self):
+        for name, url in self.process.targets.items():
+            if name.startswith("advisor"):
+                await self.client.post(f"{url}/engine/faults", json={"lose_answers": 1})
+        outcomes = [
+            await self.caller.complete("lost", "toolroom-key", 50) for _ in range(4)
+        ]
+        self.assertEqual([x.verdict for x in outcomes], ["ran"] * 4)
+        whole = await self.send(json=PROMPT | {"max_tokens": 9})
+        self.assertEqual(whole.status_code, 200)
+        self.assertEqual(len(await self.runs()), 5)
+
     async def test_many_at_once_each_get_their_own_answer(self):
         async def one(number):
             text = f"question {number}"
