--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -32,7 +32,7 @@
 PORT_STRIDE = 500  # between processes that look for ports at the same time
 
 _first = FIRST_PORT + os.getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT)
-_locks: list[t.IO[str]] = []  # held until this process ends
+_locks: list[int] = []  # held until this process ends
 _PORTS = itertools.cycle([*range(_first, LAST_PORT), *range(FIRST_PORT, _first)])
 
 
@@ -262,18 +262,18 @@
             return port
 
 
-def _lock_port(port: int) -> t.IO[str]:
-    """Lock a port among the processes of this machine.
+def _lock_port(port: int) -> int:
+    """Lock a port among the processes of this machine; return the lock.
 
     :raises OSError: if another one holds it
     """
     folder = pathlib.Path(tempfile.gettempdir()) / "chicorycove-ports"
     folder.mkdir(exist_ok=True)
-    lock = open(folder / str(port), "w")
+    lock = os.open(folder / str(port), os.O_CREAT | os.O_RDWR)
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
-        lock.close()
+        os.close(lock)
         raise
     return lock
 
--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import typing as t
 
 import msgspec
 
@@ -47,7 +46,7 @@
 from .session import Session
 from .settings import AgentSettings
 from .target import TargetBoard, TargetController
-from .utils import cancel_all
+from .utils import Tasks
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
@@ -99,7 +98,7 @@
         self._runs: dict[AttemptId, asyncio.Task] = {}
         self._offsets: dict[AttemptId, int] = {}
         self._exited = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = Tasks(LOGGER)
 
     @property
     def id(self) -> AgentId:
@@ -123,11 +122,11 @@
 
     def start(self) -> None:
         """Begin to keep time and to watch the engine."""
-        self._spawn(self._keep_time())
-        self._spawn(self._report_load())
+        self._tasks.spawn(self._keep_time())
+        self._tasks.spawn(self._report_load())
         if self._settings.kind is ServiceKind.ENGINE:
-            self._spawn(self._watch_engine())
-            self._spawn(self._executor.run())
+            self._tasks.spawn(self._watch_engine())
+            self._tasks.spawn(self._executor.run())
 
     def stop(self) -> None:
         """Take no new work; ``exited`` is set when all is finished."""
@@ -136,7 +135,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        await cancel_all(self._tasks)
+        await self._tasks.cancel()
         for session in self._sessions.values():
             session.close()
         await self._backend.close()
@@ -196,12 +195,12 @@
         match command:
             case Run(attempt):
                 self._metrics.decided("run")
-                self._runs[attempt] = self._spawn(self._run(attempt))
+                self._runs[attempt] = self._tasks.spawn(self._run(attempt))
             case Compute(attempt):
                 self._metrics.decided("prefill")
-                self._runs[attempt] = self._spawn(self._compute(attempt))
+                self._runs[attempt] = self._tasks.spawn(self._compute(attempt))
             case Stop(attempt):
-                self._spawn(self._cancel(attempt))
+                self._tasks.spawn(self._cancel(attempt))
             case TellAccepted(attempt):
                 accepted = wire.Accepted(attempt=str(attempt))
                 self._tell(attempt, wire.AgentFrame(accepted=accepted))
@@ -409,17 +408,6 @@
                 LOGGER.debug("engine gave no report: %s", error)
             await asyncio.sleep(REPORT_INTERVAL)
 
-    def _spawn(self, work: t.Coroutine) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-        return task
-
-    def _finished(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOGGER.error("task failed", exc_info=task.exception())
-
 
 def _board(settings: AgentSettings, agent: AgentId) -> TargetBoard:
     ledger = LedgerSettings(lease=settings.owner_lease)
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -1,13 +1,12 @@
 """An entry: carries out what its dispatcher decides."""
 
 import asyncio
-import dataclasses
 import itertools
 import random
 import typing as t
 
 from .admission import urgency
-from .board import EntryBoard, TargetState
+from .board import EntryBoard
 from .catalogue import Catalogue
 from .claim import Claimer, ClaimSettings
 from .clock import Clock
@@ -29,7 +28,6 @@
     StoreRead,
     StoreSwap,
 )
-from .conversion import Address
 from .dispatch import Dispatcher
 from .event import (
     Arrived,
@@ -49,9 +47,9 @@
 from .expiry import ExpiryLeases
 from .frame import headers
 from .group import GroupCoordinator, GroupSettings
-from .host import Host, HostState
+from .host import Host
 from .identity import AgentId, AttemptId
-from .link import Link
+from .linkset import LinkOwner, LinkSet
 from .log import LOGGER, for_request
 from .metric import Metrics
 from .platform.hosts import HostList
@@ -70,13 +68,11 @@
     RoutingSettings,
 )
 from .settings import EntrySettings, PolicyName, Settings
-from .subset import choose
-from .utils import cancel_all
+from .utils import Tasks
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.02  # seconds
-SEAL_LINK_TIME = 60.0  # seconds
 NONCE_BITS = 64
 
 POLICIES = {
@@ -98,7 +94,8 @@
         metrics: Metrics,
     ) -> None:
         self._name = settings.name
-        self._owner = f"{settings.name}.{clock.now():.6f}"
+        owner = LinkOwner(settings.name, f"{settings.name}.{clock.now():.6f}")
+        self._owner = owner.owner
         self._settings: EntrySettings = settings.entry
         self._hosts_interval = settings.platform.hosts_interval
         self._store = store
@@ -108,11 +105,11 @@
         self._random = random.Random(settings.entry.seed)
         self._expiry = ExpiryLeases(store, clock)
         self._board = EntryBoard()
-        self._links: dict[str, Link] = {}
-        self._sealing: dict[str, float] = {}  # until when a link is kept
         self._exchanges: dict[str, Exchange] = {}
-        self._known_hosts: tuple[Host, ...] = ()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = Tasks(LOGGER)
+        self._links = LinkSet(
+            owner, settings.entry, self._board, clock, self, self._tasks
+        )
         self._quotas = Quotas(QuotaSettings(entries=settings.entry.quota_entries))
         self._dispatcher = self._build()
         self._may_serve: t.Callable[[], bool] = lambda: True
@@ -141,7 +138,7 @@
     @property
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that the host list showed last."""
-        return self._known_hosts
+        return self._links.hosts
 
     @property
     def busy(self) -> bool:
@@ -164,12 +161,12 @@
             return
         self._board.catalogue = catalogue
         if catalogue.services != current.services:
-            self._relink()
+            self._links.update()
 
     def start(self) -> None:
         """Begin to keep time and to watch the host list."""
-        self._spawn(self._keep_time())
-        self._spawn(self._watch_hosts())
+        self._tasks.spawn(self._keep_time())
+        self._tasks.spawn(self._watch_hosts())
 
     def stop(self) -> None:
         """Take no new requests."""
@@ -177,8 +174,8 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        await cancel_all(self._tasks)
-        await asyncio.gather(*(link.close() for link in self._links.values()))
+        await self._tasks.cancel()
+        await self._links.close()
 
     def new_id(self) -> str:
         """Return an id that no other request has."""
@@ -267,10 +264,10 @@
                 self._send_reserve(command)
             case Cancel(attempt, agent):
                 cancel = wire.Cancel(attempt=str(attempt))
-                self._send(agent, wire.EntryFrame(cancel=cancel))
+                self._links.send(agent, wire.EntryFrame(cancel=cancel))
             case Release(attempt, agent):
                 release = wire.Release(attempt=str(attempt))
-                self._send(agent, wire.EntryFrame(release=release))
+                self._links.send(agent, wire.EntryFrame(release=release))
             case Resume(attempt, agent, offset):
                 self._send_resume(attempt, agent, offset)
             case Seal(attempt, agent):
@@ -283,9 +280,9 @@
                 self._quotas.end(request)
                 self._exchanges.pop(request).replay(result)
             case StoreRead(call, key):
-                self._spawn(self._read(call, key))
+                self._tasks.spawn(self._read(call, key))
             case StoreSwap():
-                self._spawn(self._swap(command))
+                self._tasks.spawn(self._swap(command))
             case CountRetry(reason):
                 self._metrics.retried(reason)
             case CountDrop(kind):
@@ -336,10 +333,6 @@
             )
         )
 
-    def _send(self, agent: AgentId, frame: wire.EntryFrame) -> bool:
-        link = self._links.get(agent.target)
-        return link is not None and link.send(frame)
-
     def _send_start(
         self, attempt: AttemptId, agent: AgentId, members: tuple[AgentId, ...]
     ) -> None:
@@ -369,7 +362,7 @@
             members=exchange.members if members else [],
             plain=isinstance(request.work, Call),
         )
-        if not self._send(agent, wire.EntryFrame(start=start)):
+        if not self._links.send(agent, wire.EntryFrame(start=start)):
             event = Refused(attempt, Reason.TARGET_UNREACHABLE)
             asyncio.get_running_loop().call_soon(self._feed, event)
 
@@ -390,7 +383,7 @@
             members=exchange.members,
             body=body,
         )
-        self._send(command.agent, wire.EntryFrame(prefill=prefill))
+        self._links.send(command.agent, wire.EntryFrame(prefill=prefill))
         self._remember_member(exchange, command)
 
     def _send_reserve(self, command: Reserve) -> None:
@@ -402,7 +395,7 @@
             priority=self._priority(request),
             memory=command.memory,
         )
-        if not self._send(command.agent, wire.EntryFrame(reserve=reserve)):
+        if not self._links.send(command.agent, wire.EntryFrame(reserve=reserve)):
             event = Refused(command.attempt, Reason.TARGET_UNREACHABLE)
             asyncio.get_running_loop().call_soon(self._feed, event)
 
@@ -413,7 +406,7 @@
         resume = wire.Resume(
             attempt=str(attempt), offset=offset, deadline=exchange.request.deadline
         )
-        self._send(agent, wire.EntryFrame(resume=resume))
+        self._links.send(agent, wire.EntryFrame(resume=resume))
 
     def _send_seal(self, command: Seal) -> None:
         seal = wire.Seal(
@@ -421,13 +414,8 @@
             incarnation=command.agent.incarnation,
             deadline=command.deadline,
         )
-        if not self._send(command.agent, wire.EntryFrame(seal=seal)):
-            self._link_for_seal(command.agent.target)
-
-    def _link_for_seal(self, name: str) -> None:
-        """Open a link to a target of another entry's; the seal is repeated."""
-        self._sealing[name] = self._clock.now() + SEAL_LINK_TIME
-        self._relink()
+        if not self._links.send(command.agent, wire.EntryFrame(seal=seal)):
+            self._links.open_for_seal(command.agent.target)
 
     def _remember_member(self, exchange: Exchange, command: Prefill) -> None:
         address = self._board.targets[command.agent.target].host.address
@@ -466,70 +454,7 @@
     async def _watch_hosts(self) -> None:
         while True:
             try:
-                self._set_hosts(tuple(await self._hosts.poll()))
+                self._links.set_hosts(tuple(await self._hosts.poll()))
             except PlatformError as error:
                 LOGGER.warning("host list not read: %s", error)
             await asyncio.sleep(self._hosts_interval)
-
-    def _set_hosts(self, hosts: tuple[Host, ...]) -> None:
-        if hosts != self._known_hosts or self._sealing:
-            self._known_hosts = hosts
-            self._relink()
-
-    def _relink(self) -> None:
-        """Bring links and targets in line with hosts and catalogue."""
-        count = self._settings.links_per_service
-        wanted = choose(self._name, self._known_hosts, self._board.catalogue, count)
-        for host in self._hosts_to_seal(wanted):
-            self._link_only(host)
-        for name in set(self._links) - set(wanted) - set(self._sealing):
-            self._unlink(name)
-        for name, host in wanted.items():
-            self._link(name, host)
-
-    def _link(self, name: str, host: Host) -> None:
-        link = self._links.get(name)
-        if link is not None and link.address != host.agent:
-            self._unlink(name)
-            link = None
-        if name in self._board.targets:
-            self._board.targets[name].host = host
-        else:
-            self._board.targets[name] = TargetState(host)
-        if link is None:
-            self._links[name] = self._new_link(host)
-
-    def _hosts_to_seal(self, wanted: t.Mapping[str, Host]) -> list[Host]:
-        now = self._clock.now()
-        self._sealing = {k: v for k, v in self._sealing.items() if v > now}
-        names = set(self._sealing) - set(wanted)
-        return [host for host in self._known_hosts if host.name in names]
-
-    def _link_only(self, host: Host) -> None:
-        """Open a link to a host that gets no requests from here."""
-        if host.name not in self._links:
-            self._links[host.name] = self._new_link(host)
-
-    def _new_link(self, host: Host) -> Link:
-        heartbeat = self._settings.heartbeat
-        return Link(Address(host.agent), self._owner, heartbeat, self)
-
-    def _unlink(self, name: str) -> None:
-        target = self._board.targets.get(name)
-        if target is not None and target.outstanding:
-            target.host = dataclasses.replace(target.host, state=HostState.LEAVING)
-            return
-        self._board.targets.pop(name, None)
-        link = self._links.pop(name)
-        self._spawn(link.close())
-
-    def _spawn(self, work: t.Coroutine) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-        return task
-
-    def _finished(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOGGER.error("task failed", exc_info=task.exception())
--- a/src/chicorycove/utils.py
+++ b/src/chicorycove/utils.py
@@ -1,6 +1,7 @@
 """Small helpers that several adapters share."""
 
 import asyncio
+import logging
 import typing as t
 
 CANCEL_INTERVAL = 1.0  # seconds
@@ -17,3 +18,27 @@
         for task in pending:
             task.cancel()
         _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
+
+
+class Tasks:
+    """Tasks of one owner, whose failures are logged."""
+
+    def __init__(self, logger: logging.Logger) -> None:
+        self._logger = logger
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, work: t.Coroutine) -> asyncio.Task:
+        """Start a task."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        await cancel_all(self._tasks)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._logger.error("task failed", exc_info=task.exception())
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -26,6 +26,7 @@
     "front",
     "httpclient",
     "link",
+    "linkset",
     "listener",
     "local",
     "log",
