Read the late order's effect from its own answer

Cause: test_late_order_behind_the_agents_back failed once in a landing ('2' is not '1'): it asked the engine for its state after the order, and the agent had put the order right by then. The test was wrong, not the agent. Change: the version is read from the answer to the late order itself, which the engine gives in the same step: as strict, without the race. Conclusion: none on the product.

--- a/tests/test_orchestrator.py
+++ b/tests/test_orchestrator.py
@@ -271,8 +271,6 @@
         await self.start_entry()
         await self.until(lambda: self.all_have("2"))
         late = {"kind": "load_model", "model": "advisor", "version": "1", "fence": 1}
-        await self.post(f"{self.engines['t0'].url}/engine/order", late)
-        self.assertEqual(
-            (await self.engine_state("t0"))["models"]["advisor"]["version"], "1"
-        )
+        _, state = await self.post(f"{self.engines['t0'].url}/engine/order", late)
+        self.assertEqual(state["models"]["advisor"]["version"], "1")
         await self.until(lambda: self.all_have("2"))
