--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import typing as t
 
 import msgspec
 
@@ -47,12 +46,14 @@
 from .session import Session
 from .settings import AgentSettings
 from .target import TargetBoard, TargetController
-from .utils import cancel_all
+from .utils import Tasks
 from .verdict import Verdict
 from .wire import link_pb2 as wire
 
 TICK = 0.05  # seconds
 REPORT_INTERVAL = 0.5  # seconds
+RESUME_DELAYS = (0.0, 0.1, 0.5)  # seconds before each try
+STATUS_OK = 200
 KEEP_ANSWER = 30.0  # seconds that an ended answer can be sent again
 SSE_END = b"data: [DONE]\n\n"
 SSE_TYPE = "text/event-stream"
@@ -97,7 +98,7 @@
         self._runs: dict[AttemptId, asyncio.Task] = {}
         self._offsets: dict[AttemptId, int] = {}
         self._exited = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = Tasks(LOGGER)
 
     @property
     def id(self) -> AgentId:
@@ -121,11 +122,11 @@
 
     def start(self) -> None:
         """Begin to keep time and to watch the engine."""
-        self._spawn(self._keep_time())
-        self._spawn(self._report_load())
+        self._tasks.spawn(self._keep_time())
+        self._tasks.spawn(self._report_load())
         if self._settings.kind is ServiceKind.ENGINE:
-            self._spawn(self._watch_engine())
-            self._spawn(self._executor.run())
+            self._tasks.spawn(self._watch_engine())
+            self._tasks.spawn(self._executor.run())
 
     def stop(self) -> None:
         """Take no new work; ``exited`` is set when all is finished."""
@@ -134,7 +135,7 @@
 
     async def close(self) -> None:
         """Drop everything."""
-        await cancel_all(self._tasks)
+        await self._tasks.cancel()
         for session in self._sessions.values():
             session.close()
         await self._backend.close()
@@ -194,12 +195,12 @@
         match command:
             case Run(attempt):
                 self._metrics.decided("run")
-                self._runs[attempt] = self._spawn(self._run(attempt))
+                self._runs[attempt] = self._tasks.spawn(self._run(attempt))
             case Compute(attempt):
                 self._metrics.decided("prefill")
-                self._runs[attempt] = self._spawn(self._compute(attempt))
+                self._runs[attempt] = self._tasks.spawn(self._compute(attempt))
             case Stop(attempt):
-                self._spawn(self._cancel(attempt))
+                self._tasks.spawn(self._cancel(attempt))
             case TellAccepted(attempt):
                 accepted = wire.Accepted(attempt=str(attempt))
                 self._tell(attempt, wire.AgentFrame(accepted=accepted))
@@ -260,8 +261,7 @@
         start = self._work[attempt]
         self._tell(attempt, wire.AgentFrame(started=wire.Started(attempt=str(attempt))))
         try:
-            async with self._backend.open(_work(start)) as answer:
-                await self._read(attempt, start, answer)
+            await self._answer(attempt, start)
         except TargetUnreachable as error:
             for_request(attempt.request).warning("target unreachable: %s", error)
             self._refuse(attempt, Reason.TARGET_UNREACHABLE, None)
@@ -274,6 +274,40 @@
             self._runs.pop(attempt, None)
         self._feed(RunEnded(attempt))
 
+    async def _answer(self, attempt: AttemptId, start: wire.Start) -> None:
+        """Have the target answer; go on with an engine whose answer breaks.
+
+        :raises TargetUnreachable: if nothing was sent
+        :raises TargetFailed: if the answer is not to be had
+        """
+        try:
+            async with self._backend.open(_work(start)) as answer:
+                await self._read(attempt, start, answer)
+        except TargetFailed as error:
+            if start.plain:
+                raise
+            for_request(attempt.request).info("answer broke, resuming: %s", error)
+            await self._resume(attempt, start)
+
+    async def _resume(self, attempt: AttemptId, start: wire.Start) -> None:
+        """Read the rest of an answer that the engine still keeps.
+
+        :raises TargetFailed: if it does not
+        """
+        for delay in RESUME_DELAYS:
+            await asyncio.sleep(delay)
+            size = self._answers[attempt].size
+            path = f"/engine/streams/{attempt}?offset={size}"
+            try:
+                async with self._backend.open(Work("GET", path, [], b"")) as answer:
+                    if answer.head.status != STATUS_OK:
+                        raise TargetFailed(f"{path}: status {answer.head.status}")
+                    await self._read(attempt, start, answer)
+                    return
+            except TargetError as error:
+                for_request(attempt.request).info("not resumed: %s", error)
+        raise TargetFailed(f"answer broke off after {size} bytes")
+
     async def _read(
         self, attempt: AttemptId, start: wire.Start, answer: Answer
     ) -> None:
@@ -288,8 +322,10 @@
             status=answer.head.status,
             headers=frame.headers(answer.head.headers),
         )
-        buffer.head = wire.AgentFrame(head=head)
-        self._tell(attempt, buffer.head)
+        if buffer.head is None:
+            buffer.head = wire.AgentFrame(head=head)
+            self._tell(attempt, buffer.head)
+        first = None
         streamed = SSE_TYPE in answer.head.get("content-type")
         async for data in answer.chunks():
             if not buffer.size:
@@ -300,7 +336,7 @@
         if SSE_TYPE in answer.head.get("content-type") and not start.plain:
             if buffer.tail(len(SSE_END)) != SSE_END:
                 raise TargetFailed("the stream ended before its last event")
-        if buffer.size:
+        if buffer.size and first is not None:
             self._executor.note_answer(first)
         ended = wire.Ended(attempt=str(attempt), size=buffer.size)
         self._end(attempt, wire.AgentFrame(ended=ended))
@@ -372,17 +408,6 @@
                 LOGGER.debug("engine gave no report: %s", error)
             await asyncio.sleep(REPORT_INTERVAL)
 
-    def _spawn(self, work: t.Coroutine) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-        return task
-
-    def _finished(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOGGER.error("task failed", exc_info=task.exception())
-
 
 def _board(settings: AgentSettings, agent: AgentId) -> TargetBoard:
     ledger = LedgerSettings(lease=settings.owner_lease)
