Leave attempts that met no target out of the retry budget

Change: link_down for what was never sent; it and attempt_sealed take nothing from the budget, but keep their backoff and count as attempts. The front's endpoints are given the front. Conclusion: the budget bounds load, and nothing else.

--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -363,7 +363,7 @@
             plain=isinstance(request.work, Call),
         )
         if not self._links.send(agent, wire.EntryFrame(start=start)):
-            event = Refused(attempt, Reason.TARGET_UNREACHABLE)
+            event = Refused(attempt, Reason.LINK_DOWN)
             asyncio.get_running_loop().call_soon(self._feed, event)
 
     def _send_prefill(self, command: Prefill) -> None:
@@ -396,7 +396,7 @@
             memory=command.memory,
         )
         if not self._links.send(command.agent, wire.EntryFrame(reserve=reserve)):
-            event = Refused(command.attempt, Reason.TARGET_UNREACHABLE)
+            event = Refused(command.attempt, Reason.LINK_DOWN)
             asyncio.get_running_loop().call_soon(self._feed, event)
 
     def _send_resume(self, attempt: AttemptId, agent: AgentId, offset: int) -> None:
--- a/src/chicorycove/front.py
+++ b/src/chicorycove/front.py
@@ -56,11 +56,15 @@
         """Return the routes of the callers' interface."""
         return [
             Route("/v1/models", self._models, methods=["GET"]),
-            Route("/v1/completions", _Endpoint(self._completion), methods=["POST"]),
-            Route("/v1/chat/completions", _Endpoint(self._chat), methods=["POST"]),
+            Route(
+                "/v1/completions", _Endpoint(self, self._completion), methods=["POST"]
+            ),
+            Route(
+                "/v1/chat/completions", _Endpoint(self, self._chat), methods=["POST"]
+            ),
             Route(
                 "/services/{service}/{path:path}",
-                _Endpoint(self._call),
+                _Endpoint(self, self._call),
                 methods=METHODS,
             ),
         ]
@@ -228,9 +232,11 @@
 class _Endpoint:
     """An ASGI application that answers one kind of request."""
 
-    def __init__(self, begin: t.Callable[[HttpRequest], t.Awaitable[Exchange]]) -> None:
+    def __init__(
+        self, front: Front, begin: t.Callable[[HttpRequest], t.Awaitable[Exchange]]
+    ) -> None:
+        self._front = front
         self._begin = begin
-        self._front: Front = begin.__self__
 
     async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
         http = HttpRequest(scope, receive)
--- a/src/chicorycove/problem.py
+++ b/src/chicorycove/problem.py
@@ -26,6 +26,7 @@
     Reason.LIMIT_MEMORY: 429,
     Reason.TARGET_FAILED: 502,
     Reason.TARGET_UNREACHABLE: 502,
+    Reason.LINK_DOWN: 502,
     Reason.LINK_LOST: 502,
     Reason.STREAM_BROKEN: 502,
     Reason.ANSWER_TOO_LARGE: 502,
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -51,6 +51,7 @@
     # An attempt broke.
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_FAILED = "target_failed"
+    LINK_DOWN = "link_down"  # and nothing was sent
     LINK_LOST = "link_lost"
     STREAM_BROKEN = "stream_broken"
     ANSWER_TOO_LARGE = "answer_too_large"
--- a/src/chicorycove/retry.py
+++ b/src/chicorycove/retry.py
@@ -22,13 +22,17 @@
         Reason.RESERVATION_LOST,
         Reason.TARGET_UNREACHABLE,
         Reason.TARGET_FAILED,
+        Reason.LINK_DOWN,
         Reason.LINK_LOST,
         Reason.STREAM_BROKEN,
     }
 )
 
 # A planned stop must cut off no request, and costs its target nothing.
-UNBUDGETED = frozenset({Reason.TARGET_LEAVING, Reason.STALE_INCARNATION})
+AT_ONCE = frozenset({Reason.TARGET_LEAVING, Reason.STALE_INCARNATION})
+
+# No target had any work of these, so that trying again adds no load.
+UNBUDGETED = AT_ONCE | {Reason.LINK_DOWN, Reason.ATTEMPT_SEALED}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,7 +146,7 @@
         return not passed_on or _is_repeatable(state)
 
     def _backoff(self, state: RequestState, reason: Reason) -> float:
-        if reason in UNBUDGETED:
+        if reason in AT_ONCE:
             return 0.0
         retries = max(len(state.attempts) - 1, 0)
         ceiling = self._settings.backoff_base * 2**retries
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -109,7 +109,19 @@
         attempts = self.brown_out(5000, lambda n: "t", lambda n: f"w{n % 500}")
         self.assertLessEqual(attempts, 5000 * 1.1 + 10)
 
-    def test_leaving_targets_use_no_budget(self):
-        reason = Reason.TARGET_LEAVING
-        attempts = self.brown_out(100, lambda n: "t", lambda n: "w", reason)
-        self.assertEqual(attempts, 500)
+    def test_attempts_that_are_no_load_use_no_budget(self):
+        for reason in (
+            Reason.TARGET_LEAVING,
+            Reason.STALE_INCARNATION,
+            Reason.LINK_DOWN,
+            Reason.ATTEMPT_SEALED,
+        ):
+            with self.subTest(reason):
+                attempts = self.brown_out(100, lambda n: "t", lambda n: "w", reason)
+                self.assertEqual(attempts, 500)
+
+    def test_attempts_that_met_a_target_use_the_budget(self):
+        for reason in (Reason.TARGET_UNREACHABLE, Reason.TARGET_FAILED):
+            with self.subTest(reason):
+                attempts = self.brown_out(100, lambda n: "t", lambda n: "w", reason)
+                self.assertLessEqual(attempts, 100 * 1.1 + 10)
--- a/tests/world.py
+++ b/tests/world.py
@@ -297,7 +297,7 @@
                     caller.data = b""
                 message = StartAsked(self._offer(attempt, agent))
                 if not self.world.to_agent(self.name, agent, message):
-                    gone = Refused(attempt, Reason.TARGET_UNREACHABLE)
+                    gone = Refused(attempt, Reason.LINK_DOWN)
                     self.soon.append(gone)
             case Cancel(attempt, agent):
                 self.world.to_agent(self.name, agent, CancelAsked(attempt))
