Give claims the next turn at the store

Ways weighed: a budget of calls a second (needs a rate nobody knows), a queue with classes in the adapter's pool (chosen). Change: platform/turns.py bounds an entry's calls under way and gives claims the next turn; catalogue and planner get the rest.

--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -19,6 +19,7 @@
 from .peer import EntryNode, Identity
 from .platform.hosts import HostList
 from .platform.store import EtcdStore
+from .platform.turns import CallClass, CallQueue, QueuedStore
 from .registry import Registry
 from .schema import parse_file
 from .settings import Settings
@@ -48,13 +49,14 @@
         self._metrics = Metrics(settings.name)
         platform = settings.platform
         self._store = EtcdStore(platform.store, platform.store_timeout)
+        calls = CallQueue(platform.store_calls)
+        claims = QueuedStore(self._store, calls, CallClass.CLAIM)
+        others = QueuedStore(self._store, calls, CallClass.OTHER)
         self._hosts = HostList(platform.hosts)
-        self._entry = EntryRole(
-            settings, self._store, self._hosts, Clock(), self._metrics
-        )
-        self._registry = Registry(self._store, settings.name)
+        self._entry = EntryRole(settings, claims, self._hosts, Clock(), self._metrics)
+        self._registry = Registry(others, settings.name)
         self._registry.subscribe(self._entry.set_catalogue)
-        self._orchestrator = Orchestrator(settings, self._store, self._entry)
+        self._orchestrator = Orchestrator(settings, others, self._entry)
         self._node = self._create_node()
         self._listener: Listener | None = None
         self._follower: asyncio.Task | None = None
--- /dev/null
+++ b/src/chicorycove/platform/turns.py
@@ -0,0 +1,120 @@
+"""Turns at the store: calls for claims go before all others."""
+
+import asyncio
+import contextlib
+import enum
+import heapq
+import typing as t
+
+from ..event import Found, Unavailable
+from .store import Store, SwapResult
+
+
+class CallClass(enum.IntEnum):
+    """What a call is for; a lower number goes first."""
+
+    CLAIM = 0
+    OTHER = 1
+
+
+class CallQueue:
+    """Bounds the calls that are under way, and orders those that wait."""
+
+    def __init__(self, limit: int) -> None:
+        self._free = limit
+        self._waiting: list[tuple[CallClass, int, asyncio.Future]] = []
+        self._count = 0
+
+    @contextlib.asynccontextmanager
+    async def turn(self, call_class: CallClass) -> t.AsyncIterator[None]:
+        """Wait for a turn, and give it back at the end."""
+        await self._acquire(call_class)
+        try:
+            yield
+        finally:
+            self._release()
+
+    async def _acquire(self, call_class: CallClass) -> None:
+        if self._free:
+            self._free -= 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self._count += 1
+        heapq.heappush(self._waiting, (call_class, self._count, turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._release()
+            raise
+
+    def _release(self) -> None:
+        while self._waiting:
+            turn = heapq.heappop(self._waiting)[-1]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._free += 1
+
+
+class QueuedStore:
+    """A store whose calls wait for their turn; watches do not."""
+
+    def __init__(self, store: Store, queue: CallQueue, call_class: CallClass) -> None:
+        self._store = store
+        self._queue = queue
+        self._class = call_class
+
+    async def get(self, key: str) -> Found | Unavailable:
+        """Read a key."""
+        async with self._queue.turn(self._class):
+            return await self._store.get(key)
+
+    async def swap(
+        self, key: str, version: int, value: bytes, lease: int | None = None
+    ) -> SwapResult:
+        """Write a key if it still has a version; 0 for absent.
+
+        :raises LeaseLost: if there is no such lease
+        """
+        async with self._queue.turn(self._class):
+            return await self._store.swap(key, version, value, lease)
+
+    async def delete(self, key: str, version: int) -> SwapResult:
+        """Delete a key if it still has a version."""
+        async with self._queue.turn(self._class):
+            return await self._store.delete(key, version)
+
+    async def grant(self, ttl: float) -> int:
+        """Return the id of a new lease; the time to live is in seconds.
+
+        :raises StoreUnavailable: if there is none
+        :raises StoreUnknown: if there may be one; it lapses by itself
+        """
+        async with self._queue.turn(self._class):
+            return await self._store.grant(ttl)
+
+    async def keep_alive(self, lease: int) -> float:
+        """Renew a lease and return its time to live in seconds.
+
+        :raises LeaseLost: if there is no such lease
+        :raises StoreUnavailable: if it is not known to be renewed
+        """
+        async with self._queue.turn(self._class):
+            return await self._store.keep_alive(lease)
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys.
+
+        :raises StoreUnavailable: if that did not happen
+        :raises StoreUnknown: if it may have happened
+        """
+        async with self._queue.turn(self._class):
+            await self._store.revoke(lease)
+
+    def watch(self, key: str, version: int) -> t.AsyncIterator[Found]:
+        """Yield a key's value whenever it is newer than a version.
+
+        :raises StoreUnavailable: when the watch ends
+        """
+        return self._store.watch(key, version)
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -55,6 +55,7 @@
     store: Address
     hosts: Address
     store_timeout: float = 1.0
+    store_calls: int = 32  # under way at the same time; claims go first
     hosts_interval: float = 1.0
 
 
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,57 @@
+import asyncio
+import unittest
+
+from chicorycove.event import Found
+from chicorycove.platform.turns import CallClass, CallQueue, QueuedStore
+
+
+class SlowStore:
+    """Answers reads one by one, when told to."""
+
+    def __init__(self):
+        self.order = []
+        self.steps = asyncio.Semaphore(0)
+
+    async def get(self, key):
+        self.order.append(key)
+        await self.steps.acquire()
+        return Found(b"", 0)
+
+
+class QueuedStoreTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = SlowStore()
+        self.queue = CallQueue(2)
+        self.claims = QueuedStore(self.store, self.queue, CallClass.CLAIM)
+        self.others = QueuedStore(self.store, self.queue, CallClass.OTHER)
+
+    async def ask(self, *calls):
+        tasks = [asyncio.create_task(store.get(key)) for store, key in calls]
+        await asyncio.sleep(0)
+        return tasks
+
+    async def finish(self, tasks):
+        for _ in tasks:
+            self.store.steps.release()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_claims_go_before_calls_that_came_earlier(self):
+        tasks = await self.ask(
+            *((self.others, f"other-{n}") for n in range(4)),
+            (self.claims, "claim-1"),
+            (self.claims, "claim-2"),
+        )
+        self.assertEqual(self.store.order, ["other-0", "other-1"])
+        await self.finish(tasks)
+        self.assertEqual(self.store.order[2:4], ["claim-1", "claim-2"])
+        self.assertEqual(sorted(self.store.order[4:]), ["other-2", "other-3"])
+
+    async def test_cancelled_calls_give_their_turn_back(self):
+        tasks = await self.ask(*((self.others, f"other-{n}") for n in range(5)))
+        for task in tasks[:4]:
+            task.cancel()
+        await self.finish(tasks)
+        self.assertEqual(self.store.order, ["other-0", "other-1", "other-4"])
+        more = await self.ask((self.others, "a"), (self.others, "b"))
+        self.assertEqual(self.store.order[-2:], ["a", "b"])
+        await self.finish(more)
