Test that a hang-up frees the engine

Change: a caller reads the status of a slow stream, hangs up, and the engine must hold nothing and not finish. Conclusion: the cancel goes all the way.

--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -186,9 +186,8 @@
         self.assertEqual(problem["verdict"], "may_have_run")
 
     async def test_answer_that_the_engine_lost_is_resumed(self):
-        for name, url in self.process.targets.items():
-            if name.startswith("advisor"):
-                await self.client.post(f"{url}/engine/faults", json={"lose_answers": 1})
+        for url in self.engines():
+            await self.client.post(f"{url}/engine/faults", json={"lose_answers": 1})
         outcomes = [
             await self.caller.complete("lost", "toolroom-key", 50) for _ in range(4)
         ]
@@ -197,6 +196,40 @@
         self.assertEqual(whole.status_code, 200)
         self.assertEqual(len(await self.runs()), 5)
 
+    async def test_hang_up_frees_the_engine(self):
+        body = json.dumps(PROMPT | {"max_tokens": 1024, "stream": True}).encode()
+        address = self.process.entry.listener.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: entry\r\n"
+            "Authorization: Bearer toolroom-key\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        for url in self.engines():
+            await self.client.post(f"{url}/engine/faults", json={"slow": 1000.0})
+        writer.write(head.encode() + body)
+        self.assertIn(b"200", await reader.readline())
+        async with asyncio.timeout(WAIT):
+            while not await self.held():
+                await asyncio.sleep(0.05)
+            writer.close()
+            while await self.held() or self.process.entry.entry.busy:
+                await asyncio.sleep(0.05)
+        (run,) = await self.runs()
+        self.assertFalse(run["finished"])
+
+    def engines(self):
+        targets = self.process.targets.items()
+        return [url for name, url in targets if name.startswith("advisor")]
+
+    async def held(self):
+        """Return the attempts that hold memory at any engine."""
+        found = {}
+        for url in self.engines():
+            response = await self.client.get(f"{url}/engine/load")
+            found |= (await response.json())["attempts"]
+        return found
+
     async def test_many_at_once_each_get_their_own_answer(self):
         async def one(number):
             text = f"question {number}"
