Bound what a slow caller leaves at its entry

Cause: a stream whose caller reads slowly was buffered without bound; only answers held until whole counted against max_answer. Change: bytes that wait for the caller count too. Conclusion: max_answer bounds each answer at the entry.

--- a/src/chicorycove/exchange.py
+++ b/src/chicorycove/exchange.py
@@ -90,6 +90,7 @@
         self._head: Head | None = None
         self._head_of: AttemptId | None = None
         self._held = bytearray()
+        self._queued = 0  # bytes in parts that wait
         self._begun = False
         self._parts: list[Part] = []
         self._ready = asyncio.Event()
@@ -101,8 +102,8 @@
 
     @property
     def held(self) -> int:
-        """Return the bytes that are held until the answer is whole."""
-        return len(self._held)
+        """Return the bytes that the caller has not taken yet."""
+        return len(self._held) + self._queued
 
     @property
     def attempt(self) -> AttemptId | None:
@@ -140,6 +141,7 @@
             self._begun = True
             self._put(self._head)
         self._put(Data(data))
+        self._queued += len(data)
 
     def finish(self) -> None:
         """End the answer: it is whole."""
@@ -170,6 +172,7 @@
         await self._ready.wait()
         self._ready.clear()
         parts, self._parts = self._parts, []
+        self._queued = 0
         return parts
 
     def _put(self, part: Part) -> None:
