Give the whole path's tests room for a whole stream

Ruled out: the resume itself. Change: the tests' limit is 6,000 bytes, which no stream there reaches and the test of the limit does; the demo shows the end of a broken answer. Conclusion: the bound is right, the test's setting was not.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -23,6 +23,7 @@
 SETTINGS = pathlib.Path(__file__).parent / "local" / "settings.json"
 BYTES_PER_TOKEN = 4
 READY_TIMEOUT = 30.0  # seconds
+DETAIL_SIZE = 400  # bytes of a broken answer that are shown
 ROW = "{:<34} {:<10} {:>10} {:<44}"
 
 
@@ -88,8 +89,9 @@
         targets = response.headers.get("x-target", "")
         if response.status_code != 200:
             return Outcome(name, "failed", first, targets, data.decode())
-        verdict = "ran" if is_whole(data) else "cut"
-        return Outcome(name, verdict, first, targets)
+        if is_whole(data):
+            return Outcome(name, "ran", first, targets)
+        return Outcome(name, "cut", first, targets, data[-DETAIL_SIZE:].decode())
 
     async def register(self, key: str, order: str) -> Outcome:
         """Register a purchase of steel under an idempotency key."""
@@ -123,7 +125,8 @@
     for line in lines:
         if line.startswith("data: {"):
             event = json.loads(line.removeprefix("data: "))
-            text += "".join(choice.get("text", "") for choice in event["choices"])
+            choices = event.get("choices", ())
+            text += "".join(choice.get("text", "") for choice in choices)
             checksum = event.get("checksum", checksum)
     ended = bool(lines) and lines[-1] == "data: [DONE]"
     return ended and checksum == xxhash.xxh64_hexdigest(text.encode())
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -14,7 +14,7 @@
 from examples.demo import Caller
 
 MAX_BODY = 1_000_000  # bytes
-MAX_ANSWER = 4_000  # bytes
+MAX_ANSWER = 6_000  # bytes; more than any stream here, less than 1,024 words
 WAIT = 60.0  # seconds, far more than any step needs
 
 PROMPT = {"model": "advisor", "prompt": "Where does the gate go?"}
@@ -191,7 +191,7 @@
         outcomes = [
             await self.caller.complete("lost", "toolroom-key", 50) for _ in range(4)
         ]
-        self.assertEqual([x.verdict for x in outcomes], ["ran"] * 4)
+        self.assertEqual([x.verdict for x in outcomes], ["ran"] * 4, outcomes)
         whole = await self.send(json=PROMPT | {"max_tokens": 9})
         self.assertEqual(whole.status_code, 200)
         self.assertEqual(len(await self.runs()), 5)
