--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -52,8 +52,8 @@
 from .linkset import LinkOwner, LinkSet
 from .log import LOGGER, for_request
 from .metric import Metrics
-from .platform.hosts import HostList
-from .platform.store import Store
+from .backing.hosts import HostList
+from .backing.store import Store
 from .problem import Problem
 from .prompt import segments
 from .quota import Quotas, QuotaSettings
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -17,9 +17,9 @@
 from .metric import Metrics
 from .orchestrator import Orchestrator
 from .peer import EntryNode, Identity
-from .platform.hosts import HostList
-from .platform.store import EtcdStore
-from .platform.turns import CallClass, CallQueue, QueuedStore
+from .backing.hosts import HostList
+from .backing.store import EtcdStore
+from .backing.turns import CallClass, CallQueue, QueuedStore
 from .registry import Registry
 from .schema import parse_file
 from .settings import Settings
--- a/src/chicorycove/expiry.py
+++ b/src/chicorycove/expiry.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from .clock import Clock
-from .platform.store import Store
+from .backing.store import Store
 
 PERIOD = 3600.0  # seconds for which a lease is shared by new values
 
--- a/src/chicorycove/orchestrator.py
+++ b/src/chicorycove/orchestrator.py
@@ -36,7 +36,7 @@
 from .link import Link
 from .log import LOGGER
 from .planner import Move, Plan, Planner, Report, Target
-from .platform.store import Store
+from .backing.store import Store
 from .routing import matches
 from .settings import Settings
 from .utils import cancel_all
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from chicorycove.host import Host, HostState
-from chicorycove.platform.hosts import HostList, HostListUnavailable
-from chicorycove.platform.weights import Weights, WeightsUnavailable
+from chicorycove.backing.hosts import HostList, HostListUnavailable
+from chicorycove.backing.weights import Weights, WeightsUnavailable
 from standin import hosts, weights
 from tests.served import WAIT, ServedTestCase
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,7 +2,7 @@
 import unittest
 
 from chicorycove.event import Found
-from chicorycove.platform.turns import CallClass, CallQueue, QueuedStore
+from chicorycove.backing.turns import CallClass, CallQueue, QueuedStore
 
 
 class SlowStore:
