--- a/src/chicorycove/board.py
+++ b/src/chicorycove/board.py
@@ -28,6 +28,11 @@
         """Tell whether the target is to get no new work."""
         return self.host.state is HostState.LEAVING or self.load.leaving
 
+    @property
+    def available(self) -> bool:
+        """Tell whether the target could get new work."""
+        return self.agent is not None and not self.leaving
+
     @property
     def memory_free(self) -> int:
         """Return the engine memory thought free, in tokens."""
@@ -69,6 +74,11 @@
         self._heap: list[tuple[float, int, t.Any]] = []
         self._count = 0
 
+    @property
+    def next_due(self) -> float | None:
+        """Return when the next item falls due, if there is one."""
+        return self._heap[0][0] if self._heap else None
+
     def add(self, due: float, item: t.Any) -> None:
         """Have an item returned by the first ``pop`` at or after a time."""
         self._count += 1
--- /dev/null
+++ b/src/chicorycove/direct/board.py
@@ -0,0 +1,126 @@
+"""The blackboard of a direct entry: targets, work on them, requests."""
+
+import dataclasses
+import typing as t
+
+from ..board import AttemptState, Timers
+from ..request import Request
+from .route import Route, RoutingTable, Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """A target as the platform lists it."""
+
+    id: str
+    service: str
+    address: str  # "ip:port"
+    failure_domain: str
+    slots: int
+    leaving: bool = False
+    born: int = 0  # of the incarnation, in milliseconds since the epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inbound:
+    """A request with the route that it came by and the service chosen."""
+
+    request: Request
+    route: Route
+    service: str
+    resumed_after: int | None = None  # the last event that its caller has
+
+
+class WorkKey(t.NamedTuple):
+    """Names a part of a request on a target: its entry, its number there."""
+
+    owner: str
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """A part of a request on one target; times are in seconds.
+
+    A part that only reads belongs to a group whose answer is written
+    elsewhere.
+    """
+
+    key: WorkKey
+    target: str
+    tokens: int = 0  # to read
+    read: float = 0.0  # time to read them alone
+    context: float = 0.0  # tokens that a step of its writing looks at
+    writes: bool = True
+    events: int = 1  # that are still to come
+    max_gap: float = 0.0
+    value: float = 1.0  # lost if it is late
+    placed_at: float = 0.0
+    read_until: float = 0.0  # when its reading is thought to end
+    objective_at: float = 0.0  # when its first event is late
+    writing: bool = False
+    late: bool = False
+    refreshed_at: float = 0.0  # when its entry last spoke of it
+
+    def left_to_read(self, now: float) -> float:
+        """Return the time that its reading is thought to take yet."""
+        if self.writing:
+            return 0.0
+        return min(self.read, max(self.read_until - now, 0.0))
+
+
+@dataclasses.dataclass(slots=True)
+class TargetView:
+    """What an entry knows of one target; times are in seconds."""
+
+    listing: Listing
+    work: dict[WorkKey, Work] = dataclasses.field(default_factory=dict)
+    ejected_until: float = 0.0
+    suspected_until: float = 0.0  # since a connection to it failed
+    missing_until: float | None = None  # when a lapsed entry counts as gone
+    pace: float = 1.0  # how many times slower it is than it should be
+
+    @property
+    def available(self) -> bool:
+        """Tell whether the target is to get new work."""
+        return not self.listing.leaving
+
+
+@dataclasses.dataclass(slots=True)
+class DirectState:
+    """One admitted request and its attempts."""
+
+    inbound: Inbound
+    attempts: list[AttemptState] = dataclasses.field(default_factory=list)
+    works: list[Work] = dataclasses.field(default_factory=list)
+    runs: int = 0  # attempts that may have run at a target that still lives
+    sends: int = 0  # attempts that reached a target
+    answering: bool = False  # its caller has had the head of an answer
+    last_event: int | None = None
+    last_progress: float = 0.0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+    reservations: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class DirectBoard:
+    """The state of a direct entry."""
+
+    table: RoutingTable | None = None
+    targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
+    requests: dict[str, DirectState] = dataclasses.field(default_factory=dict)
+    timers: Timers = dataclasses.field(default_factory=Timers)
+    entries: int = 1  # known alive, this one included
+    store_back_at: float = float("-inf")
+    stopping_at: float | None = None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the deployment in force."""
+        return self.table.services.get(name) if self.table else None
+
+    def targets_of(self, service: str) -> t.Iterator[TargetView]:
+        """Yield the targets of a service that are not leaving."""
+        for view in self.targets.values():
+            if view.listing.service == service and view.available:
+                yield view
--- /dev/null
+++ b/src/chicorycove/direct/command.py
@@ -0,0 +1,87 @@
+"""What a direct entry asks for, beside the commands of all entries."""
+
+import dataclasses
+import typing as t
+
+from ..command import Fail, Finish
+from ..identity import AgentId, AttemptId
+from ..reason import Reason
+from .board import Work, WorkKey
+from .placement import Placement
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class SendTo:
+    """Connect to a target and send it a request; deadline in seconds."""
+
+    attempt: AttemptId
+    target: AgentId
+    address: str
+    deadline: float
+    placement: Placement
+    members: tuple[str, ...] = ()  # addresses of the rest of its group
+    after: int | None = None  # the last event that the caller has
+
+
+@frozen
+class Drop:
+    """Close an attempt's connection, which cancels it at its target."""
+
+    attempt: AttemptId
+
+
+@frozen
+class PassOn:
+    """Pass a stream on to its caller as it comes."""
+
+    request: str
+    attempt: AttemptId
+
+
+@frozen
+class Deliver:
+    """Give a caller the target's whole answer."""
+
+    request: str
+    attempt: AttemptId
+
+
+@frozen
+class Abort:
+    """Break a caller's answer off so that it does not look whole."""
+
+    request: str
+    reason: Reason
+
+
+@frozen
+class Probe:
+    """Try a connection to a target."""
+
+    target: str
+    address: str
+
+
+@frozen
+class Tell:
+    """Tell the other entries of work and of unreachable targets."""
+
+    works: tuple[Work, ...] = ()
+    ended: tuple[WorkKey, ...] = ()
+    unreachable: tuple[str, ...] = ()
+
+
+@frozen
+class Note:
+    """Log a change in what this entry believes."""
+
+    what: str
+    subject: str
+    detail: str = ""
+
+
+DirectCommand = t.Union[
+    SendTo, Drop, PassOn, Deliver, Finish, Fail, Abort, Probe, Tell, Note
+]
--- /dev/null
+++ b/src/chicorycove/direct/dialect.py
@@ -0,0 +1,45 @@
+"""What a platform's adapter translates for a direct entry."""
+
+import dataclasses
+import typing as t
+
+from ..reason import Reason
+from .board import Inbound
+from .command import SendTo
+from .event import TargetAnswer
+from .http import Headers, HttpRequest
+from .route import RoutingTable
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class Rejection:
+    """A request that is refused before any decision on it."""
+
+    status: int
+    reason: Reason
+    request: str = ""
+
+
+class Dialect(t.Protocol):
+    """Reads and writes the messages of one platform."""
+
+    def inbound(
+        self, request: HttpRequest, table: RoutingTable | None, draw: float
+    ) -> Inbound | Rejection:
+        """Read a caller's request; a draw from [0, 1) picks its service."""
+
+    def outbound(
+        self, request: HttpRequest, inbound: Inbound, send: SendTo, left: float
+    ) -> bytes:
+        """Return a request for a target that has some seconds left."""
+
+    def answers(self, headers: Headers, inbound: Inbound) -> bool:
+        """Tell whether an answer is to a request."""
+
+    def answer(self, status: int, headers: Headers) -> TargetAnswer:
+        """Read the head of a target's answer."""
+
+    def own_headers(self, request: str, retry_after: float | None) -> Headers:
+        """Return the headers of an answer that the entry makes itself."""
--- /dev/null
+++ b/src/chicorycove/direct/dispatch.py
@@ -0,0 +1,500 @@
+"""The life of a request at a direct entry, from arrival to its last answer."""
+
+import dataclasses
+import typing as t
+
+from ..attempt import Step, advance, is_live
+from ..board import AttemptState
+from ..command import Fail, Finish
+from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..health import OutlierDetector
+from ..identity import AgentId, AttemptId
+from ..reason import Reason
+from ..request import Prompt
+from ..verdict import Verdict
+from .board import DirectBoard, DirectState, Inbound
+from .budget import SharedBudget
+from .command import (
+    Abort,
+    Deliver,
+    DirectCommand,
+    Drop,
+    PassOn,
+    Probe,
+    SendTo,
+    Tell,
+)
+from .event import (
+    Deployed,
+    DirectEvent,
+    Headed,
+    Listed,
+    PeersSeen,
+    PeerTold,
+    Probed,
+    Received,
+    Sent,
+    StoreAway,
+    StoreBack,
+    TargetAnswer,
+    Unlisted,
+    Whole,
+    Wrote,
+)
+from .hosts import TargetList
+from .placement import Job, Placement, Placer, place_call
+from .settings import DirectSettings
+from .work import WorkBook
+
+AttemptFactory = t.Callable[[str, int], AttemptId]
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class _DeadlineDue:
+    request: str
+
+
+@frozen
+class _PatienceDue:
+    attempt: AttemptId
+
+
+class DirectDispatcher:
+    """Decides what a direct entry does; times are in seconds."""
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        settings: DirectSettings,
+        domain: str,
+        name: str,
+        make_attempt: AttemptFactory,
+    ) -> None:
+        self._board = board
+        self._settings = settings
+        self._domain = domain
+        self._make_attempt = make_attempt
+        self._placer = Placer(settings.placement)
+        self._budget = SharedBudget(settings.budget)
+        self._health = OutlierDetector(board, settings.health)
+        self._targets = TargetList(board, settings)
+        self._work = WorkBook(board, settings, name)
+
+    def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
+        """Return what is to be done about an event."""
+        match event:
+            case Wrote(attempt, events, last):
+                return self._wrote(attempt, events, last, now)
+            case Received(inbound):
+                return self._received(inbound, now)
+            case Sent(attempt):
+                return self._sent(attempt, now)
+            case Headed(attempt, answer):
+                return self._headed(attempt, answer, now)
+            case Whole(attempt, answer):
+                return self._whole(attempt, answer, now)
+            case Ended(attempt):
+                return self._ended(attempt, now)
+            case Failed(attempt, reason, verdict):
+                return self._failed(attempt, reason, verdict, now)
+            case CallerGone(request):
+                return self._caller_gone(request)
+            case Probed(target, alive):
+                return self._probed(target, alive, now)
+            case Deployed(table):
+                self._board.table = table
+                return []
+            case Listed() | Unlisted() | StoreAway() | StoreBack():
+                return self._targets.handle(event, now)
+            case PeersSeen() | PeerTold():
+                return self._work.handle(event, now)
+            case StopAsked():
+                self._board.stopping_at = now
+                return []
+            case Tick():
+                return self._tick(now)
+
+    def _current(self, attempt: AttemptId) -> DirectState | None:
+        """Return the request that an attempt may still answer, if any."""
+        state = self._board.requests.get(attempt.request)
+        if state is None or not state.attempts or state.attempts[-1].id != attempt:
+            return None
+        return state
+
+    # Arrival and placing
+
+    def _received(self, inbound: Inbound, now: float) -> list[DirectCommand]:
+        request = inbound.request
+        self._budget.note_request(inbound.service, now)
+        if self._stopped_accepting(now):
+            return [Fail(request.id, Reason.STOPPING, Verdict.NOT_RUN, 0.0)]
+        state = DirectState(inbound, last_event=inbound.resumed_after)
+        self._board.requests[request.id] = state
+        self._board.timers.add(request.deadline, _DeadlineDue(request.id))
+        return self._place(state, now)
+
+    def _stopped_accepting(self, now: float) -> bool:
+        stopping_at = self._board.stopping_at
+        if stopping_at is None:
+            return False
+        return now >= stopping_at + self._settings.stop_accepting
+
+    def _place(self, state: DirectState, now: float) -> list[DirectCommand]:
+        request = state.inbound.request
+        if now + self._settings.least_time >= request.deadline:
+            return self._fail(state, Reason.DEADLINE_PAST, None)
+        placement = self._choose(state, now)
+        if placement is None:
+            after = self._settings.retry_after_no_target
+            return self._fail(state, Reason.NO_TARGET, after)
+        if now + placement.first_event > request.deadline:
+            after = placement.first_event - (request.deadline - now)
+            return self._fail(state, Reason.DEADLINE_INFEASIBLE, after)
+        return self._send(state, placement, now)
+
+    def _choose(self, state: DirectState, now: float) -> Placement | None:
+        service = state.inbound.service
+        views = [
+            view
+            for view in self._board.targets_of(service)
+            if view.listing.id not in state.tried
+        ] or list(self._board.targets_of(service))
+        profile = self._board.service(service)
+        work = state.inbound.request.work
+        if isinstance(work, Prompt) and profile and profile.engine:
+            job = self._job(state, work)
+            return self._placer.place(job, profile.engine, views, now)
+        view = place_call(views, self._domain, now)
+        if view is None:
+            return None
+        return Placement(target=view.listing.id, candidates=len(views))
+
+    def _job(self, state: DirectState, work: Prompt) -> Job:
+        inbound = state.inbound
+        value = 1.0 + work.tokens / self._settings.tokens_per_value
+        return Job(
+            tokens=work.tokens,
+            output=work.max_tokens,
+            expected_output=work.max_tokens,
+            objective_at=inbound.request.arrived + inbound.route.objective,
+            deadline=inbound.request.deadline,
+            max_gap=inbound.route.max_gap,
+            value=value,
+            domain=self._domain,
+        )
+
+    def _send(
+        self, state: DirectState, placement: Placement, now: float
+    ) -> list[DirectCommand]:
+        request = state.inbound.request
+        view = self._board.targets[placement.target]
+        target = AgentId(placement.target, str(view.listing.born))
+        attempt = self._make_attempt(request.id, len(state.attempts) + 1)
+        state.attempts.append(AttemptState(attempt, target))
+        state.last_progress = now
+        works = self._work.place(state, placement, now)
+        self._board.timers.add(
+            now + self._patience(state, placement), _PatienceDue(attempt)
+        )
+        members = tuple(
+            self._board.targets[member].listing.address for member in placement.members
+        )
+        send = SendTo(
+            attempt,
+            target,
+            view.listing.address,
+            request.deadline,
+            placement,
+            members,
+            state.last_event,
+        )
+        return [send, Tell(works)]
+
+    def _patience(self, state: DirectState, placement: Placement) -> float:
+        """Return how long an attempt may take until its first sign."""
+        patience = self._settings.patience
+        route = state.inbound.route
+        if not route.streamed:
+            return max(route.objective * patience.call_share, 0.05)
+        return placement.first_event * patience.first_factor + patience.first_extra
+
+    # Answers
+
+    def _sent(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is not None:
+            advance(state.attempts[-1], Step.START)
+            state.sends += 1
+            state.runs += 1
+            state.may_have_run = True
+        return []
+
+    def _headed(
+        self, attempt: AttemptId, answer: TargetAnswer, now: float
+    ) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None:
+            return [Drop(attempt)]
+        if answer.not_run or answer.wrong_instance:
+            return self._refused(state, answer, now)
+        if not state.inbound.route.streamed or not answer.succeeded:
+            return []  # judged when it is whole
+        if state.answering:
+            return []
+        state.answering = True
+        return [PassOn(attempt.request, attempt)]
+
+    def _refused(
+        self, state: DirectState, answer: TargetAnswer, now: float
+    ) -> list[DirectCommand]:
+        """Go on after a target has said that it did not run an attempt."""
+        record = state.attempts[-1]
+        target = record.agent.target
+        advance(record, Step.REFUSE)
+        state.runs -= 1
+        state.may_have_run = state.runs > 0
+        if answer.wrong_instance:
+            commands = self._targets.handle(Unlisted(target), now)
+        else:
+            commands = []
+        if answer.faulty is not None:
+            self._suspect_address(answer.faulty, now)
+        state.tried.add(target)
+        commands.append(Drop(record.id))
+        return commands + self._again(state, Reason.QUEUE_FULL, Verdict.NOT_RUN, now)
+
+    def _whole(
+        self, attempt: AttemptId, answer: TargetAnswer, now: float
+    ) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None:
+            return [Drop(attempt)]
+        if answer.not_run or answer.wrong_instance:
+            return self._refused(state, answer, now)
+        record = state.attempts[-1]
+        if answer.status >= 500:
+            self._note_failure(state, now)
+            if self._may_repeat(state, now):
+                advance(record, Step.FAIL)
+                state.tried.add(record.agent.target)
+                return self._again(
+                    state, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
+                )
+        else:
+            self._health.note_success(record.agent.target)
+        advance(record, Step.END)
+        if state.answering:
+            return self._abort(state, Reason.TARGET_FAILED)
+        return [Deliver(attempt.request, attempt), *self._forget(state)]
+
+    def _ended(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None:
+            return []
+        record = state.attempts[-1]
+        advance(record, Step.END)
+        self._health.note_success(record.agent.target)
+        return [Finish(attempt.request), *self._forget(state)]
+
+    def _wrote(
+        self, attempt: AttemptId, events: int, last: int | None, now: float
+    ) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None:
+            return []
+        state.last_progress = now
+        if last is not None:
+            state.last_event = last
+        works = self._work.wrote(state, events, now)
+        return [Tell(works)] if works else []
+
+    # Failures
+
+    def _failed(
+        self, attempt: AttemptId, reason: Reason, verdict: Verdict, now: float
+    ) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None:
+            return []
+        record = state.attempts[-1]
+        target = record.agent.target
+        state.tried.add(target)
+        commands: list[DirectCommand] = []
+        if verdict is Verdict.NOT_RUN:
+            advance(record, Step.REFUSE)
+            commands += self._suspect(target, now)
+        else:
+            advance(record, Step.FAIL)
+            self._note_failure(state, now)
+            commands += self._probe(target)
+        return commands + self._again(state, reason, verdict, now)
+
+    def _may_repeat(self, state: DirectState, now: float) -> bool:
+        """Tell whether what may have run is to be sent once more."""
+        route = state.inbound.route
+        request = state.inbound.request
+        if not route.repeatable or state.runs >= route.max_attempts:
+            return False
+        if now + self._settings.least_time >= request.deadline:
+            return False
+        left = self._budget.left(state.inbound.service, self._board.entries, now)
+        return left >= 1
+
+    def _again(
+        self, state: DirectState, reason: Reason, verdict: Verdict, now: float
+    ) -> list[DirectCommand]:
+        ended = self._work.end(state)
+        commands: list[DirectCommand] = [Tell((), ended)] if ended else []
+        if verdict is not Verdict.NOT_RUN and not self._may_repeat(state, now):
+            return commands + self._fail(state, reason, None)
+        if state.sends and not self._budget.take(
+            state.inbound.service, self._board.entries, now
+        ):
+            return commands + self._fail(state, Reason.RETRY_BUDGET, 0.5)
+        return commands + self._place(state, now)
+
+    def _fail(
+        self, state: DirectState, reason: Reason, retry_after: float | None
+    ) -> list[DirectCommand]:
+        if state.answering:
+            return self._abort(state, reason)
+        verdict = Verdict.MAY_HAVE_RUN if state.may_have_run else Verdict.NOT_RUN
+        commands = self._drop_live(state)
+        fail = Fail(state.inbound.request.id, reason, verdict, retry_after)
+        return [*commands, fail, *self._forget(state)]
+
+    def _abort(self, state: DirectState, reason: Reason) -> list[DirectCommand]:
+        commands = self._drop_live(state)
+        abort = Abort(state.inbound.request.id, reason)
+        return [*commands, abort, *self._forget(state)]
+
+    def _drop_live(self, state: DirectState) -> list[DirectCommand]:
+        return [Drop(record.id) for record in state.attempts if is_live(record)]
+
+    def _caller_gone(self, request: str) -> list[DirectCommand]:
+        state = self._board.requests.get(request)
+        if state is None:
+            return []
+        return [*self._drop_live(state), *self._forget(state)]
+
+    def _forget(self, state: DirectState) -> list[DirectCommand]:
+        self._board.requests.pop(state.inbound.request.id, None)
+        ended = self._work.end(state)
+        return [Tell((), ended)] if ended else []
+
+    # Health
+
+    def _note_failure(self, state: DirectState, now: float) -> None:
+        target = state.attempts[-1].agent.target
+        service = state.inbound.service
+        peers = [view.listing.id for view in self._board.targets_of(service)]
+        self._health.note_failure(target, peers, now)
+
+    def _suspect(self, target: str, now: float) -> list[DirectCommand]:
+        view = self._board.targets.get(target)
+        if view is None:
+            return []
+        known = view.suspected_until > now
+        view.suspected_until = now + self._settings.patience.suspicion
+        return [] if known else [Tell((), (), (target,))]
+
+    def _suspect_address(self, address: str, now: float) -> None:
+        for view in self._board.targets.values():
+            if view.listing.address == address:
+                view.suspected_until = now + self._settings.patience.suspicion
+
+    def _probe(self, target: str) -> list[DirectCommand]:
+        view = self._board.targets.get(target)
+        return [Probe(target, view.listing.address)] if view else []
+
+    def _probed(self, target: str, alive: bool, now: float) -> list[DirectCommand]:
+        """Give up what runs on a target that cannot be reached."""
+        if alive:
+            return []
+        commands = self._suspect(target, now)
+        for state in list(self._board.requests.values()):
+            record = state.attempts[-1] if state.attempts else None
+            if record is None or not is_live(record):
+                continue
+            if record.agent.target == target and state.inbound.route.repeatable:
+                commands.append(Drop(record.id))
+                commands += self._lost(state, now)
+        return commands
+
+    def _lost(self, state: DirectState, now: float) -> list[DirectCommand]:
+        """Go on after a target with a live attempt has died."""
+        record = state.attempts[-1]
+        advance(record, Step.FAIL)
+        state.tried.add(record.agent.target)
+        state.runs -= 1  # a target that is gone runs nothing
+        return self._again(state, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, now)
+
+    # Time
+
+    def _tick(self, now: float) -> list[DirectCommand]:
+        commands: list[DirectCommand] = []
+        for item in self._board.timers.pop(now):
+            match item:
+                case _DeadlineDue(request):
+                    commands += self._deadline_due(request)
+                case _PatienceDue(attempt):
+                    commands += self._patience_due(attempt, now)
+                case _:
+                    commands += self._targets.due(item, now)
+        return commands
+
+    def _deadline_due(self, request: str) -> list[DirectCommand]:
+        state = self._board.requests.get(request)
+        if state is None:
+            return []
+        return self._fail(state, Reason.DEADLINE_EXCEEDED, None)
+
+    def _patience_due(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
+        state = self._current(attempt)
+        if state is None or not is_live(state.attempts[-1]):
+            return []
+        route = state.inbound.route
+        patience = self._settings.patience
+        silence = now - state.last_progress
+        target = attempt_target(state)
+        if not route.streamed:
+            return self._call_overdue(state, now)
+        least = max(patience.gap_least, 0.0)
+        if silence < least:
+            due = state.last_progress + least
+            self._board.timers.add(due, _PatienceDue(attempt))
+            return []
+        if silence < patience.gap_most:
+            self._board.timers.add(
+                state.last_progress + patience.gap_most, _PatienceDue(attempt)
+            )
+            return self._probe(target)
+        if not self._may_repeat(state, now) or not self._is_stuck(state, now):
+            self._board.timers.add(now + patience.gap_least, _PatienceDue(attempt))
+            return self._probe(target)
+        return self._give_up_on(state, now)
+
+    def _call_overdue(self, state: DirectState, now: float) -> list[DirectCommand]:
+        if not self._may_repeat(state, now):
+            return []
+        return self._give_up_on(state, now)
+
+    def _is_stuck(self, state: DirectState, now: float) -> bool:
+        """Tell whether a silent stream should have gone on by now."""
+        expected = max((work.read_until for work in state.works), default=now)
+        return now > expected + self._settings.patience.gap_most
+
+    def _give_up_on(self, state: DirectState, now: float) -> list[DirectCommand]:
+        record = state.attempts[-1]
+        advance(record, Step.FAIL)
+        self._note_failure(state, now)
+        state.tried.add(record.agent.target)
+        again = self._again(state, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now)
+        return [Drop(record.id), *again]
+
+
+def attempt_target(state: DirectState) -> str:
+    """Return the target of a request's newest attempt."""
+    return state.attempts[-1].agent.target
--- /dev/null
+++ b/src/chicorycove/direct/entry.py
@@ -0,0 +1,376 @@
+"""Carries out a direct entry's decisions: callers, targets and peers."""
+
+import asyncio
+import random
+import typing as t
+
+from ..command import Fail, Finish
+from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..identity import AttemptId
+from ..metric import Metrics
+from ..reason import Reason
+from ..utils import Tasks
+from ..verdict import Verdict
+from .board import DirectBoard, Inbound
+from .command import (
+    Abort,
+    Deliver,
+    DirectCommand,
+    Drop,
+    Note,
+    PassOn,
+    Probe,
+    SendTo,
+    Tell,
+)
+from .dialect import Dialect, Rejection
+from .dispatch import DirectDispatcher
+from .event import DirectEvent, PeerTold, Probed, Received
+from .exchange import Exchange
+from .http import CallerConnection, HttpRequest
+from .linelog import LineLog
+from .peers import FULL_INTERVAL, PeerLink
+from .route import CallerLimits
+from .settings import DirectSettings
+
+SWEEP_INTERVAL = 0.5  # seconds between looks at idle connections
+
+
+class DirectEntry:
+    """Answers callers by the targets that it speaks to itself."""
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        dispatcher: DirectDispatcher,
+        dialect: Dialect,
+        settings: DirectSettings,
+        metrics: Metrics,
+        log: LineLog,
+        rng: random.Random,
+        peers: PeerLink,
+    ) -> None:
+        self._board = board
+        self._dispatcher = dispatcher
+        self._dialect = dialect
+        self._settings = settings
+        self._metrics = metrics
+        self._log = log
+        self._random = rng
+        self._peers = peers
+        self._loop = asyncio.get_running_loop()
+        self._tasks = Tasks(log_failures(log))
+        self._exchanges: dict[str, Exchange] = {}
+        self._callers: dict[CallerConnection, Exchange] = {}
+        self._connections: set[CallerConnection] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = float("inf")
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits that callers are held to."""
+        table = self._board.table
+        return table.deployment.limits if table else CallerLimits()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new connections are welcome."""
+        return self._board.table is not None and self._board.stopping_at is None
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether any request is still to be answered."""
+        return bool(self._exchanges)
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the process is to end soon."""
+        return self._board.stopping_at is not None
+
+    def start(self) -> None:
+        """Begin the work that no request asks for."""
+        self._tasks.spawn(self._sweep())
+        self._tasks.spawn(self._account())
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._tasks.cancel()
+        for connection in list(self._connections):
+            connection.close()
+
+    def handle(self, event: DirectEvent) -> None:
+        """Decide on an event now, and do what it asks for."""
+        now = self._loop.time()
+        for command in self._dispatcher.handle(event, now):
+            self._do(command)
+        self._schedule()
+
+    def stop(self) -> None:
+        """Take nothing new after a while; what runs is finished."""
+        self.handle(StopAsked())
+
+    # Callers
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+        self._connections.discard(connection)
+
+    def rejected(self, connection: CallerConnection, status: int) -> None:
+        """Note a request that was refused as it was read."""
+        reason = {413: Reason.BODY_TOO_LARGE}.get(status, Reason.BAD_REQUEST)
+        self._metrics.refused(reason, Verdict.NOT_RUN)
+        self._log.write("request refused unread", status=status, reason=reason.value)
+
+    def received(self, connection: CallerConnection, request: HttpRequest) -> None:
+        """Answer a request."""
+        connection.closing = connection.closing or self.stopping
+        read = self._dialect.inbound(request, self._board.table, self._random.random())
+        match read:
+            case Rejection():
+                self._reject(connection, read)
+            case Inbound():
+                self._admit(connection, request, read)
+
+    def _reject(self, connection: CallerConnection, rejection: Rejection) -> None:
+        self._metrics.refused(rejection.reason, Verdict.NOT_RUN)
+        table = self._board.table
+        self._log.write(
+            "request refused",
+            request=rejection.request,
+            status=rejection.status,
+            reason=rejection.reason.value,
+            version=table.deployment.version if table else None,
+        )
+        retry_after = 0.0 if rejection.status == 503 else None
+        headers = self._dialect.own_headers(rejection.request, retry_after)
+        connection.answer(rejection.status, headers, b"")
+
+    def _admit(
+        self, connection: CallerConnection, request: HttpRequest, inbound: Inbound
+    ) -> None:
+        id = inbound.request.id
+        if id in self._exchanges:
+            self._reject(connection, Rejection(400, Reason.BAD_REQUEST, id))
+            return
+        exchange = Exchange(self, self._dialect, connection, request, inbound)
+        self._exchanges[id] = exchange
+        self._callers[connection] = exchange
+        self._metrics.arrived(inbound.route.name)
+        self.handle(Received(inbound))
+
+    def caller_gone(self, connection: CallerConnection) -> None:
+        """Carry a caller's hang-up on to its target."""
+        exchange = self._callers.get(connection)
+        if exchange is None:
+            return
+        id = exchange.inbound.request.id
+        self._metrics.refused(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN)
+        self._log.write("caller gone", request=id, **exchange.account())
+        self.handle(CallerGone(id))
+        self._forget(exchange)
+
+    # Commands
+
+    def _do(self, command: DirectCommand) -> None:
+        match command:
+            case Tell(works, ended, unreachable):
+                self._peers.tell(works, ended, unreachable)
+            case SendTo():
+                self._send(command)
+            case PassOn(request):
+                exchange = self._exchanges[request]
+                exchange.pass_on()
+                self._first_event(exchange)
+            case Finish(request):
+                self._finish(request)
+            case Deliver(request):
+                self._deliver(request)
+            case Fail():
+                self._fail(command)
+            case Abort(request, reason):
+                self._abort(request, reason)
+            case Drop(attempt):
+                exchange = self._exchanges.get(attempt.request)
+                if exchange is not None:
+                    exchange.drop(attempt)
+            case Probe(target, address):
+                self._tasks.spawn(self._probe(target, address))
+            case Note(what, subject, detail):
+                self._log.write(what, subject=subject, detail=detail)
+
+    def _send(self, command: SendTo) -> None:
+        exchange = self._exchanges[command.attempt.request]
+        placement = command.placement
+        self._log.write(
+            "attempt sent",
+            request=command.attempt.request,
+            attempt=command.attempt.number,
+            target=command.target.target,
+            members=len(command.members),
+            predicted=round(placement.first_event, 4),
+            cost=round(placement.cost, 4),
+            candidates=placement.candidates,
+            after=command.after,
+            left=round(command.deadline - self._loop.time(), 3),
+        )
+        leg = exchange.attempt(command)
+        self._tasks.spawn(leg.open(self._settings.patience.connect))
+
+    def _finish(self, request: str) -> None:
+        exchange = self._exchanges[request]
+        exchange.finish()
+        self._answered(exchange)
+
+    def _deliver(self, request: str) -> None:
+        exchange = self._exchanges[request]
+        exchange.deliver()
+        self._answered(exchange)
+
+    def _answered(self, exchange: Exchange) -> None:
+        self._metrics.answered(exchange.inbound.route.name)
+        self._log.write(
+            "request answered",
+            request=exchange.inbound.request.id,
+            **exchange.account(),
+        )
+        self._forget(exchange)
+
+    def _first_event(self, exchange: Exchange) -> None:
+        request = exchange.inbound.request
+        waited = self._loop.time() - request.arrived
+        self._metrics.first_token(waited, request.prefill)
+
+    def _fail(self, command: Fail) -> None:
+        exchange = self._exchanges[command.request]
+        status = failure_status(command.reason, command.verdict)
+        self._metrics.refused(command.reason, command.verdict)
+        self._log.write(
+            "request failed",
+            request=command.request,
+            reason=command.reason.value,
+            verdict=command.verdict.value,
+            status=status,
+            retry_after=command.retry_after,
+            **exchange.account(),
+        )
+        headers = self._dialect.own_headers(command.request, command.retry_after)
+        exchange.connection.answer(status, headers, b"")
+        self._forget(exchange)
+
+    def _abort(self, request: str, reason: Reason) -> None:
+        exchange = self._exchanges[request]
+        self._metrics.refused(reason, Verdict.MAY_HAVE_RUN)
+        self._log.write(
+            "answer broken off",
+            request=request,
+            reason=reason.value,
+            **exchange.account(),
+        )
+        exchange.connection.abort()
+        self._forget(exchange)
+
+    def _forget(self, exchange: Exchange) -> None:
+        exchange.close()
+        self._exchanges.pop(exchange.inbound.request.id, None)
+        if self._callers.get(exchange.connection) is exchange:
+            del self._callers[exchange.connection]
+
+    async def _probe(self, target: str, address: str) -> None:
+        host, port = address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(self._settings.patience.connect):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            self._log.write("target unreachable", target=target, cause=repr(error))
+            self.handle(Probed(target, False))
+            return
+        writer.close()
+        self.handle(Probed(target, True))
+
+    # Time
+
+    def _schedule(self) -> None:
+        due = self._board.timers.next_due
+        if due is None or due >= self._timer_due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_due = due
+        self._timer = self._loop.call_at(due, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_due = float("inf")
+        self.handle(Tick())
+
+    async def _sweep(self) -> None:
+        """Close connections that are idle or slow for too long."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL)
+            now = self._loop.time()
+            limits = self.limits
+            for connection in list(self._connections):
+                since = connection.reading_since
+                if since is not None and now - since > limits.header_timeout:
+                    connection.refuse(408)
+                elif connection.idle and now - connection.active_at > (
+                    limits.idle_timeout
+                ):
+                    connection.close()
+
+    async def _account(self) -> None:
+        """Tell peers now and then of all work under way."""
+        while True:
+            await asyncio.sleep(FULL_INTERVAL)
+            works = [
+                work
+                for state in self._board.requests.values()
+                for work in state.works
+                if work.writes or not work.writing
+            ]
+            self._peers.tell(works)  # an empty account is a heartbeat
+
+    def peer_told(self, told: PeerTold) -> None:
+        """Take what another entry tells."""
+        self.handle(told)
+
+    def failed(self, attempt: AttemptId, reason: Reason, verdict: Verdict) -> None:
+        """Note the end of an attempt without a whole answer."""
+        self._log.write(
+            "attempt failed",
+            request=attempt.request,
+            attempt=attempt.number,
+            reason=reason.value,
+            verdict=verdict.value,
+        )
+        self.handle(Failed(attempt, reason, verdict))
+
+    def ended(self, attempt: AttemptId) -> None:
+        """Note the whole end of a stream."""
+        self.handle(Ended(attempt, 0))
+
+
+def failure_status(reason: Reason, verdict: Verdict) -> int:
+    """Return the status that says whether a request may have run."""
+    if verdict is Verdict.NOT_RUN:
+        return 503
+    return 504 if reason is Reason.DEADLINE_EXCEEDED else 502
+
+
+class _FailureLog:
+    """Has a failed task written as a line of the log."""
+
+    def __init__(self, log: LineLog) -> None:
+        self._log = log
+
+    def error(self, message: str, exc_info: BaseException) -> None:
+        self._log.write(message, cause=repr(exc_info))
+
+
+def log_failures(log: LineLog) -> t.Any:
+    """Return what ``utils.Tasks`` reports failed tasks to."""
+    return _FailureLog(log)
--- /dev/null
+++ b/src/chicorycove/direct/event.py
@@ -0,0 +1,153 @@
+"""What a direct entry is told, beside the events of all entries."""
+
+import dataclasses
+import typing as t
+
+from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..identity import AttemptId
+from .board import Inbound, Listing, Work, WorkKey
+from .route import RoutingTable
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class TargetLoad:
+    """A target's own count of its requests."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@frozen
+class TargetAnswer:
+    """The head of a target's answer."""
+
+    status: int
+    not_run: bool  # the target says that it has not run the request
+    wrong_instance: bool = False  # another target has the address now
+    faulty: str | None = None  # the address of the member at fault
+    load: TargetLoad | None = None
+
+    @property
+    def succeeded(self) -> bool:
+        """Tell whether the answer is what its caller wants."""
+        return 200 <= self.status < 300
+
+
+@frozen
+class Received:
+    """A caller's request has been read whole."""
+
+    inbound: Inbound
+
+
+@frozen
+class Sent:
+    """A connection stands, and the request is on its way to the target."""
+
+    attempt: AttemptId
+
+
+@frozen
+class Headed:
+    """The head of an answer has come."""
+
+    attempt: AttemptId
+    answer: TargetAnswer
+
+
+@frozen
+class Whole:
+    """An answer that is not streamed has come whole."""
+
+    attempt: AttemptId
+    answer: TargetAnswer
+
+
+@frozen
+class Wrote:
+    """Events of a stream have been passed on; last is the newest one's id."""
+
+    attempt: AttemptId
+    events: int
+    last: int | None
+
+
+@frozen
+class Probed:
+    """A connection to a target was tried, to see whether it lives."""
+
+    target: str
+    alive: bool
+
+
+@frozen
+class Deployed:
+    """The operator's newest deployment has arrived."""
+
+    table: RoutingTable
+
+
+@frozen
+class Listed:
+    """The platform lists a target, or lists it otherwise than before."""
+
+    listing: Listing
+
+
+@frozen
+class Unlisted:
+    """The platform no longer lists a target."""
+
+    target: str
+
+
+@frozen
+class StoreAway:
+    """The platform's store does not answer."""
+
+
+@frozen
+class StoreBack:
+    """The platform's store answers again."""
+
+
+@frozen
+class PeersSeen:
+    """The entries that are known alive, this one included."""
+
+    names: frozenset[str]
+
+
+@frozen
+class PeerTold:
+    """Another entry tells of its work, and of targets it could not reach."""
+
+    owner: str
+    works: tuple[Work, ...] = ()
+    ended: tuple[WorkKey, ...] = ()
+    unreachable: tuple[str, ...] = ()
+
+
+DirectEvent = t.Union[
+    Received,
+    Sent,
+    Headed,
+    Whole,
+    Wrote,
+    Ended,
+    Failed,
+    CallerGone,
+    Probed,
+    Deployed,
+    Listed,
+    Unlisted,
+    StoreAway,
+    StoreBack,
+    PeersSeen,
+    PeerTold,
+    StopAsked,
+    Tick,
+]
--- /dev/null
+++ b/src/chicorycove/direct/hosts.py
@@ -0,0 +1,85 @@
+"""Which targets there are, from the platform's list and its silences."""
+
+import dataclasses
+
+from .board import DirectBoard, Listing, TargetView
+from .command import DirectCommand, Note
+from .event import Listed, StoreAway, StoreBack, Unlisted
+from .settings import DirectSettings
+
+ListEvent = Listed | Unlisted | StoreAway | StoreBack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LapseDue:
+    target: str
+    at: float
+
+
+class TargetList:
+    """Keeps the targets on the board; times are in seconds.
+
+    Entries lapse while the store is away, and are back soon after it if their
+    servers live: a target that vanishes then is used until that time is over.
+    """
+
+    def __init__(self, board: DirectBoard, settings: DirectSettings) -> None:
+        self._board = board
+        self._lapse = settings.lapse
+        self._away = False
+
+    def handle(self, event: ListEvent, now: float) -> list[DirectCommand]:
+        """Take a change of the list, or of the store that holds it."""
+        match event:
+            case Listed(listing):
+                return self._listed(listing)
+            case Unlisted(target):
+                return self._unlisted(target, now)
+            case StoreAway():
+                self._away = True
+                return []
+            case StoreBack():
+                if self._away:
+                    self._board.store_back_at = now
+                self._away = False
+                return []
+
+    def due(self, item: _LapseDue, now: float) -> list[DirectCommand]:
+        """Drop a target that has not come back in its time."""
+        view = self._board.targets.get(item.target)
+        if view is None or view.missing_until != item.at:
+            return []
+        return self._remove(item.target, "not back after the store")
+
+    def _listed(self, listing: Listing) -> list[DirectCommand]:
+        view = self._board.targets.get(listing.id)
+        if view is not None and view.listing.born != listing.born:
+            view = None  # another incarnation knows nothing of the last one's work
+        if view is None:
+            self._board.targets[listing.id] = TargetView(listing)
+            return [Note("target listed", listing.id, listing.address)]
+        changed = view.listing.leaving != listing.leaving
+        view.listing = listing
+        view.missing_until = None
+        if changed:
+            state = "leaving" if listing.leaving else "ready"
+            return [Note("target changed", listing.id, state)]
+        return []
+
+    def _unlisted(self, target: str, now: float) -> list[DirectCommand]:
+        view = self._board.targets.get(target)
+        if view is None:
+            return []
+        if view.listing.leaving or not self._may_have_lapsed(now):
+            return self._remove(target, "unlisted")
+        view.missing_until = max(self._board.store_back_at, now) + self._lapse
+        due = _LapseDue(target, view.missing_until)
+        self._board.timers.add(view.missing_until, due)
+        return [Note("target lapsed", target)]
+
+    def _may_have_lapsed(self, now: float) -> bool:
+        return self._away or now < self._board.store_back_at + self._lapse
+
+    def _remove(self, target: str, why: str) -> list[DirectCommand]:
+        del self._board.targets[target]
+        return [Note("target gone", target, why)]
--- /dev/null
+++ b/src/chicorycove/direct/http.py
@@ -0,0 +1,448 @@
+"""HTTP/1.1 connections: parsing by httptools, with limits and flow control."""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+import typing as t
+
+import httptools
+
+from .route import CallerLimits
+
+Headers = list[tuple[bytes, bytes]]
+
+KEEPALIVE_IDLE = 1  # seconds of silence before the kernel asks a peer
+KEEPALIVE_PROBES = 2  # a second apart, so that a dead peer shows within 3 s
+UNACKNOWLEDGED_LIMIT = 2500  # ms that sent bytes may stay unacknowledged
+WRITE_HIGH = 65_536  # bytes waiting to be sent, above which a source is paused
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """A request as it was read; its body is whole."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    read_at: float  # seconds, of the loop's clock
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, by its name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class CallerHandler(t.Protocol):
+    """Takes the requests of callers' connections."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    def received(self, connection: "CallerConnection", request: HttpRequest) -> None:
+        """Answer a request."""
+
+    def rejected(self, connection: "CallerConnection", status: int) -> None:
+        """Note a request that was refused as it was read."""
+
+    def caller_gone(self, connection: "CallerConnection") -> None:
+        """Note that a connection closed while its request had no answer."""
+
+    def opened(self, connection: "CallerConnection") -> None:
+        """Note a connection."""
+
+    def closed(self, connection: "CallerConnection") -> None:
+        """Note the end of a connection."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller, which is answered in its requests' order."""
+
+    def __init__(self, handler: CallerHandler) -> None:
+        self._handler = handler
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._pending: collections.deque[HttpRequest] = collections.deque()
+        self._current: HttpRequest | None = None
+        self._refused = False
+        self._reset()
+        self.closing = False
+        self.source: TargetConnection | None = None  # paused while writes back up
+        self.active_at = self._loop.time()
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._begun_at: float | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        return self._current is None and self._begun_at is None
+
+    @property
+    def reading_since(self) -> float | None:
+        """Return when the request that is being read began."""
+        return self._begun_at
+
+    # Called by asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH)
+        watch_peer(transport)
+        self._handler.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.active_at = self._loop.time()
+        if self._refused:
+            return
+        if self._begun_at is None:
+            self._begun_at = self.active_at
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse(400)
+        except httptools.HttpParserError:
+            if not self._refused:
+                self.refuse(400)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._transport = None
+        if self._current is not None:
+            self._handler.caller_gone(self)
+        self._current = None
+        self._pending.clear()
+        self._handler.closed(self)
+
+    def pause_writing(self) -> None:
+        if self.source is not None:
+            self.source.pause()
+
+    def resume_writing(self) -> None:
+        if self.source is not None:
+            self.source.resume()
+
+    # Called by httptools
+
+    def on_message_begin(self) -> None:
+        begun_at = self._begun_at
+        self._reset()
+        self._begun_at = begun_at or self._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._handler.limits.body_bytes:
+            self.refuse(413)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._refused:
+            return
+        request = HttpRequest(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            b"".join(self._body),
+            self._loop.time(),
+            self._parser.should_keep_alive(),
+        )
+        self._reset()
+        self._pending.append(request)
+        if self._current is None:
+            self._next()
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._handler.limits.header_bytes:
+            self.refuse(431)
+
+    def _next(self) -> None:
+        if self._pending and self._transport is not None:
+            self._current = self._pending.popleft()
+            self._handler.received(self, self._current)
+
+    # Called by the handler
+
+    def refuse(self, status: int) -> None:
+        """Refuse what is being read, and take nothing more."""
+        if self._refused:
+            return
+        self._refused = True
+        self._handler.rejected(self, status)
+        if self._current is None:
+            self.closing = True
+            self.answer(status, [], b"")
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = [(b"Content-Length", b"%d" % len(body))]
+        self.write(self._head(status, headers + length) + body)
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer that comes in chunks."""
+        chunked = [(b"Transfer-Encoding", b"chunked")]
+        self.write(self._head(status, headers + chunked))
+
+    def chunk(self, data: bytes) -> None:
+        """Send a part of an answer."""
+        self.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end(self) -> None:
+        """End an answer that comes in chunks."""
+        self.write(b"0\r\n\r\n")
+        self.finish()
+
+    def finish(self) -> None:
+        """Go on to the next request after an answer."""
+        request = self._current
+        self._current = None
+        self.source = None
+        self.active_at = self._loop.time()
+        if self.closing or (request is not None and not request.keep_alive):
+            self.close()
+        else:
+            self._next()
+
+    def abort(self) -> None:
+        """Break off, so that what was sent does not look whole."""
+        self._current = None
+        self.source = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close when all is sent."""
+        self._current = None
+        if self._transport is not None:
+            self._transport.close()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        request = self._current
+        close = self.closing or (request is not None and not request.keep_alive)
+        lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))]
+        lines += [b"%b: %b" % header for header in headers]
+        if close:
+            lines.append(b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+class AnswerListener(t.Protocol):
+    """Hears what comes over a connection to a target."""
+
+    def connected(self) -> None:
+        """The connection stands."""
+
+    def head(self, status: int, headers: Headers) -> bool:
+        """The head of an answer has come; False if another is awaited."""
+
+    def data(self, data: bytes) -> None:
+        """A part of the body has come."""
+
+    def complete(self, framed: bool) -> None:
+        """The answer is whole; if not framed, its connection ended it."""
+
+    def lost(self, connected: bool) -> None:
+        """The connection ended before the answer was whole."""
+
+
+class TargetConnection(asyncio.Protocol):
+    """One connection for one request."""
+
+    def __init__(self, listener: AnswerListener) -> None:
+        self._listener = listener
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._done = False
+        self._headed = False
+        self._framed = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self._headers: Headers = []
+        self._skipped = False
+        self._framed = False
+
+    # Called by asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        if self._done:
+            transport.abort()
+            return
+        watch_peer(transport)
+        self._listener.connected()
+
+    def data_received(self, data: bytes) -> None:
+        if self._done:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._lose()
+
+    def eof_received(self) -> bool:
+        if not self._done and self._headed and not self._framed:
+            self._done = True
+            self._listener.complete(False)
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._transport = None
+        self._lose()
+
+    # Called by httptools
+
+    def on_message_begin(self) -> None:
+        self._reset()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if self._done or status < 200:
+            self._skipped = True
+            return
+        names = {name.lower() for name, _ in self._headers}
+        self._framed = (
+            bool(names & {b"content-length", b"transfer-encoding"}) or status == 204
+        )
+        self._skipped = not self._listener.head(status, self._headers)
+        self._headed = not self._skipped
+
+    def on_body(self, body: bytes) -> None:
+        if not self._skipped and not self._done:
+            self._listener.data(body)
+
+    def on_message_complete(self) -> None:
+        if self._skipped or self._done:
+            return
+        self._done = True
+        self._listener.complete(True)
+        self.drop()
+
+    # Called by the owner
+
+    def send(self, data: bytes) -> None:
+        """Send bytes."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def pause(self) -> None:
+        """Stop reading for a while."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def drop(self) -> None:
+        """Close at once, and tell nobody."""
+        self._done = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _lose(self) -> None:
+        if self._done:
+            return
+        self._done = True
+        self._listener.lost(True)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def watch_peer(transport: asyncio.Transport) -> None:
+    """Have the kernel find a peer that has fallen silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT)
+
+
+def request_bytes(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return a request as it is sent; a body is sent with its length."""
+    lines = [b"%b %b HTTP/1.1" % (method, target)]
+    lines += [b"%b: %b" % header for header in headers]
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that are not about one connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | named | {b"content-length", b"expect"}
+    return [header for header in headers if header[0].lower() not in dropped]
--- /dev/null
+++ b/src/chicorycove/direct/linelog.py
@@ -0,0 +1,66 @@
+"""A log of JSON lines that never blocks and never grows without bound."""
+
+import asyncio
+import os
+import time
+import typing as t
+
+import msgspec
+
+LIMIT = 262_144  # bytes that wait for a reader; later lines are dropped
+FLUSH_INTERVAL = 0.05  # seconds, so that many lines share a system call
+
+_encoder = msgspec.json.Encoder()
+
+
+class LineLog:
+    """Writes lines to a file descriptor; what does not fit is counted."""
+
+    def __init__(self, descriptor: int, process: str) -> None:
+        self._descriptor = descriptor
+        self._process = process
+        self._waiting = bytearray()
+        self._dropped = 0
+        self._scheduled = False
+        os.set_blocking(descriptor, False)
+
+    def write(self, event: str, **fields: t.Any) -> None:
+        """Log an event with what it was decided from."""
+        if len(self._waiting) > LIMIT:
+            self._dropped += 1
+            return
+        line = {"time": round(time.time(), 4), "process": self._process}
+        if self._dropped:
+            line["dropped_before"] = self._dropped
+            self._dropped = 0
+        line["event"] = event
+        line.update(fields)
+        self._waiting += _encoder.encode(line)
+        self._waiting += b"\n"
+        self._schedule()
+
+    def flush(self) -> None:
+        """Write what can be written now."""
+        self._scheduled = False
+        while self._waiting:
+            try:
+                written = os.write(self._descriptor, self._waiting)
+            except BlockingIOError:
+                self._schedule()
+                return
+            except OSError:
+                # Nobody reads any more, and there is nowhere else to say so.
+                self._waiting.clear()
+                return
+            del self._waiting[:written]
+
+    def _schedule(self) -> None:
+        if self._scheduled:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self._scheduled = True
+        loop.call_later(FLUSH_INTERVAL, self.flush)
--- /dev/null
+++ b/src/chicorycove/direct/peers.py
@@ -0,0 +1,184 @@
+"""What entries tell one another of their work, by datagrams."""
+
+import asyncio
+import itertools
+import typing as t
+
+import msgspec
+
+from .board import Work, WorkKey
+from .event import PeerTold
+
+MAX_WORKS = 12  # in a datagram, so that it stays under an Ethernet frame
+FULL_INTERVAL = 1.0  # seconds between full accounts, which mend lost datagrams
+
+
+class Account(msgspec.Struct, array_like=True):
+    """Some of an entry's work as it is sent; ages and times are in seconds."""
+
+    owner: str
+    works: list["Part"]
+    ended: list[int]
+    unreachable: list[str]
+
+
+class Part(msgspec.Struct, array_like=True):
+    """One part of a request; instants are relative to the sending."""
+
+    number: int
+    target: str
+    tokens: int
+    read: float
+    context: float
+    writes: bool
+    events: int
+    max_gap: float
+    value: float
+    age: float
+    read_left: float
+    objective_left: float
+    writing: bool
+    late: bool
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Account)
+
+
+def encode(
+    owner: str,
+    works: t.Iterable[Work],
+    ended: t.Iterable[WorkKey],
+    unreachable: t.Iterable[str],
+    now: float,
+) -> list[bytes]:
+    """Return datagrams that tell of work."""
+    parts = [_part(work, now) for work in works]
+    numbers = [key.number for key in ended]
+    first = Account(owner, parts[:MAX_WORKS], numbers, list(unreachable))
+    accounts = [first]
+    for start in range(MAX_WORKS, len(parts), MAX_WORKS):
+        accounts.append(Account(owner, parts[start : start + MAX_WORKS], [], []))
+    return [_encoder.encode(account) for account in accounts]
+
+
+def decode(data: bytes, now: float) -> PeerTold:
+    """Read a datagram.
+
+    :raises msgspec.MsgspecError: if it is none of ours
+    """
+    account = _decoder.decode(data)
+    owner = account.owner
+    return PeerTold(
+        owner,
+        tuple(_work(owner, part, now) for part in account.works),
+        tuple(WorkKey(owner, number) for number in account.ended),
+        tuple(account.unreachable),
+    )
+
+
+def _part(work: Work, now: float) -> Part:
+    return Part(
+        work.key.number,
+        work.target,
+        work.tokens,
+        work.read,
+        work.context,
+        work.writes,
+        work.events,
+        work.max_gap,
+        work.value,
+        now - work.placed_at,
+        work.read_until - now,
+        work.objective_at - now,
+        work.writing,
+        work.late,
+    )
+
+
+def _work(owner: str, part: Part, now: float) -> Work:
+    return Work(
+        WorkKey(owner, part.number),
+        part.target,
+        tokens=part.tokens,
+        read=part.read,
+        context=part.context,
+        writes=part.writes,
+        events=part.events,
+        max_gap=part.max_gap,
+        value=part.value,
+        placed_at=now - part.age,
+        read_until=now + part.read_left,
+        objective_at=now + part.objective_left,
+        writing=part.writing,
+        late=part.late,
+    )
+
+
+Address = tuple[str, int]
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends and receives accounts on one UDP address."""
+
+    def __init__(self, name: str, told: t.Callable[[PeerTold], None]) -> None:
+        self._name = name
+        self._told = told
+        self._transport: asyncio.DatagramTransport | None = None
+        self._clock = asyncio.get_running_loop().time
+        self._addresses: dict[str, Address] = {}
+        self._heard_at: dict[str, float] = {}
+        self.malformed = 0
+
+    @property
+    def names(self) -> t.Collection[str]:
+        """Return the peers that are told."""
+        return self._addresses.keys()
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        try:
+            told = decode(data, self._clock())
+        except msgspec.MsgspecError:
+            self.malformed += 1  # shown as a metric
+            return
+        if told.owner == self._name:
+            return
+        self._heard_at[told.owner] = self._clock()
+        self._addresses.setdefault(told.owner, address)
+        self._told(told)
+
+    def error_received(self, error: Exception) -> None:
+        """Leave a peer that cannot be reached to the list of entries."""
+
+    def add(self, name: str, address: Address) -> None:
+        """Tell a peer from now on."""
+        self._addresses[name] = address
+
+    def prune(self, listed: t.Collection[str], silence: float) -> None:
+        """Let go of peers that are not listed and silent for some seconds."""
+        limit = self._clock() - silence
+        for name in list(self._addresses):
+            if name not in listed and self._heard_at.get(name, 0.0) < limit:
+                del self._addresses[name]
+                self._heard_at.pop(name, None)
+
+    def tell(
+        self,
+        works: t.Iterable[Work] = (),
+        ended: t.Iterable[WorkKey] = (),
+        unreachable: t.Iterable[str] = (),
+    ) -> None:
+        """Send an account to every peer."""
+        if self._transport is None or not self._addresses:
+            return
+        datagrams = encode(self._name, works, ended, unreachable, self._clock())
+        for address, datagram in itertools.product(self._addresses.values(), datagrams):
+            self._transport.sendto(datagram, address)
+
+    def close(self) -> None:
+        """Stop receiving."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/src/chicorycove/direct/placement.py
@@ -0,0 +1,294 @@
+"""Where a request is to run: predicted first events against harm to others.
+
+The load it answers: short streams that must not pause for long, beside prompts
+whose reading fills whole passes of an engine.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from .board import TargetView, Work
+from .engine import EngineProfile
+
+frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@frozen
+class PlacementSettings:
+    """Weights of a placement; times are in seconds."""
+
+    group_sizes: tuple[int, ...] = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+    group_tokens: int = 12_000  # shorter prompts are never split
+    early: float = 0.7  # share of a limit at which harm begins to count
+    over: float = 1.1  # share of a limit at which all is lost
+    late_share: float = 0.75  # of the value, lost by an answer that is late
+    wait_cost: float = 0.3  # of the value, for a second until the first event
+    harm_cost: float = 0.15  # for a second of reading beside a writer
+    pack_cost: float = 0.02  # between the first and the last target in order
+    far_cost: float = 0.005  # for a target in another failure domain
+    member_cost: float = 0.02  # for each target of a group
+    suspect_cost: float = 50.0
+    fill: float = 0.92  # share of an engine's memory that is promised
+
+
+@frozen
+class Job:
+    """What is to be placed; times are in seconds."""
+
+    tokens: int
+    output: int  # tokens, at most
+    expected_output: int  # tokens
+    objective_at: float
+    deadline: float
+    max_gap: float
+    value: float
+    domain: str
+
+
+@frozen
+class Placement:
+    """A target, the other members of its group, and what is predicted."""
+
+    target: str
+    members: tuple[str, ...] = ()
+    first_event: float = 0.0  # seconds from now
+    pass_time: float = 0.0  # seconds, of the passes that write it
+    cost: float = 0.0
+    candidates: int = 0
+    read: float = 0.0  # seconds, of each part
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """A target's work as one decision sees it; times are in seconds."""
+
+    view: TargetView
+    order: float  # in [0, 1): its place in the order that entries share
+    writers: list[Work]
+    readers: list[Work]
+    write: float  # of a pass that only writes
+    reading: float  # left to read of all
+    memory: float  # tokens held
+
+
+def loss(value: float, size: float, limit: float, settings: PlacementSettings) -> float:
+    """Return the part of a value put at risk by a time near its limit."""
+    if limit <= 0:
+        return value
+    early = settings.early * limit
+    if size <= early:
+        return 0.0
+    return value * min((size - early) / ((settings.over * limit) - early), 1.0)
+
+
+class Placer:
+    """Chooses the targets of prompts by what they cost all requests there."""
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self._settings = settings
+
+    def place(
+        self,
+        job: Job,
+        engine: EngineProfile,
+        views: t.Iterable[TargetView],
+        now: float,
+    ) -> Placement | None:
+        """Return the cheapest placement, if any target can hold the prompt."""
+        loads = self._loads(engine, views, now)
+        if not loads:
+            return None
+        best = None
+        total = engine.read_time(job.tokens)
+        need = job.tokens + job.output
+        sizes = (1,) if job.tokens < self._settings.group_tokens else None
+        for size in sizes or self._settings.group_sizes:
+            if size > len(loads):
+                break
+            placement = self._of_size(size, job, engine, loads, total, need, now)
+            if placement and (best is None or placement.cost < best.cost):
+                best = placement
+        return best
+
+    def _loads(
+        self, engine: EngineProfile, views: t.Iterable[TargetView], now: float
+    ) -> list[_Load]:
+        ordered = sorted(views, key=lambda view: view.listing.id)
+        loads = []
+        for index, view in enumerate(ordered):
+            writers = [x for x in view.work.values() if x.writing]
+            readers = [x for x in view.work.values() if not x.writing]
+            context = sum(x.context for x in writers)
+            write = engine.writers_time(len(writers), context) if writers else 0.0
+            reading = sum(x.left_to_read(now) for x in readers)
+            memory = sum(x.tokens + x.context for x in readers if x.writes)
+            loads.append(
+                _Load(
+                    view,
+                    index / len(ordered),
+                    writers,
+                    readers,
+                    write * view.pace,
+                    reading * view.pace,
+                    memory + context,
+                )
+            )
+        return loads
+
+    def _of_size(
+        self,
+        size: int,
+        job: Job,
+        engine: EngineProfile,
+        loads: list[_Load],
+        total: float,
+        need: int,
+        now: float,
+    ) -> Placement | None:
+        """Return the cheapest placement on a number of targets."""
+        part = total / size
+        tokens = math.ceil(job.tokens / size)
+        room = engine.memory * self._settings.fill
+        costs = []
+        heads = []
+        for load in loads:
+            harm = self._harm(job, engine, load, part, tokens, now)
+            harm += self._suspicion(load, now)
+            first = self._first_event(engine, load, part, tokens)
+            costs.append((harm, first, load))
+            if load.memory + need <= room:
+                own = self._own(job, engine, load, first, size, now)
+                heads.append((harm + own, first, load))
+        if not heads:
+            return None
+        head = min(heads, key=lambda item: item[0])
+        others = sorted(
+            (item for item in costs if item[2] is not head[2]),
+            key=lambda item: item[0] + item[1] * self._settings.wait_cost * job.value,
+        )[: size - 1]
+        first = max([head[1], *(item[1] for item in others)])
+        cost = head[0] + sum(item[0] for item in others)
+        cost += (size - 1) * self._settings.member_cost
+        if first > head[1]:
+            cost += self._own(job, engine, head[2], first, size, now)
+            cost -= self._own(job, engine, head[2], head[1], size, now)
+        return Placement(
+            target=head[2].view.listing.id,
+            members=tuple(item[2].view.listing.id for item in others),
+            first_event=first,
+            pass_time=self._pass_time(job, engine, head[2]),
+            cost=cost,
+            candidates=len(loads),
+            read=part,
+        )
+
+    def _first_event(
+        self, engine: EngineProfile, load: _Load, part: float, tokens: int
+    ) -> float:
+        """Return the time until a reading of a part would end and be told."""
+        view = load.view
+        passes = engine.passes(tokens)
+        waiting = load.reading + part * view.pace
+        own_pass = engine.writers_time(1, tokens) * view.pace
+        if load.writers:
+            # A new prompt joins at the next pass: half of one on average.
+            waiting += load.write / 2 + load.write * (passes - 1)
+            own_pass += load.write
+        busy = len(load.writers) + len([x for x in load.readers if x.writes])
+        if busy >= engine.slots:
+            waiting += self._until_slot(engine, load, busy)
+        return waiting + own_pass + engine.first
+
+    def _until_slot(self, engine: EngineProfile, load: _Load, busy: int) -> float:
+        """Return when the slot of a request that comes now is free."""
+        left = sorted(x.events for x in load.writers)
+        needed = busy - engine.slots
+        events = left[needed] if needed < len(left) else 20 + 2 * needed
+        return events * max(load.write, engine.stride * engine.step)
+
+    def _own(
+        self,
+        job: Job,
+        engine: EngineProfile,
+        load: _Load,
+        first: float,
+        size: int,
+        now: float,
+    ) -> float:
+        """Return what a request loses itself on a target."""
+        settings = self._settings
+        value = job.value * settings.late_share
+        cost = loss(value, first, job.objective_at - now, settings)
+        cost += loss(value, self._pass_time(job, engine, load), job.max_gap, settings)
+        if now + first > job.deadline:
+            cost += job.value
+        cost += settings.wait_cost * job.value * first
+        if load.view.listing.failure_domain != job.domain:
+            cost += settings.far_cost
+        # Short prompts gather at one end of the order, long ones at the other,
+        # so that reading meets few writers.
+        order = load.order if job.tokens < settings.group_tokens else 1 - load.order
+        return cost + settings.pack_cost * order
+
+    def _pass_time(self, job: Job, engine: EngineProfile, load: _Load) -> float:
+        alone = engine.writers_time(1, job.tokens + job.expected_output / 2)
+        return load.write + alone * load.view.pace
+
+    def _harm(
+        self,
+        job: Job,
+        engine: EngineProfile,
+        load: _Load,
+        part: float,
+        tokens: int,
+        now: float,
+    ) -> float:
+        """Return what a reading on a target costs the requests there."""
+        settings = self._settings
+        added = part * load.view.pace / engine.passes(tokens)
+        before = load.write + min(load.reading, self._most_read(engine))
+        after = before + added
+        cost = 0.0
+        for work in load.writers:
+            if work.late or work.max_gap <= 0:
+                continue
+            value = work.value * settings.late_share
+            harm = loss(value, after, work.max_gap, settings)
+            cost += harm - loss(value, before, work.max_gap, settings)
+            cost += settings.harm_cost * added
+        delay = part * load.view.pace
+        for work in load.readers:
+            if work.late or not work.writes:
+                continue
+            value = work.value * settings.late_share
+            limit = work.objective_at - work.placed_at
+            told = work.read_until - work.placed_at
+            harm = loss(value, told + delay, limit, settings)
+            cost += harm - loss(value, told, limit, settings)
+        return cost
+
+    def _most_read(self, engine: EngineProfile) -> float:
+        """Return the longest reading of a pass beside writers, no pairs."""
+        return engine.chunk * engine.stride / engine.read_rate
+
+    def _suspicion(self, load: _Load, now: float) -> float:
+        if load.view.suspected_until > now or load.view.ejected_until > now:
+            return self._settings.suspect_cost
+        return 0.0
+
+
+def place_call(
+    views: t.Iterable[TargetView], domain: str, now: float
+) -> TargetView | None:
+    """Return the target of a plain call: least work, the nearest of equals."""
+    return min(
+        views,
+        key=lambda view: (
+            view.ejected_until > now or view.suspected_until > now,
+            len(view.work) * view.pace,
+            view.listing.failure_domain != domain,
+            view.listing.id,
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/src/chicorycove/direct/route.py
@@ -0,0 +1,116 @@
+"""A deployment as its operator wrote it: routes, services and keys."""
+
+import dataclasses
+import typing as t
+
+from .engine import EngineProfile
+
+frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@frozen
+class Service:
+    """A kind of target; one with an engine profile answers prompts."""
+
+    name: str
+    engine: EngineProfile | None = None
+    max_connections: int = 0
+
+
+@frozen
+class Share:
+    """The part of a route's requests that a service gets."""
+
+    service: str
+    weight: float = 1.0
+
+
+@frozen
+class Route:
+    """Requests of one host and path prefix; times are in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    repeatable: bool  # may run more than once, or be resumed
+    streamed: bool
+    timeout: float
+    objective: float  # to the whole answer, or to a stream's first event
+    max_gap: float = 0.0  # between events of a stream that is on time
+    max_attempts: int = 1
+    priority: int = 0  # 0 is served first
+    public: bool = False
+
+
+@frozen
+class WorkspaceKeys:
+    """A workspace and the keys by which its callers are known."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int = 0
+
+
+@frozen
+class CallerLimits:
+    """What a caller may send, in bytes, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout: float = 3.0  # seconds
+    idle_timeout: float = 15.0  # seconds
+
+
+@frozen
+class Deployment:
+    """One version of all that the operator has configured."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    workspaces: tuple[WorkspaceKeys, ...] = ()
+    limits: CallerLimits = CallerLimits()
+    authenticated: bool = False  # whether requests carry keys
+
+
+class RoutingTable:
+    """Finds routes and workspaces in one version of a deployment."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.services = {service.name: service for service in deployment.services}
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in deployment.routes:
+            self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._keys: dict[str, WorkspaceKeys] = {}
+        for workspace in deployment.workspaces:
+            for key in workspace.keys:
+                self._keys[key] = workspace
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the host's route with the longest prefix of a path."""
+        prefixes = self._hosts.get(host.lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def workspace(self, key: str | None) -> WorkspaceKeys | None:
+        """Return the workspace that holds a key."""
+        return self._keys.get(key) if key is not None else None
+
+
+def pick_share(shares: t.Sequence[Share], draw: float) -> str:
+    """Return the service that a draw from [0, 1) meets, by weights."""
+    left = draw * sum(share.weight for share in shares)
+    for share in shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/src/chicorycove/direct/work.py
@@ -0,0 +1,148 @@
+"""The work of all entries on the targets, as one entry knows it."""
+
+import typing as t
+
+from ..request import Prompt
+from .board import DirectBoard, DirectState, Work, WorkKey
+from .command import DirectCommand
+from .engine import EngineProfile
+from .event import PeersSeen, PeerTold
+from .placement import Placement
+from .settings import DirectSettings
+
+CALL_EVENTS = 1  # of a request that is not streamed
+
+
+class WorkBook:
+    """Writes this entry's and its peers' work on the board's targets."""
+
+    def __init__(self, board: DirectBoard, settings: DirectSettings, name: str) -> None:
+        self._board = board
+        self._settings = settings
+        self._name = name
+        self._count = 0
+
+    def place(
+        self, state: DirectState, placement: Placement, now: float
+    ) -> tuple[Work, ...]:
+        """Note an attempt's parts on their targets."""
+        tokens = 0
+        work = state.inbound.request.work
+        if isinstance(work, Prompt):
+            tokens = work.tokens
+        part = tokens // (1 + len(placement.members))
+        state.works = [self._head(state, placement, part, now)]
+        state.works += [
+            self._new(target=member, writes=False, tokens=part, read=placement.read)
+            for member in placement.members
+        ]
+        for each in state.works:
+            each.placed_at = each.refreshed_at = now
+            each.read_until = now + placement.first_event
+            self._enter(each)
+        return tuple(state.works)
+
+    def wrote(self, state: DirectState, events: int, now: float) -> tuple[Work, ...]:
+        """Count events of a stream; return what peers should hear."""
+        if not state.works:
+            return ()
+        head = state.works[0]
+        head.events = max(head.events - events, 1)
+        if head.writing:
+            return ()
+        head.writing = True
+        head.late = now > head.objective_at
+        for part in state.works[1:]:
+            part.writing = True  # a part that was read is no load any more
+            self._leave(part.key, part.target)
+        return tuple(state.works)
+
+    def end(self, state: DirectState) -> tuple[WorkKey, ...]:
+        """Take a request's parts from their targets."""
+        keys = tuple(part.key for part in state.works)
+        for part in state.works:
+            self._leave(part.key, part.target)
+        state.works = []
+        return keys
+
+    def handle(self, event: PeersSeen | PeerTold, now: float) -> list[DirectCommand]:
+        """Take what other entries tell."""
+        match event:
+            case PeersSeen(names):
+                self._board.entries = max(len(names), 1)
+                self._expire(now)
+            case PeerTold(_, works, ended, unreachable):
+                for work in works:
+                    work.refreshed_at = now
+                    self._take(work)
+                for key in ended:
+                    self._drop(key)
+                for target in unreachable:
+                    self._suspect(target, now)
+        return []
+
+    def _head(
+        self, state: DirectState, placement: Placement, part: int, now: float
+    ) -> Work:
+        inbound = state.inbound
+        work = inbound.request.work
+        if not isinstance(work, Prompt):
+            return self._new(target=placement.target, events=CALL_EVENTS)
+        engine = self._engine(inbound.service)
+        events = engine.events(work.max_tokens) if engine else CALL_EVENTS
+        return self._new(
+            target=placement.target,
+            tokens=part,
+            read=placement.read,
+            context=float(work.memory),
+            events=events,
+            max_gap=inbound.route.max_gap,
+            value=1.0 + work.tokens / self._settings.tokens_per_value,
+            objective_at=inbound.request.arrived + inbound.route.objective,
+        )
+
+    def _engine(self, service: str) -> EngineProfile | None:
+        known = self._board.service(service)
+        return known.engine if known else None
+
+    def _new(self, **fields: t.Any) -> Work:
+        self._count += 1
+        return Work(WorkKey(self._name, self._count), **fields)
+
+    def _enter(self, work: Work) -> None:
+        view = self._board.targets.get(work.target)
+        if view is not None:
+            view.work[work.key] = work
+
+    def _leave(self, key: WorkKey, target: str) -> None:
+        view = self._board.targets.get(target)
+        if view is not None:
+            view.work.pop(key, None)
+
+    def _take(self, work: Work) -> None:
+        if work.writing and not work.writes:
+            self._leave(work.key, work.target)
+        else:
+            self._enter(work)
+
+    def _drop(self, key: WorkKey) -> None:
+        for view in self._board.targets.values():
+            if view.work.pop(key, None) is not None:
+                return
+
+    def _suspect(self, target: str, now: float) -> None:
+        view = self._board.targets.get(target)
+        if view is not None:
+            view.suspected_until = now + self._settings.patience.suspicion
+
+    def _expire(self, now: float) -> None:
+        """Forget the work of entries that have fallen silent."""
+        limit = now - self._settings.peer_silence
+        for view in self._board.targets.values():
+            silent = [
+                key
+                for key, work in view.work.items()
+                if key.owner != self._name and work.refreshed_at < limit
+            ]
+            for key in silent:
+                del view.work[key]
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -6,6 +6,8 @@
 import typing as t
 
 from .admission import urgency
+from .backing.hosts import HostList
+from .backing.store import Store
 from .board import EntryBoard
 from .catalogue import Catalogue
 from .claim import Claimer, ClaimSettings
@@ -52,8 +54,6 @@
 from .linkset import LinkOwner, LinkSet
 from .log import LOGGER, for_request
 from .metric import Metrics
-from .backing.hosts import HostList
-from .backing.store import Store
 from .problem import Problem
 from .prompt import segments
 from .quota import Quotas, QuotaSettings
--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -6,6 +6,9 @@
 from . import probe
 from .administration import Administration
 from .application import create_app
+from .backing.hosts import HostList
+from .backing.store import EtcdStore
+from .backing.turns import CallClass, CallQueue, QueuedStore
 from .catalogue import Entry
 from .clock import Clock
 from .entry import Entry as EntryRole
@@ -17,9 +20,6 @@
 from .metric import Metrics
 from .orchestrator import Orchestrator
 from .peer import EntryNode, Identity
-from .backing.hosts import HostList
-from .backing.store import EtcdStore
-from .backing.turns import CallClass, CallQueue, QueuedStore
 from .registry import Registry
 from .schema import parse_file
 from .settings import Settings
--- a/src/chicorycove/expiry.py
+++ b/src/chicorycove/expiry.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 
-from .clock import Clock
 from .backing.store import Store
+from .clock import Clock
 
 PERIOD = 3600.0  # seconds for which a lease is shared by new values
 
--- a/src/chicorycove/health.py
+++ b/src/chicorycove/health.py
@@ -4,8 +4,6 @@
 import math
 import typing as t
 
-from .board import EntryBoard, TargetState
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HealthSettings:
@@ -17,6 +15,22 @@
     floor: float = 0.5  # share of a service's targets that always stays
 
 
+class Ejectable(t.Protocol):
+    """A target that may be set aside; times are in seconds."""
+
+    ejected_until: float
+
+    @property
+    def available(self) -> bool:
+        """Tell whether the target could get new work."""
+
+
+class Board(t.Protocol):
+    """A blackboard that holds targets by their names."""
+
+    targets: t.Mapping[str, Ejectable]
+
+
 @dataclasses.dataclass(slots=True)
 class _Record:
     failures: int = 0
@@ -30,7 +44,7 @@
     who hangs up, says nothing of a target's health.
     """
 
-    def __init__(self, board: EntryBoard, settings: HealthSettings) -> None:
+    def __init__(self, board: Board, settings: HealthSettings) -> None:
         self._board = board
         self._settings = settings
         self._records: dict[str, _Record] = {}
@@ -67,11 +81,11 @@
 
     def _is_usable(self, target: str, now: float) -> bool:
         state = self._board.targets.get(target)
-        if state is None or state.agent is None or state.leaving:
+        if state is None or not state.available:
             return False
         return state.ejected_until <= now
 
-    def _eject(self, state: TargetState, record: _Record, now: float) -> None:
+    def _eject(self, state: Ejectable, record: _Record, now: float) -> None:
         duration = self._settings.ejection_base * 2**record.ejections
         state.ejected_until = now + min(duration, self._settings.ejection_cap)
         record.ejections = min(record.ejections + 1, 16)
--- a/src/chicorycove/orchestrator.py
+++ b/src/chicorycove/orchestrator.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .backing.store import Store
 from .catalogue import ServiceKind
 from .conversion import Address
 from .entry import Entry
@@ -36,7 +37,6 @@
 from .link import Link
 from .log import LOGGER
 from .planner import Move, Plan, Planner, Report, Target
-from .backing.store import Store
 from .routing import matches
 from .settings import Settings
 from .utils import cancel_all
--- /dev/null
+++ b/src/chicorycove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: it translates and decides nothing."""
--- /dev/null
+++ b/src/chicorycove/platform/__main__.py
@@ -0,0 +1,49 @@
+"""Runs a direct entry under the settings that the platform gives."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import typing as t
+
+# Before the slow imports: a reload that comes early must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from ..direct.linelog import LineLog  # noqa: E402
+from ..exceptions import SettingsError  # noqa: E402
+from .boot import VARIABLE, load  # noqa: E402
+from .process import run  # noqa: E402
+
+EXIT_SETTINGS = 2
+
+
+def main(argv: t.Sequence[str] | None = None) -> int:
+    """Run the process and return its exit code."""
+    options = _parser().parse_args(argv)
+    try:
+        boot = load(options.settings)
+    except SettingsError as error:
+        print(f"chicorycove.platform: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print("ok")
+        return 0
+    asyncio.run(run(boot, LineLog(sys.stdout.fileno(), boot.name)))
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m chicorycove.platform", description=__doc__
+    )
+    parser.add_argument(
+        "--settings", metavar="FILE", help=f"in place of the one that {VARIABLE} names"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chicorycove/platform/headers.py
@@ -0,0 +1,163 @@
+"""Requests and answers of the platform's HTTP, in the project's terms."""
+
+import math
+
+from ..direct.board import Inbound
+from ..direct.command import SendTo
+from ..direct.dialect import Rejection
+from ..direct.event import TargetAnswer, TargetLoad
+from ..direct.http import Headers, HttpRequest, end_to_end, request_bytes
+from ..direct.route import Route, RoutingTable, pick_share
+from ..reason import Reason
+from ..request import Call, Prompt, Request
+
+ATTEMPT = b"chicorycove-attempt-id"  # a caller's request; each of its tries has one
+BUDGET = b"chicorycove-time-budget-ms"  # how long the caller waits
+COUNTS = b"chicorycove-token-counts"  # tokens of the prompt, most of the answer
+MODEL = b"chicorycove-model"
+LAST_EVENT = b"last-event-id"
+EXPECT = b"chicorycove-expect-instance"  # the only target that may run it
+TENANT = b"chicorycove-tenant"  # the workspace
+HELPERS = b"chicorycove-helpers"  # the other members of a group
+NOT_RUN = b"chicorycove-not-executed"
+LOAD = b"chicorycove-server-load"
+FAULTY = b"at-server"  # the member at fault
+
+# Set here, whatever a caller sent.
+OWN = frozenset({b"authorization", BUDGET, EXPECT, TENANT, HELPERS, LAST_EVENT})
+
+MISDIRECTED = 421
+MS = 1000.0  # milliseconds in a second
+
+
+class PlatformDialect:
+    """Reads callers' requests and targets' answers."""
+
+    def inbound(
+        self, request: HttpRequest, table: RoutingTable | None, draw: float
+    ) -> Inbound | Rejection:
+        """Read a caller's request; a draw from [0, 1) picks its service."""
+        id = _text(request.header(ATTEMPT))
+        if table is None:
+            return Rejection(503, Reason.NOT_READY, id)
+        if not id:
+            return Rejection(400, Reason.BAD_REQUEST)
+        host = _text(request.header(b"host")).rsplit(":", 1)[0]
+        path = request.target.split(b"?", 1)[0].decode("latin-1")
+        route = table.route(host, path)
+        if route is None:
+            return Rejection(404, Reason.UNKNOWN_PATH, id)
+        workspace = ""
+        if table.deployment.authenticated and not route.public:
+            holder = table.workspace(_bearer(request.header(b"authorization")))
+            if holder is None:
+                return Rejection(401, Reason.UNAUTHENTICATED, id)
+            workspace = holder.name
+        return self._inbound(id, request, route, workspace, draw)
+
+    def outbound(
+        self, request: HttpRequest, inbound: Inbound, send: SendTo, left: float
+    ) -> bytes:
+        """Return a request for a target that has some seconds left."""
+        headers = [x for x in end_to_end(request.headers) if x[0].lower() not in OWN]
+        headers.append((b"Chicorycove-Time-Budget-Ms", b"%d" % max(left * MS, 1)))
+        headers.append((b"Chicorycove-Expect-Instance", send.target.target.encode()))
+        if inbound.request.workspace:
+            name = inbound.request.workspace.encode()
+            headers.append((b"Chicorycove-Tenant", name))
+        if send.after is not None:
+            headers.append((b"Last-Event-Id", b"%d" % send.after))
+        if send.members:
+            headers.append((b"Chicorycove-Helpers", ",".join(send.members).encode()))
+        return request_bytes(request.method, request.target, headers, request.body)
+
+    def answers(self, headers: Headers, inbound: Inbound) -> bool:
+        """Tell whether an answer is to a request."""
+        echoed = _find(headers, ATTEMPT)
+        return echoed is None or _text(echoed) == inbound.request.id
+
+    def answer(self, status: int, headers: Headers) -> TargetAnswer:
+        """Read the head of a target's answer."""
+        return TargetAnswer(
+            status=status,
+            not_run=_find(headers, NOT_RUN) is not None,
+            wrong_instance=status == MISDIRECTED,
+            faulty=_text(_find(headers, FAULTY)) or None,
+            load=_load(_find(headers, LOAD)),
+        )
+
+    def own_headers(self, request: str, retry_after: float | None) -> Headers:
+        """Return the headers of an answer that the entry makes itself."""
+        headers = []
+        if request:
+            headers.append((b"Chicorycove-Attempt-Id", request.encode("latin-1")))
+        if retry_after is not None:
+            headers.append((b"Retry-After", b"%.3f" % max(retry_after, 0.0)))
+        return headers
+
+    def _inbound(
+        self, id: str, request: HttpRequest, route: Route, workspace: str, draw: float
+    ) -> Inbound | Rejection:
+        left = _number(request.header(BUDGET))
+        if left is None:
+            left = route.timeout * MS
+        service = pick_share(route.shares, draw)
+        work = self._work(request, route, service)
+        return Inbound(
+            Request(
+                id=id,
+                workspace=workspace,
+                priority_class=route.name,
+                work=work,
+                arrived=request.read_at,
+                deadline=request.read_at + min(left / MS, route.timeout),
+            ),
+            route,
+            service,
+            _whole(request.header(LAST_EVENT)),
+        )
+
+    def _work(self, request: HttpRequest, route: Route, service: str) -> Prompt | Call:
+        counts = _text(request.header(COUNTS)).split(",")
+        if not route.streamed or len(counts) != 2:
+            method = request.method.decode("latin-1")
+            path = request.target.decode("latin-1")
+            return Call(service, method, path, route.repeatable)
+        tokens, output = (_whole(count.strip().encode()) or 1 for count in counts)
+        model = _text(request.header(MODEL))
+        return Prompt(model, tokens, output, True, route.repeatable)
+
+
+def _find(headers: Headers, name: bytes) -> bytes | None:
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def _text(value: bytes | None) -> str:
+    return value.decode("latin-1").strip() if value is not None else ""
+
+
+def _whole(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
+
+
+def _number(value: bytes | None) -> float | None:
+    try:
+        number = float(value) if value is not None else None
+    except ValueError:
+        return None
+    return number if number is not None and math.isfinite(number) else None
+
+
+def _bearer(value: bytes | None) -> str | None:
+    scheme, _, key = _text(value).partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else None
+
+
+def _load(value: bytes | None) -> TargetLoad | None:
+    counts = _text(value).split(",")
+    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
+        return None
+    return TargetLoad(*(int(count) for count in counts))
--- /dev/null
+++ b/src/chicorycove/platform/process.py
@@ -0,0 +1,202 @@
+"""A direct entry on the users' platform, as one process."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import signal
+import typing as t
+
+from ..direct.board import DirectBoard
+from ..direct.budget import BudgetSettings
+from ..direct.dispatch import DirectDispatcher
+from ..direct.entry import DirectEntry
+from ..direct.event import PeersSeen
+from ..direct.http import CallerConnection
+from ..direct.linelog import LineLog
+from ..direct.pages import Page, PageHandler
+from ..direct.peers import PeerLink
+from ..direct.settings import DirectSettings
+from ..exceptions import SettingsError
+from ..identity import AttemptId
+from ..metric import Metrics
+from ..utils import cancel_all
+from .boot import Boot, load
+from .follower import Follower
+from .headers import PlatformDialect
+from .store import Store
+
+READY_PATH = "/chicorycove/ready"
+METRICS_PATH = "/metrics"
+BACKLOG = 1024  # connections that wait to be accepted
+STOP_POLL = 0.05  # seconds between looks whether all is finished
+STOP_SHARE = 0.5  # of the grace, in which new requests are still taken
+GRACE_USED = 0.94  # share of the grace after which the process ends by itself
+PEER_CHECK = 0.5  # seconds between looks at which peers are alive
+
+
+def settings_from(boot: Boot) -> DirectSettings:
+    """Return a direct entry's settings under the platform's bounds."""
+    return DirectSettings(
+        budget=BudgetSettings(
+            ratio=boot.repeat_ratio,
+            window=boot.repeat_window,
+            extra=boot.repeat_extra,
+        ),
+        stop_accepting=boot.grace * STOP_SHARE,
+    )
+
+
+class PlatformProcess:
+    """One entry, from its settings to its end."""
+
+    def __init__(self, boot: Boot, log: LineLog) -> None:
+        self._boot = boot
+        self._log = log
+        self._settings = settings_from(boot)
+        self._loop = asyncio.get_running_loop()
+        self._random = random.Random()
+        self._metrics = Metrics(boot.name)
+        self._store = Store(boot.store)
+        self._board = DirectBoard()
+        # A restart is another owner of work, so that nobody takes the work of
+        # its last life for that of this one.
+        self._name = f"{boot.name}.{self._random.getrandbits(32):08x}"
+        self._peers = PeerLink(self._name, lambda told: self._entry.peer_told(told))
+        self._entry = self._create_entry()
+        self._follower = Follower(
+            self._store,
+            log,
+            random.Random(),
+            self._entry.handle,
+            self._entries_changed,
+        )
+        self._pages = PageHandler(
+            {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
+        )
+        self._listed: dict[str, str] = {}
+        self._servers: list[asyncio.Server] = []
+        self._work: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        boot = self._boot
+        await self._loop.create_datagram_endpoint(
+            lambda: self._peers, local_addr=(boot.ip, boot.peer_port)
+        )
+        await self._listen(boot.callers, lambda: CallerConnection(self._entry))
+        metrics = f"{boot.ip}:{boot.metrics_port}"
+        for address in (boot.readiness, metrics):
+            await self._listen(address, lambda: CallerConnection(self._pages))
+        self._entry.start()
+        address = f"{boot.ip}:{boot.peer_port}"
+        for work in (
+            self._follower.follow(),
+            self._follower.register(self._name, address),
+            self._watch_peers(),
+        ):
+            self._work.append(asyncio.create_task(work))
+        self._log.write("started", name=self._name, callers=boot.callers)
+
+    async def stop(self) -> None:
+        """Finish what there is, within the grace, and close."""
+        started = self._loop.time()
+        self._entry.stop()
+        self._log.write("stopping", grace=self._boot.grace)
+        least = started + self._settings.stop_accepting
+        most = started + self._boot.grace * GRACE_USED
+        while self._loop.time() < most:
+            if self._loop.time() >= least and not self._entry.busy:
+                break
+            await asyncio.sleep(STOP_POLL)
+        await cancel_all(self._work)
+        for server in self._servers:
+            server.close()
+        await self._entry.close()
+        self._pages.close()
+        self._peers.close()
+        self._store.close()
+        self._log.write("stopped", took=round(self._loop.time() - started, 3))
+        self._log.flush()
+
+    def reload(self) -> None:
+        """Read the settings file again."""
+        try:
+            boot = load()
+        except SettingsError as error:
+            self._log.write("reload refused", cause=str(error))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(Boot)
+            if getattr(boot, field.name) != getattr(self._boot, field.name)
+        ]
+        self._log.write("reloaded", changed=changed)
+
+    def _create_entry(self) -> DirectEntry:
+        numbers = itertools.count(1)
+
+        def make_attempt(request: str, number: int) -> AttemptId:
+            return AttemptId(request, number, str(next(numbers)))
+
+        dispatcher = DirectDispatcher(
+            self._board,
+            self._settings,
+            self._boot.failure_domain,
+            self._name,
+            make_attempt,
+        )
+        return DirectEntry(
+            self._board,
+            dispatcher,
+            PlatformDialect(),
+            self._settings,
+            self._metrics,
+            self._log,
+            self._random,
+            self._peers,
+        )
+
+    async def _listen(
+        self, address: str, factory: t.Callable[[], asyncio.Protocol]
+    ) -> None:
+        host, port = address.rsplit(":", 1)
+        server = await self._loop.create_server(
+            factory, host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+        self._servers.append(server)
+
+    def _entries_changed(self, entries: dict[str, str]) -> None:
+        self._listed = {
+            name: address for name, address in entries.items() if name != self._name
+        }
+        for name, address in self._listed.items():
+            host, port = address.rsplit(":", 1)
+            self._peers.add(name, (host, int(port)))
+
+    async def _watch_peers(self) -> None:
+        """Let go of peers that are neither listed nor heard."""
+        while True:
+            self._peers.prune(self._listed.keys(), self._settings.peer_silence)
+            names = frozenset({self._name, *self._peers.names})
+            self._entry.handle(PeersSeen(names))
+            await asyncio.sleep(PEER_CHECK)
+
+    def _ready_page(self) -> Page:
+        return Page(200 if self._entry.ready else 503)
+
+    def _metrics_page(self) -> Page:
+        return Page(200, self._metrics.page())
+
+
+async def run(boot: Boot, log: LineLog) -> None:
+    """Serve until a stop signal, then finish what there is."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    process = PlatformProcess(boot, log)
+    loop.add_signal_handler(signal.SIGHUP, process.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await process.start()
+    await stopped.wait()
+    await process.stop()
--- /dev/null
+++ b/src/chicorycove/platform/store.py
@@ -0,0 +1,187 @@
+"""The calls of the platform's store."""
+
+import base64
+import typing as t
+import urllib.parse
+
+import msgspec
+
+from ..direct.client import CallFailed, HttpClient, Reply
+from ..exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
+
+CALL_TIMEOUT = 1.0  # seconds; the store answers in 4 ms, 60 times slower at worst
+WATCH_WAIT = 8.0  # seconds that a watch waits for an event
+WATCH_SLACK = 1.5  # seconds more until a silent watch counts as broken
+PAGES_MOST = 1000  # of one list, so that a store at fault ends it
+
+
+class HistoryLost(PlatformError):
+    """The store no longer has the events after a revision."""
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A key's state, or its deletion."""
+
+    key: str
+    revision: int
+    value: str = ""  # base64
+    deleted: bool = False
+
+    @property
+    def data(self) -> bytes:
+        """Return the value's bytes.
+
+        :raises ValueError: if they are not base64
+        """
+        return base64.b64decode(self.value, validate=True)
+
+
+class _Range(msgspec.Struct):
+    items: list[Item]
+    storeRevision: int
+    morePages: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[Item]
+    storeRevision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """All items under a prefix, and the revision to watch on from."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+_range = msgspec.json.Decoder(_Range)
+_events = msgspec.json.Decoder(_Events)
+_lease = msgspec.json.Decoder(_Lease)
+T = t.TypeVar("T")
+
+
+class Store:
+    """Calls the store at an address; watches have their own connection."""
+
+    def __init__(self, address: str) -> None:
+        """Use the store at "ip:port"."""
+        self._calls = HttpClient(address)
+        self._watch = HttpClient(address)
+
+    def close(self) -> None:
+        """Close both connections."""
+        self._calls.close()
+        self._watch.close()
+
+    async def list(self, prefix: str) -> Snapshot:
+        """Return what is under a prefix.
+
+        :raises StoreUnavailable: if the store does not answer
+        """
+        items: list[Item] = []
+        revision = None
+        after = ""
+        for _ in range(PAGES_MOST):
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            reply = await self._call("GET", "/chicorycove/kv-range", query)
+            page = _decode(_range, reply)
+            items += page.items
+            # Pages are no snapshot: a watch from the first one misses nothing.
+            revision = page.storeRevision if revision is None else revision
+            if not page.morePages or not page.items:
+                return Snapshot(tuple(items), revision)
+            after = page.items[-1].key
+        raise StoreUnavailable("a list of the store has no end")
+
+    async def watch(self, prefix: str, after: int) -> Snapshot:
+        """Wait for what changes after a revision; there may be nothing.
+
+        :raises HistoryLost: if the store has forgotten
+        :raises StoreUnavailable: if the store does not answer
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "waitMs": str(int(WATCH_WAIT * 1000)),
+        }
+        path = f"/chicorycove/kv-watch?{urllib.parse.urlencode(query)}"
+        try:
+            timeout = WATCH_WAIT + WATCH_SLACK
+            reply = await self._watch.call("GET", path, timeout=timeout)
+        except CallFailed as error:
+            raise StoreUnavailable(str(error)) from None
+        if reply.status == 410:
+            raise HistoryLost("the store has forgotten its history")
+        page = _decode(_events, reply)
+        return Snapshot(tuple(page.events), page.storeRevision)
+
+    async def grant(self, ttl: float) -> int:
+        """Return the number of a new lease of some seconds.
+
+        :raises StoreUnavailable: if there is none
+        """
+        body = msgspec.json.encode({"ttlMs": int(ttl * 1000)})
+        reply = await self._call("POST", "/chicorycove/kv-lease", {}, body)
+        return _decode(_lease, reply).lease
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease.
+
+        :raises LeaseLost: if it has ended
+        :raises StoreUnavailable: if the store does not answer
+        """
+        reply = await self._call("POST", f"/chicorycove/kv-keep/{lease}", {})
+        if reply.status == 404:
+            raise LeaseLost(f"lease {lease} has ended")
+        _check(reply)
+
+    async def end(self, lease: int) -> None:
+        """End a lease and remove its keys.
+
+        :raises StoreUnavailable: if the store does not answer
+        """
+        await self._call("DELETE", f"/chicorycove/kv-lease-end/{lease}", {})
+
+    async def put(self, key: str, value: bytes, lease: int) -> None:
+        """Write a key that goes with a lease.
+
+        :raises LeaseLost: if the lease has ended
+        :raises StoreUnavailable: if the store did not do it
+        """
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        body = msgspec.json.encode({"expected": [], "puts": [item], "remove": []})
+        reply = await self._call("POST", "/chicorycove/kv-txn", {}, body)
+        if reply.status == 404:
+            raise LeaseLost(f"lease {lease} has ended")
+        _check(reply)
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, str], body: bytes = b""
+    ) -> Reply:
+        if query:
+            path = f"{path}?{urllib.parse.urlencode(query)}"
+        try:
+            return await self._calls.call(method, path, body, CALL_TIMEOUT)
+        except CallFailed as error:
+            if error.sent and method != "GET":
+                raise StoreUnknown(str(error)) from None
+            raise StoreUnavailable(str(error)) from None
+
+
+def _check(reply: Reply) -> None:
+    if reply.status != 200:
+        raise StoreUnavailable(f"the store answered {reply.status}")
+
+
+def _decode(decoder: "msgspec.json.Decoder[T]", reply: Reply) -> T:
+    _check(reply)
+    try:
+        return decoder.decode(reply.body)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailable(f"the store's answer: {error}") from None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from chicorycove.host import Host, HostState
 from chicorycove.backing.hosts import HostList, HostListUnavailable
 from chicorycove.backing.weights import Weights, WeightsUnavailable
+from chicorycove.host import Host, HostState
 from standin import hosts, weights
 from tests.served import WAIT, ServedTestCase
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from chicorycove.backing.store import MAX_VALUE, EtcdStore
 from chicorycove.event import Found, Lost, Swapped, Unavailable, Unknown
 from chicorycove.exceptions import LeaseLost, StoreUnavailable, StoreUnknown
-from chicorycove.backing.store import MAX_VALUE, EtcdStore
 from standin.store import StoreSettings, create_app
 from tests.served import WAIT, ServedTestCase
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,8 +1,8 @@
 import asyncio
 import unittest
 
-from chicorycove.event import Found
 from chicorycove.backing.turns import CallClass, CallQueue, QueuedStore
+from chicorycove.event import Found
 
 
 class SlowStore:
