--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -50,6 +50,7 @@
     target: str
     tokens: int = 0  # to read
     read: float = 0.0  # time to read them alone
+    memory: int = 0  # tokens that it holds until its request ends
     context: float = 0.0  # tokens that a step of its writing looks at
     writes: bool = True
     events: int = 1  # that are still to come
@@ -58,6 +59,7 @@
     placed_at: float = 0.0
     read_until: float = 0.0  # when its reading is thought to end
     objective_at: float = 0.0  # when its first event is late
+    ahead: bool = False  # read before all that waits there: a group's part
     writing: bool = False
     late: bool = False
     refreshed_at: float = 0.0  # when its entry last spoke of it
@@ -100,7 +102,6 @@
     last_progress: float = 0.0
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
-    reservations: list = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from ..command import Fail, Finish
+from ..command import Fail, Finish, Release, Reserve
 from ..identity import AgentId, AttemptId
 from ..reason import Reason
 from .board import Work, WorkKey
@@ -12,6 +12,14 @@
 frozen = dataclasses.dataclass(frozen=True, slots=True)
 
 
+@frozen
+class GroupMember:
+    """A target that reads a part, and the reservation that it holds."""
+
+    address: str
+    reservation: AttemptId | None = None
+
+
 @frozen
 class SendTo:
     """Connect to a target and send it a request; deadline in seconds."""
@@ -21,7 +29,7 @@
     address: str
     deadline: float
     placement: Placement
-    members: tuple[str, ...] = ()  # addresses of the rest of its group
+    members: tuple[GroupMember, ...] = ()  # the rest of its group
     after: int | None = None  # the last event that the caller has
 
 
@@ -83,5 +91,16 @@
 
 
 DirectCommand = t.Union[
-    SendTo, Drop, PassOn, Deliver, Finish, Fail, Abort, Probe, Tell, Note
+    SendTo,
+    Reserve,
+    Release,
+    Drop,
+    PassOn,
+    Deliver,
+    Finish,
+    Fail,
+    Abort,
+    Probe,
+    Tell,
+    Note,
 ]
--- a/src/chicorycove/direct/dialect.py
+++ b/src/chicorycove/direct/dialect.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from ..identity import AttemptId
 from ..reason import Reason
 from .board import Inbound
 from .command import SendTo
@@ -22,6 +23,14 @@
     request: str = ""
 
 
+@frozen
+class Order:
+    """A call to a target that is no request of a caller."""
+
+    path: str
+    body: bytes
+
+
 class Dialect(t.Protocol):
     """Reads and writes the messages of one platform."""
 
@@ -41,5 +50,11 @@
     def answer(self, status: int, headers: Headers) -> TargetAnswer:
         """Read the head of a target's answer."""
 
+    def reserve(self, reservation: AttemptId, memory: int, hold: float) -> Order:
+        """Return the order that holds memory, in tokens, for some seconds."""
+
+    def release(self, reservation: AttemptId) -> Order:
+        """Return the order that gives a reservation back."""
+
     def own_headers(self, request: str, retry_after: float | None) -> Headers:
         """Return the headers of an answer that the entry makes itself."""
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -6,7 +6,7 @@
 from ..attempt import Step, advance, is_live
 from ..board import AttemptState
 from ..command import Fail, Finish
-from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from ..health import OutlierDetector
 from ..identity import AgentId, AttemptId
 from ..reason import Reason
@@ -43,6 +43,7 @@
 )
 from .hosts import TargetList
 from .placement import Job, Placement, Placer, place_call
+from .reservation import AnswerDue, RenewalDue, Reservations
 from .settings import DirectSettings
 from .work import WorkBook
 
@@ -80,6 +81,7 @@
         self._budget = SharedBudget(settings.budget)
         self._health = OutlierDetector(board, settings.health)
         self._targets = TargetList(board, settings)
+        self._reservations = Reservations(board, settings.reservation)
         self._work = WorkBook(board, settings, name)
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -99,6 +101,10 @@
                 return self._ended(attempt, now)
             case Failed(attempt, reason, verdict):
                 return self._failed(attempt, reason, verdict, now)
+            case Reserved(reservation):
+                return self._reserved(reservation, now)
+            case Refused(reservation):
+                return self._not_reserved(reservation, now)
             case CallerGone(request):
                 return self._caller_gone(request)
             case Probed(target, alive):
@@ -152,7 +158,7 @@
         if now + placement.first_event > request.deadline:
             after = placement.first_event - (request.deadline - now)
             return self._fail(state, Reason.DEADLINE_INFEASIBLE, after)
-        return self._send(state, placement, now)
+        return self._begin(state, placement, now)
 
     def _choose(self, state: DirectState, now: float) -> Placement | None:
         service = state.inbound.service
@@ -185,40 +191,83 @@
             domain=self._domain,
         )
 
-    def _send(
+    def _begin(
         self, state: DirectState, placement: Placement, now: float
     ) -> list[DirectCommand]:
+        """Send a request, or reserve what its group is to hold first."""
         request = state.inbound.request
         view = self._board.targets[placement.target]
         target = AgentId(placement.target, str(view.listing.born))
         attempt = self._make_attempt(request.id, len(state.attempts) + 1)
         state.attempts.append(AttemptState(attempt, target))
+        told = Tell(self._work.place(state, placement, now))
+        if any(member.held for member in placement.members):
+            return [told, *self._reservations.start(attempt, placement, now)]
+        return [self._send(state, placement, now), told]
+
+    def _send(self, state: DirectState, placement: Placement, now: float) -> SendTo:
+        request = state.inbound.request
+        record = state.attempts[-1]
+        view = self._board.targets[placement.target]
         state.last_progress = now
-        works = self._work.place(state, placement, now)
-        self._board.timers.add(
-            now + self._patience(state, placement), _PatienceDue(attempt)
-        )
-        members = tuple(
-            self._board.targets[member].listing.address for member in placement.members
-        )
-        send = SendTo(
-            attempt,
-            target,
+        expected_at = self._expected_at(state, now)
+        due = expected_at + self._tolerance(state, expected_at)
+        self._board.timers.add(due, _PatienceDue(record.id))
+        return SendTo(
+            record.id,
+            record.agent,
             view.listing.address,
             request.deadline,
             placement,
-            members,
+            self._reservations.members(request.id, placement),
             state.last_event,
         )
-        return [send, Tell(works)]
 
-    def _patience(self, state: DirectState, placement: Placement) -> float:
-        """Return how long an attempt may take until its first sign."""
+    def _reserved(self, reservation: AttemptId, now: float) -> list[DirectCommand]:
+        placement = self._reservations.reserved(reservation, now)
+        state = self._board.requests.get(reservation.request)
+        if placement is None or state is None:
+            return []
+        if placement.target not in self._board.targets:
+            return self._group_refused(state, placement.target, now)
+        return [self._send(state, placement, now)]
+
+    def _not_reserved(self, reservation: AttemptId, now: float) -> list[DirectCommand]:
+        state = self._board.requests.get(reservation.request)
+        if state is None or not self._reservations.is_awaited(reservation):
+            return []  # a renewal that is refused shows in the answer itself
+        target = self._reservations.target_of(reservation)
+        return self._group_refused(state, target, now)
+
+    def _group_refused(
+        self, state: DirectState, target: str, now: float
+    ) -> list[DirectCommand]:
+        """Try another group after one whose memory could not be held."""
+        state.tried.add(target)
+        advance(state.attempts[-1], Step.REFUSE)
+        commands = self._end_work(state)
+        if len(state.attempts) >= self._settings.reservation.tries:
+            after = self._settings.retry_after_no_target
+            return commands + self._fail(state, Reason.MEMORY_FULL, after)
+        return commands + self._place(state, now)
+
+    def _expected_at(self, state: DirectState, now: float) -> float:
+        """Return when the next sign of a newest attempt is predicted."""
+        if not state.inbound.route.streamed:
+            share = self._settings.patience.call_share
+            return state.last_progress + state.inbound.route.objective * share
+        if not state.works or not state.works[0].writing:
+            until = (work.read_until for work in state.works)
+            return max(until, default=state.last_progress)
+        return state.last_progress + self._work.pass_time(state, now)
+
+    def _tolerance(self, state: DirectState, expected_at: float) -> float:
+        """Return how long past its prediction a sign may come."""
         patience = self._settings.patience
-        route = state.inbound.route
-        if not route.streamed:
-            return max(route.objective * patience.call_share, 0.05)
-        return placement.first_event * patience.first_factor + patience.first_extra
+        if not state.inbound.route.streamed:
+            return 0.0
+        predicted = max(expected_at - state.last_progress, 0.0)
+        return patience.overdue + patience.overdue_share * predicted
 
     # Answers
 
@@ -343,8 +392,7 @@
     def _again(
         self, state: DirectState, reason: Reason, verdict: Verdict, now: float
     ) -> list[DirectCommand]:
-        ended = self._work.end(state)
-        commands: list[DirectCommand] = [Tell((), ended)] if ended else []
+        commands = self._end_work(state)
         if verdict is not Verdict.NOT_RUN and not self._may_repeat(state, now):
             return commands + self._fail(state, reason, None)
         if state.sends and not self._budget.take(
@@ -379,8 +427,13 @@
 
     def _forget(self, state: DirectState) -> list[DirectCommand]:
         self._board.requests.pop(state.inbound.request.id, None)
+        return self._end_work(state)
+
+    def _end_work(self, state: DirectState) -> list[DirectCommand]:
+        """Give back what the newest attempt holds on targets."""
+        commands = self._reservations.release(state.inbound.request.id)
         ended = self._work.end(state)
-        return [Tell((), ended)] if ended else []
+        return [*commands, Tell((), ended)] if ended else commands
 
     # Health
 
@@ -439,6 +492,10 @@
                     commands += self._deadline_due(request)
                 case _PatienceDue(attempt):
                     commands += self._patience_due(attempt, now)
+                case AnswerDue(_, reservation):
+                    commands += self._not_reserved(reservation, now)
+                case RenewalDue():
+                    commands += self._reservations.renew(item, now)
                 case _:
                     commands += self._targets.due(item, now)
         return commands
@@ -453,37 +510,24 @@
         state = self._current(attempt)
         if state is None or not is_live(state.attempts[-1]):
             return []
-        route = state.inbound.route
-        patience = self._settings.patience
-        silence = now - state.last_progress
-        target = attempt_target(state)
-        if not route.streamed:
-            return self._call_overdue(state, now)
-        least = max(patience.gap_least, 0.0)
-        if silence < least:
-            due = state.last_progress + least
+        expected_at = self._expected_at(state, now)
+        tolerance = self._tolerance(state, expected_at)
+        if now < expected_at + tolerance:
+            due = expected_at + tolerance
             self._board.timers.add(due, _PatienceDue(attempt))
             return []
-        if silence < patience.gap_most:
-            self._board.timers.add(
-                state.last_progress + patience.gap_most, _PatienceDue(attempt)
-            )
-            return self._probe(target)
-        if not self._may_repeat(state, now) or not self._is_stuck(state, now):
-            self._board.timers.add(now + patience.gap_least, _PatienceDue(attempt))
-            return self._probe(target)
-        return self._give_up_on(state, now)
-
-    def _call_overdue(self, state: DirectState, now: float) -> list[DirectCommand]:
+        given_up_at = expected_at + tolerance * self._settings.patience.overdue_tries
+        if now < given_up_at:
+            self._board.timers.add(given_up_at, _PatienceDue(attempt))
+            return self._probe(attempt_target(state))
         if not self._may_repeat(state, now):
-            return []
+            if not state.inbound.route.streamed:
+                return []
+            due = now + self._settings.patience.overdue
+            self._board.timers.add(due, _PatienceDue(attempt))
+            return self._probe(attempt_target(state))
         return self._give_up_on(state, now)
 
-    def _is_stuck(self, state: DirectState, now: float) -> bool:
-        """Tell whether a silent stream should have gone on by now."""
-        expected = max((work.read_until for work in state.works), default=now)
-        return now > expected + self._settings.patience.gap_most
-
     def _give_up_on(self, state: DirectState, now: float) -> list[DirectCommand]:
         record = state.attempts[-1]
         advance(record, Step.FAIL)
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -4,14 +4,15 @@
 import random
 import typing as t
 
-from ..command import Fail, Finish
-from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..command import Fail, Finish, Release, Reserve
+from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from ..identity import AttemptId
 from ..metric import Metrics
 from ..reason import Reason
 from ..utils import Tasks
 from ..verdict import Verdict
 from .board import DirectBoard, Inbound
+from .client import CallFailed, HttpClient
 from .command import (
     Abort,
     Deliver,
@@ -23,15 +24,15 @@
     SendTo,
     Tell,
 )
-from .dialect import Dialect, Rejection
+from .dialect import Dialect, Order, Rejection
 from .dispatch import DirectDispatcher
 from .event import DirectEvent, PeerTold, Probed, Received
 from .exchange import Exchange
 from .http import CallerConnection, HttpRequest
 from .linelog import LineLog
-from .peers import FULL_INTERVAL, PeerLink
+from .peers import PeerLink
 from .route import CallerLimits
-from .settings import DirectSettings
+from .settings import DirectSettings, account_interval
 
 SWEEP_INTERVAL = 0.5  # seconds between looks at idle connections
 
@@ -197,6 +198,10 @@
                 exchange = self._exchanges.get(attempt.request)
                 if exchange is not None:
                     exchange.drop(attempt)
+            case Reserve(reservation, agent, memory):
+                self._tasks.spawn(self._reserve(reservation, agent.target, memory))
+            case Release(reservation, agent):
+                self._tasks.spawn(self._release(reservation, agent.target))
             case Probe(target, address):
                 self._tasks.spawn(self._probe(target, address))
             case Note(what, subject, detail):
@@ -210,7 +215,8 @@
             request=command.attempt.request,
             attempt=command.attempt.number,
             target=command.target.target,
-            members=len(command.members),
+            members=[member.target for member in placement.members],
+            part=round(placement.read, 4),
             predicted=round(placement.first_event, 4),
             cost=round(placement.cost, 4),
             candidates=placement.candidates,
@@ -279,6 +285,47 @@
         if self._callers.get(exchange.connection) is exchange:
             del self._callers[exchange.connection]
 
+    async def _reserve(self, reservation: AttemptId, target: str, memory: int) -> None:
+        hold = self._settings.reservation.hold
+        order = self._dialect.reserve(reservation, memory, hold)
+        status = await self._order(target, order, "memory reserved", reservation)
+        if status == 200:
+            self.handle(Reserved(reservation))
+        else:
+            self.handle(Refused(reservation, Reason.MEMORY_FULL))
+
+    async def _release(self, reservation: AttemptId, target: str) -> None:
+        order = self._dialect.release(reservation)
+        await self._order(target, order, "memory released", reservation)
+
+    async def _order(
+        self, target: str, order: Order, what: str, reservation: AttemptId
+    ) -> int | None:
+        """Send an order and return the status of its answer, if it has one."""
+        view = self._board.targets.get(target)
+        if view is None:
+            return None
+        client = HttpClient(view.listing.address)
+        status = None
+        cause = ""
+        try:
+            timeout = self._settings.reservation.answer
+            reply = await client.call("POST", order.path, order.body, timeout)
+            status = reply.status
+        except CallFailed as error:
+            cause = str(error)
+        finally:
+            client.close()
+        self._log.write(
+            what,
+            request=reservation.request,
+            reservation=reservation.nonce,
+            target=target,
+            status=status,
+            cause=cause,
+        )
+        return status
+
     async def _probe(self, target: str, address: str) -> None:
         host, port = address.rsplit(":", 1)
         try:
@@ -323,9 +370,10 @@
                     connection.close()
 
     async def _account(self) -> None:
-        """Tell peers now and then of all work under way."""
+        """Tell peers of all work under way, which mends lost datagrams."""
         while True:
-            await asyncio.sleep(FULL_INTERVAL)
+            entries = self._board.entries
+            await asyncio.sleep(account_interval(self._settings, entries))
             works = [
                 work
                 for state in self._board.requests.values()
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from ..event import CallerGone, Ended, Failed, StopAsked, Tick
+from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from ..identity import AttemptId
 from .board import Inbound, Listing, Work, WorkKey
 from .route import RoutingTable
@@ -139,6 +139,8 @@
     Wrote,
     Ended,
     Failed,
+    Reserved,
+    Refused,
     CallerGone,
     Probed,
     Deployed,
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -10,7 +10,7 @@
 from .command import SendTo
 from .dialect import Dialect
 from .event import DirectEvent, Headed, Sent, TargetAnswer, Whole, Wrote
-from .eventstream import EventCutter
+from .eventstream import Cut, EventCutter
 from .http import CallerConnection, Headers, HttpRequest, TargetConnection, end_to_end
 
 MAX_ANSWER = 8_388_608  # bytes of an answer that is not streamed
@@ -47,7 +47,8 @@
         self.inbound = inbound
         self.first_at: float | None = None
         self.events = 0
-        self.last: int | None = inbound.resumed_after
+        self.longest_pause = 0.0  # seconds
+        self._event_at = 0.0
         self._leg: Leg | None = None
         self._targets: list[str] = []
         self._begun = False
@@ -64,6 +65,7 @@
             "targets": self._targets,
             "events": self.events,
             "first": round(first - arrived, 4) if first is not None else None,
+            "pause": round(self.longest_pause, 4),
             "took": round(now - arrived, 4),
         }
 
@@ -85,6 +87,17 @@
         self.connection.source = leg.connection
         return first
 
+    def relay(self, cut: Cut) -> None:
+        """Hand the caller some events."""
+        now = asyncio.get_running_loop().time()
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self._event_at)
+        self._event_at = now
+        self.events += cut.events
+        self.connection.chunk(cut.data)
+
     def finish(self) -> None:
         """End an answer that was passed on."""
         self.connection.end()
@@ -204,12 +217,7 @@
         if cut is None:
             return
         exchange = self._exchange
-        if exchange.first_at is None:
-            exchange.first_at = asyncio.get_running_loop().time()
-        exchange.events += cut.events
-        if cut.last is not None:
-            exchange.last = cut.last
-        exchange.connection.chunk(cut.data)
+        exchange.relay(cut)
         exchange.owner.handle(Wrote(self.attempt, cut.events, cut.last))
 
     def _fail(self, reason: Reason) -> None:
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -10,7 +10,6 @@
 from .event import PeerTold
 
 MAX_WORKS = 12  # in a datagram, so that it stays under an Ethernet frame
-FULL_INTERVAL = 1.0  # seconds between full accounts, which mend lost datagrams
 
 
 class Account(msgspec.Struct, array_like=True):
@@ -29,6 +28,7 @@
     target: str
     tokens: int
     read: float
+    memory: int
     context: float
     writes: bool
     events: int
@@ -37,6 +37,7 @@
     age: float
     read_left: float
     objective_left: float
+    ahead: bool
     writing: bool
     late: bool
 
@@ -83,6 +84,7 @@
         work.target,
         work.tokens,
         work.read,
+        work.memory,
         work.context,
         work.writes,
         work.events,
@@ -91,6 +93,7 @@
         now - work.placed_at,
         work.read_until - now,
         work.objective_at - now,
+        work.ahead,
         work.writing,
         work.late,
     )
@@ -102,6 +105,7 @@
         part.target,
         tokens=part.tokens,
         read=part.read,
+        memory=part.memory,
         context=part.context,
         writes=part.writes,
         events=part.events,
@@ -110,6 +114,7 @@
         placed_at=now - part.age,
         read_until=now + part.read_left,
         objective_at=now + part.objective_left,
+        ahead=part.ahead,
         writing=part.writing,
         late=part.late,
     )
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -23,12 +23,15 @@
     early: float = 0.7  # share of a limit at which harm begins to count
     over: float = 1.1  # share of a limit at which all is lost
     late_share: float = 0.75  # of the value, lost by an answer that is late
-    wait_cost: float = 0.3  # of the value, for a second until the first event
+    later: float = 0.2  # of the value, lost more for each limit beyond it
+    least_limit: float = 0.05  # seconds, in place of a limit that has passed
+    wait_cost: float = 0.03  # of the value, for a second until the first event
     harm_cost: float = 0.15  # for a second of reading beside a writer
-    pack_cost: float = 0.02  # between the first and the last target in order
+    pack_cost: float = 0.05  # between the first and the last target in order
     far_cost: float = 0.005  # for a target in another failure domain
     member_cost: float = 0.02  # for each target of a group
     suspect_cost: float = 50.0
+    transit: float = 0.005  # a connection, the request and the first event
     fill: float = 0.92  # share of an engine's memory that is promised
 
 
@@ -46,12 +49,21 @@
     domain: str
 
 
+@frozen
+class Member:
+    """A target that reads a part, and the tokens that it is to hold."""
+
+    target: str
+    held: int = 0
+
+
 @frozen
 class Placement:
     """A target, the other members of its group, and what is predicted."""
 
     target: str
-    members: tuple[str, ...] = ()
+    members: tuple[Member, ...] = ()
+    held: int = 0  # tokens, at the target itself
     first_event: float = 0.0  # seconds from now
     pass_time: float = 0.0  # seconds, of the passes that write it
     cost: float = 0.0
@@ -74,12 +86,14 @@
 
 def loss(value: float, size: float, limit: float, settings: PlacementSettings) -> float:
     """Return the part of a value put at risk by a time near its limit."""
-    if limit <= 0:
-        return value
+    limit = max(limit, settings.least_limit)
     early = settings.early * limit
+    over = settings.over * limit
     if size <= early:
         return 0.0
-    return value * min((size - early) / ((settings.over * limit) - early), 1.0)
+    if size <= over:
+        return value * (size - early) / (over - early)
+    return value * (1.0 + settings.later * (size - over) / limit)
 
 
 class Placer:
@@ -122,7 +136,7 @@
             context = sum(x.context for x in writers)
             write = engine.writers_time(len(writers), context) if writers else 0.0
             reading = sum(x.left_to_read(now) for x in readers)
-            memory = sum(x.tokens + x.context for x in readers if x.writes)
+            memory = sum(x.memory for x in view.work.values())
             loads.append(
                 _Load(
                     view,
@@ -131,7 +145,7 @@
                     readers,
                     write * view.pace,
                     reading * view.pace,
-                    memory + context,
+                    memory,
                 )
             )
         return loads
@@ -149,24 +163,27 @@
         """Return the cheapest placement on a number of targets."""
         part = total / size
         tokens = math.ceil(job.tokens / size)
-        room = engine.memory * self._settings.fill
+        room = int(engine.memory * self._settings.fill)
         costs = []
         heads = []
         for load in loads:
-            harm = self._harm(job, engine, load, part, tokens, now)
+            harm = self._harm(engine, load, part, tokens, size > 1, now)
             harm += self._suspicion(load, now)
-            first = self._first_event(engine, load, part, tokens)
+            first = self._first_event(engine, load, part, tokens, size > 1)
             costs.append((harm, first, load))
-            if load.memory + need <= room:
-                own = self._own(job, engine, load, first, size, now)
-                heads.append((harm + own, first, load))
-        if not heads:
-            return None
-        head = min(heads, key=lambda item: item[0])
+            own = self._own(job, engine, load, first, size, now)
+            lacking = max(load.memory + need - room, 0)
+            heads.append((lacking, harm + own, first, load))
+        # A target that holds all is better than one that needs tickets.
+        head = min(heads, key=lambda item: (item[0] > 0, item[1]))[1:]
         others = sorted(
             (item for item in costs if item[2] is not head[2]),
             key=lambda item: item[0] + item[1] * self._settings.wait_cost * job.value,
         )[: size - 1]
+        held = max(min(need, room - head[2].memory), 0)
+        members = self._members(need - held, room, [item[2] for item in others])
+        if members is None:
+            return None
         first = max([head[1], *(item[1] for item in others)])
         cost = head[0] + sum(item[0] for item in others)
         cost += (size - 1) * self._settings.member_cost
@@ -175,7 +192,8 @@
             cost -= self._own(job, engine, head[2], head[1], size, now)
         return Placement(
             target=head[2].view.listing.id,
-            members=tuple(item[2].view.listing.id for item in others),
+            members=members,
+            held=held,
             first_event=first,
             pass_time=self._pass_time(job, engine, head[2]),
             cost=cost,
@@ -183,22 +201,35 @@
             read=part,
         )
 
+    def _members(
+        self, lacking: int, room: int, loads: list[_Load]
+    ) -> tuple[Member, ...] | None:
+        """Share what the head cannot hold among the others, emptiest first."""
+        held = dict.fromkeys((load.view.listing.id for load in loads), 0)
+        for load in sorted(loads, key=lambda load: load.memory):
+            held[load.view.listing.id] = max(min(lacking, room - load.memory), 0)
+            lacking -= held[load.view.listing.id]
+        if lacking > 0:
+            return None
+        return tuple(Member(target=id, held=tokens) for id, tokens in held.items())
+
     def _first_event(
-        self, engine: EngineProfile, load: _Load, part: float, tokens: int
+        self, engine: EngineProfile, load: _Load, part: float, tokens: int, ahead: bool
     ) -> float:
         """Return the time until a reading of a part would end and be told."""
         view = load.view
         passes = engine.passes(tokens)
-        waiting = load.reading + part * view.pace
-        own_pass = engine.writers_time(1, tokens) * view.pace
+        waiting = part * view.pace
+        if not ahead:
+            waiting += load.reading
         if load.writers:
-            # A new prompt joins at the next pass: half of one on average.
-            waiting += load.write / 2 + load.write * (passes - 1)
-            own_pass += load.write
+            # A prompt joins at the next pass, after half of one on average,
+            # and its first event is told as its last pass ends.
+            waiting += load.write * (passes + 0.5)
         busy = len(load.writers) + len([x for x in load.readers if x.writes])
         if busy >= engine.slots:
             waiting += self._until_slot(engine, load, busy)
-        return waiting + own_pass + engine.first
+        return waiting + engine.first + self._settings.transit
 
     def _until_slot(self, engine: EngineProfile, load: _Load, busy: int) -> float:
         """Return when the slot of a request that comes now is free."""
@@ -237,14 +268,18 @@
 
     def _harm(
         self,
-        job: Job,
         engine: EngineProfile,
         load: _Load,
         part: float,
         tokens: int,
+        ahead: bool,
         now: float,
     ) -> float:
-        """Return what a reading on a target costs the requests there."""
+        """Return what a reading on a target costs the requests there.
+
+        Writers pause for longer; and a group's part is read ahead of all that
+        waits, the parts of earlier groups among it.
+        """
         settings = self._settings
         added = part * load.view.pace / engine.passes(tokens)
         before = load.write + min(load.reading, self._most_read(engine))
@@ -257,15 +292,14 @@
             harm = loss(value, after, work.max_gap, settings)
             cost += harm - loss(value, before, work.max_gap, settings)
             cost += settings.harm_cost * added
-        delay = part * load.view.pace
-        for work in load.readers:
-            if work.late or not work.writes:
-                continue
-            value = work.value * settings.late_share
-            limit = work.objective_at - work.placed_at
-            told = work.read_until - work.placed_at
-            harm = loss(value, told + delay, limit, settings)
-            cost += harm - loss(value, told, limit, settings)
+        if ahead:
+            delay = part * load.view.pace
+            for work in load.readers:
+                value = work.value * settings.late_share
+                limit = work.objective_at - work.placed_at
+                told = max(work.read_until, now) - work.placed_at
+                harm = loss(value, told + delay, limit, settings)
+                cost += harm - loss(value, told, limit, settings)
         return cost
 
     def _most_read(self, engine: EngineProfile) -> float:
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -1,14 +1,15 @@
 """The work of all entries on the targets, as one entry knows it."""
 
+import math
 import typing as t
 
 from ..request import Prompt
-from .board import DirectBoard, DirectState, Work, WorkKey
+from .board import DirectBoard, DirectState, TargetView, Work, WorkKey
 from .command import DirectCommand
 from .engine import EngineProfile
 from .event import PeersSeen, PeerTold
 from .placement import Placement
-from .settings import DirectSettings
+from .settings import DirectSettings, peer_silence
 
 CALL_EVENTS = 1  # of a request that is not streamed
 
@@ -31,12 +32,25 @@
         if isinstance(work, Prompt):
             tokens = work.tokens
         part = tokens // (1 + len(placement.members))
-        state.works = [self._head(state, placement, part, now)]
+        head = self._head(state, placement, part, now)
+        state.works = [head]
         state.works += [
-            self._new(target=member, writes=False, tokens=part, read=placement.read)
+            self._new(
+                target=member.target,
+                writes=False,
+                tokens=part,
+                read=placement.read,
+                memory=member.held,
+                context=float(member.held),
+                events=head.events,
+            )
             for member in placement.members
         ]
+        value = head.value / math.sqrt(len(state.works))
         for each in state.works:
+            each.ahead = len(state.works) > 1
+            each.value = value
+            each.objective_at = head.objective_at
             each.placed_at = each.refreshed_at = now
             each.read_until = now + placement.first_event
             self._enter(each)
@@ -53,10 +67,20 @@
         head.writing = True
         head.late = now > head.objective_at
         for part in state.works[1:]:
-            part.writing = True  # a part that was read is no load any more
-            self._leave(part.key, part.target)
+            part.writing = True
+            self._enter(part)
         return tuple(state.works)
 
+    def pass_time(self, state: DirectState, now: float) -> float:
+        """Return how long the next pass of a stream's target may take."""
+        view = self._board.targets.get(state.works[0].target)
+        engine = self._engine(state.inbound.service)
+        if view is None or engine is None:
+            return 0.0
+        contexts = [work.context for work in view.work.values() if work.writing]
+        reading = sum(work.left_to_read(now) for work in view.work.values())
+        return (engine.write_time(contexts) + reading) * view.pace
+
     def end(self, state: DirectState) -> tuple[WorkKey, ...]:
         """Take a request's parts from their targets."""
         keys = tuple(part.key for part in state.works)
@@ -74,7 +98,7 @@
             case PeerTold(_, works, ended, unreachable):
                 for work in works:
                     work.refreshed_at = now
-                    self._take(work)
+                    self._enter(work)
                 for key in ended:
                     self._drop(key)
                 for target in unreachable:
@@ -94,6 +118,7 @@
             target=placement.target,
             tokens=part,
             read=placement.read,
+            memory=placement.held,
             context=float(work.memory),
             events=events,
             max_gap=inbound.route.max_gap,
@@ -111,20 +136,26 @@
 
     def _enter(self, work: Work) -> None:
         view = self._board.targets.get(work.target)
-        if view is not None:
-            view.work[work.key] = work
+        if view is None:
+            return
+        if work.writing and not work.writes and not work.memory:
+            view.work.pop(work.key, None)  # a part that was read is no load
+            return
+        if work.ahead and not work.writing and work.key not in view.work:
+            self._put_back(view, work)
+        view.work[work.key] = work
+
+    def _put_back(self, view: TargetView, part: Work) -> None:
+        """Delay what waits to be read behind a part that goes ahead of it."""
+        for other in view.work.values():
+            if not other.writing:
+                other.read_until += part.read * view.pace
 
     def _leave(self, key: WorkKey, target: str) -> None:
         view = self._board.targets.get(target)
         if view is not None:
             view.work.pop(key, None)
 
-    def _take(self, work: Work) -> None:
-        if work.writing and not work.writes:
-            self._leave(work.key, work.target)
-        else:
-            self._enter(work)
-
     def _drop(self, key: WorkKey) -> None:
         for view in self._board.targets.values():
             if view.work.pop(key, None) is not None:
@@ -137,7 +168,7 @@
 
     def _expire(self, now: float) -> None:
         """Forget the work of entries that have fallen silent."""
-        limit = now - self._settings.peer_silence
+        limit = now - peer_silence(self._settings, self._board.entries)
         for view in self._board.targets.values():
             silent = [
                 key
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -2,12 +2,15 @@
 
 import math
 
+import msgspec
+
 from ..direct.board import Inbound
-from ..direct.command import SendTo
-from ..direct.dialect import Rejection
+from ..direct.command import GroupMember, SendTo
+from ..direct.dialect import Order, Rejection
 from ..direct.event import TargetAnswer, TargetLoad
 from ..direct.http import Headers, HttpRequest, end_to_end, request_bytes
 from ..direct.route import Route, RoutingTable, pick_share
+from ..identity import AttemptId
 from ..reason import Reason
 from ..request import Call, Prompt, Request
 
@@ -26,6 +29,7 @@
 # Set here, whatever a caller sent.
 OWN = frozenset({b"authorization", BUDGET, EXPECT, TENANT, HELPERS, LAST_EVENT})
 
+ORDER_PATH = "/chicorycove/order"
 MISDIRECTED = 421
 MS = 1000.0  # milliseconds in a second
 
@@ -68,7 +72,8 @@
         if send.after is not None:
             headers.append((b"Last-Event-Id", b"%d" % send.after))
         if send.members:
-            headers.append((b"Chicorycove-Helpers", ",".join(send.members).encode()))
+            helpers = ",".join(_helper(member) for member in send.members)
+            headers.append((b"Chicorycove-Helpers", helpers.encode()))
         return request_bytes(request.method, request.target, headers, request.body)
 
     def answers(self, headers: Headers, inbound: Inbound) -> bool:
@@ -86,6 +91,22 @@
             load=_load(_find(headers, LOAD)),
         )
 
+    def reserve(self, reservation: AttemptId, memory: int, hold: float) -> Order:
+        """Return the order that holds memory, in tokens, for some seconds."""
+        body = {
+            "operation": "reserve",
+            "id": _ticket(reservation),
+            "tokens": memory,
+            "holdMs": int(hold * MS),
+            "wait": False,
+        }
+        return Order(ORDER_PATH, msgspec.json.encode(body))
+
+    def release(self, reservation: AttemptId) -> Order:
+        """Return the order that gives a reservation back."""
+        body = {"operation": "release", "id": _ticket(reservation)}
+        return Order(ORDER_PATH, msgspec.json.encode(body))
+
     def own_headers(self, request: str, retry_after: float | None) -> Headers:
         """Return the headers of an answer that the entry makes itself."""
         headers = []
@@ -128,6 +149,16 @@
         return Prompt(model, tokens, output, True, route.repeatable)
 
 
+def _ticket(reservation: AttemptId) -> str:
+    return f"{reservation.request}-{reservation.nonce}"
+
+
+def _helper(member: GroupMember) -> str:
+    if member.reservation is None:
+        return member.address
+    return f"{member.address}/{_ticket(member.reservation)}"
+
+
 def _find(headers: Headers, name: bytes) -> bytes | None:
     for key, value in headers:
         if key.lower() == name:
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -16,7 +16,7 @@
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
-from ..direct.settings import DirectSettings
+from ..direct.settings import DirectSettings, peer_silence
 from ..exceptions import SettingsError
 from ..identity import AttemptId
 from ..metric import Metrics
@@ -32,7 +32,7 @@
 STOP_POLL = 0.05  # seconds between looks whether all is finished
 STOP_SHARE = 0.5  # of the grace, in which new requests are still taken
 GRACE_USED = 0.94  # share of the grace after which the process ends by itself
-PEER_CHECK = 0.5  # seconds between looks at which peers are alive
+PEER_CHECK = 0.2  # seconds between looks at which peers are alive
 
 
 def settings_from(boot: Boot) -> DirectSettings:
@@ -177,7 +177,8 @@
     async def _watch_peers(self) -> None:
         """Let go of peers that are neither listed nor heard."""
         while True:
-            self._peers.prune(self._listed.keys(), self._settings.peer_silence)
+            silence = peer_silence(self._settings, self._board.entries)
+            self._peers.prune(self._listed.keys(), silence)
             names = frozenset({self._name, *self._peers.names})
             self._entry.handle(PeersSeen(names))
             await asyncio.sleep(PEER_CHECK)
