--- a/src/chicorycove/direct/linelog.py
+++ b/src/chicorycove/direct/linelog.py
@@ -37,10 +37,11 @@
         line.update(fields)
         self._waiting += _encoder.encode(line)
         self._waiting += b"\n"
-        self._schedule()
+        if not self._schedule():
+            self.flush()
 
     def flush(self) -> None:
-        """Write what can be written now."""
+        """Write what can be written now, and the rest later."""
         self._scheduled = False
         while self._waiting:
             try:
@@ -54,13 +55,14 @@
                 return
             del self._waiting[:written]
 
-    def _schedule(self) -> None:
+    def _schedule(self) -> bool:
+        """Have the rest written soon; without a loop there is no later."""
         if self._scheduled:
-            return
+            return True
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._scheduled = True
         loop.call_later(FLUSH_INTERVAL, self.flush)
+        return True
--- /dev/null
+++ b/standin/platform_server.py
@@ -0,0 +1,153 @@
+"""A server of the users' platform: plain calls, streams, tickets, faults."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from . import server
+
+METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+MAX_TICKETS = 64
+EVENT_TOKENS = 46  # of an answer, in one event
+_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong with the next requests; pauses are in seconds."""
+
+    shed: int = 0  # requests that are said not to have run
+    fail: int = 0  # requests that run and end with 500
+    lose: int = 0  # requests that run and whose answer is lost
+    cut_after: int | None = None  # events after which one stream is cut
+    half_event: bool = False  # the cut comes in the middle of an event
+    stray: int = 0  # answers to another request sent before the right one
+    hang: bool = False
+    pause: float = 0.0  # between events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One request that a server began to work on."""
+
+    attempt: str
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class PlatformServer:
+    """One server behind its HTTP interface; memory is in tokens."""
+
+    def __init__(self, service: str, memory: int = 450_000, slots: int = 8) -> None:
+        self.id = f"i-{next(_numbers):08x}"
+        self.service = service
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.working = 0
+        self.tickets: dict[str, int] = {}
+        self._memory = memory
+        self._slots = slots
+
+    def app(self) -> Starlette:
+        """Return the interface."""
+        return Starlette(
+            routes=[
+                Route("/chicorycove/order", self._order, methods=["POST"]),
+                Route("/{path:path}", self._call, methods=METHODS),
+            ]
+        )
+
+    def entry(self, address: str, state: str = "ready", born: int = 1) -> dict:
+        """Return what the server writes of itself in the store."""
+        return {
+            "service": self.service,
+            "address": address,
+            "zone": "here",
+            "version": "v1",
+            "slots": self._slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 0,
+            "born": born,
+        }
+
+    async def _order(self, request: Request) -> Response:
+        order = await request.json()
+        match order["operation"]:
+            case "reserve":
+                held = sum(self.tickets.values()) - self.tickets.get(order["id"], 0)
+                free = self._memory - held
+                if order["tokens"] > free or len(self.tickets) >= MAX_TICKETS:
+                    return JSONResponse({"free": free}, 409)
+                self.tickets[order["id"]] = order["tokens"]
+                return JSONResponse({"free": free - order["tokens"]})
+            case "release":
+                self.tickets.pop(order["id"], None)
+                return JSONResponse({"free": self._memory})
+            case _:
+                return JSONResponse({}, 400)
+
+    async def _call(self, request: Request) -> Response:
+        body = await request.body()
+        attempt = request.headers.get("chicorycove-attempt-id", "")
+        echo = {"Chicorycove-Attempt-Id": attempt}
+        if request.headers.get("chicorycove-expect-instance", self.id) != self.id:
+            return Response(status_code=421, headers=echo)
+        if not attempt:
+            return Response(status_code=400, headers={"Chicorycove-Not-Executed": "1"})
+        if self.faults.shed:
+            self.faults.shed -= 1
+            headers = {**echo, "Chicorycove-Not-Executed": "1"}
+            return Response(status_code=503, headers=headers)
+        path = request.url.path
+        if request.url.query:
+            path += f"?{request.url.query}"
+        headers = dict(request.headers)
+        self.runs.append(Run(attempt, request.method, path, body, headers))
+        signature = {**echo, "Chicorycove-Response-Signature": f"{self.id}.{attempt}"}
+        while self.faults.hang:
+            await asyncio.sleep(0.01)
+        if self.faults.lose:
+            self.faults.lose -= 1
+            await server.drop(request)
+            return Response()
+        if self.faults.fail:
+            self.faults.fail -= 1
+            return Response(b"failed", 500, signature)
+        if "chicorycove-token-counts" in request.headers:
+            stream = self._events(request)
+            return StreamingResponse(stream, 200, signature, "text/event-stream")
+        return Response(body or path.encode(), 200, signature)
+
+    async def _events(self, request: Request):
+        output = int(request.headers["chicorycove-token-counts"].split(",")[1])
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        last = max(1, output // EVENT_TOKENS)
+        self.working += 1
+        try:
+            for number in range(first, last + 1):
+                event = f"id: {number}\ndata: event {number}\n\n".encode()
+                if self.faults.cut_after is not None and number > self.faults.cut_after:
+                    self.faults.cut_after = None
+                    if self.faults.half_event:
+                        yield event[:-6]
+                        await asyncio.sleep(0.01)
+                    await server.drop(request)
+                    return
+                yield event
+                await asyncio.sleep(self.faults.pause)
+        finally:
+            self.working -= 1
+
+
+async def start(service: str, **fields) -> tuple[PlatformServer, server.Server]:
+    """Serve a server of a service on loopback."""
+    made = PlatformServer(service, **fields)
+    return made, await server.serve(made.app())
--- /dev/null
+++ b/standin/platform_store.py
@@ -0,0 +1,222 @@
+"""The store of the users' platform: items, leases and watches."""
+
+import asyncio
+import base64
+import dataclasses
+import itertools
+import time
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from . import server
+
+PAGE = 500  # items
+PROTECTED = ("op/", "servers/")  # prefixes that the system may not write
+
+
+@dataclasses.dataclass(slots=True)
+class Item:
+    """A key's value, its last change and its creation."""
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+    def as_json(self) -> dict:
+        """Return the item as the store shows it."""
+        value = base64.b64encode(self.value).decode()
+        return {**dataclasses.asdict(self), "value": value}
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong; delay is in seconds."""
+
+    down: bool = False  # every call gets 503
+    silent: bool = False  # no call gets an answer
+    delay: float = 0.0
+
+
+class PlatformStore:
+    """The store behind its HTTP interface."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls: list[str] = []
+        self._items: dict[str, Item] = {}
+        self._events: list[tuple[int, dict]] = []
+        self._forgotten = 0  # the newest revision that watches cannot follow
+        self._revision = 1
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._numbers = itertools.count(1)
+        self._changed = asyncio.Event()
+
+    # For the operator and the servers, who write beside the system
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item and return the revision."""
+        self._revision += 1
+        old = self._items.get(key)
+        created = old.created if old else self._revision
+        item = Item(key, value, self._revision, created, lease)
+        self._items[key] = item
+        self._note(item.as_json())
+        return self._revision
+
+    def remove(self, key: str) -> None:
+        """Delete an item."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            event = {"key": key, "revision": self._revision, "deleted": True}
+            self._note(event)
+
+    def compact(self) -> None:
+        """Forget all history."""
+        self._events.clear()
+        self._forgotten = self._revision
+        self._wake()
+
+    def keys(self, prefix: str = "") -> list[str]:
+        """Return the keys under a prefix."""
+        self._expire()
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def _note(self, event: dict) -> None:
+        self._events.append((self._revision, event))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease, (until, _) in list(self._leases.items()):
+            if until <= now:
+                self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [x.key for x in self._items.values() if x.lease == lease]:
+            self.remove(key)
+
+    # The calls
+
+    def app(self) -> Starlette:
+        """Return the interface."""
+        calls = [
+            ("/chicorycove/kv-key", self._key, "GET"),
+            ("/chicorycove/kv-range", self._range, "GET"),
+            ("/chicorycove/kv-watch", self._watch, "GET"),
+            ("/chicorycove/kv-txn", self._txn, "POST"),
+            ("/chicorycove/kv-lease", self._grant, "POST"),
+            ("/chicorycove/kv-keep/{id:int}", self._keep, "POST"),
+            ("/chicorycove/kv-lease-end/{id:int}", self._lease_end, "DELETE"),
+        ]
+        return Starlette(
+            routes=[
+                Route(path, self._faulty(call), methods=[method])
+                for path, call, method in calls
+            ]
+        )
+
+    def _faulty(self, call):
+        async def answer(request: Request) -> Response:
+            self.calls.append(request.url.path)
+            while self.faults.silent:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(self.faults.delay)
+            if self.faults.down:
+                return Response(status_code=503)
+            self._expire()
+            return await call(request)
+
+        return answer
+
+    async def _key(self, request: Request) -> Response:
+        item = self._items.get(request.query_params["key"])
+        if item is None:
+            return Response(status_code=404)
+        return JSONResponse({**item.as_json(), "storeRevision": self._revision})
+
+    async def _range(self, request: Request) -> Response:
+        query = request.query_params
+        after = query.get("after", "")
+        keys = [key for key in self.keys(query.get("prefix", "")) if key > after]
+        page = [self._items[key].as_json() for key in keys[:PAGE]]
+        more = len(keys) > PAGE
+        answer = {"items": page, "morePages": more, "storeRevision": self._revision}
+        return JSONResponse(answer)
+
+    async def _watch(self, request: Request) -> Response:
+        query = request.query_params
+        after = int(query["after"])
+        until = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if self.faults.down:
+                return Response(status_code=503)
+            if after < self._forgotten:
+                return Response(status_code=410)
+            events = [
+                event
+                for revision, event in self._events
+                if revision > after and event["key"].startswith(query["prefix"])
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                answer = {"events": events, "storeRevision": self._revision}
+                return JSONResponse(answer)
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), min(left, 0.05))
+            except TimeoutError:
+                self._expire()
+
+    async def _txn(self, request: Request) -> Response:
+        body = await request.json()
+        keys = [x["key"] for x in body["puts"]] + body["remove"]
+        if any(key.startswith(PROTECTED) for key in keys):
+            return Response(status_code=403)
+        for row in body["expected"]:
+            item = self._items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return JSONResponse({"items": []}, 412)
+        for put in body["puts"]:
+            lease = put.get("lease", 0)
+            if lease and lease not in self._leases:
+                return Response(status_code=404)
+        for put in body["puts"]:
+            value = base64.b64decode(put["value"])
+            self.put(put["key"], value, put.get("lease", 0))
+        for key in body["remove"]:
+            self.remove(key)
+        return JSONResponse({"revision": self._revision})
+
+    async def _grant(self, request: Request) -> Response:
+        ttl = (await request.json())["ttlMs"]
+        lease = next(self._numbers)
+        self._leases[lease] = (time.monotonic() + ttl / 1000, ttl / 1000)
+        return JSONResponse({"lease": lease, "ttlMs": ttl})
+
+    async def _keep(self, request: Request) -> Response:
+        lease = request.path_params["id"]
+        if lease not in self._leases:
+            return Response(status_code=404)
+        ttl = self._leases[lease][1]
+        self._leases[lease] = (time.monotonic() + ttl, ttl)
+        return JSONResponse({"ttlMs": int(ttl * 1000)})
+
+    async def _lease_end(self, request: Request) -> Response:
+        self._end(request.path_params["id"])
+        return JSONResponse({})
+
+
+async def start() -> tuple[PlatformStore, server.Server]:
+    """Serve an empty store on loopback."""
+    store = PlatformStore()
+    return store, await server.serve(store.app())
--- /dev/null
+++ b/tests/platform.py
@@ -0,0 +1,266 @@
+"""A direct entry on stand-ins of the users' platform, over loopback."""
+
+import asyncio
+import itertools
+import json
+import os
+import socket
+import tempfile
+import unittest
+
+from chicorycove.direct.linelog import LineLog
+from chicorycove.platform.boot import Boot
+from chicorycove.platform.process import PlatformProcess
+from standin import platform_server, platform_store
+
+WAIT = 10.0  # seconds
+KEY = "key-1"
+HOST = "desk.example"
+_ids = itertools.count(1)
+
+ENGINE = {
+    "slots": 8,
+    "kvCapacityTokens": 450_000,
+    "kvTokenBytes": 327680.0,
+    "stride": 46,
+    "step_ms": 0.925,
+    "per_seq_ms": 0.00966,
+    "context_per_k": 0.00254,
+    "read_per_s": 256000.0,
+    "pairs_per_m": 0.0917,
+    "chunk": 2048,
+    "hopMs": 0.1,
+}
+
+
+def route(name, kind="safe", service="shop", **fields):
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "maxAttempts": 1 if kind == "unsafe" else 2,
+        "public": False,
+        **fields,
+    }
+
+
+def config(version=1, routes=None, keys=(KEY,)):
+    """Return a configuration as the operator writes it."""
+    stream = {"kind": "streaming", "service": "model", "gapTargetMs": 500}
+    default = [
+        route("lookup"),
+        route("order", kind="unsafe"),
+        route("ask", **stream, resumable=True),
+        route("say", **stream, resumable=False),
+    ]
+    return {
+        "version": version,
+        "routes": default if routes is None else routes,
+        "services": [
+            {"name": "shop", "healthPath": "/health", "maxConnections": 100},
+            {"name": "model", "maxConnections": 100, "engine": ENGINE},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 500,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "toolroom", "apiKeys": list(keys), "priority": 1}],
+    }
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Answer:
+    """An answer as a caller reads it from its connection."""
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+    @property
+    def events(self):
+        """Return the ids of the events of a stream."""
+        return [
+            int(line.removeprefix(b"id: "))
+            for line in self.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+
+
+class Caller:
+    """A caller's connection, with nothing between the test and the bytes."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, address):
+        host, port = address.rsplit(":", 1)
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def send(self, path, body=b"", method="POST", key=KEY, id=None, **headers):
+        """Send a request and return its id."""
+        id = id or f"{next(_ids):016x}"
+        fields = {
+            "Host": HOST,
+            "Chicorycove-Attempt-Id": id,
+            "Chicorycove-Time-Budget-Ms": "3000",
+            "Content-Length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key is not None:
+            fields["Authorization"] = f"Bearer {key}"
+        head = [f"{method} {path} HTTP/1.1"]
+        head += [f"{name}: {value}" for name, value in fields.items()]
+        self.writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        return id
+
+    async def read(self):
+        """Read one answer, whole or as far as it came."""
+        async with asyncio.timeout(WAIT):
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            status = int(lines[0].split()[1])
+            headers = {}
+            for line in lines[1:]:
+                name, _, value = line.partition(": ")
+                headers[name.lower()] = value
+            try:
+                body = await self._body(headers)
+                return Answer(status, headers, body, True)
+            except asyncio.IncompleteReadError as error:
+                return Answer(status, headers, error.partial, False)
+            except ConnectionError:
+                return Answer(status, headers, b"", False)
+
+    async def _body(self, headers):
+        if "content-length" in headers:
+            return await self._reader.readexactly(int(headers["content-length"]))
+        body = b""
+        while True:
+            try:
+                size = int(await self._reader.readuntil(b"\r\n"), 16)
+                data = (await self._reader.readexactly(size + 2))[:-2]
+            except (asyncio.IncompleteReadError, ConnectionError):
+                raise asyncio.IncompleteReadError(body, None) from None
+            if not size:
+                return body
+            body += data
+
+    async def ask(self, path, body=b"", **fields):
+        self.send(path, body, **fields)
+        return await self.read()
+
+    def close(self):
+        self.writer.close()
+
+
+class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
+    """Runs one entry, a store, and servers of two services."""
+
+    grace = 0.2  # seconds, so that a test's end takes no time
+    models = 2
+    shops = 2
+
+    async def asyncSetUp(self):
+        self.store, self._store_server = await platform_store.start()
+        self.addAsyncCleanup(self._store_server.close)
+        self.shop = [await self.add("shop") for _ in range(self.shops)]
+        self.model = [await self.add("model") for _ in range(self.models)]
+        self.configure(config())
+        self.log = tempfile.TemporaryFile()
+        self.addCleanup(self.log.close)
+        self.process = await self.start()
+
+    async def add(self, service, **fields):
+        made, served = await platform_server.start(service, **fields)
+        self.addAsyncCleanup(served.close)
+        made.address = served.address
+        self.list(made)
+        return made
+
+    def list(self, server, **fields):
+        entry = server.entry(server.address, **fields)
+        self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
+
+    def configure(self, wanted):
+        self.store.put("op/config", json.dumps(wanted).encode())
+
+    async def start(self, wait=True):
+        self.boot = Boot(
+            name="entry-1",
+            ip="127.0.0.1",
+            failure_domain="here",
+            callers=f"127.0.0.1:{free_port()}",
+            readiness=f"127.0.0.1:{free_port()}",
+            peer_port=free_port(),
+            metrics_port=free_port(),
+            store=self._store_server.address,
+            grace=self.grace,
+            drain=2.0,
+            repeat_ratio=0.2,
+            repeat_window=10.0,
+            repeat_extra=100,
+            hold_most=20.0,
+        )
+        log = LineLog(os.dup(self.log.fileno()), self.boot.name)
+        process = PlatformProcess(self.boot, log)
+        await process.start()
+        self.addAsyncCleanup(process.stop)
+        if wait:
+            await self.until(self.is_ready)
+            await asyncio.sleep(0.05)
+        return process
+
+    async def is_ready(self):
+        answer = await self.page(self.boot.readiness, "/chicorycove/ready")
+        return answer.status == 200
+
+    async def page(self, address, path):
+        caller = await Caller.open(address)
+        try:
+            return await caller.ask(path, method="GET", key=None)
+        finally:
+            caller.close()
+
+    async def caller(self):
+        caller = await Caller.open(self.boot.callers)
+        self.addCleanup(caller.close)
+        return caller
+
+    async def ask(self, path, body=b"", **fields):
+        """Send a request over a connection of its own."""
+        caller = await self.caller()
+        return await caller.ask(path, body, **fields)
+
+    async def stream(self, path="/ask/x", output=460, tokens=1000, **fields):
+        counts = f"{tokens},{output}"
+        return await self.ask(path, Chicorycove_Token_Counts=counts, **fields)
+
+    async def until(self, condition):
+        async with asyncio.timeout(WAIT):
+            while not await condition():
+                await asyncio.sleep(0.01)
+
+    def runs(self):
+        return [run for each in self.shop + self.model for run in each.runs]
+
+    async def lines(self):
+        """Return the log as it stands."""
+        await asyncio.sleep(0.1)
+        self.log.seek(0)
+        return [json.loads(line) for line in self.log.read().splitlines()]
--- /dev/null
+++ b/tests/test_direct_parts.py
@@ -0,0 +1,218 @@
+"""The small parts of a direct entry."""
+
+import os
+import unittest
+
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from chicorycove.direct import peers
+from chicorycove.direct.board import Work, WorkKey
+from chicorycove.direct.budget import BudgetSettings, SharedBudget
+from chicorycove.direct.eventstream import EventCutter, last_id
+from chicorycove.direct.http import end_to_end
+from chicorycove.direct.linelog import LIMIT, LineLog
+from chicorycove.direct.route import (
+    Deployment,
+    Route,
+    RoutingTable,
+    Share,
+    WorkspaceKeys,
+    pick_share,
+)
+
+
+def route(prefix, host="a.example", name=""):
+    return Route(
+        name=name or prefix,
+        host=host,
+        prefix=prefix,
+        shares=(Share(service="s"),),
+        repeatable=True,
+        streamed=False,
+        timeout=1.0,
+        objective=0.1,
+    )
+
+
+class EventCutterTest(unittest.TestCase):
+    stream = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 21))
+
+    @given(st.lists(st.integers(1, 40), max_size=40))
+    @settings(max_examples=200, deadline=None)
+    def test_any_cuts_give_whole_events_once(self, sizes):
+        cutter = EventCutter(None)
+        rest, given_out, last = self.stream, b"", 0
+        for size in [*sizes, len(self.stream)]:
+            cut = cutter.feed(rest[:size])
+            rest = rest[size:]
+            if cut is not None:
+                self.assertTrue(cut.data.endswith(b"\n\n"))
+                self.assertGreater(cut.last, last)
+                last = cut.last
+                given_out += cut.data
+        self.assertEqual(given_out, self.stream)
+        self.assertFalse(cutter.residue)
+
+    @given(st.integers(0, 20))
+    def test_what_a_rerun_repeats_is_left_out(self, after):
+        cut = EventCutter(after).feed(self.stream)
+        if after == 20:
+            self.assertIsNone(cut)
+        else:
+            self.assertEqual(cut.events, 20 - after)
+            self.assertTrue(cut.data.startswith(b"id: %d\n" % (after + 1)))
+
+    def test_half_an_event_is_held_back(self):
+        cutter = EventCutter(None)
+        self.assertIsNone(cutter.feed(b"id: 1\ndata: x\n"))
+        self.assertTrue(cutter.residue)
+        self.assertEqual(cutter.feed(b"\n").last, 1)
+
+    def test_ids_that_are_no_numbers(self):
+        self.assertIsNone(last_id(b"data: x\n\n"))
+        self.assertIsNone(last_id(b"id: abc\n\n"))
+
+
+class RoutingTableTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host(self):
+        table = RoutingTable(
+            Deployment(
+                version=1,
+                routes=(route("/"), route("/a/"), route("/a/b/"), route("/z/", "b.b")),
+            )
+        )
+        found = {
+            "/": "/",
+            "/a": "/",
+            "/a/": "/a/",
+            "/a/b": "/a/",
+            "/a/b/c/d": "/a/b/",
+            "/z/": "/",
+        }
+        for path, prefix in found.items():
+            with self.subTest(path):
+                self.assertEqual(table.route("A.example", path).prefix, prefix)
+        self.assertIsNone(table.route("b.b", "/a/"))
+        self.assertIsNone(table.route("c.c", "/"))
+
+    def test_keys_name_their_workspace(self):
+        keys = (WorkspaceKeys(name="w", keys=("k1", "k2")),)
+        table = RoutingTable(Deployment(version=1, workspaces=keys))
+        self.assertEqual(table.workspace("k2").name, "w")
+        self.assertIsNone(table.workspace("k3"))
+        self.assertIsNone(table.workspace(None))
+
+    def test_shares_by_weight(self):
+        shares = (Share(service="a", weight=90), Share(service="b", weight=10))
+        draws = [number / 1000 for number in range(1000)]
+        picked = [pick_share(shares, draw) for draw in draws]
+        self.assertEqual(picked.count("b"), 100)
+
+
+class SharedBudgetTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 1.0), st.booleans(), st.integers(0, 4)),
+            max_size=400,
+        )
+    )
+    @settings(max_examples=100, deadline=None)
+    def test_all_entries_together_keep_to_the_budget(self, steps):
+        limits = BudgetSettings(ratio=0.2, window=10.0, extra=20)
+        entries = [SharedBudget(limits) for _ in range(5)]
+        now, requests, repeats = 0.0, [], []
+        for pause, is_request, number in steps:
+            now += pause
+            if is_request:
+                entries[number].note_request("s", now)
+                requests.append(now)
+            elif entries[number].take("s", 5, now):
+                repeats.append(now)
+            recent = sum(1 for at in repeats if at > now - limits.window)
+            counted = sum(1 for at in requests if at > now - 2 * limits.window)
+            self.assertLessEqual(recent, limits.ratio * counted + limits.extra)
+
+
+class PeerAccountTest(unittest.TestCase):
+    def test_work_is_told_whole_whatever_the_clocks_say(self):
+        work = Work(
+            WorkKey("entry-1", 7),
+            "t",
+            tokens=5000,
+            read=0.5,
+            memory=6000,
+            context=6000.0,
+            events=12,
+            max_gap=0.2,
+            value=1.5,
+            placed_at=99.0,
+            read_until=100.5,
+            objective_at=101.0,
+            ahead=True,
+        )
+        (data,) = peers.encode("entry-1", [work], [WorkKey("entry-1", 3)], ["x"], 100.0)
+        told = peers.decode(data, 5000.0)
+        (heard,) = told.works
+        self.assertEqual((heard.key, heard.target), (work.key, "t"))
+        self.assertAlmostEqual(heard.read_until, 5000.5)
+        self.assertAlmostEqual(heard.placed_at, 4999.0)
+        self.assertTrue(heard.ahead)
+        self.assertEqual(told.ended, (WorkKey("entry-1", 3),))
+        self.assertEqual(told.unreachable, ("x",))
+
+    def test_many_works_stay_under_a_frame(self):
+        works = [Work(WorkKey("e", n), "i-0123456789") for n in range(40)]
+        for data in peers.encode("front-kitakyushu-1.01234567", works, (), (), 0.0):
+            self.assertLess(len(data), 1400)
+
+    def test_foreign_datagrams_are_refused(self):
+        for data in (b"", b"hello", b"\x93\x01\x02\x03", b"\xff" * 2000):
+            with self.assertRaises(msgspec.MsgspecError):
+                peers.decode(data, 0.0)
+
+
+class LineLogTest(unittest.TestCase):
+    def test_full_pipe_drops_lines_and_counts_them(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        log = LineLog(writer, "p")
+        for number in range(20_000):
+            log.write("event", number=number)
+        self.assertLessEqual(len(log._waiting), LIMIT + 200)
+        os.set_blocking(reader, False)
+        while True:
+            try:
+                os.read(reader, 65_536)
+            except BlockingIOError:
+                log.flush()
+                if not log._waiting:
+                    break
+        while True:
+            try:
+                os.read(reader, 1 << 20)
+            except BlockingIOError:
+                break
+        log.write("after")
+        line = msgspec.json.decode(os.read(reader, 65_536).splitlines()[-1])
+        self.assertGreater(line["dropped_before"], 0)
+
+    def test_reader_that_is_gone_stops_nothing(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        LineLog(writer, "p").write("event")
+
+
+class HeaderTest(unittest.TestCase):
+    def test_headers_of_one_connection_are_left_out(self):
+        headers = [
+            (b"Connection", b"close, X-Once"),
+            (b"x-once", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"TE", b"trailers"),
+            (b"Content-Length", b"3"),
+            (b"X-Kept", b"2"),
+        ]
+        self.assertEqual(end_to_end(headers), [(b"X-Kept", b"2")])
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -2,6 +2,7 @@
 
 import ast
 import pathlib
+import re
 import unittest
 
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "chicorycove"
@@ -42,6 +43,22 @@
     "utils",
 }
 
+# The same, of an entry that reaches its targets itself.
+DIRECT_ADAPTERS = {
+    "client",
+    "entry",
+    "exchange",
+    "http",
+    "linelog",
+    "pages",
+    "peers",
+}
+
+# Words of the users' platform that only its adapter may know.
+PLATFORM_WORDS = re.compile(
+    r"kv-[a-z]+|[Cc]hicorycove-[a-z]+|op/config|servers/|[a-z]Ms\b|[Tt]enant|\b[Zz]one"
+)
+
 FORBIDDEN = {
     "aiosonic",
     "asyncio",
@@ -71,18 +88,31 @@
     return names
 
 
+def decisions():
+    """Return the paths of the modules that decide."""
+    flat = [x for x in SOURCE.glob("*.py") if x.stem not in ADAPTERS]
+    direct = [
+        x for x in (SOURCE / "direct").glob("*.py") if x.stem not in DIRECT_ADAPTERS
+    ]
+    return flat + direct
+
+
+class PlatformWordTest(unittest.TestCase):
+    def test_only_the_adapter_knows_the_platforms_words(self):
+        for path in (SOURCE / "direct").glob("*.py"):
+            with self.subTest(module=path.stem):
+                found = PLATFORM_WORDS.findall(path.read_text())
+                self.assertEqual(found, [])
+
+
 class DecisionModuleTest(unittest.TestCase):
     def test_no_io_clock_or_global_random(self):
-        for path in SOURCE.glob("*.py"):
-            if path.stem in ADAPTERS:
-                continue
+        for path in decisions():
             with self.subTest(module=path.stem):
                 self.assertEqual(imported(path) & FORBIDDEN, set())
 
     def test_only_seeded_random(self):
-        for path in SOURCE.glob("*.py"):
-            if path.stem in ADAPTERS:
-                continue
+        for path in decisions():
             for node in ast.walk(ast.parse(path.read_text())):
                 match node:
                     case ast.Attribute(value=ast.Name(id="random"), attr=attr):
