Soak the entry's processes in faults from outside them

Change: python -m soak runs store, servers and entries as processes with loopback proxies between them, draws overlapping faults by a seed (kills, pauses, SIGTERM, SIGHUP, cuts, one way and silent, resets, refusals, delays, leaving and dying servers, key changes, storms of configurations) and checks what callers and servers saw. Clocks are not disturbed: the entry uses the time of day in log lines only; it keeps no storage.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the real programs as processes while faults come from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,349 @@
+"""Soaks the entry in faults: python -m soak --seed 1 [--seconds 20]."""
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+from chicorycove.direct.client import HttpClient
+from tests.platform import Caller, config
+
+from . import check
+from .fleet import GRACE, Entry, Operator, Process, Server, answers, free_port, wait_for
+from .proxy import Mode
+
+KEYS = ("key-1", "key-2", "key-3")
+CALLER_PAUSE = 0.06  # seconds between a caller's requests
+QUIET_AFTER = 3.5  # seconds after a fault in which nothing counts as calm
+RECOVERY = 12.0  # seconds after the last fault until all must be served
+KINDS = ("order", "order", "lookup", "ask", "ask", "say")
+
+
+class Soak:
+    """One run: a fleet, callers, and a schedule of faults drawn by a seed."""
+
+    def __init__(self, options: argparse.Namespace, folder: pathlib.Path) -> None:
+        self._options = options
+        self._folder = folder
+        self._random = random.Random(options.seed)
+        self._sent: list[check.Sent] = []
+        self._leaving: list[check.Change] = []
+        self._revoked: list[check.Change] = []
+        self._keys = list(KEYS)
+        self._version = 1
+        self._numbers = itertools.count(1)
+        self._fault_at = time.time()
+        self._stopped = False
+
+    async def run(self) -> list[str]:
+        """Play the run and return what was broken."""
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start(stack)
+            callers = [asyncio.create_task(self._call(n)) for n in range(6)]
+            await asyncio.sleep(2.0)
+            await self._play_faults()
+            await self._heal()
+            healed_at = time.time()
+            await asyncio.sleep(RECOVERY + 4.0)
+            self._stopped = True
+            await asyncio.gather(*callers)
+            await asyncio.sleep(4.5)  # until nothing may be held any more
+            held = await self._held()
+        runs = check.read_runs(self._folder)
+        found = check.violations(self._sent, runs, self._leaving, self._revoked, held)
+        return found + check.recovery(self._sent, healed_at + RECOVERY)
+
+    # The fleet
+
+    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        port = free_port()
+        command = ["standin.platform_store", "--port", str(port)]
+        self._store = Process("store", self._folder, command)
+        self._store.start()
+        stack.callback(self._store.kill)
+        await wait_for(port, "/chicorycove/kv-range?prefix=")
+        self._operator = Operator(port)
+        stack.callback(self._operator.close)
+        self._stack = stack
+        self._servers: list[Server] = []
+        for service in ["shop"] * 2 + ["model"] * (self._options.servers - 2):
+            await self._add_server(service)
+        await self._configure()
+        self._entries = [
+            Entry(self._folder, f"entry-{number}", port)
+            for number in range(self._options.entries)
+        ]
+        for entry in self._entries:
+            await entry.proxy.start()
+            stack.push_async_callback(entry.proxy.close)
+            entry.write_boot()
+            entry.start()
+            stack.callback(entry.kill)
+        for entry in self._entries:
+            await wait_for(entry.ready, "/chicorycove/ready")
+
+    async def _add_server(self, service: str) -> Server:
+        server = Server(self._folder, f"i-{next(self._numbers):04x}", service)
+        await server.proxy.start()
+        self._stack.push_async_callback(server.proxy.close)
+        server.start()
+        self._stack.callback(server.kill)
+        await wait_for(server.port, "/standin/tickets")
+        await self._operator.put(f"servers/{server.id}", server.entry())
+        self._servers.append(server)
+        return server
+
+    async def _configure(self) -> None:
+        self._version += self._random.randint(1, 3)
+        wanted = json.dumps(config(self._version, keys=self._keys))
+        await self._operator.put("op/config", wanted)
+
+    async def _held(self) -> dict[str, dict]:
+        held = {}
+        for server in self._servers:
+            if server.running:
+                client = HttpClient(f"127.0.0.1:{server.port}")
+                reply = await client.call("GET", "/standin/tickets", timeout=5.0)
+                held[server.id] = json.loads(reply.body)
+                client.close()
+        return held
+
+    # Callers
+
+    async def _call(self, number: int) -> None:
+        """Send requests to entries that are ready, until the end."""
+        rng = random.Random(self._options.seed * 1000 + number)
+        caller = None
+        while not self._stopped:
+            await asyncio.sleep(CALLER_PAUSE * rng.uniform(0.5, 1.5))
+            if caller is None or rng.random() < 0.1:
+                if caller is not None:
+                    caller.close()
+                caller = await self._connect(rng)
+                if caller is None:
+                    continue
+            if not await self._ask(caller, rng):
+                caller.close()
+                caller = None
+
+    async def _connect(self, rng: random.Random) -> Caller | None:
+        entry = rng.choice(self._entries)
+        if not await answers(entry.ready, "/chicorycove/ready"):
+            return None
+        try:
+            async with asyncio.timeout(1.0):
+                return await Caller.open(f"127.0.0.1:{entry.callers}")
+        except (OSError, TimeoutError):
+            return None
+
+    async def _ask(self, caller: Caller, rng: random.Random) -> bool:
+        """Send one request; tell whether the connection may be used again."""
+        kind = rng.choice(KINDS)
+        id = f"{self._options.seed:04x}{next(self._numbers):08x}"
+        key = rng.choice(self._keys)
+        body = f"body of {id}"
+        attempt = check.Sent(id, kind, body, key, time.time())
+        self._sent.append(attempt)
+        headers = {}
+        if kind in ("ask", "say"):
+            tokens = rng.choice((1000, 5000, 60_000, 300_000))
+            headers["Chicorycove_Token_Counts"] = f"{tokens},460"
+        begun = time.time()
+        try:
+            caller.send(f"/{kind}/x", body.encode(), key=key, id=id, **headers)
+            answer = await caller.read()
+        except (OSError, EOFError, TimeoutError):
+            return False
+        attempt.status, attempt.whole = answer.status, answer.whole
+        attempt.answer, attempt.events = answer.body, tuple(answer.events)
+        attempt.calm = begun > self._fault_at + QUIET_AFTER
+        return answer.whole and answer.headers.get("connection") != "close"
+
+    # Faults
+
+    async def _play_faults(self) -> None:
+        """Draw faults in series that overlap."""
+        until = time.time() + self._options.seconds
+        playing: set[asyncio.Task] = set()
+        faults = [
+            self._kill_entry,
+            self._stop_entry,
+            self._pause_entry,
+            self._reload_entry,
+            self._kill_server,
+            self._drain_server,
+            self._pause_server,
+            self._cut_server,
+            self._cut_store,
+            self._pause_store,
+            self._change_keys,
+            self._storm,
+        ]
+        while time.time() < until:
+            fault = self._random.choice(faults)
+            print(f"{time.time():.2f} {fault.__name__.strip('_')}", flush=True)
+            playing.add(asyncio.create_task(self._mark(fault)))
+            await asyncio.sleep(self._random.uniform(0.2, 2.5))
+        await asyncio.gather(*playing)
+
+    async def _mark(self, fault: t.Callable[[], t.Awaitable[None]]) -> None:
+        self._fault_at = time.time()
+        await fault()
+        self._fault_at = time.time()
+
+    async def _heal(self) -> None:
+        for entry in self._entries:
+            entry.signal(signal.SIGCONT)
+            if not entry.running:
+                entry.start()
+        for proxied in (*self._entries, *self._servers):
+            proxied.proxy.set(Mode.PASS)
+        for server in self._servers:
+            server.signal(signal.SIGCONT)
+        self._store.signal(signal.SIGCONT)
+        self._fault_at = time.time()
+
+    async def _kill_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        entry.kill()
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        if not entry.running:
+            entry.start()
+
+    async def _stop_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        entry.signal(signal.SIGTERM)
+        if not await entry.ended(GRACE):
+            entry.kill()
+        if not entry.running:
+            entry.start()
+
+    async def _pause_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 3.0))
+        entry.signal(signal.SIGCONT)
+
+    async def _reload_entry(self) -> None:
+        self._random.choice(self._entries).signal(signal.SIGHUP)
+
+    def _pick_server(self) -> Server | None:
+        """Return a server whose service has others, if there is one."""
+        alive = [server for server in self._servers if server.running]
+        server = self._random.choice(alive)
+        peers = [x for x in alive if x.service == server.service]
+        return server if len(peers) > 1 else None
+
+    async def _kill_server(self) -> None:
+        server = self._pick_server()
+        if server is None:
+            return
+        server.kill()
+        await self._add_server(server.service)
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        await self._operator.put(f"servers/{server.id}", None)
+
+    async def _drain_server(self) -> None:
+        server = self._pick_server()
+        if server is None:
+            return
+        await self._add_server(server.service)
+        entry = server.entry("draining")
+        await self._operator.put(f"servers/{server.id}", entry)
+        self._leaving.append(check.Change(server.id, time.time()))
+        await asyncio.sleep(self._random.uniform(3.0, 5.0))
+        await self._operator.put(f"servers/{server.id}", None)
+        server.kill()
+
+    async def _pause_server(self) -> None:
+        server = self._pick_server()
+        if server is not None:
+            server.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._random.uniform(0.3, 3.0))
+            server.signal(signal.SIGCONT)
+
+    async def _cut_server(self) -> None:
+        server = self._pick_server()
+        if server is not None:
+            await self._disturb(server.proxy)
+
+    async def _cut_store(self) -> None:
+        for entry in self._random.sample(self._entries, 1):
+            await self._disturb(entry.proxy)
+
+    async def _disturb(self, proxy) -> None:
+        mode = self._random.choice(list(Mode))
+        if mode is Mode.PASS:
+            proxy.reset()
+            return
+        proxy.set(mode, delay=self._random.uniform(0.05, 0.4))
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        if self._random.random() < 0.5:
+            proxy.reset()
+        proxy.set(Mode.PASS)
+
+    async def _pause_store(self) -> None:
+        self._store.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        self._store.signal(signal.SIGCONT)
+
+    async def _change_keys(self) -> None:
+        """Take a key away for good, and give callers another."""
+        if len(self._keys) > 1:
+            key = self._keys.pop(0)
+            self._keys.append(f"key-{next(self._numbers)}")
+            await self._configure()
+            self._revoked.append(check.Change(key, time.time()))
+
+    async def _storm(self) -> None:
+        for _ in range(self._random.randint(2, 8)):
+            await self._configure()
+            await asyncio.sleep(self._random.uniform(0.02, 0.3))
+
+
+async def play(options: argparse.Namespace, seed: int) -> list[str]:
+    """Play one seed in a folder of its own, kept if something broke."""
+    options = argparse.Namespace(**{**vars(options), "seed": seed})
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(options, folder)
+    found = await soak.run()
+    statuses = [attempt.status for attempt in soak._sent]
+    served = sum(1 for status in statuses if status == 200)
+    verdict = "FAILED" if found else "ok"
+    print(f"seed {seed}: {verdict}, {len(statuses)} sent, {served} answered 200")
+    for line in found[:20]:
+        print(f"    {line}")
+    if found:
+        print(f"    logs: {folder}")
+    return found
+
+
+def main(argv: t.Sequence[str] | None = None) -> int:
+    """Play seeds one after another and return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=None, help="fresh if left out")
+    parser.add_argument("--seeds", type=int, default=1, help="how many, from --seed")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of faults")
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--servers", type=int, default=6)
+    options = parser.parse_args(argv)
+    first = options.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1, 10_000)
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        failed += bool(asyncio.run(play(options, seed)))
+    print(f"{options.seeds - failed} seeds ok, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,175 @@
+"""The processes of a soak: store, servers, entries and their proxies."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+from chicorycove.direct.client import CallFailed, HttpClient
+
+from .proxy import Proxy
+
+ROOT = pathlib.Path(__file__).parent.parent
+START_TIMEOUT = 15.0  # seconds
+GRACE = 8.0  # seconds from SIGTERM to SIGKILL, as on the platform
+PAUSE = 0.02  # seconds between events of a stream
+BOUNDS = {
+    "graceS": GRACE,
+    "drainMs": 2000,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "budgetExtra": 104,
+    "holdMaxMs": 20000,
+}
+
+
+def free_port() -> int:
+    """Return a port of loopback that nobody uses now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Process:
+    """One process, which only this object signals."""
+
+    def __init__(self, name: str, folder: pathlib.Path, command: list[str], **env):
+        self.name = name
+        self._folder = folder
+        self._command = [sys.executable, "-m", *command]
+        self._env = {**os.environ, "PYTHONPATH": f"{ROOT}/src:{ROOT}", **env}
+        self._process: subprocess.Popen | None = None
+        self.paused = False
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process lives."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its output goes on in its file."""
+        with open(self._folder / f"{self.name}.log", "ab") as log:
+            self._process = subprocess.Popen(
+                self._command, stdout=log, stderr=log, env=self._env, cwd=ROOT
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process lives."""
+        if self.running:
+            self._process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.paused = number == signal.SIGSTOP
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    async def ended(self, timeout: float) -> bool:
+        """Wait some seconds for the process to end by itself."""
+        for _ in range(int(timeout / 0.05)):
+            if not self.running:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+
+class Server(Process):
+    """A server of the platform behind a proxy."""
+
+    def __init__(self, folder: pathlib.Path, id: str, service: str) -> None:
+        self.id = id
+        self.service = service
+        self.port = free_port()
+        self.proxy = Proxy(self.port)
+        command = ["standin.platform_server", "--port", str(self.port)]
+        command += ["--service", service, "--id", id, "--pause", str(PAUSE)]
+        super().__init__(f"server-{id}", folder, command)
+
+    def entry(self, state: str = "ready") -> str:
+        """Return what the server writes of itself."""
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.proxy.port}",
+            "zone": "here",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        return json.dumps(entry)
+
+
+class Entry(Process):
+    """An entry, with a proxy between it and the store."""
+
+    def __init__(self, folder: pathlib.Path, name: str, store_port: int) -> None:
+        self.proxy = Proxy(store_port)
+        self.callers = free_port()
+        self.ready = free_port()
+        self._boot = folder / f"{name}.yaml"
+        command = ["chicorycove.platform"]
+        super().__init__(name, folder, command, CHICORYCOVE_BOOT=str(self._boot))
+
+    def write_boot(self) -> None:
+        """Write the settings file; the proxy must be listening."""
+        port = free_port()
+        boot = {
+            "node": self.name,
+            "ip": "127.0.0.1",
+            "zone": "here",
+            "listen": {
+                "front": f"127.0.0.1:{self.callers}",
+                "ready": f"127.0.0.1:{self.ready}",
+            },
+            "internalPortRange": [port, port + 9],
+            "platform": {"address": f"127.0.0.1:{self.proxy.port}"},
+            "bounds": BOUNDS,
+        }
+        self._boot.write_text(json.dumps(boot))  # JSON is YAML too
+
+
+class Operator:
+    """Writes to the store as the operator and the servers do."""
+
+    def __init__(self, port: int) -> None:
+        self._client = HttpClient(f"127.0.0.1:{port}")
+
+    async def put(self, key: str, value: str | None) -> None:
+        """Write an item, or delete it, and return once it is acknowledged."""
+        body = json.dumps({"key": key, "value": value}).encode()
+        while True:
+            try:
+                await self._client.call("POST", "/operator/items", body, 5.0)
+                return
+            except CallFailed:
+                await asyncio.sleep(0.1)  # the store is paused or starting
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+
+async def answers(port: int, path: str) -> bool:
+    """Tell whether a GET on a port is answered with 200."""
+    client = HttpClient(f"127.0.0.1:{port}")
+    try:
+        return (await client.call("GET", path, timeout=0.5)).status == 200
+    except CallFailed:
+        return False
+    finally:
+        client.close()
+
+
+async def wait_for(port: int, path: str) -> None:
+    """Wait until a GET on a port is answered with 200.
+
+    :raises TimeoutError: if it is not in time
+    """
+    async with asyncio.timeout(START_TIMEOUT):
+        while not await answers(port, path):
+            await asyncio.sleep(0.1)
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -3,6 +3,9 @@
 import asyncio
 import dataclasses
 import itertools
+import json
+import time
+import typing as t
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -45,8 +48,16 @@
 class PlatformServer:
     """One server behind its HTTP interface; memory is in tokens."""
 
-    def __init__(self, service: str, memory: int = 450_000, slots: int = 8) -> None:
-        self.id = f"i-{next(_numbers):08x}"
+    def __init__(
+        self,
+        service: str,
+        memory: int = 450_000,
+        slots: int = 8,
+        id: str | None = None,
+        ran: t.Callable[[Run], None] | None = None,
+    ) -> None:
+        self.id = id or f"i-{next(_numbers):08x}"
+        self._ran = ran
         self.service = service
         self.faults = Faults()
         self.runs: list[Run] = []
@@ -60,6 +71,7 @@
         return Starlette(
             routes=[
                 Route("/chicorycove/order", self._order, methods=["POST"]),
+                Route("/standin/tickets", self._show_tickets),
                 Route("/{path:path}", self._call, methods=METHODS),
             ]
         )
@@ -94,6 +106,9 @@
             case _:
                 return JSONResponse({}, 400)
 
+    async def _show_tickets(self, request: Request) -> Response:
+        return JSONResponse(self.tickets)
+
     async def _call(self, request: Request) -> Response:
         body = await request.body()
         attempt = request.headers.get("chicorycove-attempt-id", "")
@@ -110,7 +125,10 @@
         if request.url.query:
             path += f"?{request.url.query}"
         headers = dict(request.headers)
-        self.runs.append(Run(attempt, request.method, path, body, headers))
+        run = Run(attempt, request.method, path, body, headers)
+        self.runs.append(run)
+        if self._ran is not None:
+            self._ran(run)
         signature = {**echo, "Chicorycove-Response-Signature": f"{self.id}.{attempt}"}
         while self.faults.hang:
             await asyncio.sleep(0.01)
@@ -147,7 +165,30 @@
             self.working -= 1
 
 
+def main() -> None:
+    """Serve one server, and print a line for each request as it begins."""
+    parser = server.parser(__doc__)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--pause", type=float, default=0.0, help="between events")
+    options = parser.parse_args()
+
+    def ran(run: Run) -> None:
+        line = {"attempt": run.attempt, "server": options.id, "time": time.time()}
+        line["body"] = run.body.decode("latin-1")
+        line["workspace"] = run.headers.get("chicorycove-tenant", "")
+        print(json.dumps(line), flush=True)
+
+    made = PlatformServer(options.service, id=options.id, ran=ran)
+    made.faults.pause = options.pause
+    server.run(made.app(), options.host, options.port)
+
+
 async def start(service: str, **fields) -> tuple[PlatformServer, server.Server]:
     """Serve a server of a service on loopback."""
     made = PlatformServer(service, **fields)
     return made, await server.serve(made.app())
+
+
+if __name__ == "__main__":
+    main()
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -123,6 +123,7 @@
                 Route(path, self._faulty(call), methods=[method])
                 for path, call, method in calls
             ]
+            + [Route("/operator/items", self._operate, methods=["POST"])]
         )
 
     def _faulty(self, call):
@@ -138,6 +139,15 @@
 
         return answer
 
+    async def _operate(self, request: Request) -> Response:
+        """Write or delete an item for the operator or a server."""
+        body = await request.json()
+        if body.get("value") is None:
+            self.remove(body["key"])
+        else:
+            self.put(body["key"], body["value"].encode())
+        return JSONResponse({"revision": self._revision})
+
     async def _key(self, request: Request) -> Response:
         item = self._items.get(request.query_params["key"])
         if item is None:
@@ -216,7 +226,17 @@
         return JSONResponse({})
 
 
+def main() -> None:
+    """Serve an empty store until the process is told to stop."""
+    options = server.parser(__doc__).parse_args()
+    server.run(PlatformStore().app(), options.host, options.port)
+
+
 async def start() -> tuple[PlatformStore, server.Server]:
     """Serve an empty store on loopback."""
     store = PlatformStore()
     return store, await server.serve(store.app())
+
+
+if __name__ == "__main__":
+    main()
