Leave the last slots of a target to other entries' choices

Change: a cost for each of the last three slots. The soak takes ports from a range of its own (two soaks beside each other met on one port; a harness fault, traced by its traceback: a server could not start).

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of a soak: store, servers, entries and their proxies."""
 
 import asyncio
+import itertools
 import json
 import os
 import pathlib
@@ -27,11 +28,24 @@
 }
 
 
+# Under the ports that the kernel gives to outgoing connections, and a range
+# of its own for each run, so that runs beside each other do not meet.
+FIRST_PORT = 20_000
+PORTS_PER_RUN = 160
+RUNS = 75
+_ports = itertools.count(FIRST_PORT + os.getpid() % RUNS * PORTS_PER_RUN)
+
+
 def free_port() -> int:
-    """Return a port of loopback that nobody uses now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return the next port of this run's range that nobody uses."""
+    for port in _ports:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Process:
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -28,6 +28,8 @@
     wait_cost: float = 0.03  # of the value, for a second until the first event
     harm_cost: float = 0.15  # for a second of reading beside a writer
     pack_cost: float = 0.05  # between the first and the last target in order
+    spare_slots: int = 3  # of a target, that are left for other entries' choices
+    crowd_cost: float = 0.04  # of the value, for each of them that is taken
     far_cost: float = 0.005  # for a target in another failure domain
     member_cost: float = 0.02  # for each target of a group
     suspect_cost: float = 50.0
@@ -81,7 +83,8 @@
     readers: list[Work]
     write: float  # of a pass that only writes
     reading: float  # left to read of all
-    memory: float  # tokens held
+    memory: int  # tokens held
+    busy: int  # requests that have a slot or wait for one
 
 
 def loss(value: float, size: float, limit: float, settings: PlacementSettings) -> float:
@@ -146,6 +149,7 @@
                     write * view.pace,
                     reading * view.pace,
                     memory,
+                    len(writers) + sum(1 for x in readers if x.writes),
                 )
             )
         return loads
@@ -226,15 +230,14 @@
             # A prompt joins at the next pass, after half of one on average,
             # and its first event is told as its last pass ends.
             waiting += load.write * (passes + 0.5)
-        busy = len(load.writers) + len([x for x in load.readers if x.writes])
-        if busy >= engine.slots:
-            waiting += self._until_slot(engine, load, busy)
+        if load.busy >= engine.slots:
+            waiting += self._until_slot(engine, load)
         return waiting + engine.first + self._settings.transit
 
-    def _until_slot(self, engine: EngineProfile, load: _Load, busy: int) -> float:
+    def _until_slot(self, engine: EngineProfile, load: _Load) -> float:
         """Return when the slot of a request that comes now is free."""
         left = sorted(x.events for x in load.writers)
-        needed = busy - engine.slots
+        needed = load.busy - engine.slots
         events = left[needed] if needed < len(left) else 20 + 2 * needed
         return events * max(load.write, engine.stride * engine.step)
 
@@ -255,6 +258,10 @@
         if now + first > job.deadline:
             cost += job.value
         cost += settings.wait_cost * job.value * first
+        spare = engine.slots - load.busy
+        if spare < settings.spare_slots:
+            # Another entry may be sending there now.
+            cost += settings.crowd_cost * job.value * (settings.spare_slots - spare)
         if load.view.listing.failure_domain != job.domain:
             cost += settings.far_cost
         # Short prompts gather at one end of the order, long ones at the other,
