Count what waits to be read as a pause of who joins; pay less for an early first token

Change: the reading that waits at a target adds to the pause that a new stream is charged; a second of waiting costs 0.01.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -34,6 +34,7 @@
 from .route import CallerLimits
 from .settings import DirectSettings, account_interval
 
+LATE_WAKING = 0.1  # seconds; a pass of an engine takes half of that
 SWEEP_INTERVAL = 0.5  # seconds between looks at idle connections
 
 
@@ -372,8 +373,7 @@
     async def _account(self) -> None:
         """Tell peers of all work under way, which mends lost datagrams."""
         while True:
-            entries = self._board.entries
-            await asyncio.sleep(account_interval(self._settings, entries))
+            await self._pause(account_interval(self._settings, self._board.entries))
             works = [
                 work
                 for state in self._board.requests.values()
@@ -382,6 +382,14 @@
             ]
             self._peers.tell(works)  # an empty account is a heartbeat
 
+    async def _pause(self, seconds: float) -> None:
+        """Sleep, and log if the process was late to wake."""
+        due = self._loop.time() + seconds
+        await asyncio.sleep(seconds)
+        late = self._loop.time() - due
+        if late > LATE_WAKING:
+            self._log.write("process late", by=round(late, 3))
+
     def peer_told(self, told: PeerTold) -> None:
         """Take what another entry tells."""
         self.handle(told)
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -25,7 +25,7 @@
     late_share: float = 0.75  # of the value, lost by an answer that is late
     later: float = 0.2  # of the value, lost more for each limit beyond it
     least_limit: float = 0.05  # seconds, in place of a limit that has passed
-    wait_cost: float = 0.03  # of the value, for a second until the first event
+    wait_cost: float = 0.01  # of the value, for a second until the first event
     harm_cost: float = 0.15  # for a second of reading beside a writer
     pack_cost: float = 0.05  # between the first and the last target in order
     spare_slots: int = 3  # of a target, that are left for other entries' choices
@@ -254,7 +254,9 @@
         settings = self._settings
         value = job.value * settings.late_share
         cost = loss(value, first, job.objective_at - now, settings)
-        cost += loss(value, self._pass_time(job, engine, load), job.max_gap, settings)
+        # What waits to be read there now may be read beside its first events.
+        pause = self._pass_time(job, engine, load) + load.reading
+        cost += loss(value, pause, job.max_gap, settings)
         if now + first > job.deadline:
             cost += job.value
         cost += settings.wait_cost * job.value * first
