Judge silence in a module of its own; drop what nothing reads; answer times

Change: patience.py out of dispatch.py; loads of servers, their connection caps and a model's unused function are gone; a request's priority (its workspace's, else its route's) is passed on; a histogram of answer times; foreign datagrams are counted; leases and lapses follow the platform's bounds.

An entry's ports are now set apart.

--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -22,13 +22,14 @@
 
 Each entry serves these at `/metrics` of its `entry.listen`, each agent at
 `/metrics` of its `agent.http`, in Prometheus's text format. The instruments
-are OpenTelemetry's; the exporter adds labels that begin with `otel_scope`.
+are OpenTelemetry's; a direct entry's page is in its platform's settings
+([operations](OPERATIONS.md)). The exporter adds labels that begin with `otel_scope`.
 """
 
 LABELS = """\
 ## Labels
 
-- `class`: the priority class of the request.
+- `class`: the priority class of the request; at a direct entry, its route.
 - `length`: the class of the prompt's length, named by its upper bound in
   tokens, or `over`.
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
@@ -57,6 +58,7 @@
     metrics.dropped("chunk")
     metrics.decided("run")
     metrics.first_token(1.0, 1000)
+    metrics.answer_time(1.0, "class")
     for reason in Reason:
         metrics.retried(reason)
         for verdict in Verdict:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,7 +69,7 @@
         self._store = Process("store", self._folder, command)
         self._store.start()
         stack.callback(self._store.kill)
-        await wait_for(port, "/chicorycove/kv-range?prefix=")
+        await wait_for(self._store, port, "/chicorycove/kv-range?prefix=")
         self._operator = Operator(port)
         stack.callback(self._operator.close)
         self._stack = stack
@@ -88,7 +88,7 @@
             entry.start()
             stack.callback(entry.kill)
         for entry in self._entries:
-            await wait_for(entry.ready, "/chicorycove/ready")
+            await wait_for(entry, entry.ready, "/chicorycove/ready")
 
     async def _add_server(self, service: str) -> Server:
         server = Server(self._folder, f"i-{next(self._numbers):04x}", service)
@@ -96,7 +96,7 @@
         self._stack.push_async_callback(server.proxy.close)
         server.start()
         self._stack.callback(server.kill)
-        await wait_for(server.port, "/standin/tickets")
+        await wait_for(server, server.port, "/standin/tickets")
         await self._operator.put(f"servers/{server.id}", server.entry())
         self._servers.append(server)
         return server
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 from chicorycove.direct.client import CallFailed, HttpClient
 
@@ -33,6 +34,7 @@
 FIRST_PORT = 20_000
 PORTS_PER_RUN = 160
 RUNS = 75
+INTERNAL_PORTS = 10  # of an entry, from its first on
 _ports = itertools.count(FIRST_PORT + os.getpid() % RUNS * PORTS_PER_RUN)
 
 
@@ -64,6 +66,11 @@
         """Tell whether the process lives."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Return how the process ended, or None if it has not."""
+        return self._process.poll() if self._process is not None else None
+
     def start(self) -> None:
         """Start the process; its output goes on in its file."""
         with open(self._folder / f"{self.name}.log", "ab") as log:
@@ -132,6 +139,8 @@
     def write_boot(self) -> None:
         """Write the settings file; the proxy must be listening."""
         port = free_port()
+        for _ in range(INTERNAL_PORTS - 1):
+            next(_ports)  # the entry's, also while it is down
         boot = {
             "node": self.name,
             "ip": "127.0.0.1",
@@ -140,7 +149,7 @@
                 "front": f"127.0.0.1:{self.callers}",
                 "ready": f"127.0.0.1:{self.ready}",
             },
-            "internalPortRange": [port, port + 9],
+            "internalPortRange": [port, port + INTERNAL_PORTS - 1],
             "platform": {"address": f"127.0.0.1:{self.proxy.port}"},
             "bounds": BOUNDS,
         }
@@ -179,11 +188,20 @@
         client.close()
 
 
-async def wait_for(port: int, path: str) -> None:
-    """Wait until a GET on a port is answered with 200.
+class StartFailed(Exception):
+    """A process of the soak that did not come up."""
+
 
-    :raises TimeoutError: if it is not in time
+async def wait_for(process: Process, port: int, path: str) -> None:
+    """Wait until a started process answers a GET on a port with 200.
+
+    :raises StartFailed: if it is not in time, telling what became of it
     """
-    async with asyncio.timeout(START_TIMEOUT):
-        while not await answers(port, path):
-            await asyncio.sleep(0.1)
+    until = time.monotonic() + START_TIMEOUT
+    while not await answers(port, path):
+        if time.monotonic() > until:
+            raise StartFailed(
+                f"{process.name}, port {port}: exit code {process.exit_code}, "
+                f"paused {process.paused}, load {os.getloadavg()[0]:.1f}"
+            )
+        await asyncio.sleep(0.1)
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -28,6 +28,7 @@
     request: Request
     route: Route
     service: str
+    priority: int = 0  # 0 is served first
     resumed_after: int | None = None  # the last event that its caller has
 
 
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -42,6 +42,7 @@
     Wrote,
 )
 from .hosts import TargetList
+from .patience import Doubt, Overdue, Patience, Wait
 from .placement import Job, Placement, Placer, place_call
 from .reservation import AnswerDue, RenewalDue, Reservations
 from .settings import DirectSettings
@@ -83,6 +84,7 @@
         self._targets = TargetList(board, settings)
         self._reservations = Reservations(board, settings.reservation)
         self._work = WorkBook(board, settings, name)
+        self._patience = Patience(settings.patience, self._work)
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return what is to be done about an event."""
@@ -113,6 +115,8 @@
                 self._board.table = table
                 return []
             case Listed() | Unlisted() | StoreAway() | StoreBack():
+                if isinstance(event, Unlisted):
+                    self._health.forget(event.target)
                 return self._targets.handle(event, now)
             case PeersSeen() | PeerTold():
                 return self._work.handle(event, now)
@@ -210,8 +214,7 @@
         record = state.attempts[-1]
         view = self._board.targets[placement.target]
         state.last_progress = now
-        expected_at = self._expected_at(state, now)
-        due = expected_at + self._tolerance(state, expected_at)
+        due = self._patience.overdue_at(state, now)
         self._board.timers.add(due, _PatienceDue(record.id))
         return SendTo(
             record.id,
@@ -251,24 +254,6 @@
             return commands + self._fail(state, Reason.MEMORY_FULL, after)
         return commands + self._place(state, now)
 
-    def _expected_at(self, state: DirectState, now: float) -> float:
-        """Return when the next sign of a newest attempt is predicted."""
-        if not state.inbound.route.streamed:
-            share = self._settings.patience.call_share
-            return state.last_progress + state.inbound.route.objective * share
-        if not state.works or not state.works[0].writing:
-            until = (work.read_until for work in state.works)
-            return max(until, default=state.last_progress)
-        return state.last_progress + self._work.pass_time(state, now)
-
-    def _tolerance(self, state: DirectState, expected_at: float) -> float:
-        """Return how long past its prediction a sign may come."""
-        patience = self._settings.patience
-        if not state.inbound.route.streamed:
-            return 0.0
-        predicted = max(expected_at - state.last_progress, 0.0)
-        return patience.overdue + patience.overdue_share * predicted
-
     # Answers
 
     def _sent(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
@@ -510,23 +495,26 @@
         state = self._current(attempt)
         if state is None or not is_live(state.attempts[-1]):
             return []
-        expected_at = self._expected_at(state, now)
-        tolerance = self._tolerance(state, expected_at)
-        if now < expected_at + tolerance:
-            due = expected_at + tolerance
-            self._board.timers.add(due, _PatienceDue(attempt))
-            return []
-        given_up_at = expected_at + tolerance * self._settings.patience.overdue_tries
-        if now < given_up_at:
-            self._board.timers.add(given_up_at, _PatienceDue(attempt))
-            return self._probe(attempt_target(state))
-        if not self._may_repeat(state, now):
-            if not state.inbound.route.streamed:
+        match self._patience.judge(state, now):
+            case Wait(until):
+                self._board.timers.add(until, _PatienceDue(attempt))
                 return []
-            due = now + self._settings.patience.overdue
-            self._board.timers.add(due, _PatienceDue(attempt))
-            return self._probe(attempt_target(state))
-        return self._give_up_on(state, now)
+            case Doubt(until):
+                self._board.timers.add(until, _PatienceDue(attempt))
+                return self._probe(state.attempts[-1].agent.target)
+            case Overdue():
+                return self._overdue(state, now)
+
+    def _overdue(self, state: DirectState, now: float) -> list[DirectCommand]:
+        """Repeat what has been silent for too long, if it may be."""
+        if self._may_repeat(state, now):
+            return self._give_up_on(state, now)
+        if not state.inbound.route.streamed:
+            return []
+        record = state.attempts[-1]
+        due = now + self._settings.patience.overdue
+        self._board.timers.add(due, _PatienceDue(record.id))
+        return self._probe(record.agent.target)
 
     def _give_up_on(self, state: DirectState, now: float) -> list[DirectCommand]:
         record = state.attempts[-1]
@@ -535,8 +523,3 @@
         state.tried.add(record.agent.target)
         again = self._again(state, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now)
         return [Drop(record.id), *again]
-
-
-def attempt_target(state: DirectState) -> str:
-    """Return the target of a request's newest attempt."""
-    return state.attempts[-1].agent.target
--- a/src/chicorycove/direct/engine.py
+++ b/src/chicorycove/direct/engine.py
@@ -51,10 +51,6 @@
         """Return in how many passes beside writers a prompt is read."""
         return max(1, math.ceil(tokens / (self.chunk * self.stride)))
 
-    def pass_reading(self, tokens: int, seconds: float) -> float:
-        """Return how much of a reading falls into one pass beside writers."""
-        return seconds / self.passes(tokens)
-
     def events(self, tokens: int) -> int:
         """Return in how many events an answer of tokens is sent."""
         return max(1, math.ceil(tokens / self.stride))
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -26,7 +26,7 @@
 )
 from .dialect import Dialect, Order, Rejection
 from .dispatch import DirectDispatcher
-from .event import DirectEvent, PeerTold, Probed, Received
+from .event import DirectEvent, Probed, Received
 from .exchange import Exchange
 from .http import CallerConnection, HttpRequest
 from .linelog import LineLog
@@ -238,7 +238,10 @@
         self._answered(exchange)
 
     def _answered(self, exchange: Exchange) -> None:
-        self._metrics.answered(exchange.inbound.route.name)
+        name = exchange.inbound.route.name
+        took = self._loop.time() - exchange.inbound.request.arrived
+        self._metrics.answered(name)
+        self._metrics.answer_time(took, name)
         self._log.write(
             "request answered",
             request=exchange.inbound.request.id,
@@ -390,10 +393,6 @@
         if late > LATE_WAKING:
             self._log.write("process late", by=round(late, 3))
 
-    def peer_told(self, told: PeerTold) -> None:
-        """Take what another entry tells."""
-        self.handle(told)
-
     def failed(self, attempt: AttemptId, reason: Reason, verdict: Verdict) -> None:
         """Note the end of an attempt without a whole answer."""
         self._log.write(
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -11,15 +11,6 @@
 frozen = dataclasses.dataclass(frozen=True, slots=True)
 
 
-@frozen
-class TargetLoad:
-    """A target's own count of its requests."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @frozen
 class TargetAnswer:
     """The head of a target's answer."""
@@ -28,7 +19,6 @@
     not_run: bool  # the target says that it has not run the request
     wrong_instance: bool = False  # another target has the address now
     faulty: str | None = None  # the address of the member at fault
-    load: TargetLoad | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -126,14 +126,19 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Sends and receives accounts on one UDP address."""
 
-    def __init__(self, name: str, told: t.Callable[[PeerTold], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        told: t.Callable[[PeerTold], None],
+        malformed: t.Callable[[], None],
+    ) -> None:
         self._name = name
         self._told = told
+        self._malformed = malformed
         self._transport: asyncio.DatagramTransport | None = None
         self._clock = asyncio.get_running_loop().time
         self._addresses: dict[str, Address] = {}
         self._heard_at: dict[str, float] = {}
-        self.malformed = 0
 
     @property
     def names(self) -> t.Collection[str]:
@@ -147,7 +152,7 @@
         try:
             told = decode(data, self._clock())
         except msgspec.MsgspecError:
-            self.malformed += 1  # shown as a metric
+            self._malformed()
             return
         if told.owner == self._name:
             return
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -256,6 +256,8 @@
         cost = loss(value, first, job.objective_at - now, settings)
         # What waits to be read there now may be read beside its first events.
         pause = self._pass_time(job, engine, load) + load.reading
+        if size > 1:
+            pause += engine.stride * engine.hop
         cost += loss(value, pause, job.max_gap, settings)
         if now + first > job.deadline:
             cost += job.value
--- a/src/chicorycove/direct/route.py
+++ b/src/chicorycove/direct/route.py
@@ -14,7 +14,6 @@
 
     name: str
     engine: EngineProfile | None = None
-    max_connections: int = 0
 
 
 @frozen
@@ -49,7 +48,7 @@
 
     name: str
     keys: tuple[str, ...]
-    priority: int = 0
+    priority: int | None = None  # in place of the route's
 
 
 @frozen
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -13,7 +13,7 @@
 from .verdict import Verdict
 
 # Upper bounds of buckets, in seconds.
-FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1800)
+TIME_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1800)
 
 # Upper bounds of the classes of prompts, in tokens.
 LENGTH_CLASSES = (1_000, 8_000, 64_000, 256_000, 1_000_000)
@@ -49,8 +49,23 @@
     ("length",),
     "s",
 )
+ANSWER_TIME = Instrument(
+    "chicorycove_answer_time",
+    "From arrival to the end of a whole answer",
+    ("class",),
+    "s",
+)
 
-INSTRUMENTS = (REQUESTS, ANSWERS, REFUSALS, RETRIES, DROPS, ATTEMPTS, FIRST_TOKEN)
+INSTRUMENTS = (
+    REQUESTS,
+    ANSWERS,
+    REFUSALS,
+    RETRIES,
+    DROPS,
+    ATTEMPTS,
+    FIRST_TOKEN,
+    ANSWER_TIME,
+)
 
 
 class Metrics:
@@ -59,12 +74,15 @@
     def __init__(self, name: str) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         reader = PrometheusMetricReader(registry=self._registry)
-        view = View(
-            instrument_name=FIRST_TOKEN.name,
-            aggregation=ExplicitBucketHistogramAggregation(FIRST_TOKEN_BUCKETS),
-        )
+        views = [
+            View(
+                instrument_name=instrument.name,
+                aggregation=ExplicitBucketHistogramAggregation(TIME_BUCKETS),
+            )
+            for instrument in (FIRST_TOKEN, ANSWER_TIME)
+        ]
         self._provider = MeterProvider(
-            [reader], Resource({"service.name": name}), views=[view]
+            [reader], Resource({"service.name": name}), views=views
         )
         meter = self._provider.get_meter("chicorycove")
         self._requests = _counter(meter, REQUESTS)
@@ -74,6 +92,7 @@
         self._drops = _counter(meter, DROPS)
         self._attempts = _counter(meter, ATTEMPTS)
         self._first_token = _histogram(meter, FIRST_TOKEN)
+        self._answer_time = _histogram(meter, ANSWER_TIME)
 
     def page(self) -> bytes:
         """Return the instruments in Prometheus's text format."""
@@ -87,6 +106,10 @@
         """Count a whole answer."""
         self._answers.add(1, {"class": priority_class})
 
+    def answer_time(self, seconds: float, priority_class: str) -> None:
+        """Record the time to the end of a whole answer."""
+        self._answer_time.record(seconds, {"class": priority_class})
+
     def refused(self, reason: Reason, verdict: Verdict) -> None:
         """Count a request that ended without its answer."""
         self._refusals.add(1, {"reason": reason.value, "verdict": verdict.value})
--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -42,7 +42,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    maxConnections: int = 0
     engine: _Engine | None = None
 
 
@@ -77,7 +76,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     apiKeys: list[str]
-    priority: int = 0
+    priority: int | None = None
 
 
 class _Config(msgspec.Struct):
@@ -187,9 +186,7 @@
             stride=engine.stride,
             hop=engine.hopMs / MS,
         )
-    return Service(
-        name=service.name, engine=profile, max_connections=service.maxConnections
-    )
+    return Service(name=service.name, engine=profile)
 
 
 def _limits(limits: _Limits) -> CallerLimits:
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -7,7 +7,7 @@
 from ..direct.board import Inbound
 from ..direct.command import GroupMember, SendTo
 from ..direct.dialect import Order, Rejection
-from ..direct.event import TargetAnswer, TargetLoad
+from ..direct.event import TargetAnswer
 from ..direct.http import Headers, HttpRequest, end_to_end, request_bytes
 from ..direct.route import Route, RoutingTable, pick_share
 from ..identity import AttemptId
@@ -22,14 +22,17 @@
 EXPECT = b"chicorycove-expect-instance"  # the only target that may run it
 TENANT = b"chicorycove-tenant"  # the workspace
 HELPERS = b"chicorycove-helpers"  # the other members of a group
+PRIORITY = b"chicorycove-request-priority"
 NOT_RUN = b"chicorycove-not-executed"
-LOAD = b"chicorycove-server-load"
 FAULTY = b"at-server"  # the member at fault
 
 # Set here, whatever a caller sent.
-OWN = frozenset({b"authorization", BUDGET, EXPECT, TENANT, HELPERS, LAST_EVENT})
+OWN = frozenset(
+    {b"authorization", BUDGET, EXPECT, TENANT, HELPERS, PRIORITY, LAST_EVENT}
+)
 
 ORDER_PATH = "/chicorycove/order"
+LAST_PRIORITY = 9  # of a request that may wait for all others
 MISDIRECTED = 421
 MS = 1000.0  # milliseconds in a second
 
@@ -52,12 +55,15 @@
         if route is None:
             return Rejection(404, Reason.UNKNOWN_PATH, id)
         workspace = ""
+        priority = route.priority
         if table.deployment.authenticated and not route.public:
             holder = table.workspace(_bearer(request.header(b"authorization")))
             if holder is None:
                 return Rejection(401, Reason.UNAUTHENTICATED, id)
             workspace = holder.name
-        return self._inbound(id, request, route, workspace, draw)
+            if holder.priority is not None:
+                priority = holder.priority
+        return self._inbound(id, request, route, workspace, priority, draw)
 
     def outbound(
         self, request: HttpRequest, inbound: Inbound, send: SendTo, left: float
@@ -69,6 +75,8 @@
         if inbound.request.workspace:
             name = inbound.request.workspace.encode()
             headers.append((b"Chicorycove-Tenant", name))
+        priority = min(max(inbound.priority, 0), LAST_PRIORITY)
+        headers.append((b"Chicorycove-Request-Priority", b"%d" % priority))
         if send.after is not None:
             headers.append((b"Last-Event-Id", b"%d" % send.after))
         if send.members:
@@ -88,7 +96,6 @@
             not_run=_find(headers, NOT_RUN) is not None,
             wrong_instance=status == MISDIRECTED,
             faulty=_text(_find(headers, FAULTY)) or None,
-            load=_load(_find(headers, LOAD)),
         )
 
     def reserve(self, reservation: AttemptId, memory: int, hold: float) -> Order:
@@ -117,8 +124,14 @@
         return headers
 
     def _inbound(
-        self, id: str, request: HttpRequest, route: Route, workspace: str, draw: float
-    ) -> Inbound | Rejection:
+        self,
+        id: str,
+        request: HttpRequest,
+        route: Route,
+        workspace: str,
+        priority: int,
+        draw: float,
+    ) -> Inbound:
         left = _number(request.header(BUDGET))
         if left is None:
             left = route.timeout * MS
@@ -135,6 +148,7 @@
             ),
             route,
             service,
+            priority,
             _whole(request.header(LAST_EVENT)),
         )
 
@@ -185,10 +199,3 @@
 def _bearer(value: bytes | None) -> str | None:
     scheme, _, key = _text(value).partition(" ")
     return key.strip() if scheme.lower() == "bearer" else None
-
-
-def _load(value: bytes | None) -> TargetLoad | None:
-    counts = _text(value).split(",")
-    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
-        return None
-    return TargetLoad(*(int(count) for count in counts))
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -16,7 +16,7 @@
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
-from ..direct.settings import DirectSettings, peer_silence
+from ..direct.settings import DirectSettings, ReservationSettings, peer_silence
 from ..exceptions import SettingsError
 from ..identity import AttemptId
 from ..metric import Metrics
@@ -30,6 +30,8 @@
 METRICS_PATH = "/metrics"
 BACKLOG = 1024  # connections that wait to be accepted
 STOP_POLL = 0.05  # seconds between looks whether all is finished
+LEASE_MOST = 3.0  # seconds; memory must be free 4 s after its last use
+LAPSE_SHARE = 0.9  # of the time in which a gone target may still be used
 STOP_SHARE = 0.5  # of the grace, in which new requests are still taken
 GRACE_USED = 0.94  # share of the grace after which the process ends by itself
 PEER_CHECK = 0.2  # seconds between looks at which peers are alive
@@ -43,6 +45,8 @@
             window=boot.repeat_window,
             extra=boot.repeat_extra,
         ),
+        reservation=ReservationSettings(hold=min(LEASE_MOST, boot.hold_most)),
+        lapse=boot.drain * LAPSE_SHARE,
         stop_accepting=boot.grace * STOP_SHARE,
     )
 
@@ -62,7 +66,11 @@
         # A restart is another owner of work, so that nobody takes the work of
         # its last life for that of this one.
         self._name = f"{boot.name}.{self._random.getrandbits(32):08x}"
-        self._peers = PeerLink(self._name, lambda told: self._entry.peer_told(told))
+        self._peers = PeerLink(
+            self._name,
+            lambda told: self._entry.handle(told),
+            lambda: self._metrics.dropped("datagram"),
+        )
         self._entry = self._create_entry()
         self._follower = Follower(
             self._store,
@@ -131,7 +139,8 @@
             for field in dataclasses.fields(Boot)
             if getattr(boot, field.name) != getattr(self._boot, field.name)
         ]
-        self._log.write("reloaded", changed=changed)
+        # What is bound at the start (addresses) needs a restart.
+        self._log.write("reloaded", changed=changed, in_force="after a restart")
 
     def _create_entry(self) -> DirectEntry:
         numbers = itertools.count(1)
