Say not run only if no attempt may have; leave slow callers and slow bodies be

Causes, found by reading the code once more: - a request whose first target had died and whose second refused it ended as not run (503), though the first may have run it; only requests that may be repeated were concerned; - a caller that takes its answer slowly pauses its target's connection, and the silence counted against the target: it was probed and the stream run again; - a body that took longer than a head may take was refused with 408; - a caller could pipeline requests without bound.

Change: attempts that were sent are counted against those refused; a paused caller excuses its target; the head's time limit ends with the head; reading pauses at eight requests ahead. Tests for each.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -98,11 +98,17 @@
     works: list[Work] = dataclasses.field(default_factory=list)
     runs: int = 0  # attempts that may have run at a target that still lives
     sends: int = 0  # attempts that reached a target
+    refusals: int = 0  # of them, whose target said that it did not run them
     answering: bool = False  # its caller has had the head of an answer
     last_event: int | None = None
     last_progress: float = 0.0
     tried: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
+    caller_slow: bool = False  # so that its target is not read
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any attempt may have run."""
+        return self.sends > self.refusals
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -25,6 +25,7 @@
     Tell,
 )
 from .event import (
+    CallerSlow,
     Deployed,
     DirectEvent,
     Headed,
@@ -109,6 +110,8 @@
                 return self._not_reserved(reservation, now)
             case CallerGone(request):
                 return self._caller_gone(request)
+            case CallerSlow(request, slow):
+                return self._caller_slow(request, slow, now)
             case Probed(target, alive):
                 return self._probed(target, alive, now)
             case Deployed(table):
@@ -262,7 +265,6 @@
             advance(state.attempts[-1], Step.START)
             state.sends += 1
             state.runs += 1
-            state.may_have_run = True
         return []
 
     def _headed(
@@ -286,7 +288,7 @@
         target = record.agent.target
         advance(record, Step.REFUSE)
         state.runs -= 1
-        state.may_have_run = state.runs > 0
+        state.refusals += 1
         if answer.wrong_instance:
             commands = self._targets.handle(Unlisted(target), now)
         else:
@@ -410,6 +412,14 @@
             return []
         return [*self._drop_live(state), *self._forget(state)]
 
+    def _caller_slow(self, request: str, slow: bool, now: float) -> list[DirectCommand]:
+        """Excuse a target from silence while its caller takes nothing."""
+        state = self._board.requests.get(request)
+        if state is not None:
+            state.caller_slow = slow
+            state.last_progress = now
+        return []
+
     def _forget(self, state: DirectState) -> list[DirectCommand]:
         self._board.requests.pop(state.inbound.request.id, None)
         return self._end_work(state)
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -26,7 +26,7 @@
 )
 from .dialect import Dialect, Order, Rejection
 from .dispatch import DirectDispatcher
-from .event import DirectEvent, Probed, Received
+from .event import CallerSlow, DirectEvent, Probed, Received
 from .exchange import Exchange
 from .http import CallerConnection, HttpRequest
 from .linelog import LineLog
@@ -164,6 +164,12 @@
         self._metrics.arrived(inbound.route.name)
         self.handle(Received(inbound))
 
+    def caller_slow(self, connection: CallerConnection, slow: bool) -> None:
+        """Tell the decisions of a caller that takes its answer slowly."""
+        exchange = self._callers.get(connection)
+        if exchange is not None:
+            self.handle(CallerSlow(exchange.inbound.request.id, slow))
+
     def caller_gone(self, connection: CallerConnection) -> None:
         """Carry a caller's hang-up on to its target."""
         exchange = self._callers.get(connection)
@@ -365,11 +371,12 @@
             now = self._loop.time()
             limits = self.limits
             for connection in list(self._connections):
-                since = connection.reading_since
+                since = connection.head_since
                 if since is not None and now - since > limits.header_timeout:
                     connection.refuse(408)
-                elif connection.idle and now - connection.active_at > (
-                    limits.idle_timeout
+                elif (
+                    connection.awaited
+                    and now - connection.active_at > limits.idle_timeout
                 ):
                     connection.close()
 
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -65,6 +65,14 @@
     last: int | None
 
 
+@frozen
+class CallerSlow:
+    """A caller takes its answer more slowly than it comes, or keeps up."""
+
+    request: str
+    slow: bool
+
+
 @frozen
 class Probed:
     """A connection to a target was tried, to see whether it lives."""
@@ -132,6 +140,7 @@
     Reserved,
     Refused,
     CallerGone,
+    CallerSlow,
     Probed,
     Deployed,
     Listed,
--- a/src/chicorycove/direct/http.py
+++ b/src/chicorycove/direct/http.py
@@ -15,6 +15,7 @@
 KEEPALIVE_IDLE = 1  # seconds of silence before the kernel asks a peer
 KEEPALIVE_PROBES = 2  # a second apart, so that a dead peer shows within 3 s
 UNACKNOWLEDGED_LIMIT = 2500  # ms that sent bytes may stay unacknowledged
+MAX_PIPELINED = 8  # requests read ahead of the one that is being answered
 WRITE_HIGH = 65_536  # bytes waiting to be sent, above which a source is paused
 
 REASONS = {
@@ -79,6 +80,9 @@
     def rejected(self, connection: "CallerConnection", status: int) -> None:
         """Note a request that was refused as it was read."""
 
+    def caller_slow(self, connection: "CallerConnection", slow: bool) -> None:
+        """Note that a connection takes nothing for now, or takes it again."""
+
     def caller_gone(self, connection: "CallerConnection") -> None:
         """Note that a connection closed while its request had no answer."""
 
@@ -112,16 +116,17 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._begun_at: float | None = None
+        self._headed = False
 
     @property
-    def idle(self) -> bool:
-        """Tell whether no request is being read or answered."""
-        return self._current is None and self._begun_at is None
+    def awaited(self) -> bool:
+        """Tell whether the next bytes are the caller's to send."""
+        return self._current is None
 
     @property
-    def reading_since(self) -> float | None:
-        """Return when the request that is being read began."""
-        return self._begun_at
+    def head_since(self) -> float | None:
+        """Return when the head that is being read began."""
+        return None if self._headed else self._begun_at
 
     # Called by asyncio
 
@@ -159,10 +164,12 @@
     def pause_writing(self) -> None:
         if self.source is not None:
             self.source.pause()
+            self._handler.caller_slow(self, True)
 
     def resume_writing(self) -> None:
         if self.source is not None:
             self.source.resume()
+            self._handler.caller_slow(self, False)
 
     # Called by httptools
 
@@ -180,6 +187,7 @@
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
+        self._headed = True
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -206,6 +214,8 @@
         self._pending.append(request)
         if self._current is None:
             self._next()
+        elif len(self._pending) >= MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
 
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
@@ -215,6 +225,8 @@
     def _next(self) -> None:
         if self._pending and self._transport is not None:
             self._current = self._pending.popleft()
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
             self._handler.received(self, self._current)
 
     # Called by the handler
--- a/src/chicorycove/direct/pages.py
+++ b/src/chicorycove/direct/pages.py
@@ -38,6 +38,9 @@
     def rejected(self, connection: CallerConnection, status: int) -> None:
         """Leave a broken request to its refusal."""
 
+    def caller_slow(self, connection: CallerConnection, slow: bool) -> None:
+        """Leave a slow caller to its connection."""
+
     def caller_gone(self, connection: CallerConnection) -> None:
         """Leave a caller that has gone."""
 
--- a/src/chicorycove/direct/patience.py
+++ b/src/chicorycove/direct/patience.py
@@ -49,6 +49,8 @@
 
     def judge(self, state: DirectState, now: float) -> Judgement:
         """Judge the silence of the newest attempt."""
+        if state.caller_slow:
+            return Wait(now + self._settings.overdue)
         expected_at = self._expected_at(state, now)
         tolerance = self._tolerance(state, expected_at)
         if now < expected_at + tolerance:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -3,7 +3,15 @@
 import unittest
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct.event import Headed, Probed, Received, Sent, Unlisted, Wrote
+from chicorycove.direct.event import (
+    CallerSlow,
+    Headed,
+    Probed,
+    Received,
+    Sent,
+    Unlisted,
+    Wrote,
+)
 from chicorycove.direct.route import Deployment
 from chicorycove.event import CallerGone, Ended, Failed, StopAsked, Tick
 
@@ -89,6 +97,14 @@
         commands = self.world.handle(Tick())
         self.assertEqual(only(commands, "Probe").target, send.target.target)
 
+    def test_slow_caller_is_no_sign_against_its_target(self):
+        send = self.world.send("r", SHORT)
+        self.world.stream(send)
+        self.world.handle(CallerSlow("r", True))
+        for _ in range(6):
+            self.world.now += 1.0
+            self.assertEqual(names(self.world.handle(Tick())), [])
+
 
 class UnsafeTest(unittest.TestCase):
     def setUp(self):
@@ -181,6 +197,16 @@
         self.assertIs(fail.reason, Reason.RETRY_BUDGET)
         self.assertIs(fail.verdict, Verdict.NOT_RUN)
 
+    def test_run_on_a_dead_target_is_not_said_not_to_have_run(self):
+        world = DirectWorld(engines=2)
+        send = world.send("r", SHORT)
+        commands = world.handle(Probed(send.target.target, False))
+        again = only(commands, "SendTo")
+        world.handle(Sent(again.attempt))
+        world.board.targets.clear()
+        fail = only(world.handle(Headed(again.attempt, FULL)), "Fail")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
 
 class TargetListTest(unittest.TestCase):
     def test_leaving_target_gets_nothing_new(self):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -68,6 +68,24 @@
         self.assertEqual(sum(len(x.runs) for x in self.model), 1)
         self.assertEqual(sum(len(x.runs) for x in self.shop), 1)
 
+    async def test_many_requests_at_once_are_answered_in_order(self):
+        caller = await self.caller()
+        for number in range(20):
+            caller.send("/order/x", b"%d" % number)
+        for number in range(20):
+            self.assertEqual((await caller.read()).body, b"%d" % number)
+
+    async def test_slow_body_is_read_and_slow_head_is_not(self):
+        caller = await self.caller()
+        caller.writer.write(
+            b"POST /order/x HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Authorization: Bearer key-1\r\nChicorycove-Attempt-Id: s1\r\n"
+            b"Content-Length: 4\r\n\r\nab"
+        )
+        await asyncio.sleep(1.2)  # over the time that a head may take
+        caller.writer.write(b"cd")
+        self.assertEqual((await caller.read()).body, b"abcd")
+
 
 class RefusalTest(PlatformTestCase):
     async def test_unknown_path_and_key(self):
