--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,11 +13,12 @@
 import time
 import typing as t
 
+from bench.deployment import free_port
 from chicorycove.direct.client import HttpClient
-from tests.platform import Caller, config
+from tests.platform_case import Caller, config
 
 from . import check
-from .fleet import GRACE, Entry, Operator, Process, Server, answers, free_port, wait_for
+from .fleet import GRACE, Entry, Operator, Process, Server, answers, wait_for
 from .proxy import Mode
 
 KEYS = ("key-1", "key-2", "key-3")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,16 +1,15 @@
 """The processes of a soak: store, servers, entries and their proxies."""
 
 import asyncio
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+from bench.deployment import free_port
 from chicorycove.direct.client import CallFailed, HttpClient
 
 from .proxy import Proxy
@@ -29,27 +28,6 @@
 }
 
 
-# Under the ports that the kernel gives to outgoing connections, and a range
-# of its own for each run, so that runs beside each other do not meet.
-FIRST_PORT = 20_000
-PORTS_PER_RUN = 160
-RUNS = 75
-INTERNAL_PORTS = 10  # of an entry, from its first on
-_ports = itertools.count(FIRST_PORT + os.getpid() % RUNS * PORTS_PER_RUN)
-
-
-def free_port() -> int:
-    """Return the next port of this run's range that nobody uses."""
-    for port in _ports:
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 class Process:
     """One process, which only this object signals."""
 
@@ -139,8 +117,8 @@
     def write_boot(self) -> None:
         """Write the settings file; the proxy must be listening."""
         port = free_port()
-        for _ in range(INTERNAL_PORTS - 1):
-            next(_ports)  # the entry's, also while it is down
+        while (following := free_port()) != port + 1:
+            port = following  # datagrams and metrics take two in a row
         boot = {
             "node": self.name,
             "ip": "127.0.0.1",
@@ -149,7 +127,7 @@
                 "front": f"127.0.0.1:{self.callers}",
                 "ready": f"127.0.0.1:{self.ready}",
             },
-            "internalPortRange": [port, port + INTERNAL_PORTS - 1],
+            "internalPortRange": [port, port + 1],
             "platform": {"address": f"127.0.0.1:{self.proxy.port}"},
             "bounds": BOUNDS,
         }
--- a/tests/platform.py
+++ b/tests/platform_case.py
@@ -4,10 +4,10 @@
 import itertools
 import json
 import os
-import socket
 import tempfile
 import unittest
 
+from bench.deployment import free_port
 from chicorycove.direct.linelog import LineLog
 from chicorycove.platform.boot import Boot
 from chicorycove.platform.process import PlatformProcess
@@ -75,12 +75,6 @@
     }
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Answer:
     """An answer as a caller reads it from its connection."""
 
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -248,7 +248,10 @@
         assert not self.held
 
 
-DirectFuzzTest = DirectMachine.TestCase
+class DirectFuzzTest(DirectMachine.TestCase):
+    """Runs the machine, under a name that a test process can load."""
+
+
 DirectFuzzTest.settings = settings(
     max_examples=60, stateful_step_count=60, deadline=None, derandomize=True
 )
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,7 +9,7 @@
 from chicorycove.platform.boot import load
 from standin.platform_server import Faults
 
-from .platform import KEY, PlatformTestCase, config, route
+from .platform_case import KEY, PlatformTestCase, config, route
 
 
 class PassingOnTest(PlatformTestCase):
