Name the target list's module for what it is; drop a pace that nothing set

Change: hosts.py is target_list.py; the factor for slow targets was never other than 1 and is gone (learning it is open); two numbers in the wait for a slot have names. No behaviour changes.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -81,7 +81,6 @@
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # since a connection to it failed
     missing_until: float | None = None  # when a lapsed entry counts as gone
-    pace: float = 1.0  # how many times slower it is than it should be
 
     @property
     def available(self) -> bool:
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -42,11 +42,11 @@
     Whole,
     Wrote,
 )
-from .hosts import TargetList
 from .patience import Doubt, Overdue, Patience, Wait
 from .placement import Job, Placement, Placer, place_call
 from .reservation import AnswerDue, RenewalDue, Reservations
 from .settings import DirectSettings
+from .target_list import TargetList
 from .work import WorkBook
 
 AttemptFactory = t.Callable[[str, int], AttemptId]
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -11,6 +11,9 @@
 from .board import TargetView, Work
 from .engine import EngineProfile
 
+LIKELY_EVENTS = 20  # of an answer, where nothing better is known
+EVENTS_PER_WAITER = 2  # that pass until one more slot is free
+
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
@@ -67,7 +70,6 @@
     members: tuple[Member, ...] = ()
     held: int = 0  # tokens, at the target itself
     first_event: float = 0.0  # seconds from now
-    pass_time: float = 0.0  # seconds, of the passes that write it
     cost: float = 0.0
     candidates: int = 0
     read: float = 0.0  # seconds, of each part
@@ -146,8 +148,8 @@
                     index / len(ordered),
                     writers,
                     readers,
-                    write * view.pace,
-                    reading * view.pace,
+                    write,
+                    reading,
                     memory,
                     len(writers) + sum(1 for x in readers if x.writes),
                 )
@@ -199,7 +201,6 @@
             members=members,
             held=held,
             first_event=first,
-            pass_time=self._pass_time(job, engine, head[2]),
             cost=cost,
             candidates=len(loads),
             read=part,
@@ -221,9 +222,8 @@
         self, engine: EngineProfile, load: _Load, part: float, tokens: int, ahead: bool
     ) -> float:
         """Return the time until a reading of a part would end and be told."""
-        view = load.view
         passes = engine.passes(tokens)
-        waiting = part * view.pace
+        waiting = part
         if not ahead:
             waiting += load.reading
         if load.writers:
@@ -238,7 +238,10 @@
         """Return when the slot of a request that comes now is free."""
         left = sorted(x.events for x in load.writers)
         needed = load.busy - engine.slots
-        events = left[needed] if needed < len(left) else 20 + 2 * needed
+        if needed < len(left):
+            events = left[needed]
+        else:  # those that wait there already have a whole answer before them
+            events = LIKELY_EVENTS + EVENTS_PER_WAITER * needed
         return events * max(load.write, engine.stride * engine.step)
 
     def _own(
@@ -275,7 +278,7 @@
 
     def _pass_time(self, job: Job, engine: EngineProfile, load: _Load) -> float:
         alone = engine.writers_time(1, job.tokens + job.expected_output / 2)
-        return load.write + alone * load.view.pace
+        return load.write + alone
 
     def _harm(
         self,
@@ -292,7 +295,7 @@
         waits, the parts of earlier groups among it.
         """
         settings = self._settings
-        added = part * load.view.pace / engine.passes(tokens)
+        added = part / engine.passes(tokens)
         before = load.write + min(load.reading, self._most_read(engine))
         after = before + added
         cost = 0.0
@@ -304,12 +307,11 @@
             cost += harm - loss(value, before, work.max_gap, settings)
             cost += settings.harm_cost * added
         if ahead:
-            delay = part * load.view.pace
             for work in load.readers:
                 value = work.value * settings.late_share
                 limit = work.objective_at - work.placed_at
                 told = max(work.read_until, now) - work.placed_at
-                harm = loss(value, told + delay, limit, settings)
+                harm = loss(value, told + part, limit, settings)
                 cost += harm - loss(value, told, limit, settings)
         return cost
 
@@ -331,7 +333,7 @@
         views,
         key=lambda view: (
             view.ejected_until > now or view.suspected_until > now,
-            len(view.work) * view.pace,
+            len(view.work),
             view.listing.failure_domain != domain,
             view.listing.id,
         ),
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -46,6 +46,8 @@
             )
             for member in placement.members
         ]
+        # What delays one part delays the group: the parts' values together are
+        # more than the whole's, since few placements meet all of them.
         value = head.value / math.sqrt(len(state.works))
         for each in state.works:
             each.ahead = len(state.works) > 1
@@ -79,7 +81,7 @@
             return 0.0
         contexts = [work.context for work in view.work.values() if work.writing]
         reading = sum(work.left_to_read(now) for work in view.work.values())
-        return (engine.write_time(contexts) + reading) * view.pace
+        return engine.write_time(contexts) + reading
 
     def end(self, state: DirectState) -> tuple[WorkKey, ...]:
         """Take a request's parts from their targets."""
@@ -149,7 +151,7 @@
         """Delay what waits to be read behind a part that goes ahead of it."""
         for other in view.work.values():
             if not other.writing:
-                other.read_until += part.read * view.pace
+                other.read_until += part.read
 
     def _leave(self, key: WorkKey, target: str) -> None:
         view = self._board.targets.get(target)
