Start without what an entry does not use: metrics by their client, shared events apart

Cause: an entry on the platform spent 0.21 s of processor time on imports (python -X importtime): 0.058 s of it OpenTelemetry with its exporter, 0.075 s data classes of agents, catalogue and store that no direct entry uses, pulled in by the modules that hold seven events and four commands which it does. Each start pays, and so does each caller who waits after a kill of all processes. Ruled out: uvloop (0.52 and 0.55 s of load against 0.56 s on our stand-ins: system calls dominate), fewer parser calls. Change: the instruments are prometheus-client's, with the names they had; lifecycle.py holds the events and commands that all entries share, timers.py the timers, attempt.py the state whose life cycle it is. test_metric's exemption for labels of the exporter is gone with them.

--- a/bench/memory.py
+++ b/bench/memory.py
@@ -15,6 +15,7 @@
 LIBRARIES = (
     "asyncio",
     "msgspec",
+    "prometheus_client",
     "jsonc",
     "xxhash",
     "pythonjsonlogger.json",
@@ -24,8 +25,6 @@
     "aiosonic",
     "starlette.applications",
     "uvicorn",
-    "opentelemetry.sdk.metrics",
-    "opentelemetry.exporter.prometheus",
 )
 PROBE = (
     "import importlib, os, sys\n"
--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -21,9 +21,9 @@
 Generated from `chicorycove.metric.INSTRUMENTS` by `python -m bench metrics`.
 
 Each entry serves these at `/metrics` of its `entry.listen`, each agent at
-`/metrics` of its `agent.http`, in Prometheus's text format. The instruments
-are OpenTelemetry's; a direct entry's page is in its platform's settings
-([operations](OPERATIONS.md)). The exporter adds labels that begin with `otel_scope`.
+`/metrics` of its `agent.http`, in Prometheus's text format; where a direct
+entry serves them is said in [operations](OPERATIONS.md).
+`chicorycove_process_info` names the process.
 """
 
 LABELS = """\
--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -25,21 +25,13 @@
     TellResumed,
     TellSealed,
 )
-from .event import (
-    AgentEvent,
-    Answering,
-    OwnerAlive,
-    OwnerLost,
-    ResumeAsked,
-    RunEnded,
-    StopAsked,
-    Tick,
-)
+from .event import AgentEvent, Answering, OwnerAlive, OwnerLost, ResumeAsked, RunEnded
 from .exceptions import TargetError, TargetFailed, TargetUnreachable
 from .executor import Executor
 from .gate import Gate, GateSettings
 from .identity import AgentId, AttemptId
 from .ledger import Ledger, LedgerSettings
+from .lifecycle import StopAsked, Tick
 from .log import LOGGER, for_request
 from .metric import Metrics
 from .reason import Reason
--- a/src/chicorycove/attempt.py
+++ b/src/chicorycove/attempt.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 import enum
+import typing as t
 
 import transitions
 
-from .board import AttemptState, RequestState
+from .identity import AgentId, AttemptId
+
+if t.TYPE_CHECKING:
+    from .board import RequestState
 
 SENT = "sent"
 ACCEPTED = "accepted"  # waits in its agent's queue
@@ -60,6 +64,17 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptState:
+    """One attempt as its entry sees it; received counts its bytes."""
+
+    id: AttemptId
+    agent: AgentId
+    state: str = SENT
+    grouped: bool = False
+    received: int = 0
+
+
 _SOURCES = {
     Step(trigger): frozenset([source] if isinstance(source, str) else source)
     for trigger, source, _ in _TRANSITIONS
@@ -98,7 +113,9 @@
 Place = Fresh | Stale | Gap
 
 
-def place(state: RequestState, attempt: AttemptState, offset: int, size: int) -> Place:
+def place(
+    state: "RequestState", attempt: AttemptState, offset: int, size: int
+) -> Place:
     """Take a chunk's bytes in, and tell which of them are to be relayed."""
     if offset > attempt.received:
         return Gap()
--- a/src/chicorycove/board.py
+++ b/src/chicorycove/board.py
@@ -1,14 +1,14 @@
 """The blackboards: state that the decisions of a role read and write."""
 
 import dataclasses
-import heapq
-import typing as t
 
+from .attempt import AttemptState
 from .catalogue import Catalogue
 from .event import Load
 from .host import Host, HostState
 from .identity import AgentId, AttemptId
 from .request import Request
+from .timers import Timers
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,17 +45,6 @@
         return sum(self.outstanding.values())
 
 
-@dataclasses.dataclass(slots=True)
-class AttemptState:
-    """One attempt as its entry sees it; received counts its bytes."""
-
-    id: AttemptId
-    agent: AgentId
-    state: str = "sent"
-    grouped: bool = False
-    received: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class RequestState:
     """One admitted request; relayed counts bytes passed to the caller."""
@@ -67,31 +56,6 @@
     tried: set[str] = dataclasses.field(default_factory=set)
 
 
-class Timers:
-    """Names that fall due at times."""
-
-    def __init__(self) -> None:
-        self._heap: list[tuple[float, int, t.Any]] = []
-        self._count = 0
-
-    @property
-    def next_due(self) -> float | None:
-        """Return when the next item falls due, if there is one."""
-        return self._heap[0][0] if self._heap else None
-
-    def add(self, due: float, item: t.Any) -> None:
-        """Have an item returned by the first ``pop`` at or after a time."""
-        self._count += 1
-        heapq.heappush(self._heap, (due, self._count, item))
-
-    def pop(self, now: float) -> list[t.Any]:
-        """Remove and return the items that are due."""
-        items = []
-        while self._heap and self._heap[0][0] <= now:
-            items.append(heapq.heappop(self._heap)[2])
-        return items
-
-
 @dataclasses.dataclass(slots=True)
 class EntryBoard:
     """The state of an entry."""
--- a/src/chicorycove/claim.py
+++ b/src/chicorycove/claim.py
@@ -8,16 +8,7 @@
 
 import msgspec
 
-from .board import Timers
-from .command import (
-    Claimed,
-    EntryCommand,
-    Fail,
-    Replay,
-    Seal,
-    StoreRead,
-    StoreSwap,
-)
+from .command import Claimed, EntryCommand, Replay, Seal, StoreRead, StoreSwap
 from .event import (
     EntryEvent,
     Found,
@@ -27,12 +18,13 @@
     StoreAnswered,
     StoreResult,
     Swapped,
-    Tick,
     Unknown,
 )
 from .identity import AgentId, AttemptId
+from .lifecycle import Fail, Tick
 from .reason import Reason
 from .request import Call, Request
+from .timers import Timers
 from .verdict import Verdict
 
 KEY_PREFIX = "claims/"
--- a/src/chicorycove/command.py
+++ b/src/chicorycove/command.py
@@ -5,6 +5,7 @@
 
 from .event import SealOutcome
 from .identity import AgentId, AttemptId
+from .lifecycle import Fail, Finish, Release, Reserve
 from .reason import Reason
 from .verdict import Verdict
 
@@ -49,23 +50,6 @@
     offset: int
 
 
-@frozen
-class Reserve:
-    """Ask an agent for engine memory, in tokens, for a member of a group."""
-
-    attempt: AttemptId
-    agent: AgentId
-    memory: int
-
-
-@frozen
-class Release:
-    """Give a member's reservation back."""
-
-    attempt: AttemptId
-    agent: AgentId
-
-
 @frozen
 class Prefill:
     """Have a member compute its segment of the prompt, in tokens."""
@@ -97,23 +81,6 @@
     skip: int = 0
 
 
-@frozen
-class Finish:
-    """End a caller's answer: it is whole."""
-
-    request: str
-
-
-@frozen
-class Fail:
-    """End a request with a problem; retry_after is in seconds."""
-
-    request: str
-    reason: Reason
-    verdict: Verdict
-    retry_after: float | None = None
-
-
 @frozen
 class Replay:
     """Answer a caller with the result kept for its key."""
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -3,8 +3,9 @@
 import dataclasses
 import typing as t
 
-from ..board import AttemptState, Timers
+from ..attempt import AttemptState
 from ..request import Request
+from ..timers import Timers
 from .route import Route, RoutingTable, Service
 
 
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from ..command import Fail, Finish, Release, Reserve
 from ..identity import AgentId, AttemptId
+from ..lifecycle import Fail, Finish, Release, Reserve
 from ..reason import Reason
 from .board import Work, WorkKey
 from .placement import Placement
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -3,12 +3,20 @@
 import dataclasses
 import typing as t
 
-from ..attempt import Step, advance, is_live
-from ..board import AttemptState
-from ..command import Fail, Finish
-from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
+from ..attempt import AttemptState, Step, advance, is_live
 from ..health import OutlierDetector
 from ..identity import AgentId, AttemptId
+from ..lifecycle import (
+    CallerGone,
+    Ended,
+    Fail,
+    Failed,
+    Finish,
+    Refused,
+    Reserved,
+    StopAsked,
+    Tick,
+)
 from ..reason import Reason
 from ..request import Prompt
 from ..verdict import Verdict
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -4,9 +4,20 @@
 import random
 import typing as t
 
-from ..command import Fail, Finish, Release, Reserve
-from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from ..identity import AttemptId
+from ..lifecycle import (
+    CallerGone,
+    Ended,
+    Fail,
+    Failed,
+    Finish,
+    Refused,
+    Release,
+    Reserve,
+    Reserved,
+    StopAsked,
+    Tick,
+)
 from ..metric import Metrics
 from ..reason import Reason
 from ..utils import Tasks
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from ..event import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from ..identity import AttemptId
+from ..lifecycle import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from .board import Inbound, Listing, Work, WorkKey
 from .route import RoutingTable
 
--- a/src/chicorycove/direct/reservation.py
+++ b/src/chicorycove/direct/reservation.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from ..command import Release, Reserve
 from ..identity import AgentId, AttemptId
+from ..lifecycle import Release, Reserve
 from .board import DirectBoard
 from .command import DirectCommand, GroupMember
 from .placement import Member, Placement
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from .attempt import REFUSED, Step, advance, is_live
-from .board import AttemptState, EntryBoard, RequestState
+from .attempt import REFUSED, AttemptState, Step, advance, is_live
+from .board import EntryBoard, RequestState
 from .claim import Claimer
 from .command import (
     Cancel,
@@ -12,8 +12,6 @@
     CountDrop,
     CountRetry,
     EntryCommand,
-    Fail,
-    Finish,
     GroupFailed,
     Relay,
     Replay,
@@ -24,26 +22,30 @@
     Accepted,
     Arrived,
     Attached,
-    CallerGone,
     Captured,
     Chunk,
     Detached,
-    Ended,
     EntryEvent,
-    Failed,
     LoadReported,
     Prefilled,
-    Refused,
-    Reserved,
     Sealed,
     Started,
-    StopAsked,
     StoreAnswered,
-    Tick,
 )
 from .group import GroupCoordinator
 from .health import HealthSettings, OutlierDetector
 from .identity import AgentId, AttemptId
+from .lifecycle import (
+    CallerGone,
+    Ended,
+    Fail,
+    Failed,
+    Finish,
+    Refused,
+    Reserved,
+    StopAsked,
+    Tick,
+)
 from .reason import Reason
 from .request import Request
 from .retry import GiveUp, Retry, RetryPolicy
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -17,13 +17,9 @@
     CountDrop,
     CountRetry,
     EntryCommand,
-    Fail,
-    Finish,
     Prefill,
     Relay,
-    Release,
     Replay,
-    Reserve,
     Resume,
     Seal,
     Send,
@@ -33,15 +29,10 @@
 from .dispatch import Dispatcher
 from .event import (
     Arrived,
-    CallerGone,
     Captured,
     EntryEvent,
-    Failed,
-    Refused,
-    StopAsked,
     StoreAnswered,
     StoreResult,
-    Tick,
     Unavailable,
 )
 from .exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
@@ -51,6 +42,17 @@
 from .group import GroupCoordinator, GroupSettings
 from .host import Host
 from .identity import AgentId, AttemptId
+from .lifecycle import (
+    CallerGone,
+    Fail,
+    Failed,
+    Finish,
+    Refused,
+    Release,
+    Reserve,
+    StopAsked,
+    Tick,
+)
 from .linkset import LinkOwner, LinkSet
 from .log import LOGGER, for_request
 from .metric import Metrics
--- a/src/chicorycove/event.py
+++ b/src/chicorycove/event.py
@@ -5,9 +5,8 @@
 import typing as t
 
 from .identity import AgentId, AttemptId
-from .reason import Reason
+from .lifecycle import CallerGone, Ended, Failed, Refused, Reserved, StopAsked, Tick
 from .request import Request
-from .verdict import Verdict
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
 
@@ -30,13 +29,6 @@
     request: Request
 
 
-@frozen
-class CallerGone:
-    """A caller closed its connection before the answer was whole."""
-
-    request: str
-
-
 @frozen
 class Captured:
     """The whole answer of a keyed request is at hand, to be kept."""
@@ -85,32 +77,6 @@
     size: int
 
 
-@frozen
-class Ended:
-    """An attempt's answer is whole; size is in bytes."""
-
-    attempt: AttemptId
-    size: int
-
-
-@frozen
-class Failed:
-    """An attempt ended without a whole answer."""
-
-    attempt: AttemptId
-    reason: Reason
-    verdict: Verdict
-
-
-@frozen
-class Refused:
-    """An agent turned an attempt away: it has not run and never will."""
-
-    attempt: AttemptId
-    reason: Reason
-    retry_after: float | None = None
-
-
 @frozen
 class Sealed:
     """An agent answered a seal."""
@@ -119,13 +85,6 @@
     outcome: SealOutcome
 
 
-@frozen
-class Reserved:
-    """An agent reserved engine memory for a member of a group."""
-
-    attempt: AttemptId
-
-
 @frozen
 class Prefilled:
     """A member of a group holds the KV cache of its segment."""
@@ -201,19 +160,6 @@
     result: StoreResult
 
 
-# Everyone hears the time pass.
-
-
-@frozen
-class Tick:
-    """Time has passed."""
-
-
-@frozen
-class StopAsked:
-    """The process is to finish what it has and leave."""
-
-
 EntryEvent = t.Union[
     Arrived,
     CallerGone,
--- a/src/chicorycove/frame.py
+++ b/src/chicorycove/frame.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from . import event
+from . import event, lifecycle
 from .event import AgentEvent, EntryEvent, Load, Offer, SealOutcome
 from .identity import AgentId, AttemptId
 from .reason import Reason
@@ -54,17 +54,17 @@
         case "started":
             return event.Started(attempt)
         case "ended":
-            return event.Ended(attempt, message.size)
+            return lifecycle.Ended(attempt, message.size)
         case "failed":
             reason, verdict = Reason(message.reason), Verdict(message.verdict)
-            return event.Failed(attempt, reason, verdict)
+            return lifecycle.Failed(attempt, reason, verdict)
         case "refused":
             after = message.retry_after or None
-            return event.Refused(attempt, Reason(message.reason), after)
+            return lifecycle.Refused(attempt, Reason(message.reason), after)
         case "sealed":
             return event.Sealed(attempt, SealOutcome(message.outcome))
         case "reserved":
-            return event.Reserved(attempt)
+            return lifecycle.Reserved(attempt)
         case "prefilled":
             return event.Prefilled(attempt)
     raise ValueError(f'frame "{kind}" is not known')
--- a/src/chicorycove/group.py
+++ b/src/chicorycove/group.py
@@ -5,18 +5,10 @@
 import typing as t
 
 from .board import EntryBoard, RequestState, TargetState
-from .command import EntryCommand, GroupFailed, Prefill, Release, Reserve, Send
-from .event import (
-    Detached,
-    Ended,
-    EntryEvent,
-    Failed,
-    Prefilled,
-    Refused,
-    Reserved,
-    Tick,
-)
+from .command import EntryCommand, GroupFailed, Prefill, Send
+from .event import Detached, EntryEvent, Prefilled
 from .identity import AgentId, AttemptId
+from .lifecycle import Ended, Failed, Refused, Release, Reserve, Reserved, Tick
 from .reason import Reason
 from .request import Prompt, Request
 from .routing import Router
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -3,15 +3,13 @@
 import dataclasses
 
 import prometheus_client
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Counter, Histogram, Meter
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from opentelemetry.sdk.resources import Resource
 
 from .reason import Reason
 from .verdict import Verdict
 
+# A series is told by its value; when it began is nothing that we ask for.
+prometheus_client.disable_created_metrics()
+
 # Upper bounds of buckets, in seconds.
 TIME_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1800)
 
@@ -26,7 +24,7 @@
     name: str
     description: str
     labels: tuple[str, ...]
-    unit: str = "1"
+    unit: str = ""
 
 
 REQUESTS = Instrument(
@@ -47,13 +45,13 @@
     "chicorycove_time_to_first_token",
     "From arrival to the first byte",
     ("length",),
-    "s",
+    "seconds",
 )
 ANSWER_TIME = Instrument(
     "chicorycove_answer_time",
     "From arrival to the end of a whole answer",
     ("class",),
-    "s",
+    "seconds",
 )
 
 INSTRUMENTS = (
@@ -73,26 +71,18 @@
 
     def __init__(self, name: str) -> None:
         self._registry = prometheus_client.CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
-        views = [
-            View(
-                instrument_name=instrument.name,
-                aggregation=ExplicitBucketHistogramAggregation(TIME_BUCKETS),
-            )
-            for instrument in (FIRST_TOKEN, ANSWER_TIME)
-        ]
-        self._provider = MeterProvider(
-            [reader], Resource({"service.name": name}), views=views
+        process = prometheus_client.Info(
+            "chicorycove_process", "The process", registry=self._registry
         )
-        meter = self._provider.get_meter("chicorycove")
-        self._requests = _counter(meter, REQUESTS)
-        self._answers = _counter(meter, ANSWERS)
-        self._refusals = _counter(meter, REFUSALS)
-        self._retries = _counter(meter, RETRIES)
-        self._drops = _counter(meter, DROPS)
-        self._attempts = _counter(meter, ATTEMPTS)
-        self._first_token = _histogram(meter, FIRST_TOKEN)
-        self._answer_time = _histogram(meter, ANSWER_TIME)
+        process.info({"name": name})
+        self._requests = self._counter(REQUESTS)
+        self._answers = self._counter(ANSWERS)
+        self._refusals = self._counter(REFUSALS)
+        self._retries = self._counter(RETRIES)
+        self._drops = self._counter(DROPS)
+        self._attempts = self._counter(ATTEMPTS)
+        self._first_token = self._histogram(FIRST_TOKEN)
+        self._answer_time = self._histogram(ANSWER_TIME)
 
     def page(self) -> bytes:
         """Return the instruments in Prometheus's text format."""
@@ -100,35 +90,53 @@
 
     def arrived(self, priority_class: str) -> None:
         """Count a request."""
-        self._requests.add(1, {"class": priority_class})
+        self._requests.labels(priority_class).inc()
 
     def answered(self, priority_class: str) -> None:
         """Count a whole answer."""
-        self._answers.add(1, {"class": priority_class})
+        self._answers.labels(priority_class).inc()
 
     def answer_time(self, seconds: float, priority_class: str) -> None:
         """Record the time to the end of a whole answer."""
-        self._answer_time.record(seconds, {"class": priority_class})
+        self._answer_time.labels(priority_class).observe(seconds)
 
     def refused(self, reason: Reason, verdict: Verdict) -> None:
         """Count a request that ended without its answer."""
-        self._refusals.add(1, {"reason": reason.value, "verdict": verdict.value})
+        self._refusals.labels(reason.value, verdict.value).inc()
 
     def retried(self, reason: Reason) -> None:
         """Count an attempt that is made again."""
-        self._retries.add(1, {"reason": reason.value})
+        self._retries.labels(reason.value).inc()
 
     def dropped(self, kind: str) -> None:
         """Count a late or crossed message."""
-        self._drops.add(1, {"kind": kind})
+        self._drops.labels(kind).inc()
 
     def decided(self, outcome: str) -> None:
         """Count an agent's decision on an attempt."""
-        self._attempts.add(1, {"outcome": outcome})
+        self._attempts.labels(outcome).inc()
 
     def first_token(self, seconds: float, tokens: int) -> None:
         """Record a time to first token, by the prompt's length."""
-        self._first_token.record(seconds, {"length": length_class(tokens)})
+        self._first_token.labels(length_class(tokens)).observe(seconds)
+
+    def _counter(self, instrument: Instrument) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            instrument.name,
+            instrument.description,
+            instrument.labels,
+            registry=self._registry,
+        )
+
+    def _histogram(self, instrument: Instrument) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            instrument.name,
+            instrument.description,
+            instrument.labels,
+            unit=instrument.unit,
+            buckets=TIME_BUCKETS,
+            registry=self._registry,
+        )
 
 
 def length_class(tokens: int) -> str:
@@ -137,15 +145,3 @@
         if tokens <= bound:
             return str(bound)
     return "over"
-
-
-def _counter(meter: Meter, instrument: Instrument) -> Counter:
-    return meter.create_counter(
-        instrument.name, instrument.unit, instrument.description
-    )
-
-
-def _histogram(meter: Meter, instrument: Instrument) -> Histogram:
-    return meter.create_histogram(
-        instrument.name, instrument.unit, instrument.description
-    )
--- a/src/chicorycove/target.py
+++ b/src/chicorycove/target.py
@@ -33,12 +33,11 @@
     SealAsked,
     SealOutcome,
     StartAsked,
-    StopAsked,
-    Tick,
 )
 from .gate import Gate
 from .identity import AgentId, AttemptId
 from .ledger import Ledger
+from .lifecycle import StopAsked, Tick
 from .reason import Reason
 
 LONG_TOKENS = 16_384  # from which a prompt is reported as long
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -3,8 +3,8 @@
 import unittest
 
 from chicorycove import attempt
-from chicorycove.attempt import Fresh, Gap, Stale, Step
-from chicorycove.board import AttemptState, RequestState
+from chicorycove.attempt import AttemptState, Fresh, Gap, Stale, Step
+from chicorycove.board import RequestState
 from chicorycove.identity import AgentId, AttemptId
 from chicorycove.request import Prompt, Request
 
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -5,16 +5,10 @@
 import unittest
 
 from chicorycove.claim import Claimer, ClaimSettings
-from chicorycove.command import (
-    Claimed,
-    Fail,
-    Replay,
-    Seal,
-    StoreRead,
-    StoreSwap,
-)
-from chicorycove.event import Lost, Sealed, SealOutcome, StoreAnswered, Tick, Unknown
+from chicorycove.command import Claimed, Replay, Seal, StoreRead, StoreSwap
+from chicorycove.event import Lost, Sealed, SealOutcome, StoreAnswered, Unknown
 from chicorycove.identity import AgentId, AttemptId
+from chicorycove.lifecycle import Fail, Tick
 from chicorycove.reason import Reason
 from chicorycove.request import Call, Request
 from chicorycove.verdict import Verdict
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -13,7 +13,7 @@
     Wrote,
 )
 from chicorycove.direct.route import Deployment
-from chicorycove.event import CallerGone, Ended, Failed, StopAsked, Tick
+from chicorycove.lifecycle import CallerGone, Ended, Failed, StopAsked, Tick
 
 from .direct import (
     BROKEN,
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -27,7 +27,7 @@
     Whole,
     Wrote,
 )
-from chicorycove.event import (
+from chicorycove.lifecycle import (
     CallerGone,
     Ended,
     Failed,
--- a/tests/test_direct_reservation.py
+++ b/tests/test_direct_reservation.py
@@ -4,7 +4,7 @@
 
 from chicorycove import Reason, Verdict
 from chicorycove.direct.event import Headed, Sent
-from chicorycove.event import CallerGone, Ended, Failed, Refused, Reserved, Tick
+from chicorycove.lifecycle import CallerGone, Ended, Failed, Refused, Reserved, Tick
 
 from .direct import LONG, OK, DirectWorld, names, only
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -17,7 +17,7 @@
 )
 
 from chicorycove.claim import Claimer
-from chicorycove.event import StopAsked
+from chicorycove.lifecycle import StopAsked
 
 from .world import PROMPT, REGISTRATION, TARGETS, World
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -13,20 +13,20 @@
 
 from chicorycove.backlog import Backlog, BacklogSettings
 from chicorycove.board import RequestState
-from chicorycove.command import GroupFailed, Prefill, Release, Reserve, Send
-from chicorycove.event import (
-    Detached,
+from chicorycove.command import GroupFailed, Prefill, Send
+from chicorycove.event import Detached, Offer, Prefilled
+from chicorycove.group import GroupCoordinator, GroupSettings
+from chicorycove.identity import AgentId, AttemptId
+from chicorycove.ledger import Ledger, LedgerSettings
+from chicorycove.lifecycle import (
     Ended,
     Failed,
-    Offer,
-    Prefilled,
     Refused,
+    Release,
+    Reserve,
     Reserved,
     Tick,
 )
-from chicorycove.group import GroupCoordinator, GroupSettings
-from chicorycove.identity import AgentId, AttemptId
-from chicorycove.ledger import Ledger, LedgerSettings
 from chicorycove.reason import Reason
 from chicorycove.routing import Router, RoutingSettings
 from chicorycove.verdict import Verdict
--- a/tests/test_metric.py
+++ b/tests/test_metric.py
@@ -9,8 +9,6 @@
 from chicorycove.reason import Reason
 from chicorycove.verdict import Verdict
 
-SCOPE = "otel_scope"
-
 
 def samples(metrics, instrument):
     """Return the samples of an instrument on the Prometheus page."""
@@ -69,9 +67,5 @@
                 found = samples(counted, instrument)
                 self.assertTrue(found)
                 for sample in found:
-                    labels = {
-                        label
-                        for label in sample.labels
-                        if label != "le" and not label.startswith(SCOPE)
-                    }
+                    labels = set(sample.labels) - {"le"}
                     self.assertEqual(labels, set(instrument.labels))
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from chicorycove.board import AttemptState, RequestState
+from chicorycove.attempt import AttemptState
+from chicorycove.board import RequestState
 from chicorycove.identity import AgentId, AttemptId
 from chicorycove.reason import Reason
 from chicorycove.request import Call, Prompt, Request
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -11,11 +11,11 @@
     ReserveAsked,
     RunEnded,
     StartAsked,
-    Tick,
 )
 from chicorycove.gate import Gate, GateSettings
 from chicorycove.identity import AgentId, AttemptId
 from chicorycove.ledger import Ledger, LedgerSettings
+from chicorycove.lifecycle import Tick
 from chicorycove.reason import Reason
 from chicorycove.target import TargetBoard, TargetController
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,8 +15,6 @@
 from chicorycove.command import (
     Cancel,
     Exit,
-    Fail,
-    Finish,
     Relay,
     Replay,
     Resume,
@@ -37,18 +35,14 @@
     Accepted,
     Arrived,
     Attached,
-    CallerGone,
     CancelAsked,
     Captured,
     Chunk,
     Detached,
-    Ended,
-    Failed,
     LoadReported,
     Offer,
     OwnerAlive,
     OwnerLost,
-    Refused,
     ResumeAsked,
     RunEnded,
     SealAsked,
@@ -56,7 +50,6 @@
     StartAsked,
     Started,
     StoreAnswered,
-    Tick,
     Unknown,
 )
 from chicorycove.gate import Gate, GateSettings
@@ -64,6 +57,7 @@
 from chicorycove.host import Host
 from chicorycove.identity import AgentId, AttemptId
 from chicorycove.ledger import Ledger
+from chicorycove.lifecycle import CallerGone, Ended, Fail, Failed, Finish, Refused, Tick
 from chicorycove.reason import Reason
 from chicorycove.request import Call, Prompt, Request
 from chicorycove.retry import RetryPolicy, RetrySettings
