Find what a broken watch has kept; await callers before the slow imports; spread when blind

Now a store that has failed is listed, not watched from an old revision; accounts to peers carry the revision, and an entry that a peer has been ahead of for a second lists; a watch waits 4 s instead of 8. Ruled out: a lost message (the watch was answered, with 410).

Closing kills: of the 0.85 s until an entry listens again, imports are a third; a refused connection costs a caller the half of its tries. Now sockets listen before the imports, and callers wait up to 0.3 s for the first look at the store.

Now an entry that does not hear all peers begins the order at its own place.

Tests: each fails without its change (the watch's one tried by taking it out).

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -366,7 +366,7 @@
         self._at(self.now + interval, lambda: self._account(entry, interval))
 
     def _tell(self, entry, works, ended, unreachable) -> None:
-        told = encode(f"entry-{entry}", works, ended, unreachable, self.now)
+        told = encode(f"entry-{entry}", works, ended, unreachable, 0, self.now)
         sent_at = self.now
 
         def arrive() -> None:
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -119,7 +119,8 @@
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
     requests: dict[str, DirectState] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
-    entries: int = 1  # known alive, this one included
+    entries: int = 1  # known, this one included
+    turn: float = 0.0  # of the order of targets, so that blind entries spread
     store_back_at: float = float("-inf")
     stopping_at: float | None = None
 
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -81,6 +81,11 @@
     unreachable: tuple[str, ...] = ()
 
 
+@frozen
+class ReadStore:
+    """Read the platform's store anew instead of waiting for changes."""
+
+
 @frozen
 class Note:
     """Log a change in what this entry believes."""
@@ -102,5 +107,6 @@
     Abort,
     Probe,
     Tell,
+    ReadStore,
     Note,
 ]
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -27,8 +27,10 @@
     Deliver,
     DirectCommand,
     Drop,
+    Note,
     PassOn,
     Probe,
+    ReadStore,
     SendTo,
     Tell,
 )
@@ -36,6 +38,7 @@
     CallerSlow,
     Deployed,
     DirectEvent,
+    Followed,
     Headed,
     Listed,
     PeersSeen,
@@ -50,6 +53,7 @@
     Whole,
     Wrote,
 )
+from .freshness import Freshness
 from .patience import Doubt, Overdue, Patience, Wait
 from .placement import Job, Placement, Placer, place_call
 from .reservation import AnswerDue, RenewalDue, Reservations
@@ -94,6 +98,7 @@
         self._reservations = Reservations(board, settings.reservation)
         self._work = WorkBook(board, settings, name)
         self._patience = Patience(settings.patience, self._work)
+        self._freshness = Freshness(settings.behind)
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return what is to be done about an event."""
@@ -129,8 +134,14 @@
                 if isinstance(event, Unlisted):
                     self._health.forget(event.target)
                 return self._targets.handle(event, now)
-            case PeersSeen() | PeerTold():
+            case Followed(revision):
+                self._freshness.followed(revision)
+                return []
+            case PeersSeen():
                 return self._work.handle(event, now)
+            case PeerTold(owner, revision=revision):
+                commands = self._work.handle(event, now)
+                return commands + self._compare(owner, revision, now)
             case StopAsked():
                 self._board.stopping_at = now
                 return []
@@ -144,6 +155,13 @@
             return None
         return state
 
+    def _compare(self, peer: str, revision: int, now: float) -> list[DirectCommand]:
+        """Read the store anew if a peer has seen more of it for long."""
+        if not self._freshness.told(revision, now):
+            return []
+        seen = f"revision {self._freshness.revision}, its {revision}"
+        return [Note("behind a peer", peer, seen), ReadStore()]
+
     # Arrival and placing
 
     def _received(self, inbound: Inbound, now: float) -> list[DirectCommand]:
@@ -186,7 +204,7 @@
         work = state.inbound.request.work
         if isinstance(work, Prompt) and profile and profile.engine:
             job = self._job(state, work)
-            return self._placer.place(job, profile.engine, views, now)
+            return self._placer.place(job, profile.engine, views, now, self._board.turn)
         view = place_call(views, self._domain, now)
         if view is None:
             return None
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -32,6 +32,7 @@
     Note,
     PassOn,
     Probe,
+    ReadStore,
     SendTo,
     Tell,
 )
@@ -62,6 +63,7 @@
         log: LineLog,
         rng: random.Random,
         peers: PeerLink,
+        read_store: t.Callable[[], None],
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
@@ -71,6 +73,7 @@
         self._log = log
         self._random = rng
         self._peers = peers
+        self._read_store = read_store
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(log_failures(log))
         self._exchanges: dict[str, Exchange] = {}
@@ -222,6 +225,8 @@
                 self._tasks.spawn(self._release(reservation, agent.target))
             case Probe(target, address):
                 self._tasks.spawn(self._probe(target, address))
+            case ReadStore():
+                self._read_store()
             case Note(what, subject, detail):
                 self._log.write(what, subject=subject, detail=detail)
 
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -114,9 +114,17 @@
 
 @frozen
 class PeersSeen:
-    """The entries that are known alive, this one included."""
+    """The entries that are known, this one included."""
 
     names: frozenset[str]
+    silent: bool = False  # whether one of them has not been heard of late
+
+
+@frozen
+class Followed:
+    """This entry has followed the store up to a revision."""
+
+    revision: int
 
 
 @frozen
@@ -127,6 +135,7 @@
     works: tuple[Work, ...] = ()
     ended: tuple[WorkKey, ...] = ()
     unreachable: tuple[str, ...] = ()
+    revision: int = 0  # of the store, that it has followed it up to
 
 
 DirectEvent = t.Union[
@@ -147,6 +156,7 @@
     Unlisted,
     StoreAway,
     StoreBack,
+    Followed,
     PeersSeen,
     PeerTold,
     StopAsked,
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -19,6 +19,7 @@
     works: list["Part"]
     ended: list[int]
     unreachable: list[str]
+    revision: int  # of the store, that it has followed it up to
 
 
 class Part(msgspec.Struct, array_like=True):
@@ -51,15 +52,17 @@
     works: t.Iterable[Work],
     ended: t.Iterable[WorkKey],
     unreachable: t.Iterable[str],
+    revision: int,
     now: float,
 ) -> list[bytes]:
     """Return datagrams that tell of work."""
     parts = [_part(work, now) for work in works]
     numbers = [key.number for key in ended]
-    first = Account(owner, parts[:MAX_WORKS], numbers, list(unreachable))
+    first = Account(owner, parts[:MAX_WORKS], numbers, list(unreachable), revision)
     accounts = [first]
     for start in range(MAX_WORKS, len(parts), MAX_WORKS):
-        accounts.append(Account(owner, parts[start : start + MAX_WORKS], [], []))
+        more = parts[start : start + MAX_WORKS]
+        accounts.append(Account(owner, more, [], [], revision))
     return [_encoder.encode(account) for account in accounts]
 
 
@@ -75,6 +78,7 @@
         tuple(_work(owner, part, now) for part in account.works),
         tuple(WorkKey(owner, number) for number in account.ended),
         tuple(account.unreachable),
+        account.revision,
     )
 
 
@@ -138,7 +142,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._clock = asyncio.get_running_loop().time
         self._addresses: dict[str, Address] = {}
-        self._heard_at: dict[str, float] = {}
+        self._heard_at: dict[Address, float] = {}
+        self.revision = 0  # that peers are told
 
     @property
     def names(self) -> t.Collection[str]:
@@ -156,7 +161,7 @@
             return
         if told.owner == self._name:
             return
-        self._heard_at[told.owner] = self._clock()
+        self._heard_at[address] = self._clock()
         self._addresses.setdefault(told.owner, address)
         self._told(told)
 
@@ -171,9 +176,16 @@
         """Let go of peers that are not listed and silent for some seconds."""
         limit = self._clock() - silence
         for name in list(self._addresses):
-            if name not in listed and self._heard_at.get(name, 0.0) < limit:
+            address = self._addresses[name]
+            if name not in listed and self._heard_at.get(address, 0.0) < limit:
                 del self._addresses[name]
-                self._heard_at.pop(name, None)
+                self._heard_at.pop(address, None)
+
+    def any_silent(self, silence: float) -> bool:
+        """Tell whether a peer has not been heard for some seconds."""
+        limit = self._clock() - silence
+        heard = self._heard_at
+        return any(heard.get(x, 0.0) < limit for x in self._addresses.values())
 
     def tell(
         self,
@@ -184,7 +196,9 @@
         """Send an account to every peer."""
         if self._transport is None or not self._addresses:
             return
-        datagrams = encode(self._name, works, ended, unreachable, self._clock())
+        datagrams = encode(
+            self._name, works, ended, unreachable, self.revision, self._clock()
+        )
         for address, datagram in itertools.product(self._addresses.values(), datagrams):
             self._transport.sendto(datagram, address)
 
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -114,9 +114,14 @@
         engine: EngineProfile,
         views: t.Iterable[TargetView],
         now: float,
+        turn: float = 0.0,
     ) -> Placement | None:
-        """Return the cheapest placement, if any target can hold the prompt."""
-        loads = self._loads(engine, views, now)
+        """Return the cheapest placement, if any target can hold the prompt.
+
+        Entries that cannot see one another's work each prefer other targets,
+        by the part of their order that a turn leaves out.
+        """
+        loads = self._loads(engine, views, now, turn)
         if not loads:
             return None
         best = None
@@ -132,7 +137,11 @@
         return best
 
     def _loads(
-        self, engine: EngineProfile, views: t.Iterable[TargetView], now: float
+        self,
+        engine: EngineProfile,
+        views: t.Iterable[TargetView],
+        now: float,
+        turn: float,
     ) -> list[_Load]:
         ordered = sorted(views, key=lambda view: view.listing.id)
         loads = []
@@ -146,7 +155,7 @@
             loads.append(
                 _Load(
                     view,
-                    index / len(ordered),
+                    (index / len(ordered) + turn) % 1.0,
                     writers,
                     readers,
                     write,
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -55,6 +55,7 @@
     lapse: float = 1.8  # until a target that lapsed with the store is gone
     account_least: float = 0.25  # between full accounts of work to peers
     account_per_peer: float = 0.02  # more, so that many entries do not flood
+    behind: float = 1.0  # that a peer may have seen more of the store
     silent_accounts: float = 3.2  # missed before a peer's work is forgotten
     stop_accepting: float = 2.5  # after a stop signal; callers keep coming till then
     least_time: float = 0.02  # before a deadline, under which nothing is sent
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -94,8 +94,9 @@
     def handle(self, event: PeersSeen | PeerTold, now: float) -> list[DirectCommand]:
         """Take what other entries tell."""
         match event:
-            case PeersSeen(names):
+            case PeersSeen(names, silent):
                 self._board.entries = max(len(names), 1)
+                self._board.turn = self._turn(names) if silent else 0.0
                 self._expire(now)
             case PeerTold(_, works, ended, unreachable):
                 for work in works:
@@ -107,6 +108,11 @@
                     self._suspect(target, now)
         return []
 
+    def _turn(self, names: frozenset[str]) -> float:
+        """Return this entry's place among all, in [0, 1)."""
+        before = sum(1 for name in names if name < self._name)
+        return before / max(len(names), 1)
+
     def _head(
         self, state: DirectState, placement: Placement, part: int, now: float
     ) -> Work:
--- a/src/chicorycove/platform/__main__.py
+++ b/src/chicorycove/platform/__main__.py
@@ -1,7 +1,6 @@
 """Runs a direct entry under the settings that the platform gives."""
 
 import argparse
-import asyncio
 import signal
 import sys
 import typing as t
@@ -9,10 +8,9 @@
 # Before the slow imports: a reload that comes early must not end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from ..direct.linelog import LineLog  # noqa: E402
 from ..exceptions import SettingsError  # noqa: E402
 from .boot import VARIABLE, load  # noqa: E402
-from .process import run  # noqa: E402
+from .listeners import open_listeners  # noqa: E402
 
 EXIT_SETTINGS = 2
 
@@ -22,13 +20,18 @@
     options = _parser().parse_args(argv)
     try:
         boot = load(options.settings)
+        if options.check:
+            print("ok")
+            return 0
+        listeners = open_listeners(boot)
     except SettingsError as error:
         print(f"chicorycove.platform: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    if options.check:
-        print("ok")
-        return 0
-    asyncio.run(run(boot, LineLog(sys.stdout.fileno(), boot.name)))
+    # These imports take most of a start, and callers who come after a kill
+    # have one more try: by now they wait in the kernel instead of failing.
+    from .process import start
+
+    start(boot, listeners)
     return 0
 
 
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
-from ..direct.event import Deployed, DirectEvent, Listed, StoreAway, StoreBack, Unlisted
+from ..direct.event import (
+    Deployed,
+    DirectEvent,
+    Followed,
+    Listed,
+    StoreAway,
+    StoreBack,
+    Unlisted,
+)
 from ..direct.linelog import LineLog
 from ..direct.route import RoutingTable
 from ..exceptions import LeaseLost, PlatformError
@@ -50,6 +58,16 @@
         self._servers: set[str] = set()
         self._entries: dict[str, str] = {}
         self._away = False
+        self._looked = asyncio.Event()
+        self._watching: asyncio.Task | None = None
+
+    async def looked(self, timeout: float) -> None:
+        """Wait until the store has been asked once, or for some seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._looked.wait()
+        except TimeoutError:
+            self._log.write("store slow at the start", waited=timeout)
 
     async def follow(self) -> None:
         """Keep up with the store for good."""
@@ -59,11 +77,7 @@
                 if self._revision is None:
                     self._listed(await self._store.list(EVERYTHING))
                 else:
-                    seen = await self._store.watch(EVERYTHING, self._revision)
-                    self._back()
-                    for item in seen.items:
-                        self._changed(item)
-                    self._revision = seen.revision
+                    await self._watch(self._revision)
                     await asyncio.sleep(WATCH_PAUSE)
                 delay = RETRY_LEAST
             except HistoryLost as error:
@@ -71,9 +85,39 @@
                 self._revision = None
             except PlatformError as error:
                 self._lost(error)
+                # What a store has kept from a watch that broke may come late
+                # to the next one, but a list has all that it acknowledged.
+                self._revision = None
+                self._looked.set()
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
                 delay = min(delay * 2, RETRY_MOST)
 
+    def read_anew(self) -> None:
+        """List the store instead of waiting for the watch under way."""
+        if self._watching is not None:
+            self._watching.cancel()
+
+    async def _watch(self, revision: int) -> None:
+        watching = asyncio.create_task(self._store.watch(EVERYTHING, revision))
+        self._watching = watching
+        try:
+            await asyncio.wait({watching})
+        finally:
+            self._watching = None
+            watching.cancel()
+        if watching.cancelled():
+            self._revision = None
+            return
+        seen = watching.result()
+        self._back()
+        for item in seen.items:
+            self._changed(item)
+        self._note_revision(seen.revision)
+
+    def _note_revision(self, revision: int) -> None:
+        self._revision = revision
+        self._handle(Followed(revision))
+
     async def register(self, name: str, address: str) -> None:
         """Keep this entry listed for as long as it lives."""
         lease: int | None = None
@@ -103,7 +147,8 @@
         gone = [name for name in self._entries if ENTRIES + name not in keys]
         for name in gone:
             self._entry_gone(name)
-        self._revision = snapshot.revision
+        self._note_revision(snapshot.revision)
+        self._looked.set()
         self._log.write(
             "store listed", revision=snapshot.revision, items=len(snapshot.items)
         )
--- /dev/null
+++ b/src/chicorycove/platform/listeners.py
@@ -0,0 +1,38 @@
+"""The sockets on which callers and the balancer are awaited."""
+
+import dataclasses
+import socket
+
+from ..exceptions import SettingsError
+from .boot import Boot
+
+BACKLOG = 1024  # connections that wait to be accepted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listeners:
+    """Sockets that listen; the kernel holds connections until they accept."""
+
+    callers: socket.socket
+    readiness: socket.socket
+
+
+def open_listeners(boot: Boot) -> Listeners:
+    """Listen on the addresses of the settings.
+
+    :raises SettingsError: if an address cannot be had
+    """
+    return Listeners(_listen(boot.callers), _listen(boot.readiness))
+
+
+def _listen(address: str) -> socket.socket:
+    host, port = address.rsplit(":", 1)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise SettingsError(f"cannot listen on {address}: {error.strerror}") from None
+    return listener
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -5,13 +5,14 @@
 import itertools
 import random
 import signal
+import sys
 import typing as t
 
 from ..direct.board import DirectBoard
 from ..direct.budget import BudgetSettings
 from ..direct.dispatch import DirectDispatcher
 from ..direct.entry import DirectEntry
-from ..direct.event import PeersSeen
+from ..direct.event import DirectEvent, Followed, PeersSeen
 from ..direct.http import CallerConnection
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
@@ -24,11 +25,12 @@
 from .boot import Boot, load
 from .follower import Follower
 from .headers import PlatformDialect
+from .listeners import BACKLOG, Listeners
 from .store import Store
 
 READY_PATH = "/chicorycove/ready"
 METRICS_PATH = "/metrics"
-BACKLOG = 1024  # connections that wait to be accepted
+FIRST_LIST = 0.3  # seconds that callers wait for the first look at the store
 STOP_POLL = 0.05  # seconds between looks whether all is finished
 LEASE_MOST = 3.0  # seconds; memory must be free 4 s after its last use
 LAPSE_SHARE = 0.9  # of the time in which a gone target may still be used
@@ -54,8 +56,9 @@
 class PlatformProcess:
     """One entry, from its settings to its end."""
 
-    def __init__(self, boot: Boot, log: LineLog) -> None:
+    def __init__(self, boot: Boot, listeners: Listeners, log: LineLog) -> None:
         self._boot = boot
+        self._listeners = listeners
         self._log = log
         self._settings = settings_from(boot)
         self._loop = asyncio.get_running_loop()
@@ -63,6 +66,7 @@
         self._metrics = Metrics(boot.name)
         self._store = Store(boot.store)
         self._board = DirectBoard()
+        self._peer_address = (boot.ip, boot.peer_port)
         # A restart is another owner of work, so that nobody takes the work of
         # its last life for that of this one.
         self._name = f"{boot.name}.{self._random.getrandbits(32):08x}"
@@ -76,7 +80,7 @@
             self._store,
             log,
             random.Random(),
-            self._entry.handle,
+            self._followed,
             self._entries_changed,
         )
         self._pages = PageHandler(
@@ -92,10 +96,9 @@
         await self._loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(boot.ip, boot.peer_port)
         )
-        await self._listen(boot.callers, lambda: CallerConnection(self._entry))
-        metrics = f"{boot.ip}:{boot.metrics_port}"
-        for address in (boot.readiness, metrics):
-            await self._listen(address, lambda: CallerConnection(self._pages))
+        metrics = {"host": boot.ip, "port": boot.metrics_port, "reuse_address": True}
+        for where in ({"sock": self._listeners.readiness}, metrics):
+            await self._listen(lambda: CallerConnection(self._pages), **where)
         self._entry.start()
         address = f"{boot.ip}:{boot.peer_port}"
         for work in (
@@ -104,6 +107,10 @@
             self._watch_peers(),
         ):
             self._work.append(asyncio.create_task(work))
+        await self._follower.looked(FIRST_LIST)
+        await self._listen(
+            lambda: CallerConnection(self._entry), sock=self._listeners.callers
+        )
         self._log.write("started", name=self._name, callers=boot.callers)
 
     async def stop(self) -> None:
@@ -164,34 +171,42 @@
             self._log,
             self._random,
             self._peers,
+            lambda: self._follower.read_anew(),
         )
 
     async def _listen(
-        self, address: str, factory: t.Callable[[], asyncio.Protocol]
+        self, factory: t.Callable[[], asyncio.Protocol], **where: t.Any
     ) -> None:
-        host, port = address.rsplit(":", 1)
-        server = await self._loop.create_server(
-            factory, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+        server = await self._loop.create_server(factory, backlog=BACKLOG, **where)
         self._servers.append(server)
 
+    def _followed(self, event: DirectEvent) -> None:
+        if isinstance(event, Followed):
+            self._peers.revision = event.revision
+        self._entry.handle(event)
+
     def _entries_changed(self, entries: dict[str, str]) -> None:
         self._listed = {
             name: address for name, address in entries.items() if name != self._name
         }
         for name, address in self._listed.items():
             host, port = address.rsplit(":", 1)
-            self._peers.add(name, (host, int(port)))
+            if (host, int(port)) != self._peer_address:
+                self._peers.add(name, (host, int(port)))
+        self._look_at_peers()
 
     async def _watch_peers(self) -> None:
         """Let go of peers that are neither listed nor heard."""
         while True:
-            silence = peer_silence(self._settings, self._board.entries)
-            self._peers.prune(self._listed.keys(), silence)
-            names = frozenset({self._name, *self._peers.names})
-            self._entry.handle(PeersSeen(names))
+            self._look_at_peers()
             await asyncio.sleep(PEER_CHECK)
 
+    def _look_at_peers(self) -> None:
+        silence = peer_silence(self._settings, self._board.entries)
+        self._peers.prune(self._listed.keys(), silence)
+        names = frozenset({self._name, *self._peers.names})
+        self._entry.handle(PeersSeen(names, self._peers.any_silent(silence)))
+
     def _ready_page(self) -> Page:
         return Page(200 if self._entry.ready else 503)
 
@@ -199,11 +214,16 @@
         return Page(200, self._metrics.page())
 
 
-async def run(boot: Boot, log: LineLog) -> None:
+def start(boot: Boot, listeners: Listeners) -> None:
+    """Run a process to its end."""
+    asyncio.run(run(boot, listeners, LineLog(sys.stdout.fileno(), boot.name)))
+
+
+async def run(boot: Boot, listeners: Listeners, log: LineLog) -> None:
     """Serve until a stop signal, then finish what there is."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    process = PlatformProcess(boot, log)
+    process = PlatformProcess(boot, listeners, log)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
--- a/src/chicorycove/platform/store.py
+++ b/src/chicorycove/platform/store.py
@@ -10,7 +10,7 @@
 from ..exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
 
 CALL_TIMEOUT = 1.0  # seconds; the store answers in 4 ms, 60 times slower at worst
-WATCH_WAIT = 8.0  # seconds that a watch waits for an event
+WATCH_WAIT = 4.0  # seconds; a watch that has broken unseen costs no more
 WATCH_SLACK = 1.5  # seconds more until a silent watch counts as broken
 PAGES_MOST = 1000  # of one list, so that a store at fault ends it
 
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -40,6 +40,8 @@
     down: bool = False  # every call gets 503
     silent: bool = False  # no call gets an answer
     delay: float = 0.0
+    deaf: bool = False  # watches are told of nothing
+    cut: bool = False  # watches that wait are cut
 
 
 class PlatformStore:
@@ -170,6 +172,12 @@
         while True:
             if self.faults.down:
                 return Response(status_code=503)
+            if self.faults.cut:
+                await server.drop(request)
+                return Response()
+            if self.faults.deaf:
+                await asyncio.sleep(0.05)
+                continue
             if after < self._forgotten:
                 return Response(status_code=410)
             events = [
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -10,6 +10,7 @@
 from bench.deployment import free_port
 from chicorycove.direct.linelog import LineLog
 from chicorycove.platform.boot import Boot
+from chicorycove.platform.listeners import open_listeners
 from chicorycove.platform.process import PlatformProcess
 from standin import platform_server, platform_store
 
@@ -75,6 +76,27 @@
     }
 
 
+def new_boot(**fields):
+    """Return the settings of an entry on free ports of loopback."""
+    values = {
+        "name": "entry-1",
+        "ip": "127.0.0.1",
+        "failure_domain": "here",
+        "callers": f"127.0.0.1:{free_port()}",
+        "readiness": f"127.0.0.1:{free_port()}",
+        "peer_port": free_port(),
+        "metrics_port": free_port(),
+        "store": "127.0.0.1:1",
+        "grace": 0.2,  # seconds, so that a test's end takes no time
+        "drain": 2.0,
+        "repeat_ratio": 0.2,
+        "repeat_window": 10.0,
+        "repeat_extra": 100,
+        "hold_most": 20.0,
+    }
+    return Boot(**{**values, **fields})
+
+
 class Answer:
     """An answer as a caller reads it from its connection."""
 
@@ -194,25 +216,12 @@
     def configure(self, wanted):
         self.store.put("op/config", json.dumps(wanted).encode())
 
-    async def start(self, wait=True):
-        self.boot = Boot(
-            name="entry-1",
-            ip="127.0.0.1",
-            failure_domain="here",
-            callers=f"127.0.0.1:{free_port()}",
-            readiness=f"127.0.0.1:{free_port()}",
-            peer_port=free_port(),
-            metrics_port=free_port(),
-            store=self._store_server.address,
-            grace=self.grace,
-            drain=2.0,
-            repeat_ratio=0.2,
-            repeat_window=10.0,
-            repeat_extra=100,
-            hold_most=20.0,
-        )
+    async def start(self, boot=None, listeners=None, wait=True):
+        store = self._store_server.address
+        self.boot = boot or new_boot(store=store, grace=self.grace)
+        listeners = listeners or open_listeners(self.boot)
         log = LineLog(os.dup(self.log.fileno()), self.boot.name)
-        process = PlatformProcess(self.boot, log)
+        process = PlatformProcess(self.boot, listeners, log)
         await process.start()
         self.addAsyncCleanup(process.stop)
         if wait:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -5,7 +5,10 @@
 from chicorycove import Reason, Verdict
 from chicorycove.direct.event import (
     CallerSlow,
+    Followed,
     Headed,
+    PeersSeen,
+    PeerTold,
     Probed,
     Received,
     Sent,
@@ -229,6 +232,30 @@
         self.assertNotIn("s0", world.board.targets)
 
 
+class PeerTest(unittest.TestCase):
+    def setUp(self):
+        self.world = DirectWorld()
+
+    def see(self, *names, silent=False):
+        self.world.handle(PeersSeen(frozenset({"entry-1", *names}), silent))
+
+    def test_blind_entry_takes_its_turn_of_the_order(self):
+        self.see("entry-0", "entry-2", "entry-3", silent=True)
+        self.assertEqual(self.world.board.turn, 0.25)
+
+    def test_entry_that_hears_all_shares_their_order(self):
+        self.see("entry-0", silent=True)
+        self.see("entry-0")
+        self.assertEqual(self.world.board.turn, 0.0)
+
+    def test_store_is_read_when_a_peer_has_long_seen_more(self):
+        self.world.handle(Followed(5))
+        for now, wanted in ((0.0, []), (0.9, []), (1.2, ["ReadStore"])):
+            self.world.now = now
+            commands = self.world.handle(PeerTold("entry-2", revision=6))
+            self.assertEqual(names(commands), wanted)
+
+
 class DuplicateTest(unittest.TestCase):
     def test_work_is_empty_when_all_requests_have_ended(self):
         world = DirectWorld()
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -10,6 +10,7 @@
 from chicorycove.direct.board import Work, WorkKey
 from chicorycove.direct.budget import BudgetSettings, SharedBudget
 from chicorycove.direct.eventstream import EventCutter, last_id
+from chicorycove.direct.freshness import Freshness
 from chicorycove.direct.http import end_to_end
 from chicorycove.direct.linelog import LIMIT, LineLog
 from chicorycove.direct.route import (
@@ -151,7 +152,9 @@
             objective_at=101.0,
             ahead=True,
         )
-        (data,) = peers.encode("entry-1", [work], [WorkKey("entry-1", 3)], ["x"], 100.0)
+        (data,) = peers.encode(
+            "entry-1", [work], [WorkKey("entry-1", 3)], ["x"], 7, 100.0
+        )
         told = peers.decode(data, 5000.0)
         (heard,) = told.works
         self.assertEqual((heard.key, heard.target), (work.key, "t"))
@@ -160,10 +163,13 @@
         self.assertTrue(heard.ahead)
         self.assertEqual(told.ended, (WorkKey("entry-1", 3),))
         self.assertEqual(told.unreachable, ("x",))
+        self.assertEqual(told.revision, 7)
 
     def test_many_works_stay_under_a_frame(self):
         works = [Work(WorkKey("e", n), "i-0123456789") for n in range(40)]
-        for data in peers.encode("front-kitakyushu-1.01234567", works, (), (), 0.0):
+        for data in peers.encode(
+            "front-kitakyushu-1.01234567", works, (), (), 10**9, 0.0
+        ):
             self.assertLess(len(data), 1400)
 
     def test_foreign_datagrams_are_refused(self):
@@ -172,6 +178,32 @@
                 peers.decode(data, 0.0)
 
 
+class FreshnessTest(unittest.TestCase):
+    def setUp(self):
+        self.freshness = Freshness(patience=1.0)
+        self.freshness.followed(10)
+
+    def test_peer_that_is_ahead_for_long_is_a_sign(self):
+        self.assertFalse(self.freshness.told(11, 0.0))
+        self.assertFalse(self.freshness.told(12, 1.0))
+        self.assertTrue(self.freshness.told(12, 1.1))
+
+    def test_sign_is_given_once_in_a_while(self):
+        self.freshness.told(11, 0.0)
+        self.assertTrue(self.freshness.told(11, 1.1))
+        self.assertFalse(self.freshness.told(11, 1.2))
+        self.assertTrue(self.freshness.told(11, 2.2))
+
+    def test_changes_that_arrive_in_their_time_are_none(self):
+        for number in range(20):
+            self.assertFalse(self.freshness.told(11 + number, number * 0.5))
+            self.freshness.followed(11 + number)
+
+    def test_peer_behind_is_none(self):
+        self.assertFalse(self.freshness.told(9, 0.0))
+        self.assertFalse(self.freshness.told(10, 5.0))
+
+
 class LineLogTest(unittest.TestCase):
     def test_full_pipe_drops_lines_and_counts_them(self):
         reader, writer = os.pipe()
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -120,6 +120,16 @@
         self.assertTrue(placement.members)
         self.assertTrue(used <= {"e0", "e1", "e2", "e3"}, used)
 
+    def test_blind_entries_prefer_other_targets(self):
+        # scale-2 of the grown intranett: entries cut from one another all sent
+        # to the same targets.
+        for wanted in (job(), long_job(100_000)):
+            chosen = {
+                self.placer.place(wanted, ENGINE, self.views, 0.0, turn).target
+                for turn in (0.0, 0.25, 0.5, 0.75)
+            }
+            self.assertEqual(len(chosen), 4)
+
     def test_suspected_target_is_avoided(self):
         for index in range(7):
             self.views[index].suspected_until = 5.0
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import json
+import socket
+import subprocess
+import sys
 import tempfile
 import unittest
 
+from chicorycove.direct import peers
 from chicorycove.exceptions import SettingsError
 from chicorycove.platform.boot import load
+from chicorycove.platform.listeners import open_listeners
 from standin.platform_server import Faults
 
-from .platform_case import KEY, PlatformTestCase, config, route
+from .platform_case import KEY, Caller, PlatformTestCase, config, new_boot, route
 
 
 class PassingOnTest(PlatformTestCase):
@@ -307,6 +312,35 @@
         await asyncio.sleep(0.8)
         self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
 
+    async def test_change_kept_from_a_broken_watch_is_found(self):
+        # scale-2 of the grown intranett: while the store compacted, watches
+        # were told of nothing, were reset, and the next ones were told of
+        # nothing either; one entry knew no change for five seconds.
+        self.store.faults.deaf = True
+        self.configure(config(2, keys=("key-2",)))
+        await asyncio.sleep(0.4)
+        self.store.faults.cut = True
+        await asyncio.sleep(0.2)
+        self.store.faults.cut = False
+        await asyncio.sleep(0.8)
+        self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
+
+    async def test_change_that_a_peer_has_seen_is_found(self):
+        self.store.faults.deaf = True
+        self.configure(config(2, keys=("key-2",)))
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
+        )
+        self.addCleanup(transport.close)
+        (account,) = peers.encode("entry-2", (), (), (), 1_000, loop.time())
+        for _ in range(8):
+            transport.sendto(account, ("127.0.0.1", self.boot.peer_port))
+            await asyncio.sleep(0.2)
+        self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
+        events = [line["event"] for line in await self.lines()]
+        self.assertIn("behind a peer", events)
+
     async def test_leaving_server_gets_nothing_new(self):
         self.list(self.shop[0], state="draining")
         await asyncio.sleep(0.6)
@@ -321,6 +355,19 @@
             await self.ask("/order/x")
         self.assertEqual(len(self.shop[0].runs), 0)
 
+    async def test_caller_who_comes_during_a_start_is_served(self):
+        # The closing kills of all days: a refused connection is half of what
+        # a caller has, and imports take most of a start.
+        boot = new_boot(store=self.boot.store)
+        listeners = open_listeners(boot)
+        caller = await Caller.open(boot.callers)
+        self.addCleanup(caller.close)
+        caller.send("/order/x", b"12 tons")
+        self.store.faults.delay = 0.1
+        await self.start(boot, listeners, wait=False)
+        answer = await caller.read()
+        self.assertEqual((answer.status, answer.body), (200, b"12 tons"))
+
     async def test_entry_is_listed_while_it_lives(self):
         await self.until(self.is_listed)
 
@@ -364,6 +411,24 @@
 
 
 class BootTest(unittest.TestCase):
+    def test_callers_are_awaited_before_the_slow_imports(self):
+        code = "import sys, chicorycove.platform.__main__; print(*sys.modules)"
+        loaded = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        slow = {"asyncio", "httptools", "prometheus_client", "transitions"}
+        self.assertEqual(slow & set(loaded.stdout.split()), set())
+
+    def test_address_that_is_taken_is_named(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            boot = new_boot(callers=address)
+            with self.assertRaises(SettingsError) as caught:
+                open_listeners(boot)
+        self.assertIn(address, str(caught.exception))
+
     def test_wrong_settings_name_key_and_cause(self):
         good = {
             "node": "front-1",
