--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -316,7 +316,7 @@
         state.runs -= 1
         state.refusals += 1
         if answer.wrong_instance:
-            commands = self._targets.handle(Unlisted(target), now)
+            commands = self._targets.replaced(target)
         else:
             commands = []
         if answer.faulty is not None:
--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -51,6 +51,12 @@
             return []
         return self._remove(item.target, "not back after the store")
 
+    def replaced(self, target: str) -> list[DirectCommand]:
+        """Drop a target whose address another one has."""
+        if target not in self._board.targets:
+            return []
+        return self._remove(target, "another target has its address")
+
     def _listed(self, listing: Listing) -> list[DirectCommand]:
         view = self._board.targets.get(listing.id)
         if view is not None and view.listing.born != listing.born:
@@ -68,7 +74,7 @@
 
     def _unlisted(self, target: str, now: float) -> list[DirectCommand]:
         view = self._board.targets.get(target)
-        if view is None:
+        if view is None or view.missing_until is not None:
             return []
         if view.listing.leaving or not self._may_have_lapsed(now):
             return self._remove(target, "unlisted")
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -12,6 +12,8 @@
     Probed,
     Received,
     Sent,
+    StoreAway,
+    TargetAnswer,
     Unlisted,
     Wrote,
 )
@@ -31,6 +33,7 @@
     only,
 )
 
+ELSEWHERE = TargetAnswer(status=421, not_run=True, wrong_instance=True)
 CUT = (Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
 UNREACHED = (Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
 
@@ -231,6 +234,24 @@
         world.handle(Unlisted("s0"))
         self.assertNotIn("s0", world.board.targets)
 
+    def test_second_word_of_a_lapse_extends_nothing(self):
+        world = DirectWorld(shops=1)
+        world.handle(StoreAway())
+        for now in (0.0, 1.0):
+            world.now = now
+            world.handle(Unlisted("s0"))
+        world.now = 2.0
+        world.handle(Tick())
+        self.assertNotIn("s0", world.board.targets)
+
+    def test_lapsed_target_whose_address_another_has_is_gone(self):
+        world = DirectWorld(shops=2)
+        world.handle(StoreAway())
+        send = world.send("r", LOOKUP)
+        world.handle(Unlisted(send.target.target))
+        world.handle(Headed(send.attempt, ELSEWHERE))
+        self.assertNotIn(send.target.target, world.board.targets)
+
 
 class PeerTest(unittest.TestCase):
     def setUp(self):
