Cut large fleets into cells; judge targets' condition in a module of its own

Cause: each entry told every other of each request, three datagrams each: 240,000 a second for each at the size to come (docs/CAPACITY.md), and each decision looked at every target. Change: over 96 targets of a service, entries and targets are cut into cells in the order of their names; an entry chooses in its cell and tells the entries there. If a cell has no target left, all are looked at. Ruled out: random subsets (subset.py), where no two entries share theirs and all must be told. direct/condition.py takes suspicion, ejection and probes out of the dispatcher.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -119,11 +119,17 @@
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
     requests: dict[str, DirectState] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
-    entries: int = 1  # known, this one included
+    names: frozenset[str] = frozenset()  # of all entries known, with this one
+    peers: frozenset[str] = frozenset()  # of those that share targets with it
     turn: float = 0.0  # of the order of targets, so that blind entries spread
     store_back_at: float = float("-inf")
     stopping_at: float | None = None
 
+    @property
+    def entries(self) -> int:
+        """Return how many entries are known, this one included."""
+        return max(len(self.names), 1)
+
     def service(self, name: str) -> Service | None:
         """Return a service of the deployment in force."""
         return self.table.services.get(name) if self.table else None
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -4,7 +4,6 @@
 import typing as t
 
 from ..attempt import AttemptState, Step, advance, is_live
-from ..health import OutlierDetector
 from ..identity import AgentId, AttemptId
 from ..lifecycle import (
     CallerGone,
@@ -29,11 +28,11 @@
     Drop,
     Note,
     PassOn,
-    Probe,
     ReadStore,
     SendTo,
     Tell,
 )
+from .condition import TargetCondition
 from .event import (
     CallerSlow,
     Deployed,
@@ -54,6 +53,7 @@
     Wrote,
 )
 from .freshness import Freshness
+from .neighbourhood import Neighbourhood
 from .patience import Doubt, Overdue, Patience, Wait
 from .placement import Job, Placement, Placer, place_call
 from .reservation import AnswerDue, RenewalDue, Reservations
@@ -93,12 +93,13 @@
         self._make_attempt = make_attempt
         self._placer = Placer(settings.placement)
         self._budget = SharedBudget(settings.budget)
-        self._health = OutlierDetector(board, settings.health)
+        self._condition = TargetCondition(board, settings)
         self._targets = TargetList(board, settings)
         self._reservations = Reservations(board, settings.reservation)
         self._work = WorkBook(board, settings, name)
         self._patience = Patience(settings.patience, self._work)
         self._freshness = Freshness(settings.behind)
+        self._neighbourhood = Neighbourhood(board, settings.targets, name)
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return what is to be done about an event."""
@@ -132,12 +133,14 @@
                 return []
             case Listed() | Unlisted() | StoreAway() | StoreBack():
                 if isinstance(event, Unlisted):
-                    self._health.forget(event.target)
+                    self._condition.forget(event.target)
                 return self._targets.handle(event, now)
             case Followed(revision):
                 self._freshness.followed(revision)
                 return []
-            case PeersSeen():
+            case PeersSeen(names):
+                self._board.names = names
+                self._board.peers = self._neighbourhood.peers()
                 return self._work.handle(event, now)
             case PeerTold(owner, revision=revision):
                 commands = self._work.handle(event, now)
@@ -195,11 +198,9 @@
 
     def _choose(self, state: DirectState, now: float) -> Placement | None:
         service = state.inbound.service
-        views = [
-            view
-            for view in self._board.targets_of(service)
-            if view.listing.id not in state.tried
-        ] or list(self._board.targets_of(service))
+        near = self._neighbourhood.views(service)
+        near = near or list(self._board.targets_of(service))
+        views = [x for x in near if x.listing.id not in state.tried] or near
         profile = self._board.service(service)
         work = state.inbound.request.work
         if isinstance(work, Prompt) and profile and profile.engine:
@@ -320,7 +321,7 @@
         else:
             commands = []
         if answer.faulty is not None:
-            self._suspect_address(answer.faulty, now)
+            self._condition.suspect_address(answer.faulty, now)
         state.tried.add(target)
         commands.append(Drop(record.id))
         return commands + self._again(state, Reason.QUEUE_FULL, Verdict.NOT_RUN, now)
@@ -343,7 +344,7 @@
                     state, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
                 )
         else:
-            self._health.note_success(record.agent.target)
+            self._condition.note_success(record.agent.target)
         advance(record, Step.END)
         if state.answering:
             return self._abort(state, Reason.TARGET_FAILED)
@@ -355,7 +356,7 @@
             return []
         record = state.attempts[-1]
         advance(record, Step.END)
-        self._health.note_success(record.agent.target)
+        self._condition.note_success(record.agent.target)
         return [Finish(attempt.request), *self._forget(state)]
 
     def _wrote(
@@ -384,11 +385,11 @@
         commands: list[DirectCommand] = []
         if verdict is Verdict.NOT_RUN:
             advance(record, Step.REFUSE)
-            commands += self._suspect(target, now)
+            commands += self._condition.suspect(target, now)
         else:
             advance(record, Step.FAIL)
             self._note_failure(state, now)
-            commands += self._probe(target)
+            commands += self._condition.probe(target)
         return commands + self._again(state, reason, verdict, now)
 
     def _may_repeat(self, state: DirectState, now: float) -> bool:
@@ -460,32 +461,13 @@
 
     def _note_failure(self, state: DirectState, now: float) -> None:
         target = state.attempts[-1].agent.target
-        service = state.inbound.service
-        peers = [view.listing.id for view in self._board.targets_of(service)]
-        self._health.note_failure(target, peers, now)
-
-    def _suspect(self, target: str, now: float) -> list[DirectCommand]:
-        view = self._board.targets.get(target)
-        if view is None:
-            return []
-        known = view.suspected_until > now
-        view.suspected_until = now + self._settings.patience.suspicion
-        return [] if known else [Tell((), (), (target,))]
-
-    def _suspect_address(self, address: str, now: float) -> None:
-        for view in self._board.targets.values():
-            if view.listing.address == address:
-                view.suspected_until = now + self._settings.patience.suspicion
-
-    def _probe(self, target: str) -> list[DirectCommand]:
-        view = self._board.targets.get(target)
-        return [Probe(target, view.listing.address)] if view else []
+        self._condition.note_failure(target, state.inbound.service, now)
 
     def _probed(self, target: str, alive: bool, now: float) -> list[DirectCommand]:
         """Give up what runs on a target that cannot be reached."""
         if alive:
             return []
-        commands = self._suspect(target, now)
+        commands = self._condition.suspect(target, now)
         for state in list(self._board.requests.values()):
             record = state.attempts[-1] if state.attempts else None
             if record is None or not is_live(record):
@@ -537,7 +519,7 @@
                 return []
             case Doubt(until):
                 self._board.timers.add(until, _PatienceDue(attempt))
-                return self._probe(state.attempts[-1].agent.target)
+                return self._condition.probe(state.attempts[-1].agent.target)
             case Overdue():
                 return self._overdue(state, now)
 
@@ -550,7 +532,7 @@
         record = state.attempts[-1]
         due = now + self._settings.patience.overdue
         self._board.timers.add(due, _PatienceDue(record.id))
-        return self._probe(record.agent.target)
+        return self._condition.probe(record.agent.target)
 
     def _give_up_on(self, state: DirectState, now: float) -> list[DirectCommand]:
         record = state.attempts[-1]
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -200,7 +200,7 @@
     def _do(self, command: DirectCommand) -> None:
         match command:
             case Tell(works, ended, unreachable):
-                self._peers.tell(works, ended, unreachable)
+                self._peers.tell(self._board.peers, works, ended, unreachable)
             case SendTo():
                 self._send(command)
             case PassOn(request):
@@ -399,14 +399,16 @@
     async def _account(self) -> None:
         """Tell peers of all work under way, which mends lost datagrams."""
         while True:
-            await self._pause(account_interval(self._settings, self._board.entries))
+            await self._pause(account_interval(self._settings, len(self._board.peers)))
             works = [
                 work
                 for state in self._board.requests.values()
                 for work in state.works
                 if work.writes or not work.writing
             ]
-            self._peers.tell(works)  # an empty account is a heartbeat
+            self._peers.tell(
+                self._board.peers, works
+            )  # an empty account is a heartbeat
 
     async def _pause(self, seconds: float) -> None:
         """Sleep, and log if the process was late to wake."""
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -117,7 +117,7 @@
     """The entries that are known, this one included."""
 
     names: frozenset[str]
-    silent: bool = False  # whether one of them has not been heard of late
+    silent: frozenset[str] = frozenset()  # of them, not heard of late
 
 
 @frozen
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -181,25 +181,30 @@
                 del self._addresses[name]
                 self._heard_at.pop(address, None)
 
-    def any_silent(self, silence: float) -> bool:
-        """Tell whether a peer has not been heard for some seconds."""
+    def silent(self, silence: float) -> frozenset[str]:
+        """Return the peers that have not been heard for some seconds."""
         limit = self._clock() - silence
-        heard = self._heard_at
-        return any(heard.get(x, 0.0) < limit for x in self._addresses.values())
+        return frozenset(
+            name
+            for name, address in self._addresses.items()
+            if self._heard_at.get(address, 0.0) < limit
+        )
 
     def tell(
         self,
+        names: t.Container[str],
         works: t.Iterable[Work] = (),
         ended: t.Iterable[WorkKey] = (),
         unreachable: t.Iterable[str] = (),
     ) -> None:
-        """Send an account to every peer."""
+        """Send an account to the peers that are named."""
         if self._transport is None or not self._addresses:
             return
         datagrams = encode(
             self._name, works, ended, unreachable, self.revision, self._clock()
         )
-        for address, datagram in itertools.product(self._addresses.values(), datagrams):
+        told = {x for name, x in self._addresses.items() if name in names}
+        for address, datagram in itertools.product(told, datagrams):
             self._transport.sendto(datagram, address)
 
     def close(self) -> None:
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -59,5 +59,6 @@
     silent_accounts: float = 3.2  # missed before a peer's work is forgotten
     stop_accepting: float = 2.5  # after a stop signal; callers keep coming till then
     least_time: float = 0.02  # before a deadline, under which nothing is sent
+    targets: int = 96  # of a service, among which an entry chooses, roughly
     tokens_per_value: float = 10_000.0  # of a prompt that is worth one call more
     retry_after_no_target: float = 1.0  # a lapsed target is back within 2 s
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -95,8 +95,9 @@
         """Take what other entries tell."""
         match event:
             case PeersSeen(names, silent):
-                self._board.entries = max(len(names), 1)
-                self._board.turn = self._turn(names) if silent else 0.0
+                self._board.turn = (
+                    self._turn(names) if silent & self._board.peers else 0.0
+                )
                 self._expire(now)
             case PeerTold(_, works, ended, unreachable):
                 for work in works:
@@ -176,7 +177,7 @@
 
     def _expire(self, now: float) -> None:
         """Forget the work of entries that have fallen silent."""
-        limit = now - peer_silence(self._settings, self._board.entries)
+        limit = now - peer_silence(self._settings, len(self._board.peers))
         for view in self._board.targets.values():
             silent = [
                 key
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -202,10 +202,10 @@
             await asyncio.sleep(PEER_CHECK)
 
     def _look_at_peers(self) -> None:
-        silence = peer_silence(self._settings, self._board.entries)
+        silence = peer_silence(self._settings, len(self._board.peers))
         self._peers.prune(self._listed.keys(), silence)
         names = frozenset({self._name, *self._peers.names})
-        self._entry.handle(PeersSeen(names, self._peers.any_silent(silence)))
+        self._entry.handle(PeersSeen(names, self._peers.silent(silence)))
 
     def _ready_page(self) -> Page:
         return Page(200 if self._entry.ready else 503)
--- a/tests/test_direct_beliefs.py
+++ b/tests/test_direct_beliefs.py
@@ -169,6 +169,7 @@
     def wait(self, pause, entries):
         self.now += pause
         names = frozenset(f"e{number}" for number in range(entries))
+        self.board.peers = names
         self.book.handle(PeersSeen(names), self.now)
         silence = peer_silence(self.settings, entries)
         self.told = {
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -257,15 +257,16 @@
     def setUp(self):
         self.world = DirectWorld()
 
-    def see(self, *names, silent=False):
-        self.world.handle(PeersSeen(frozenset({"entry-1", *names}), silent))
+    def see(self, *names, silent=()):
+        known = frozenset({"entry-1", *names})
+        self.world.handle(PeersSeen(known, frozenset(silent)))
 
     def test_blind_entry_takes_its_turn_of_the_order(self):
-        self.see("entry-0", "entry-2", "entry-3", silent=True)
+        self.see("entry-0", "entry-2", "entry-3", silent=["entry-3"])
         self.assertEqual(self.world.board.turn, 0.25)
 
     def test_entry_that_hears_all_shares_their_order(self):
-        self.see("entry-0", silent=True)
+        self.see("entry-0", silent=["entry-0"])
         self.see("entry-0")
         self.assertEqual(self.world.board.turn, 0.0)
 
