--- a/bench/placing.py
+++ b/bench/placing.py
@@ -264,6 +264,7 @@
     ) -> None:
         self._settings = settings
         self._fleet = FLEETS[options.fleet]
+        self._lag = options.lag
         self._profile = EngineProfile(
             slots=self._fleet.slots,
             memory=self._fleet.memory,
@@ -375,7 +376,8 @@
                     heard: PeerTold = decode(data, sent_at)
                     self._handle(peer, heard)
 
-        self._soon(arrive)
+        lag = self._rng.expovariate(1.0 / self._lag) if self._lag else 0.0
+        self._at(self.now + LINK + lag, arrive)
 
     # What an entry asks for
 
@@ -572,6 +574,7 @@
     parser = argparse.ArgumentParser(prog="python -m bench placing")
     parser.add_argument("--fleet", choices=sorted(FLEETS), default="today")
     parser.add_argument("--rate", type=float, default=1.0, help="times the sheet's")
+    parser.add_argument("--lag", type=float, default=0.0, help="of tells, mean")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument(
