--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -12,6 +12,8 @@
     Probed,
     Received,
     Sent,
+    StoreAway,
+    TargetAnswer,
     Unlisted,
     Wrote,
 )
@@ -31,6 +33,7 @@
     only,
 )
 
+ELSEWHERE = TargetAnswer(status=421, not_run=True, wrong_instance=True)
 CUT = (Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
 UNREACHED = (Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
 
@@ -231,20 +234,39 @@
         world.handle(Unlisted("s0"))
         self.assertNotIn("s0", world.board.targets)
 
+    def test_second_word_of_a_lapse_extends_nothing(self):
+        world = DirectWorld(shops=1)
+        world.handle(StoreAway())
+        for now in (0.0, 1.0):
+            world.now = now
+            world.handle(Unlisted("s0"))
+        world.now = 2.0
+        world.handle(Tick())
+        self.assertNotIn("s0", world.board.targets)
+
+    def test_lapsed_target_whose_address_another_has_is_gone(self):
+        world = DirectWorld(shops=2)
+        world.handle(StoreAway())
+        send = world.send("r", LOOKUP)
+        world.handle(Unlisted(send.target.target))
+        world.handle(Headed(send.attempt, ELSEWHERE))
+        self.assertNotIn(send.target.target, world.board.targets)
+
 
 class PeerTest(unittest.TestCase):
     def setUp(self):
         self.world = DirectWorld()
 
-    def see(self, *names, silent=False):
-        self.world.handle(PeersSeen(frozenset({"entry-1", *names}), silent))
+    def see(self, *names, silent=()):
+        known = frozenset({"entry-1", *names})
+        self.world.handle(PeersSeen(known, frozenset(silent)))
 
     def test_blind_entry_takes_its_turn_of_the_order(self):
-        self.see("entry-0", "entry-2", "entry-3", silent=True)
+        self.see("entry-0", "entry-2", "entry-3", silent=["entry-3"])
         self.assertEqual(self.world.board.turn, 0.25)
 
     def test_entry_that_hears_all_shares_their_order(self):
-        self.see("entry-0", silent=True)
+        self.see("entry-0", silent=["entry-0"])
         self.see("entry-0")
         self.assertEqual(self.world.board.turn, 0.0)
 
