Ask for a page of the store again instead of beginning its list anew

Supposed cause: 299 lists of 7 pages are 2,093 calls, over the store's 2,000 a second; a refusal (429) began the list anew. Change: a page that gets 429 is asked for again after 0.1 s, 8 times at most.

--- a/src/chicorycove/platform/store.py
+++ b/src/chicorycove/platform/store.py
@@ -1,5 +1,6 @@
 """The calls of the platform's store."""
 
+import asyncio
 import base64
 import typing as t
 import urllib.parse
@@ -9,10 +10,13 @@
 from ..direct.client import CallFailed, HttpClient, Reply
 from ..exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
 
+TOO_MANY = 429  # calls: the store refuses what exceeds its rate
 CALL_TIMEOUT = 1.0  # seconds; the store answers in 4 ms, 60 times slower at worst
 WATCH_WAIT = 4.0  # seconds; a watch that has broken unseen costs no more
 WATCH_SLACK = 1.5  # seconds more until a silent watch counts as broken
 PAGES_MOST = 1000  # of one list, so that a store at fault ends it
+PAGE_TRIES = 8  # of one page: entries that start together exceed the store's rate
+PAGE_PAUSE = 0.1  # seconds between them
 
 
 class HistoryLost(PlatformError):
@@ -89,8 +93,7 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            reply = await self._call("GET", "/chicorycove/kv-range", query)
-            page = _decode(_range, reply)
+            page = await self._page(query)
             items += page.items
             # Pages are no snapshot: a watch from the first one misses nothing.
             revision = page.storeRevision if revision is None else revision
@@ -161,6 +164,15 @@
             raise LeaseLost(f"lease {lease} has ended")
         _check(reply)
 
+    async def _page(self, query: dict[str, str]) -> _Range:
+        """Return a page, in spite of a store that is too busy for it."""
+        for _ in range(PAGE_TRIES - 1):
+            reply = await self._call("GET", "/chicorycove/kv-range", query)
+            if reply.status != TOO_MANY:
+                return _decode(_range, reply)
+            await asyncio.sleep(PAGE_PAUSE)
+        return _decode(_range, await self._call("GET", "/chicorycove/kv-range", query))
+
     async def _call(
         self, method: str, path: str, query: dict[str, str], body: bytes = b""
     ) -> Reply:
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -40,6 +40,7 @@
     down: bool = False  # every call gets 503
     silent: bool = False  # no call gets an answer
     delay: float = 0.0
+    busy: int = 0  # next calls that get 429
     deaf: bool = False  # watches are told of nothing
     cut: bool = False  # watches that wait are cut
 
@@ -136,6 +137,9 @@
             await asyncio.sleep(self.faults.delay)
             if self.faults.down:
                 return Response(status_code=503)
+            if self.faults.busy:
+                self.faults.busy -= 1
+                return Response(status_code=429)
             self._expire()
             return await call(request)
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,9 +9,11 @@
 import unittest
 
 from chicorycove.direct import peers
-from chicorycove.exceptions import SettingsError
+from chicorycove.exceptions import SettingsError, StoreUnavailable
 from chicorycove.platform.boot import load
 from chicorycove.platform.listeners import open_listeners
+from chicorycove.platform.store import Store
+from standin import platform_store
 from standin.platform_server import Faults
 
 from .platform_case import KEY, Caller, PlatformTestCase, config, new_boot, route
@@ -375,6 +377,32 @@
         return bool(self.store.keys("chicorycove/entries/entry-1."))
 
 
+class ListTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin, served = await platform_store.start()
+        self.addAsyncCleanup(served.close)
+        for number in range(3 * platform_store.PAGE):
+            self.standin.put(f"servers/i-{number:05}", b"{}")
+        self.store = Store(served.address)
+        self.addCleanup(self.store.close)
+
+    async def test_page_that_is_refused_is_asked_for_again(self):
+        # sweep of moldline: 299 entries that started together listed 3,000
+        # servers each, began anew at each refusal, and served after 4.5 s.
+        listing = asyncio.create_task(self.store.list("servers/"))
+        while len(self.standin.calls) < 1:
+            await asyncio.sleep(0.001)
+        self.standin.faults.busy = 3
+        snapshot = await listing
+        self.assertEqual(len(snapshot.items), 3 * platform_store.PAGE)
+        self.assertEqual(len(self.standin.calls), 3 + 3)
+
+    async def test_store_that_stays_busy_is_away(self):
+        self.standin.faults.busy = 1_000
+        with self.assertRaises(StoreUnavailable):
+            await self.store.list("servers/")
+
+
 class StopTest(PlatformTestCase):
     grace = 4.0
 
