Do once for a batch what was done for each entry and each target

Supposed now: at a start, each of 299 peers listed had all names sorted and all 3,000 targets counted, once for its listing and twice more as its old name went and its new one came. Change: a follower tells of changed entries once for all that came together; cells are found again only when entries or targets have changed; what a peer has ended is found by an index, not by a look at every target.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -117,6 +117,7 @@
 
     table: RoutingTable | None = None
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
+    changes: int = 0  # of the targets, by which what follows from them is known
     requests: dict[str, DirectState] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
     names: frozenset[str] = frozenset()  # of all entries known, with this one
--- a/src/chicorycove/direct/neighbourhood.py
+++ b/src/chicorycove/direct/neighbourhood.py
@@ -18,9 +18,33 @@
         self._board = board
         self._most = most
         self._name = name
+        self._seen: tuple[frozenset[str], int] | None = None
+        self._peers: frozenset[str] | None = None
+        self._views: dict[str, list[TargetView]] = {}
 
     def views(self, service: str) -> list[TargetView]:
         """Return the targets of a service in this entry's cell."""
+        self._refresh()
+        if service not in self._views:
+            self._views[service] = self._find_views(service)
+        return self._views[service]
+
+    def peers(self) -> frozenset[str]:
+        """Return the names of the entries in the same cell, this one's too."""
+        self._refresh()
+        if self._peers is None:
+            self._peers = self._find_peers()
+        return self._peers
+
+    def _refresh(self) -> None:
+        """Forget what was found among other entries and targets."""
+        seen = (self._board.names, self._board.changes)
+        if seen != self._seen:
+            self._seen = seen
+            self._peers = None
+            self._views = {}
+
+    def _find_views(self, service: str) -> list[TargetView]:
         views = list(self._board.targets_of(service))
         cells = self._cells(len(views))
         if cells == 1:
@@ -29,8 +53,7 @@
         views.sort(key=lambda view: view.listing.id)
         return [x for rank, x in enumerate(views) if rank * cells // len(views) == own]
 
-    def peers(self) -> frozenset[str]:
-        """Return the names of the entries in the same cell, this one's too."""
+    def _find_peers(self) -> frozenset[str]:
         sizes: dict[str, int] = {}
         for view in self._board.targets.values():
             if view.available:
--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -30,6 +30,7 @@
 
     def handle(self, event: ListEvent, now: float) -> list[DirectCommand]:
         """Take a change of the list, or of the store that holds it."""
+        self._board.changes += 1
         match event:
             case Listed(listing):
                 return self._listed(listing)
@@ -87,5 +88,6 @@
         return self._away or now < self._board.store_back_at + self._lapse
 
     def _remove(self, target: str, why: str) -> list[DirectCommand]:
+        self._board.changes += 1
         del self._board.targets[target]
         return [Note("target gone", target, why)]
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -22,6 +22,7 @@
         self._settings = settings
         self._name = name
         self._count = 0
+        self._targets: dict[WorkKey, str] = {}  # of all work, wherever it is
 
     def place(
         self, state: DirectState, placement: Placement, now: float
@@ -87,7 +88,7 @@
         """Take a request's parts from their targets."""
         keys = tuple(part.key for part in state.works)
         for part in state.works:
-            self._leave(part.key, part.target)
+            self._drop(part.key)
         state.works = []
         return keys
 
@@ -148,11 +149,12 @@
         if view is None:
             return
         if work.writing and not work.writes and not work.memory:
-            view.work.pop(work.key, None)  # a part that was read is no load
+            self._drop(work.key)  # a part that was read is no load
             return
         if work.ahead and not work.writing and work.key not in view.work:
             self._put_back(view, work)
         view.work[work.key] = work
+        self._targets[work.key] = work.target
 
     def _put_back(self, view: TargetView, part: Work) -> None:
         """Delay what waits to be read behind a part that goes ahead of it."""
@@ -160,16 +162,11 @@
             if not other.writing:
                 other.read_until += part.read
 
-    def _leave(self, key: WorkKey, target: str) -> None:
-        view = self._board.targets.get(target)
+    def _drop(self, key: WorkKey) -> None:
+        view = self._board.targets.get(self._targets.pop(key, ""))
         if view is not None:
             view.work.pop(key, None)
 
-    def _drop(self, key: WorkKey) -> None:
-        for view in self._board.targets.values():
-            if view.work.pop(key, None) is not None:
-                return
-
     def _suspect(self, target: str, now: float) -> None:
         view = self._board.targets.get(target)
         if view is not None:
@@ -178,11 +175,10 @@
     def _expire(self, now: float) -> None:
         """Forget the work of entries that have fallen silent."""
         limit = now - peer_silence(self._settings, len(self._board.peers))
-        for view in self._board.targets.values():
-            silent = [
-                key
-                for key, work in view.work.items()
-                if key.owner != self._name and work.refreshed_at < limit
-            ]
-            for key in silent:
-                del view.work[key]
+        for key, target in list(self._targets.items()):
+            view = self._board.targets.get(target)
+            work = view.work.get(key) if view is not None else None
+            if work is None:
+                del self._targets[key]  # it went with its target
+            elif key.owner != self._name and work.refreshed_at < limit:
+                self._drop(key)
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -57,6 +57,7 @@
         self._revision: int | None = None
         self._servers: set[str] = set()
         self._entries: dict[str, str] = {}
+        self._entries_told = True
         self._away = False
         self._looked = asyncio.Event()
         self._watching: asyncio.Task | None = None
@@ -112,6 +113,7 @@
         self._back()
         for item in seen.items:
             self._changed(item)
+        self._tell_entries()
         self._note_revision(seen.revision)
 
     def _note_revision(self, revision: int) -> None:
@@ -147,6 +149,7 @@
         gone = [name for name in self._entries if ENTRIES + name not in keys]
         for name in gone:
             self._entry_gone(name)
+        self._tell_entries()
         self._note_revision(snapshot.revision)
         self._looked.set()
         self._log.write(
@@ -205,11 +208,17 @@
         if self._entries.get(name) != entry.address:
             self._entries[name] = entry.address
             self._log.write("peer listed", peer=name, address=entry.address)
-            self._entries_changed(dict(self._entries))
+            self._entries_told = False
 
     def _entry_gone(self, name: str) -> None:
         if self._entries.pop(name, None) is not None:
             self._log.write("peer gone", peer=name)
+            self._entries_told = False
+
+    def _tell_entries(self) -> None:
+        """Tell of changed entries once for all that came together."""
+        if not self._entries_told:
+            self._entries_told = True
             self._entries_changed(dict(self._entries))
 
     def _lost(self, error: PlatformError) -> None:
