Use each page of a list as it comes

Change: the first page has the configuration and the first servers; an entry serves with them while the rest comes. What is gone is known when the list is whole.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -19,7 +19,7 @@
 from ..direct.route import RoutingTable
 from ..exceptions import LeaseLost, PlatformError
 from . import decoding
-from .store import HistoryLost, Item, Snapshot, Store
+from .store import HistoryLost, Item, Store
 
 CONFIG_KEY = "op/config"
 SERVERS = "servers/"
@@ -76,7 +76,7 @@
         while True:
             try:
                 if self._revision is None:
-                    self._listed(await self._store.list(EVERYTHING))
+                    await self._list()
                 else:
                     await self._watch(self._revision)
                     await asyncio.sleep(WATCH_PAUSE)
@@ -139,22 +139,25 @@
                 self._log.write("entry not registered", cause=str(error))
             await asyncio.sleep(LEASE / RENEWALS * self._random.uniform(0.8, 1.0))
 
-    def _listed(self, snapshot: Snapshot) -> None:
-        self._back()
-        keys = {item.key for item in snapshot.items}
-        for item in snapshot.items:
-            self._changed(item)
+    async def _list(self) -> None:
+        """Take all that the store has; each page is used as it comes."""
+        keys: set[str] = set()
+        revision = 0
+        async for page in self._store.pages(EVERYTHING):
+            self._back()
+            revision = page.revision
+            keys.update(item.key for item in page.items)
+            for item in page.items:
+                self._changed(item)
+            self._tell_entries()
+            self._looked.set()
         for id in [id for id in self._servers if SERVERS + id not in keys]:
             self._server_gone(id)
-        gone = [name for name in self._entries if ENTRIES + name not in keys]
-        for name in gone:
+        for name in [name for name in self._entries if ENTRIES + name not in keys]:
             self._entry_gone(name)
         self._tell_entries()
-        self._note_revision(snapshot.revision)
-        self._looked.set()
-        self._log.write(
-            "store listed", revision=snapshot.revision, items=len(snapshot.items)
-        )
+        self._note_revision(revision)
+        self._log.write("store listed", revision=revision, items=len(keys))
 
     def _changed(self, item: Item) -> None:
         try:
--- a/src/chicorycove/platform/store.py
+++ b/src/chicorycove/platform/store.py
@@ -81,12 +81,14 @@
         self._calls.close()
         self._watch.close()
 
-    async def list(self, prefix: str) -> Snapshot:
-        """Return what is under a prefix.
+    async def pages(self, prefix: str) -> t.AsyncIterator[Snapshot]:
+        """Yield what is under a prefix, page by page.
+
+        Pages are not of one moment: each has the revision of the first,
+        so that a watch from there misses nothing.
 
         :raises StoreUnavailable: if the store does not answer
         """
-        items: list[Item] = []
         revision = None
         after = ""
         for _ in range(PAGES_MOST):
@@ -94,11 +96,10 @@
             if after:
                 query["after"] = after
             page = await self._page(query)
-            items += page.items
-            # Pages are no snapshot: a watch from the first one misses nothing.
             revision = page.storeRevision if revision is None else revision
+            yield Snapshot(tuple(page.items), revision)
             if not page.morePages or not page.items:
-                return Snapshot(tuple(items), revision)
+                return
             after = page.items[-1].key
         raise StoreUnavailable("a list of the store has no end")
 
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -41,6 +41,7 @@
     silent: bool = False  # no call gets an answer
     delay: float = 0.0
     busy: int = 0  # next calls that get 429
+    page_delay: float = 0.0  # of a list's pages after the first
     deaf: bool = False  # watches are told of nothing
     cut: bool = False  # watches that wait are cut
 
@@ -163,6 +164,8 @@
     async def _range(self, request: Request) -> Response:
         query = request.query_params
         after = query.get("after", "")
+        if after:
+            await asyncio.sleep(self.faults.page_delay)
         keys = [key for key in self.keys(query.get("prefix", "")) if key > after]
         page = [self._items[key].as_json() for key in keys[:PAGE]]
         more = len(keys) > PAGE
--- a/tests/test_direct_beliefs.py
+++ b/tests/test_direct_beliefs.py
@@ -195,8 +195,8 @@
         self._steps = iter(steps)
         self.done = asyncio.Event()
 
-    async def list(self, prefix):
-        return await self._next(True)
+    async def pages(self, prefix):
+        yield await self._next(True)
 
     async def watch(self, prefix, after):
         return await self._next(False)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -209,7 +209,8 @@
         commands = world.handle(Probed(send.target.target, False))
         again = only(commands, "SendTo")
         world.handle(Sent(again.attempt))
-        world.board.targets.clear()
+        for target in list(world.board.targets):
+            world.handle(Unlisted(target))
         fail = only(world.handle(Headed(again.attempt, FULL)), "Fail")
         self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -370,6 +370,15 @@
         answer = await caller.read()
         self.assertEqual((answer.status, answer.body), (200, b"12 tons"))
 
+    async def test_first_page_of_a_long_list_is_used_at_once(self):
+        # sweep of moldline: 299 entries that start together list 3,000 servers
+        # each, which takes the store's link seconds.
+        for number in range(platform_store.PAGE):
+            self.store.put(f"servers/z-{number:05}", b"no server")
+        self.store.faults.page_delay = 5.0
+        await self.start(wait=False)
+        self.assertEqual((await self.ask("/order/x", b"y")).status, 200)
+
     async def test_entry_is_listed_while_it_lives(self):
         await self.until(self.is_listed)
 
@@ -387,20 +396,19 @@
         self.addCleanup(self.store.close)
 
     async def test_page_that_is_refused_is_asked_for_again(self):
-        # sweep of moldline: 299 entries that started together listed 3,000
-        # servers each, began anew at each refusal, and served after 4.5 s.
-        listing = asyncio.create_task(self.store.list("servers/"))
-        while len(self.standin.calls) < 1:
-            await asyncio.sleep(0.001)
-        self.standin.faults.busy = 3
-        snapshot = await listing
-        self.assertEqual(len(snapshot.items), 3 * platform_store.PAGE)
+        sizes = []
+        async for page in self.store.pages("servers/"):
+            sizes.append(len(page.items))
+            if len(sizes) == 1:
+                self.standin.faults.busy = 3
+        self.assertEqual(sizes, 3 * [platform_store.PAGE])
         self.assertEqual(len(self.standin.calls), 3 + 3)
 
     async def test_store_that_stays_busy_is_away(self):
         self.standin.faults.busy = 1_000
         with self.assertRaises(StoreUnavailable):
-            await self.store.list("servers/")
+            async for _ in self.store.pages("servers/"):
+                self.fail("a page came")
 
 
 class StopTest(PlatformTestCase):
