--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -406,9 +406,8 @@
                 for work in state.works
                 if work.writes or not work.writing
             ]
-            self._peers.tell(
-                self._board.peers, works
-            )  # an empty account is a heartbeat
+            # An empty account is a heartbeat.
+            self._peers.tell(self._board.peers, works)
 
     async def _pause(self, seconds: float) -> None:
         """Sleep, and log if the process was late to wake."""
--- a/src/chicorycove/direct/linelog.py
+++ b/src/chicorycove/direct/linelog.py
@@ -8,6 +8,7 @@
 import msgspec
 
 LIMIT = 262_144  # bytes that wait for a reader; later lines are dropped
+PIECE = 4_096  # bytes that a pipe takes whole, so that no line is cut in two
 FLUSH_INTERVAL = 0.05  # seconds, so that many lines share a system call
 
 _encoder = msgspec.json.Encoder()
@@ -45,7 +46,7 @@
         self._scheduled = False
         while self._waiting:
             try:
-                written = os.write(self._descriptor, self._waiting)
+                written = os.write(self._descriptor, self._piece())
             except BlockingIOError:
                 self._schedule()
                 return
@@ -55,6 +56,13 @@
                 return
             del self._waiting[:written]
 
+    def _piece(self) -> bytes:
+        """Return the lines that fit in one piece, or else one line."""
+        end = self._waiting.rfind(b"\n", 0, PIECE)
+        if end < 0:
+            end = self._waiting.find(b"\n")
+        return bytes(self._waiting[: end + 1])
+
     def _schedule(self) -> bool:
         """Have the rest written soon; without a loop there is no later."""
         if self._scheduled:
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -142,7 +142,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._clock = asyncio.get_running_loop().time
         self._addresses: dict[str, Address] = {}
-        self._heard_at: dict[Address, float] = {}
+        self._heard_at: dict[str, float] = {}
         self.revision = 0  # that peers are told
 
     @property
@@ -161,7 +161,7 @@
             return
         if told.owner == self._name:
             return
-        self._heard_at[address] = self._clock()
+        self._heard_at[told.owner] = self._clock()
         self._addresses.setdefault(told.owner, address)
         self._told(told)
 
@@ -176,18 +176,21 @@
         """Let go of peers that are not listed and silent for some seconds."""
         limit = self._clock() - silence
         for name in list(self._addresses):
-            address = self._addresses[name]
-            if name not in listed and self._heard_at.get(address, 0.0) < limit:
+            if name not in listed and self._heard_at.get(name, 0.0) < limit:
                 del self._addresses[name]
-                self._heard_at.pop(address, None)
+                self._heard_at.pop(name, None)
 
     def silent(self, silence: float) -> frozenset[str]:
-        """Return the peers that have not been heard for some seconds."""
+        """Return the peers that have not been heard for some seconds.
+
+        A name that its host has given up for another is heard by that one.
+        """
         limit = self._clock() - silence
+        heard = {
+            self._addresses[name] for name, at in self._heard_at.items() if at >= limit
+        }
         return frozenset(
-            name
-            for name, address in self._addresses.items()
-            if self._heard_at.get(address, 0.0) < limit
+            name for name, address in self._addresses.items() if address not in heard
         )
 
     def tell(
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -13,7 +13,7 @@
 from ..direct.dispatch import DirectDispatcher
 from ..direct.entry import DirectEntry
 from ..direct.event import DirectEvent, Followed, PeersSeen
-from ..direct.http import CallerConnection
+from ..direct.http import CallerConnection, CallerHandler
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
@@ -96,9 +96,8 @@
         await self._loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(boot.ip, boot.peer_port)
         )
-        metrics = {"host": boot.ip, "port": boot.metrics_port, "reuse_address": True}
-        for where in ({"sock": self._listeners.readiness}, metrics):
-            await self._listen(lambda: CallerConnection(self._pages), **where)
+        await self._serve(self._pages, sock=self._listeners.readiness)
+        await self._serve(self._pages, host=boot.ip, port=boot.metrics_port)
         self._entry.start()
         address = f"{boot.ip}:{boot.peer_port}"
         for work in (
@@ -108,9 +107,7 @@
         ):
             self._work.append(asyncio.create_task(work))
         await self._follower.looked(FIRST_LIST)
-        await self._listen(
-            lambda: CallerConnection(self._entry), sock=self._listeners.callers
-        )
+        await self._serve(self._entry, sock=self._listeners.callers)
         self._log.write("started", name=self._name, callers=boot.callers)
 
     async def stop(self) -> None:
@@ -174,10 +171,11 @@
             lambda: self._follower.read_anew(),
         )
 
-    async def _listen(
-        self, factory: t.Callable[[], asyncio.Protocol], **where: t.Any
-    ) -> None:
-        server = await self._loop.create_server(factory, backlog=BACKLOG, **where)
+    async def _serve(self, handler: CallerHandler, **where: t.Any) -> None:
+        """Take connections from where ``asyncio`` is told to."""
+        server = await self._loop.create_server(
+            lambda: CallerConnection(handler), backlog=BACKLOG, **where
+        )
         self._servers.append(server)
 
     def _followed(self, event: DirectEvent) -> None:
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -1,7 +1,9 @@
 """The small parts of a direct entry."""
 
+import asyncio
 import os
 import unittest
+import unittest.mock
 
 import msgspec
 from hypothesis import given, settings, strategies as st
@@ -12,7 +14,7 @@
 from chicorycove.direct.eventstream import EventCutter, last_id
 from chicorycove.direct.freshness import Freshness
 from chicorycove.direct.http import end_to_end
-from chicorycove.direct.linelog import LIMIT, LineLog
+from chicorycove.direct.linelog import LIMIT, PIECE, LineLog
 from chicorycove.direct.route import (
     Deployment,
     Route,
@@ -178,6 +180,37 @@
                 peers.decode(data, 0.0)
 
 
+class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.now = 10.0
+        loop = asyncio.get_running_loop()
+        with unittest.mock.patch.object(loop, "time", lambda: self.now):
+            self.link = peers.PeerLink("entry-1.aa", lambda told: None, self.fail)
+
+    def hear(self, name, host):
+        (data,) = peers.encode(name, (), (), (), 1, self.now)
+        self.link.datagram_received(data, (host, 7000))
+
+    async def test_peer_that_is_neither_listed_nor_heard_is_let_go(self):
+        self.hear("entry-2.aa", "10.0.0.2")
+        self.now += 2.0
+        self.link.prune(set(), 1.0)
+        self.assertEqual(list(self.link.names), [])
+
+    async def test_name_that_a_restart_has_left_is_let_go(self):
+        self.hear("entry-2.aa", "10.0.0.2")
+        self.now += 2.0
+        self.hear("entry-2.bb", "10.0.0.2")
+        self.link.prune({"entry-2.bb"}, 1.0)
+        self.assertEqual(list(self.link.names), ["entry-2.bb"])
+
+    async def test_listed_name_of_a_restarted_peer_is_not_silent(self):
+        self.link.add("entry-2.aa", ("10.0.0.2", 7000))
+        self.link.add("entry-3.aa", ("10.0.0.3", 7000))
+        self.hear("entry-2.bb", "10.0.0.2")
+        self.assertEqual(self.link.silent(1.0), {"entry-3.aa"})
+
+
 class FreshnessTest(unittest.TestCase):
     def setUp(self):
         self.freshness = Freshness(patience=1.0)
@@ -230,6 +263,28 @@
         line = msgspec.json.decode(os.read(reader, 65_536).splitlines()[-1])
         self.assertGreater(line["dropped_before"], 0)
 
+    def test_each_write_is_of_whole_lines_that_a_pipe_takes_at_once(self):
+        # inc-a60e: of a start's 20 KB in one write, a log showed the first 8.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        log = LineLog(writer, "p")
+        with unittest.mock.patch.object(log, "_schedule", return_value=True):
+            for number in range(300):
+                log.write("event", number=number)
+            log.write("long", text="x" * 2 * PIECE)
+        pieces = []
+
+        def write(descriptor, data):
+            pieces.append(data)
+            return len(data)
+
+        with unittest.mock.patch("os.write", write):
+            log.flush()
+        self.assertTrue(all(piece.endswith(b"\n") for piece in pieces))
+        self.assertTrue(all(len(piece) <= PIECE for piece in pieces[:-1]))
+        self.assertEqual(b"".join(pieces).count(b"\n"), 301)
+
     def test_reader_that_is_gone_stops_nothing(self):
         reader, writer = os.pipe()
         os.close(reader)
