--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -30,8 +30,8 @@
 
 READY_PATH = "/chicorycove/ready"
 METRICS_PATH = "/metrics"
-# Seconds that callers wait for the first look at the store: a list takes a third
-# of a core 0.4 s, and callers leave a second after they have connected.
+# Seconds that callers wait for the first look at the store: a list takes 0.4 s
+# on a third of a core, and callers leave a second after they have connected.
 FIRST_LIST = 0.6
 STOP_POLL = 0.05  # seconds between looks whether all is finished
 LEASE_MOST = 3.0  # seconds; memory must be free 4 s after its last use
