--- a/tests/direct.py
+++ b/tests/direct.py
@@ -2,10 +2,10 @@
 
 import itertools
 
+from bench.sheet import ENGINE
 from chicorycove import Call, Prompt, Request
 from chicorycove.direct.board import DirectBoard, Inbound, Listing
 from chicorycove.direct.dispatch import DirectDispatcher
-from chicorycove.direct.engine import EngineProfile
 from chicorycove.direct.event import (
     Deployed,
     Headed,
@@ -27,20 +27,6 @@
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.identity import AttemptId
 
-# The figures that the users' sheets publish.
-ENGINE = EngineProfile(
-    slots=8,
-    memory=450_000,
-    step=0.000925,
-    per_writer=0.00000966,
-    per_context_token=0.00254 / 1e6,
-    read_rate=256_000.0,
-    per_pair=0.0917 / 1e9,
-    chunk=2048,
-    stride=46,
-    hop=0.0001,
-)
-
 SHORT = Route(
     name="short",
     host="desk.example",
