--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -16,9 +16,9 @@
 
 from chicorycove import codec, commit
 from chicorycove.catalogue import EntryId, PriorityClass, Workspace, key_digest
+from chicorycove.catalogue_message import Push, Scope
 from chicorycove.change import Edit, Proposal, State, encode_state
 from chicorycove.conversion import Address
-from chicorycove.dissemination import Push, Scope
 from chicorycove.membership import Member, Probe, ProbeKind, Role
 from chicorycove.peer import Transport
 from tests.store import DictStore
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,9 +6,11 @@
 import random
 import time
 
+from chicorycove.agent_peer import AgentPeer
 from chicorycove.catalogue import EntryId, Target
+from chicorycove.catalogue_message import Install, Spread
 from chicorycove.change import Change, Replacement, State
-from chicorycove.dissemination import AgentPeer, EntryPeer, Install, Spread
+from chicorycove.dissemination import EntryPeer
 from chicorycove.membership import Member, Membership, Role, Tell
 
 ENTRY_TICK = 0.1  # seconds
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -26,7 +26,9 @@
 from chicorycove.host import Host
 from chicorycove.identity import AgentId
 from chicorycove.order import EngineModel, EngineState
-from chicorycove.planner import Planner, PlannerSettings, Report, Target
+from chicorycove.plan import Report, Target
+from chicorycove.planner import Planner
+from chicorycove.planner_board import PlannerSettings
 
 CATALOGUE = pathlib.Path("examples/local/catalogue.json")
 SIZE = 100_000_000  # bytes of a version
--- /dev/null
+++ b/src/chicorycove/agent_peer.py
@@ -0,0 +1,116 @@
+"""An agent's part in the dissemination of the catalogue."""
+
+import dataclasses
+import typing as t
+
+from .catalogue_message import (
+    Applied,
+    Command,
+    Heartbeat,
+    Message,
+    Pull,
+    Push,
+    Roster,
+    Scope,
+)
+from .dissemination import HEARTBEAT_PERIOD, SILENCE_TIMEOUT
+from .membership import Member, MemberState, Tell, rank
+from .replica import Replica
+
+
+class AgentPeer:
+    """An agent's part: attached to one entry, it knows where else to go."""
+
+    def __init__(self, me: Member, seeds: t.Iterable[Member], now: float) -> None:
+        self.me = me
+        self.replica = Replica()
+        self.entry: Member | None = None
+        self._seeds = {member.name: member for member in seeds}
+        self._entries = dict(self._seeds)
+        self._heard_at = now
+        self._next_heartbeat = now
+        self._tried = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self.replica.revision
+
+    @property
+    def attached(self) -> bool:
+        """Tell whether an entry has answered."""
+        return self.entry is not None
+
+    def tick(self, now: float) -> list[Command]:
+        """Return the heartbeat that is due."""
+        if now - self._heard_at > SILENCE_TIMEOUT:
+            self._give_up(now)
+        if now < self._next_heartbeat:
+            return []
+        self._next_heartbeat = now + HEARTBEAT_PERIOD
+        entry = self._choice()
+        return [self._tell(entry, Heartbeat(self.me))] if entry is not None else []
+
+    def receive(self, message: Message, now: float) -> list[Command]:
+        """Take a message in, and return what to do."""
+        match message:
+            case Roster(sender=sender, entries=entries):
+                self._attach(sender, entries, now)
+                return self._compare(sender)
+            case Push():
+                return self._pushed(message)
+        return []
+
+    def leave(self, now: float) -> list[Command]:
+        """Tell the entry that this agent leaves."""
+        self.me = dataclasses.replace(self.me, state=MemberState.LEFT)
+        return [self._tell(self.entry, Heartbeat(self.me))] if self.entry else []
+
+    def _attach(self, sender: Member, entries: tuple[Member, ...], now: float) -> None:
+        self._heard_at = now
+        self.entry = sender
+        self._entries[sender.name] = sender
+        if entries:
+            self._entries = {m.name: m for m in (sender, *entries)}
+
+    def _give_up(self, now: float) -> None:
+        if self.entry is not None:
+            self._entries.pop(self.entry.name, None)
+            self._entries = self._entries or dict(self._seeds)
+        self.entry = None
+        self._heard_at = now
+        self._next_heartbeat = now
+        self._tried += 1
+
+    def _choice(self) -> Member | None:
+        if self.entry is not None:
+            return self.entry
+        ranked = sorted(
+            self._entries.values(),
+            key=lambda m: (
+                m.failure_domain != self.me.failure_domain,
+                rank(self.me.name, m.name),
+            ),
+        )
+        return ranked[self._tried % len(ranked)] if ranked else None
+
+    def _compare(self, peer: Member) -> list[Command]:
+        if peer.revision <= self.revision:
+            return []
+        return [self._tell(peer, Pull(self.me, self.revision))]
+
+    def _pushed(self, push: Push) -> list[Command]:
+        install = self.replica.offer(push.changes, push.state)
+        commands: list[Command] = []
+        if install is not None:
+            self.me = dataclasses.replace(self.me, revision=self.revision)
+            commands.append(install)
+        if self.revision >= push.revision:
+            applied = Applied(self.me, self.revision, Scope.NONE, 1)
+            commands.append(self._tell(push.sender, applied))
+        else:
+            commands.append(self._tell(push.sender, Pull(self.me, self.revision)))
+        return commands
+
+    def _tell(self, member: Member, message: Message) -> Tell:
+        return Tell(member.name, member.address, message)
--- a/src/chicorycove/codec.py
+++ b/src/chicorycove/codec.py
@@ -2,15 +2,7 @@
 
 import functools
 
-from .change import (
-    Change,
-    State,
-    decode_change,
-    decode_state,
-    encode_change,
-    encode_state,
-)
-from .dissemination import (
+from .catalogue_message import (
     Applied,
     Heartbeat,
     Lagging,
@@ -20,6 +12,14 @@
     Roster,
     Scope,
 )
+from .change import (
+    Change,
+    State,
+    decode_change,
+    decode_state,
+    encode_change,
+    encode_state,
+)
 from .membership import Member, MemberState, Probe, ProbeKind, Role
 from .wire import peer_pb2 as pb
 
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -17,12 +17,10 @@
     Tick,
 )
 from ..reason import Reason
-from ..request import Prompt
 from ..verdict import Verdict
 from .board import DirectBoard, DirectState, Inbound
-from .budget import SharedBudget
+from .choice import TargetChoice
 from .command import (
-    Abort,
     Deliver,
     DirectCommand,
     Drop,
@@ -33,6 +31,7 @@
     Tell,
 )
 from .condition import TargetCondition
+from .ending import Ending
 from .event import (
     CallerSlow,
     Deployed,
@@ -54,8 +53,9 @@
 )
 from .freshness import Freshness
 from .neighbourhood import Neighbourhood
-from .patience import Doubt, Overdue, Patience, Wait
-from .placement import Job, Placement, Placer, place_call
+from .patience import LookDue, Patience, Silence
+from .placement import Placement
+from .repeat import Repeats
 from .reservation import AnswerDue, RenewalDue, Reservations
 from .settings import DirectSettings
 from .target_list import TargetList
@@ -71,11 +71,6 @@
     request: str
 
 
-@frozen
-class _PatienceDue:
-    attempt: AttemptId
-
-
 class DirectDispatcher:
     """Decides what a direct entry does; times are in seconds."""
 
@@ -89,17 +84,17 @@
     ) -> None:
         self._board = board
         self._settings = settings
-        self._domain = domain
         self._make_attempt = make_attempt
-        self._placer = Placer(settings.placement)
-        self._budget = SharedBudget(settings.budget)
+        self._repeats = Repeats(board, settings)
         self._condition = TargetCondition(board, settings)
         self._targets = TargetList(board, settings)
         self._reservations = Reservations(board, settings.reservation)
         self._work = WorkBook(board, settings, name)
-        self._patience = Patience(settings.patience, self._work)
+        self._ending = Ending(board, self._reservations, self._work)
+        self._patience = Patience(board, settings.patience, self._work)
         self._freshness = Freshness(settings.behind)
         self._neighbourhood = Neighbourhood(board, settings.targets, name)
+        self._choice = TargetChoice(board, settings, self._neighbourhood, domain)
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return what is to be done about an event."""
@@ -169,7 +164,7 @@
 
     def _received(self, inbound: Inbound, now: float) -> list[DirectCommand]:
         request = inbound.request
-        self._budget.note_request(inbound.service, now)
+        self._repeats.note_request(inbound.service, now)
         if self._stopped_accepting(now):
             return [Fail(request.id, Reason.STOPPING, Verdict.NOT_RUN, 0.0)]
         state = DirectState(inbound, last_event=inbound.resumed_after)
@@ -185,46 +180,17 @@
 
     def _place(self, state: DirectState, now: float) -> list[DirectCommand]:
         request = state.inbound.request
-        if now + self._settings.least_time >= request.deadline:
-            return self._fail(state, Reason.DEADLINE_PAST, None)
-        placement = self._choose(state, now)
+        if self._repeats.is_late(state, now):
+            return self._ending.fail(state, Reason.DEADLINE_PAST, None)
+        placement = self._choice.choose(state, now)
         if placement is None:
             after = self._settings.retry_after_no_target
-            return self._fail(state, Reason.NO_TARGET, after)
+            return self._ending.fail(state, Reason.NO_TARGET, after)
         if now + placement.first_event > request.deadline:
             after = placement.first_event - (request.deadline - now)
-            return self._fail(state, Reason.DEADLINE_INFEASIBLE, after)
+            return self._ending.fail(state, Reason.DEADLINE_INFEASIBLE, after)
         return self._begin(state, placement, now)
 
-    def _choose(self, state: DirectState, now: float) -> Placement | None:
-        service = state.inbound.service
-        near = self._neighbourhood.views(service)
-        near = near or list(self._board.targets_of(service))
-        views = [x for x in near if x.listing.id not in state.tried] or near
-        profile = self._board.service(service)
-        work = state.inbound.request.work
-        if isinstance(work, Prompt) and profile and profile.engine:
-            job = self._job(state, work)
-            return self._placer.place(job, profile.engine, views, now, self._board.turn)
-        view = place_call(views, self._domain, now)
-        if view is None:
-            return None
-        return Placement(target=view.listing.id, candidates=len(views))
-
-    def _job(self, state: DirectState, work: Prompt) -> Job:
-        inbound = state.inbound
-        value = 1.0 + work.tokens / self._settings.tokens_per_value
-        return Job(
-            tokens=work.tokens,
-            output=work.max_tokens,
-            expected_output=work.max_tokens,
-            objective_at=inbound.request.arrived + inbound.route.objective,
-            deadline=inbound.request.deadline,
-            max_gap=inbound.route.max_gap,
-            value=value,
-            domain=self._domain,
-        )
-
     def _begin(
         self, state: DirectState, placement: Placement, now: float
     ) -> list[DirectCommand]:
@@ -244,8 +210,7 @@
         record = state.attempts[-1]
         view = self._board.targets[placement.target]
         state.last_progress = now
-        due = self._patience.overdue_at(state, now)
-        self._board.timers.add(due, _PatienceDue(record.id))
+        self._patience.begin(state, now)
         return SendTo(
             record.id,
             record.agent,
@@ -278,10 +243,10 @@
         """Try another group after one whose memory could not be held."""
         state.tried.add(target)
         advance(state.attempts[-1], Step.REFUSE)
-        commands = self._end_work(state)
+        commands = self._ending.end_work(state)
         if len(state.attempts) >= self._settings.reservation.tries:
             after = self._settings.retry_after_no_target
-            return commands + self._fail(state, Reason.MEMORY_FULL, after)
+            return commands + self._ending.fail(state, Reason.MEMORY_FULL, after)
         return commands + self._place(state, now)
 
     # Answers
@@ -337,7 +302,7 @@
         record = state.attempts[-1]
         if answer.status >= 500:
             self._note_failure(state, now)
-            if self._may_repeat(state, now):
+            if self._repeats.may_repeat(state, now):
                 advance(record, Step.FAIL)
                 state.tried.add(record.agent.target)
                 return self._again(
@@ -347,8 +312,8 @@
             self._condition.note_success(record.agent.target)
         advance(record, Step.END)
         if state.answering:
-            return self._abort(state, Reason.TARGET_FAILED)
-        return [Deliver(attempt.request, attempt), *self._forget(state)]
+            return self._ending.abort(state, Reason.TARGET_FAILED)
+        return [Deliver(attempt.request, attempt), *self._ending.forget(state)]
 
     def _ended(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
         state = self._current(attempt)
@@ -357,7 +322,7 @@
         record = state.attempts[-1]
         advance(record, Step.END)
         self._condition.note_success(record.agent.target)
-        return [Finish(attempt.request), *self._forget(state)]
+        return [Finish(attempt.request), *self._ending.forget(state)]
 
     def _wrote(
         self, attempt: AttemptId, events: int, last: int | None, now: float
@@ -392,52 +357,22 @@
             commands += self._condition.probe(target)
         return commands + self._again(state, reason, verdict, now)
 
-    def _may_repeat(self, state: DirectState, now: float) -> bool:
-        """Tell whether what may have run is to be sent once more."""
-        route = state.inbound.route
-        request = state.inbound.request
-        if not route.repeatable or state.runs >= route.max_attempts:
-            return False
-        if now + self._settings.least_time >= request.deadline:
-            return False
-        left = self._budget.left(state.inbound.service, self._board.entries, now)
-        return left >= 1
-
     def _again(
         self, state: DirectState, reason: Reason, verdict: Verdict, now: float
     ) -> list[DirectCommand]:
-        commands = self._end_work(state)
-        if verdict is not Verdict.NOT_RUN and not self._may_repeat(state, now):
-            return commands + self._fail(state, reason, None)
-        if state.sends and not self._budget.take(
-            state.inbound.service, self._board.entries, now
-        ):
-            return commands + self._fail(state, Reason.RETRY_BUDGET, 0.5)
+        commands = self._ending.end_work(state)
+        if verdict is not Verdict.NOT_RUN and not self._repeats.may_repeat(state, now):
+            return commands + self._ending.fail(state, reason, None)
+        if not self._repeats.take(state, now):
+            after = self._settings.retry_after_budget
+            return commands + self._ending.fail(state, Reason.RETRY_BUDGET, after)
         return commands + self._place(state, now)
 
-    def _fail(
-        self, state: DirectState, reason: Reason, retry_after: float | None
-    ) -> list[DirectCommand]:
-        if state.answering:
-            return self._abort(state, reason)
-        verdict = Verdict.MAY_HAVE_RUN if state.may_have_run else Verdict.NOT_RUN
-        commands = self._drop_live(state)
-        fail = Fail(state.inbound.request.id, reason, verdict, retry_after)
-        return [*commands, fail, *self._forget(state)]
-
-    def _abort(self, state: DirectState, reason: Reason) -> list[DirectCommand]:
-        commands = self._drop_live(state)
-        abort = Abort(state.inbound.request.id, reason)
-        return [*commands, abort, *self._forget(state)]
-
-    def _drop_live(self, state: DirectState) -> list[DirectCommand]:
-        return [Drop(record.id) for record in state.attempts if is_live(record)]
-
     def _caller_gone(self, request: str) -> list[DirectCommand]:
         state = self._board.requests.get(request)
         if state is None:
             return []
-        return [*self._drop_live(state), *self._forget(state)]
+        return self._ending.leave(state)
 
     def _caller_slow(self, request: str, slow: bool, now: float) -> list[DirectCommand]:
         """Excuse a target from silence while its caller takes nothing."""
@@ -447,16 +382,6 @@
             state.last_progress = now
         return []
 
-    def _forget(self, state: DirectState) -> list[DirectCommand]:
-        self._board.requests.pop(state.inbound.request.id, None)
-        return self._end_work(state)
-
-    def _end_work(self, state: DirectState) -> list[DirectCommand]:
-        """Give back what the newest attempt holds on targets."""
-        commands = self._reservations.release(state.inbound.request.id)
-        ended = self._work.end(state)
-        return [*commands, Tell((), ended)] if ended else commands
-
     # Health
 
     def _note_failure(self, state: DirectState, now: float) -> None:
@@ -493,8 +418,8 @@
             match item:
                 case _DeadlineDue(request):
                     commands += self._deadline_due(request)
-                case _PatienceDue(attempt):
-                    commands += self._patience_due(attempt, now)
+                case LookDue(attempt):
+                    commands += self._look(attempt, now)
                 case AnswerDue(_, reservation):
                     commands += self._not_reserved(reservation, now)
                 case RenewalDue():
@@ -507,32 +432,29 @@
         state = self._board.requests.get(request)
         if state is None:
             return []
-        return self._fail(state, Reason.DEADLINE_EXCEEDED, None)
+        return self._ending.fail(state, Reason.DEADLINE_EXCEEDED, None)
 
-    def _patience_due(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
+    def _look(self, attempt: AttemptId, now: float) -> list[DirectCommand]:
+        """See to an attempt whose next sign is overdue, if it is."""
         state = self._current(attempt)
         if state is None or not is_live(state.attempts[-1]):
             return []
         match self._patience.judge(state, now):
-            case Wait(until):
-                self._board.timers.add(until, _PatienceDue(attempt))
+            case Silence.EXPECTED:
                 return []
-            case Doubt(until):
-                self._board.timers.add(until, _PatienceDue(attempt))
+            case Silence.DOUBTFUL:
                 return self._condition.probe(state.attempts[-1].agent.target)
-            case Overdue():
+            case Silence.TOO_LONG:
                 return self._overdue(state, now)
 
     def _overdue(self, state: DirectState, now: float) -> list[DirectCommand]:
         """Repeat what has been silent for too long, if it may be."""
-        if self._may_repeat(state, now):
+        if self._repeats.may_repeat(state, now):
             return self._give_up_on(state, now)
         if not state.inbound.route.streamed:
             return []
-        record = state.attempts[-1]
-        due = now + self._settings.patience.overdue
-        self._board.timers.add(due, _PatienceDue(record.id))
-        return self._condition.probe(record.agent.target)
+        self._patience.look_later(state, now)
+        return self._condition.probe(state.attempts[-1].agent.target)
 
     def _give_up_on(self, state: DirectState, now: float) -> list[DirectCommand]:
         record = state.attempts[-1]
--- /dev/null
+++ b/src/chicorycove/direct/ending.py
@@ -0,0 +1,59 @@
+"""How a request ends, and what is given back with it."""
+
+from ..attempt import is_live
+from ..lifecycle import Fail
+from ..reason import Reason
+from ..verdict import Verdict
+from .board import DirectBoard, DirectState
+from .command import Abort, DirectCommand, Drop, Tell
+from .reservation import Reservations
+from .work import WorkBook
+
+
+class Ending:
+    """Ends requests and their attempts."""
+
+    def __init__(
+        self, board: DirectBoard, reservations: Reservations, work: WorkBook
+    ) -> None:
+        self._board = board
+        self._reservations = reservations
+        self._work = work
+
+    def fail(
+        self, state: DirectState, reason: Reason, retry_after: float | None
+    ) -> list[DirectCommand]:
+        """Answer a caller with a failure, and say whether anything has run.
+
+        An answer that has begun is broken off; retry_after is in seconds.
+        """
+        if state.answering:
+            return self.abort(state, reason)
+        verdict = Verdict.MAY_HAVE_RUN if state.may_have_run else Verdict.NOT_RUN
+        commands = self._drop_live(state)
+        fail = Fail(state.inbound.request.id, reason, verdict, retry_after)
+        return [*commands, fail, *self.forget(state)]
+
+    def abort(self, state: DirectState, reason: Reason) -> list[DirectCommand]:
+        """Break an answer off."""
+        commands = self._drop_live(state)
+        abort = Abort(state.inbound.request.id, reason)
+        return [*commands, abort, *self.forget(state)]
+
+    def leave(self, state: DirectState) -> list[DirectCommand]:
+        """Stop what runs for a caller who has gone."""
+        return [*self._drop_live(state), *self.forget(state)]
+
+    def forget(self, state: DirectState) -> list[DirectCommand]:
+        """Drop a request from the board."""
+        self._board.requests.pop(state.inbound.request.id, None)
+        return self.end_work(state)
+
+    def end_work(self, state: DirectState) -> list[DirectCommand]:
+        """Give back what the newest attempt holds on targets."""
+        commands = self._reservations.release(state.inbound.request.id)
+        ended = self._work.end(state)
+        return [*commands, Tell((), ended)] if ended else commands
+
+    def _drop_live(self, state: DirectState) -> list[DirectCommand]:
+        return [Drop(record.id) for record in state.attempts if is_live(record)]
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -11,10 +11,8 @@
     Fail,
     Failed,
     Finish,
-    Refused,
     Release,
     Reserve,
-    Reserved,
     StopAsked,
     Tick,
 )
@@ -23,7 +21,7 @@
 from ..utils import Tasks
 from ..verdict import Verdict
 from .board import DirectBoard, Inbound
-from .client import CallFailed, HttpClient
+from .caller_connection import CallerConnection
 from .command import (
     Abort,
     Deliver,
@@ -36,15 +34,16 @@
     SendTo,
     Tell,
 )
-from .dialect import Dialect, Order, Rejection
+from .dialect import Dialect, Rejection
 from .dispatch import DirectDispatcher
-from .event import CallerSlow, DirectEvent, Probed, Received
+from .event import CallerSlow, DirectEvent, Received
 from .exchange import Exchange
-from .http import CallerConnection, HttpRequest
+from .http import HttpRequest
 from .linelog import LineLog
 from .peers import PeerLink
 from .route import CallerLimits
 from .settings import DirectSettings, account_interval
+from .target_calls import TargetCalls
 
 LATE_WAKING = 0.1  # seconds; a pass of an engine takes half of that
 SWEEP_INTERVAL = 0.5  # seconds between looks at idle connections
@@ -76,6 +75,7 @@
         self._read_store = read_store
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(log_failures(log))
+        self._calls = TargetCalls(board, dialect, settings, log, self.handle)
         self._exchanges: dict[str, Exchange] = {}
         self._callers: dict[CallerConnection, Exchange] = {}
         self._connections: set[CallerConnection] = set()
@@ -220,11 +220,12 @@
                 if exchange is not None:
                     exchange.drop(attempt)
             case Reserve(reservation, agent, memory):
-                self._tasks.spawn(self._reserve(reservation, agent.target, memory))
+                work = self._calls.reserve(reservation, agent.target, memory)
+                self._tasks.spawn(work)
             case Release(reservation, agent):
-                self._tasks.spawn(self._release(reservation, agent.target))
+                self._tasks.spawn(self._calls.release(reservation, agent.target))
             case Probe(target, address):
-                self._tasks.spawn(self._probe(target, address))
+                self._tasks.spawn(self._calls.probe(target, address))
             case ReadStore():
                 self._read_store()
             case Note(what, subject, detail):
@@ -311,59 +312,6 @@
         if self._callers.get(exchange.connection) is exchange:
             del self._callers[exchange.connection]
 
-    async def _reserve(self, reservation: AttemptId, target: str, memory: int) -> None:
-        hold = self._settings.reservation.hold
-        order = self._dialect.reserve(reservation, memory, hold)
-        status = await self._order(target, order, "memory reserved", reservation)
-        if status == 200:
-            self.handle(Reserved(reservation))
-        else:
-            self.handle(Refused(reservation, Reason.MEMORY_FULL))
-
-    async def _release(self, reservation: AttemptId, target: str) -> None:
-        order = self._dialect.release(reservation)
-        await self._order(target, order, "memory released", reservation)
-
-    async def _order(
-        self, target: str, order: Order, what: str, reservation: AttemptId
-    ) -> int | None:
-        """Send an order and return the status of its answer, if it has one."""
-        view = self._board.targets.get(target)
-        if view is None:
-            return None
-        client = HttpClient(view.listing.address)
-        status = None
-        cause = ""
-        try:
-            timeout = self._settings.reservation.answer
-            reply = await client.call("POST", order.path, order.body, timeout)
-            status = reply.status
-        except CallFailed as error:
-            cause = str(error)
-        finally:
-            client.close()
-        self._log.write(
-            what,
-            request=reservation.request,
-            reservation=reservation.nonce,
-            target=target,
-            status=status,
-            cause=cause,
-        )
-        return status
-
-    async def _probe(self, target: str, address: str) -> None:
-        host, port = address.rsplit(":", 1)
-        try:
-            async with asyncio.timeout(self._settings.patience.connect):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError) as error:
-            self._log.write("target unreachable", target=target, cause=repr(error))
-            self.handle(Probed(target, False))
-            return
-        writer.close()
-        self.handle(Probed(target, True))
-
     # Time
 
     def _schedule(self) -> None:
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -7,11 +7,13 @@
 from ..reason import Reason
 from ..verdict import Verdict
 from .board import Inbound
+from .caller_connection import CallerConnection
 from .command import SendTo
 from .dialect import Dialect
 from .event import DirectEvent, Headed, Sent, TargetAnswer, Whole, Wrote
 from .eventstream import Cut, EventCutter
-from .http import CallerConnection, Headers, HttpRequest, TargetConnection, end_to_end
+from .http import Headers, HttpRequest, end_to_end
+from .target_connection import TargetConnection
 
 MAX_ANSWER = 8_388_608  # bytes of an answer that is not streamed
 
--- a/src/chicorycove/direct/pages.py
+++ b/src/chicorycove/direct/pages.py
@@ -2,7 +2,8 @@
 
 import typing as t
 
-from .http import CallerConnection, HttpRequest
+from .caller_connection import CallerConnection
+from .http import HttpRequest
 from .route import CallerLimits
 
 
--- a/src/chicorycove/direct/patience.py
+++ b/src/chicorycove/direct/patience.py
@@ -1,34 +1,27 @@
 """How long a silent attempt is waited for before its target is in doubt."""
 
 import dataclasses
+import enum
 
-from .board import DirectState
+from ..identity import AttemptId
+from .board import DirectBoard, DirectState
 from .settings import PatienceSettings
 from .work import WorkBook
 
-frozen = dataclasses.dataclass(frozen=True, slots=True)
 
+class Silence(enum.Enum):
+    """What the silence of an attempt says."""
 
-@frozen
-class Wait:
-    """Nothing is amiss; look again at a time."""
+    EXPECTED = "expected"
+    DOUBTFUL = "doubtful"  # a sign is overdue: see whether the target lives
+    TOO_LONG = "too long"  # alive or not, it is not worth waiting for
 
-    until: float
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookDue:
+    """An attempt's silence is to be judged."""
 
-@frozen
-class Doubt:
-    """A sign is overdue: see whether the target lives, and look again."""
-
-    until: float
-
-
-@frozen
-class Overdue:
-    """The target lives or not, but the attempt is not worth waiting for."""
-
-
-Judgement = Wait | Doubt | Overdue
+    attempt: AttemptId
 
 
 class Patience:
@@ -38,27 +31,40 @@
     is only overtaken is not sent a second time.
     """
 
-    def __init__(self, settings: PatienceSettings, work: WorkBook) -> None:
+    def __init__(
+        self, board: DirectBoard, settings: PatienceSettings, work: WorkBook
+    ) -> None:
+        self._board = board
         self._settings = settings
         self._work = work
 
-    def overdue_at(self, state: DirectState, now: float) -> float:
-        """Return when the newest attempt's next sign is overdue."""
+    def begin(self, state: DirectState, now: float) -> None:
+        """Have the newest attempt judged when its next sign is overdue."""
         expected_at = self._expected_at(state, now)
-        return expected_at + self._tolerance(state, expected_at)
+        self._look_at(state, expected_at + self._tolerance(state, expected_at))
 
-    def judge(self, state: DirectState, now: float) -> Judgement:
-        """Judge the silence of the newest attempt."""
+    def judge(self, state: DirectState, now: float) -> Silence:
+        """Judge the newest attempt, and have it judged again if it goes on."""
         if state.caller_slow:
-            return Wait(now + self._settings.overdue)
+            self.look_later(state, now)
+            return Silence.EXPECTED
         expected_at = self._expected_at(state, now)
         tolerance = self._tolerance(state, expected_at)
         if now < expected_at + tolerance:
-            return Wait(expected_at + tolerance)
+            self._look_at(state, expected_at + tolerance)
+            return Silence.EXPECTED
         given_up_at = expected_at + tolerance * self._settings.overdue_tries
         if now < given_up_at:
-            return Doubt(given_up_at)
-        return Overdue()
+            self._look_at(state, given_up_at)
+            return Silence.DOUBTFUL
+        return Silence.TOO_LONG
+
+    def look_later(self, state: DirectState, now: float) -> None:
+        """Have the newest attempt judged again after a while."""
+        self._look_at(state, now + self._settings.overdue)
+
+    def _look_at(self, state: DirectState, due: float) -> None:
+        self._board.timers.add(due, LookDue(state.attempts[-1].id))
 
     def _expected_at(self, state: DirectState, now: float) -> float:
         route = state.inbound.route
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -9,6 +9,7 @@
 from .board import Work, WorkKey
 from .event import PeerTold
 
+FAILURE_PAUSE = 1.0  # seconds between those that are news: a dead peer has many
 MAX_WORKS = 12  # in a datagram, so that it stays under an Ethernet frame
 
 
@@ -134,11 +135,12 @@
         self,
         name: str,
         told: t.Callable[[PeerTold], None],
-        malformed: t.Callable[[], None],
+        failed: t.Callable[[str, Exception, bool], None],
     ) -> None:
         self._name = name
         self._told = told
-        self._malformed = malformed
+        self._failed = failed
+        self._failed_at: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._clock = asyncio.get_running_loop().time
         self._addresses: dict[str, Address] = {}
@@ -156,8 +158,8 @@
     def datagram_received(self, data: bytes, address: Address) -> None:
         try:
             told = decode(data, self._clock())
-        except msgspec.MsgspecError:
-            self._malformed()
+        except msgspec.MsgspecError as error:
+            self._fail("datagram unreadable", error)
             return
         if told.owner == self._name:
             return
@@ -166,7 +168,8 @@
         self._told(told)
 
     def error_received(self, error: Exception) -> None:
-        """Leave a peer that cannot be reached to the list of entries."""
+        """Tell of a peer that cannot be reached, which the list lets go."""
+        self._fail("datagram refused", error)
 
     def add(self, name: str, address: Address) -> None:
         """Tell a peer from now on."""
@@ -214,3 +217,10 @@
         """Stop receiving."""
         if self._transport is not None:
             self._transport.close()
+
+    def _fail(self, what: str, error: Exception) -> None:
+        now = self._clock()
+        news = now >= self._failed_at.get(what, float("-inf")) + FAILURE_PAUSE
+        if news:
+            self._failed_at[what] = now
+        self._failed(what, error, news)
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -30,6 +30,7 @@
     least_limit: float = 0.05  # seconds, in place of a limit that has passed
     wait_cost: float = 0.01  # of the value, for a second until the first event
     harm_cost: float = 0.15  # for a second of reading beside a writer
+    # By python -m bench placing, with tells that come at once and 20 ms late.
     overtake_cost: float = 0.2  # of a value, for a second that it is put back
     pack_cost: float = 0.1  # between the first and the last target in order
     spare_slots: int = 3  # of a target, that are left for other entries' choices
--- /dev/null
+++ b/src/chicorycove/direct/repeat.py
@@ -0,0 +1,38 @@
+"""Whether a request may be sent to a target once more."""
+
+from .board import DirectBoard, DirectState
+from .budget import SharedBudget
+from .settings import DirectSettings
+
+
+class Repeats:
+    """Judges repeats by route, time and budget; times are in seconds."""
+
+    def __init__(self, board: DirectBoard, settings: DirectSettings) -> None:
+        self._board = board
+        self._least_time = settings.least_time
+        self._budget = SharedBudget(settings.budget)
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a caller's request, which the budget grows by."""
+        self._budget.note_request(service, now)
+
+    def is_late(self, state: DirectState, now: float) -> bool:
+        """Tell whether too little time is left to send anything."""
+        return now + self._least_time >= state.inbound.request.deadline
+
+    def may_repeat(self, state: DirectState, now: float) -> bool:
+        """Tell whether what may have run is to be sent once more."""
+        route = state.inbound.route
+        if not route.repeatable or state.runs >= route.max_attempts:
+            return False
+        if self.is_late(state, now):
+            return False
+        service = state.inbound.service
+        return self._budget.left(service, self._board.entries, now) >= 1
+
+    def take(self, state: DirectState, now: float) -> bool:
+        """Use a repeat up, if this is one; False if none is left."""
+        if not state.sends:
+            return True
+        return self._budget.take(state.inbound.service, self._board.entries, now)
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -55,10 +55,11 @@
     lapse: float = 1.8  # until a target that lapsed with the store is gone
     account_least: float = 0.25  # between full accounts of work to peers
     account_per_peer: float = 0.02  # more, so that many entries do not flood
-    behind: float = 1.0  # that a peer may have seen more of the store
+    behind: float = 1.0  # that a peer may have seen more: three pauses of a watch
     silent_accounts: float = 3.2  # missed before a peer's work is forgotten
     stop_accepting: float = 2.5  # after a stop signal; callers keep coming till then
     least_time: float = 0.02  # before a deadline, under which nothing is sent
-    targets: int = 96  # of a service, among which an entry chooses, roughly
+    targets: int = 96  # of a service, to choose among: 8 ms for a long prompt
     tokens_per_value: float = 10_000.0  # of a prompt that is worth one call more
     retry_after_no_target: float = 1.0  # a lapsed target is back within 2 s
+    retry_after_budget: float = 0.5  # a twentieth of the window that it slides by
--- /dev/null
+++ b/src/chicorycove/direct/target_calls.py
@@ -0,0 +1,89 @@
+"""Calls to targets that are no requests of callers: orders and probes."""
+
+import asyncio
+import typing as t
+
+from ..identity import AttemptId
+from ..lifecycle import Refused, Reserved
+from ..reason import Reason
+from .board import DirectBoard
+from .client import CallFailed, HttpClient
+from .dialect import Dialect, Order
+from .event import DirectEvent, Probed
+from .linelog import LineLog
+from .settings import DirectSettings
+
+
+class TargetCalls:
+    """Calls targets, and hands on what becomes of it as events."""
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        dialect: Dialect,
+        settings: DirectSettings,
+        log: LineLog,
+        handle: t.Callable[[DirectEvent], None],
+    ) -> None:
+        self._board = board
+        self._dialect = dialect
+        self._settings = settings
+        self._log = log
+        self._handle = handle
+
+    async def reserve(self, reservation: AttemptId, target: str, memory: int) -> None:
+        """Ask a target to hold memory, in tokens."""
+        hold = self._settings.reservation.hold
+        order = self._dialect.reserve(reservation, memory, hold)
+        status = await self._order(target, order, "memory reserved", reservation)
+        if status == 200:
+            self._handle(Reserved(reservation))
+        else:
+            self._handle(Refused(reservation, Reason.MEMORY_FULL))
+
+    async def release(self, reservation: AttemptId, target: str) -> None:
+        """Give a target's memory back."""
+        order = self._dialect.release(reservation)
+        await self._order(target, order, "memory released", reservation)
+
+    async def probe(self, target: str, address: str) -> None:
+        """Try a connection to a target."""
+        host, port = address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(self._settings.patience.connect):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            self._log.write("target unreachable", target=target, cause=repr(error))
+            self._handle(Probed(target, False))
+            return
+        writer.close()
+        self._handle(Probed(target, True))
+
+    async def _order(
+        self, target: str, order: Order, what: str, reservation: AttemptId
+    ) -> int | None:
+        """Send an order and return the status of its answer, if it has one."""
+        status = None
+        cause = ""
+        view = self._board.targets.get(target)
+        if view is None:
+            self._log.write(what, request=reservation.request, cause="target gone")
+            return None
+        client = HttpClient(view.listing.address)
+        try:
+            timeout = self._settings.reservation.answer
+            reply = await client.call("POST", order.path, order.body, timeout)
+            status = reply.status
+        except CallFailed as error:
+            cause = str(error)
+        finally:
+            client.close()
+        self._log.write(
+            what,
+            request=reservation.request,
+            reservation=reservation.nonce,
+            target=target,
+            status=status,
+            cause=cause,
+        )
+        return status
--- a/src/chicorycove/dissemination.py
+++ b/src/chicorycove/dissemination.py
@@ -6,11 +6,20 @@
 of a newer revision than its own asks for it.  All times are in seconds.
 """
 
-import collections
 import dataclasses
-import enum
-import typing as t
 
+from .catalogue_message import (
+    Applied,
+    Command,
+    Heartbeat,
+    Lagging,
+    Message,
+    Pull,
+    Push,
+    Roster,
+    Scope,
+    Spread,
+)
 from .change import Change, State
 from .membership import (
     Member,
@@ -21,10 +30,8 @@
     Tell,
     rank,
 )
+from .replica import Replica
 
-frozen = dataclasses.dataclass(frozen=True, slots=True)
-
-MAX_LOG = 256  # changes kept to send in place of the whole
 RESEND_AFTER = 0.3
 RELAY_TIMEOUT = 1.2  # before the next relay of a failure domain is tried
 AGENT_TIMEOUT = 1.0  # for an entry's agents to apply a change
@@ -38,129 +45,6 @@
 MAX_LAGGARDS = 16  # named in one report
 
 
-class Scope(enum.Enum):
-    """Whom the receiver of a push passes it on to."""
-
-    DOMAIN = 0  # the entries of its failure domain and its own agents
-    AGENTS = 1  # its own agents
-    NONE = 2
-
-
-@frozen
-class Push:
-    """Changes, oldest first, or the whole where they do not suffice."""
-
-    sender: Member
-    revision: int
-    scope: Scope
-    changes: tuple[Change, ...] = ()
-    state: State | None = None
-
-
-@frozen
-class Pull:
-    """Ask for everything newer than a revision."""
-
-    sender: Member
-    have: int
-
-
-@frozen
-class Lagging:
-    """A process that has not applied a revision in time."""
-
-    name: str
-    revision: int
-    cause: str
-
-
-@frozen
-class Applied:
-    """How many processes are at a revision, as far as a push's scope went."""
-
-    sender: Member
-    revision: int
-    scope: Scope
-    members: int
-    laggards: tuple[Lagging, ...] = ()
-
-
-@frozen
-class Heartbeat:
-    """An agent is alive, attached and at a revision; or leaves."""
-
-    sender: Member
-
-
-@frozen
-class Roster:
-    """An entry answers a heartbeat, and names entries to go to."""
-
-    sender: Member
-    entries: tuple[Member, ...]
-
-
-Message = Probe | Push | Pull | Applied | Heartbeat | Roster
-
-
-@frozen
-class Install:
-    """Put a state in force in this process."""
-
-    state: State
-    changes: tuple[Change, ...]
-
-
-@frozen
-class Spread:
-    """A revision has spread as far as it did by now."""
-
-    revision: int
-    members: int
-    laggards: tuple[Lagging, ...]
-
-
-Command = Tell | Install | Spread
-
-
-class Replica:
-    """The state in force in a process and the changes that led to it."""
-
-    def __init__(self) -> None:
-        self.state = State()
-        self._log: collections.deque[Change] = collections.deque(maxlen=MAX_LOG)
-
-    @property
-    def revision(self) -> int:
-        """Return the revision in force."""
-        return self.state.revision
-
-    def offer(
-        self, changes: t.Iterable[Change], state: State | None = None
-    ) -> Install | None:
-        """Apply what is newer, and return it if there is any."""
-        applied = []
-        before = self.revision
-        if state is not None and state.revision > self.revision:
-            self.state = state
-            self._log.clear()
-        for change in changes:
-            if change.revision == self.revision + 1:
-                self.state = self.state.advanced(change)
-                self._log.append(change)
-                applied.append(change)
-        if self.revision == before:
-            return None
-        return Install(self.state, tuple(applied))
-
-    def since(self, revision: int) -> tuple[tuple[Change, ...], State | None]:
-        """Return the changes after a revision, or the whole."""
-        changes = tuple(c for c in self._log if c.revision > revision)
-        if changes and changes[0].revision == revision + 1:
-            return changes, None
-        return (), self.state
-
-
 @dataclasses.dataclass(slots=True)
 class _Job:
     """A revision being passed on to those below this process."""
@@ -475,101 +359,3 @@
     if member.role is Role.AGENT:
         return Scope.NONE
     return Scope.DOMAIN if member.name in job.tried else Scope.AGENTS
-
-
-class AgentPeer:
-    """An agent's part: attached to one entry, it knows where else to go."""
-
-    def __init__(self, me: Member, seeds: t.Iterable[Member], now: float) -> None:
-        self.me = me
-        self.replica = Replica()
-        self.entry: Member | None = None
-        self._seeds = {member.name: member for member in seeds}
-        self._entries = dict(self._seeds)
-        self._heard_at = now
-        self._next_heartbeat = now
-        self._tried = 0
-
-    @property
-    def revision(self) -> int:
-        """Return the revision in force here."""
-        return self.replica.revision
-
-    @property
-    def attached(self) -> bool:
-        """Tell whether an entry has answered."""
-        return self.entry is not None
-
-    def tick(self, now: float) -> list[Command]:
-        """Return the heartbeat that is due."""
-        if now - self._heard_at > SILENCE_TIMEOUT:
-            self._give_up(now)
-        if now < self._next_heartbeat:
-            return []
-        self._next_heartbeat = now + HEARTBEAT_PERIOD
-        entry = self._choice()
-        return [self._tell(entry, Heartbeat(self.me))] if entry is not None else []
-
-    def receive(self, message: Message, now: float) -> list[Command]:
-        """Take a message in, and return what to do."""
-        match message:
-            case Roster(sender=sender, entries=entries):
-                self._attach(sender, entries, now)
-                return self._compare(sender)
-            case Push():
-                return self._pushed(message)
-        return []
-
-    def leave(self, now: float) -> list[Command]:
-        """Tell the entry that this agent leaves."""
-        self.me = dataclasses.replace(self.me, state=MemberState.LEFT)
-        return [self._tell(self.entry, Heartbeat(self.me))] if self.entry else []
-
-    def _attach(self, sender: Member, entries: tuple[Member, ...], now: float) -> None:
-        self._heard_at = now
-        self.entry = sender
-        self._entries[sender.name] = sender
-        if entries:
-            self._entries = {m.name: m for m in (sender, *entries)}
-
-    def _give_up(self, now: float) -> None:
-        if self.entry is not None:
-            self._entries.pop(self.entry.name, None)
-            self._entries = self._entries or dict(self._seeds)
-        self.entry = None
-        self._heard_at = now
-        self._next_heartbeat = now
-        self._tried += 1
-
-    def _choice(self) -> Member | None:
-        if self.entry is not None:
-            return self.entry
-        ranked = sorted(
-            self._entries.values(),
-            key=lambda m: (
-                m.failure_domain != self.me.failure_domain,
-                rank(self.me.name, m.name),
-            ),
-        )
-        return ranked[self._tried % len(ranked)] if ranked else None
-
-    def _compare(self, peer: Member) -> list[Command]:
-        if peer.revision <= self.revision:
-            return []
-        return [self._tell(peer, Pull(self.me, self.revision))]
-
-    def _pushed(self, push: Push) -> list[Command]:
-        install = self.replica.offer(push.changes, push.state)
-        commands: list[Command] = []
-        if install is not None:
-            self.me = dataclasses.replace(self.me, revision=self.revision)
-            commands.append(install)
-        if self.revision >= push.revision:
-            applied = Applied(self.me, self.revision, Scope.NONE, 1)
-            commands.append(self._tell(push.sender, applied))
-        else:
-            commands.append(self._tell(push.sender, Pull(self.me, self.revision)))
-        return commands
-
-    def _tell(self, member: Member, message: Message) -> Tell:
-        return Tell(member.name, member.address, message)
--- a/src/chicorycove/executor.py
+++ b/src/chicorycove/executor.py
@@ -32,7 +32,7 @@
     Withdraw,
     decide,
 )
-from .planner import Report
+from .plan import Report
 from .rollout import Health
 from .target import TargetController
 from .wire import link_pb2 as wire
--- a/src/chicorycove/orchestrator.py
+++ b/src/chicorycove/orchestrator.py
@@ -36,7 +36,8 @@
 )
 from .link import Link
 from .log import LOGGER
-from .planner import Move, Plan, Planner, Report, Target
+from .plan import Move, Plan, Report, Target
+from .planner import Planner
 from .routing import matches
 from .settings import Settings
 from .utils import cancel_all
--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -8,17 +8,11 @@
 import typing as t
 
 from . import codec
+from .agent_peer import AgentPeer
+from .catalogue_message import Command, Install, Message, Spread
 from .change import Change, State
 from .conversion import Address
-from .dissemination import (
-    SPREAD_TIMEOUT,
-    AgentPeer,
-    Command,
-    EntryPeer,
-    Install,
-    Message,
-    Spread,
-)
+from .dissemination import SPREAD_TIMEOUT, EntryPeer
 from .log import LOGGER
 from .membership import Member, Membership, Role, Tell
 from .registry import Laggard, ProcessStatus, Spread as SpreadReport
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -10,10 +10,10 @@
 
 from ..direct.board import DirectBoard
 from ..direct.budget import BudgetSettings
+from ..direct.caller_connection import CallerConnection, CallerHandler
 from ..direct.dispatch import DirectDispatcher
 from ..direct.entry import DirectEntry
 from ..direct.event import DirectEvent, Followed, PeersSeen
-from ..direct.http import CallerConnection, CallerHandler
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
@@ -75,7 +75,7 @@
         self._peers = PeerLink(
             self._name,
             lambda told: self._entry.handle(told),
-            lambda: self._metrics.dropped("datagram"),
+            self._peer_failed,
         )
         self._entry = self._create_entry()
         self._follower = Follower(
@@ -180,6 +180,11 @@
         )
         self._servers.append(server)
 
+    def _peer_failed(self, what: str, error: Exception, news: bool) -> None:
+        self._metrics.dropped("datagram")
+        if news:
+            self._log.write(what, cause=repr(error))
+
     def _followed(self, event: DirectEvent) -> None:
         if isinstance(event, Followed):
             self._peers.revision = event.revision
--- a/src/chicorycove/settings.py
+++ b/src/chicorycove/settings.py
@@ -11,7 +11,7 @@
 from .conversion import Address, convert
 from .exceptions import SettingsError
 from .lease import LeaseSettings
-from .planner import PlannerSettings
+from .planner_board import PlannerSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -183,9 +183,14 @@
 class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.now = 10.0
+        self.failed = []
         loop = asyncio.get_running_loop()
         with unittest.mock.patch.object(loop, "time", lambda: self.now):
-            self.link = peers.PeerLink("entry-1.aa", lambda told: None, self.fail)
+            self.link = peers.PeerLink(
+                "entry-1.aa",
+                lambda told: None,
+                lambda what, error, news: self.failed.append((what, news)),
+            )
 
     def hear(self, name, host):
         (data,) = peers.encode(name, (), (), (), 1, self.now)
@@ -204,6 +209,17 @@
         self.link.prune({"entry-2.bb"}, 1.0)
         self.assertEqual(list(self.link.names), ["entry-2.bb"])
 
+    async def test_failures_are_news_once_a_second(self):
+        for _ in range(3):
+            self.link.datagram_received(b"none of ours", ("10.0.0.9", 1))
+            self.link.error_received(ConnectionRefusedError())
+        news = [what for what, is_news in self.failed if is_news]
+        self.assertEqual(news, ["datagram unreadable", "datagram refused"])
+        self.assertEqual(len(self.failed), 6)
+        self.now += 1.0
+        self.link.datagram_received(b"none of ours", ("10.0.0.9", 1))
+        self.assertEqual(self.failed[-1], ("datagram unreadable", True))
+
     async def test_listed_name_of_a_restarted_peer_is_not_silent(self):
         self.link.add("entry-2.aa", ("10.0.0.2", 7000))
         self.link.add("entry-3.aa", ("10.0.0.3", 7000))
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -4,7 +4,8 @@
 
 from bench.fleet import Fleet, History, change
 from chicorycove import codec
-from chicorycove.dissemination import AgentPeer, Applied, Lagging, Pull, Push, Scope
+from chicorycove.agent_peer import AgentPeer
+from chicorycove.catalogue_message import Applied, Lagging, Pull, Push, Scope
 from chicorycove.membership import MAX_STALENESS, MemberState, Role
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -45,6 +45,7 @@
 
 # The same, of an entry that reaches its targets itself.
 DIRECT_ADAPTERS = {
+    "caller_connection",
     "client",
     "entry",
     "exchange",
@@ -52,6 +53,8 @@
     "linelog",
     "pages",
     "peers",
+    "target_calls",
+    "target_connection",
 }
 
 # Words of the users' platform that only its adapter may know.
--- a/tests/test_orchestrator.py
+++ b/tests/test_orchestrator.py
@@ -19,7 +19,7 @@
 from chicorycove.entry_process import EntryProcess
 from chicorycove.host import Host
 from chicorycove.lease import LeaseSettings
-from chicorycove.planner import PlannerSettings
+from chicorycove.planner_board import PlannerSettings
 from chicorycove.rollout import RolloutSettings
 from chicorycove.settings import (
     AgentSettings,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -24,13 +24,9 @@
 from chicorycove.host import Host, HostState
 from chicorycove.identity import AgentId
 from chicorycove.order import EngineModel, EngineState, StepKind, missing
-from chicorycove.planner import (
-    RESTORE,
-    Planner,
-    PlannerSettings,
-    Report,
-    Target,
-)
+from chicorycove.plan import Report, Target
+from chicorycove.planner import Planner
+from chicorycove.planner_board import RESTORE, PlannerSettings
 from chicorycove.rollout import Health, RolloutSettings
 
 FENCE = 7
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,22 +1,10 @@
 """The whole path on the users' platform, against stand-ins."""
 
 import asyncio
-import json
-import socket
-import subprocess
-import sys
-import tempfile
-import unittest
-
-from chicorycove.direct import peers
-from chicorycove.exceptions import SettingsError, StoreUnavailable
-from chicorycove.platform.boot import load
-from chicorycove.platform.listeners import open_listeners
-from chicorycove.platform.store import Store
-from standin import platform_store
+
 from standin.platform_server import Faults
 
-from .platform_case import KEY, Caller, PlatformTestCase, config, new_boot, route
+from .platform_case import KEY, PlatformTestCase, config, route
 
 
 class PassingOnTest(PlatformTestCase):
@@ -292,128 +280,6 @@
         return not any(each.tickets for each in self.model)
 
 
-class StoreTest(PlatformTestCase):
-    async def test_serves_on_without_the_store(self):
-        self.store.faults.down = True
-        await asyncio.sleep(0.3)
-        self.assertEqual((await self.ask("/order/x", b"y")).status, 200)
-        self.assertTrue(await self.is_ready())
-
-    async def test_first_configuration_is_awaited(self):
-        self.store.faults.down = True
-        await self.start(wait=False)
-        self.assertFalse(await self.is_ready())
-        answer = await self.ask("/order/x")
-        self.assertEqual(answer.status, 503)
-        self.store.faults.down = False
-        await self.until(self.is_ready)
-
-    async def test_forgotten_history_is_read_anew(self):
-        self.configure(config(2, keys=("key-2",)))
-        self.store.compact()
-        await asyncio.sleep(0.8)
-        self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
-
-    async def test_change_kept_from_a_broken_watch_is_found(self):
-        # scale-2 of the grown intranett: while the store compacted, watches
-        # were told of nothing, were reset, and the next ones were told of
-        # nothing either; one entry knew no change for five seconds.
-        self.store.faults.deaf = True
-        self.configure(config(2, keys=("key-2",)))
-        await asyncio.sleep(0.4)
-        self.store.faults.cut = True
-        await asyncio.sleep(0.2)
-        self.store.faults.cut = False
-        await asyncio.sleep(0.8)
-        self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
-
-    async def test_change_that_a_peer_has_seen_is_found(self):
-        self.store.faults.deaf = True
-        self.configure(config(2, keys=("key-2",)))
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
-        )
-        self.addCleanup(transport.close)
-        (account,) = peers.encode("entry-2", (), (), (), 1_000, loop.time())
-        for _ in range(8):
-            transport.sendto(account, ("127.0.0.1", self.boot.peer_port))
-            await asyncio.sleep(0.2)
-        self.assertEqual((await self.ask("/order/x", key="key-2")).status, 200)
-        events = [line["event"] for line in await self.lines()]
-        self.assertIn("behind a peer", events)
-
-    async def test_leaving_server_gets_nothing_new(self):
-        self.list(self.shop[0], state="draining")
-        await asyncio.sleep(0.6)
-        for _ in range(4):
-            await self.ask("/order/x")
-        self.assertEqual(len(self.shop[0].runs), 0)
-
-    async def test_unlisted_server_gets_nothing_new(self):
-        self.store.remove(f"servers/{self.shop[0].id}")
-        await asyncio.sleep(0.6)
-        for _ in range(4):
-            await self.ask("/order/x")
-        self.assertEqual(len(self.shop[0].runs), 0)
-
-    async def test_caller_who_comes_during_a_start_is_served(self):
-        # The closing kills of all days: a refused connection is half of what
-        # a caller has, and imports take most of a start.
-        boot = new_boot(store=self.boot.store)
-        listeners = open_listeners(boot)
-        caller = await Caller.open(boot.callers)
-        self.addCleanup(caller.close)
-        caller.send("/order/x", b"12 tons")
-        self.store.faults.delay = 0.1
-        await self.start(boot, listeners, wait=False)
-        answer = await caller.read()
-        self.assertEqual((answer.status, answer.body), (200, b"12 tons"))
-
-    async def test_first_page_of_a_long_list_is_used_at_once(self):
-        # sweep of moldline: 299 entries that start together list 3,000 servers
-        # each, which takes the store's link seconds.
-        for number in range(platform_store.PAGE):
-            self.store.put(f"servers/z-{number:05}", b"no server")
-        self.store.faults.page_delay = 5.0
-        await self.start(wait=False)
-        self.assertEqual((await self.ask("/order/x", b"y")).status, 200)
-
-    async def test_entry_is_listed_while_it_lives(self):
-        await self.until(self.is_listed)
-
-    async def is_listed(self):
-        return bool(self.store.keys("chicorycove/entries/entry-1."))
-
-
-class ListTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.standin, served = await platform_store.start()
-        self.addAsyncCleanup(served.close)
-        for number in range(3 * platform_store.PAGE):
-            self.standin.put(f"servers/i-{number:05}", b"{}")
-        self.store = Store(served.address)
-        self.addCleanup(self.store.close)
-
-    async def test_page_that_is_refused_is_asked_for_again(self):
-        sizes = []
-        async for page in self.store.pages("servers/"):
-            sizes.append(len(page.items))
-            if len(sizes) == 1:
-                self.standin.faults.busy = 3
-        self.assertEqual(sizes, 3 * [platform_store.PAGE])
-        self.assertEqual(len(self.standin.calls), 3 + 3)
-
-    async def test_store_that_stays_busy_is_away(self):
-        self.standin.faults.busy = 1_000
-        with self.assertRaises(StoreUnavailable):
-            async for _ in self.store.pages("servers/"):
-                self.fail("a page came")
-        # inc-fd53: refused calls are priced, and a store turns some hosts away
-        # for seconds; the next list begins after a growing pause.
-        self.assertEqual(len(self.standin.calls), 1)
-
-
 class StopTest(PlatformTestCase):
     grace = 4.0
 
@@ -447,63 +313,3 @@
         await self.ask("/order/x")
         page = await self.page(f"127.0.0.1:{self.boot.metrics_port}", "/metrics")
         self.assertIn(b"chicorycove_answers_total", page.body)
-
-
-class BootTest(unittest.TestCase):
-    def test_callers_are_awaited_before_the_slow_imports(self):
-        code = "import sys, chicorycove.platform.__main__; print(*sys.modules)"
-        loaded = subprocess.run(
-            [sys.executable, "-c", code], capture_output=True, text=True, check=True
-        )
-        slow = {"asyncio", "httptools", "prometheus_client", "transitions"}
-        self.assertEqual(slow & set(loaded.stdout.split()), set())
-
-    def test_address_that_is_taken_is_named(self):
-        with socket.socket() as taken:
-            taken.bind(("127.0.0.1", 0))
-            taken.listen()
-            address = f"127.0.0.1:{taken.getsockname()[1]}"
-            boot = new_boot(callers=address)
-            with self.assertRaises(SettingsError) as caught:
-                open_listeners(boot)
-        self.assertIn(address, str(caught.exception))
-
-    def test_wrong_settings_name_key_and_cause(self):
-        good = {
-            "node": "front-1",
-            "ip": "10.0.0.1",
-            "zone": "here",
-            "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
-            "internalPortRange": [7000, 7010],
-            "platform": {"address": "10.0.0.2:90"},
-            "bounds": {
-                "graceS": 8,
-                "drainMs": 2000,
-                "retryBudgetRatio": 0.2,
-                "budgetWindowS": 10,
-                "budgetExtra": 104,
-                "holdMaxMs": 20000,
-            },
-            "unknown": {"left": "alone"},
-        }
-
-        def read(data):
-            with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
-                file.write(data if isinstance(data, str) else json.dumps(data))
-                file.flush()
-                return load(file.name)
-
-        self.assertEqual(read(good).grace, 8.0)
-        wrong = {
-            "node": ("node", None),
-            "listen.front": ("listen", {"front": "10.0.0.1", "ready": "10.0.0.1:8"}),
-            "bounds.graceS": ("bounds", {**good["bounds"], "graceS": "soon"}),
-            "internalPortRange": ("internalPortRange", [7000]),
-        }
-        for key, (name, value) in wrong.items():
-            with self.subTest(key), self.assertRaises(SettingsError) as caught:
-                read({**good, name: value})
-            self.assertIn(f'key "{key}"', str(caught.exception))
-        for text in ("a: [", "just text"):
-            with self.subTest(text), self.assertRaises(SettingsError):
-                read(text)
