Take after a stop only what can be finished, and all of that

Only what comes within 3 s may be cut. Change: direct/stopping.py: all is taken for 2.8 s; later, calls whose time limit and streams whose declared length, at twice a full engine's pace, end before the process does. Left: Retry-After 0 sends a caller back to an entry that is alone.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -58,6 +58,7 @@
 from .repeat import Repeats
 from .reservation import AnswerDue, RenewalDue, Reservations
 from .settings import DirectSettings
+from .stopping import Stopping
 from .target_list import TargetList
 from .work import WorkBook
 
@@ -93,6 +94,7 @@
         self._ending = Ending(board, self._reservations, self._work)
         self._patience = Patience(board, settings.patience, self._work)
         self._freshness = Freshness(settings.behind)
+        self._stopping = Stopping(board, settings)
         self._neighbourhood = Neighbourhood(board, settings.targets, name)
         self._choice = TargetChoice(board, settings, self._neighbourhood, domain)
 
@@ -165,19 +167,13 @@
     def _received(self, inbound: Inbound, now: float) -> list[DirectCommand]:
         request = inbound.request
         self._repeats.note_request(inbound.service, now)
-        if self._stopped_accepting(now):
+        if not self._stopping.accepts(inbound, now):
             return [Fail(request.id, Reason.STOPPING, Verdict.NOT_RUN, 0.0)]
         state = DirectState(inbound, last_event=inbound.resumed_after)
         self._board.requests[request.id] = state
         self._board.timers.add(request.deadline, _DeadlineDue(request.id))
         return self._place(state, now)
 
-    def _stopped_accepting(self, now: float) -> bool:
-        stopping_at = self._board.stopping_at
-        if stopping_at is None:
-            return False
-        return now >= stopping_at + self._settings.stop_accepting
-
     def _place(self, state: DirectState, now: float) -> list[DirectCommand]:
         request = state.inbound.request
         if self._repeats.is_late(state, now):
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -57,7 +57,9 @@
     account_per_peer: float = 0.02  # more, so that many entries do not flood
     behind: float = 1.0  # that a peer may have seen more: three pauses of a watch
     silent_accounts: float = 3.2  # missed before a peer's work is forgotten
-    stop_accepting: float = 2.5  # after a stop signal; callers keep coming till then
+    stop_accepting: float = 2.5  # after a stop signal, in which all is taken
+    stop_finish: float = 7.5  # after it, by which what is taken later must end
+    stop_slack: float = 2.0  # times a full pass: passes read beside their writing
     least_time: float = 0.02  # before a deadline, under which nothing is sent
     targets: int = 96  # of a service, to choose among: 8 ms for a long prompt
     tokens_per_value: float = 10_000.0  # of a prompt that is worth one call more
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -36,7 +36,10 @@
 STOP_POLL = 0.05  # seconds between looks whether all is finished
 LEASE_MOST = 3.0  # seconds; memory must be free 4 s after its last use
 LAPSE_SHARE = 0.9  # of the time in which a gone target may still be used
-STOP_SHARE = 0.5  # of the grace, in which new requests are still taken
+STOP_SHARE = 0.5  # of the grace, in which all new requests are taken
+# Seconds, whatever the grace: of what comes within 3 s of a stop, the platform
+# lets the last be cut; what comes later must have the time to be finished.
+STOP_MOST = 2.8
 GRACE_USED = 0.94  # share of the grace after which the process ends by itself
 PEER_CHECK = 0.2  # seconds between looks at which peers are alive
 
@@ -51,7 +54,8 @@
         ),
         reservation=ReservationSettings(hold=min(LEASE_MOST, boot.hold_most)),
         lapse=boot.drain * LAPSE_SHARE,
-        stop_accepting=boot.grace * STOP_SHARE,
+        stop_accepting=min(boot.grace * STOP_SHARE, STOP_MOST),
+        stop_finish=boot.grace * GRACE_USED,
     )
 
 
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -10,10 +10,20 @@
 from chicorycove.exceptions import SettingsError
 from chicorycove.platform.boot import load
 from chicorycove.platform.listeners import open_listeners
+from chicorycove.platform.process import settings_from
 
 from .platform_case import new_boot
 
 
+class SettingsTest(unittest.TestCase):
+    def test_what_is_taken_after_a_stop_can_be_finished(self):
+        # intranett, mix 987583136198: a stream taken 3.3 s after the signal
+        # was cut at the end of the grace, after 4.2 s.
+        taken = settings_from(new_boot(grace=8.0)).stop_accepting
+        self.assertLess(taken, 3.0)
+        self.assertLess(settings_from(new_boot(grace=1.0)).stop_accepting, 1.0)
+
+
 class BootTest(unittest.TestCase):
     def test_callers_are_awaited_before_the_slow_imports(self):
         code = "import sys, chicorycove.platform.__main__; print(*sys.modules)"
