Relay the store's changes within a failure domain

Cause: on the large site each of 68 entries watches the store. Ruled out: longer pauses between watches (all changes later, calls still grow with the fleet); an election by a leased key (needs the store).

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -61,7 +61,6 @@
 from chicorycove.request import Prompt, Request
 from standin.passes import Job, PassEngine, PromptPrefilled
 
-LINK = 0.0015  # seconds one way, with what the processes take
 MODEL = "model"
 OK = TargetAnswer(status=200, not_run=False)
 PERCENTILES = (0.5, 0.95)
@@ -134,7 +133,10 @@
         self._fleet = FLEETS[options.fleet]
         self._lag = options.lag
         self._profile = dataclasses.replace(
-            ENGINE, slots=self._fleet.slots, memory=self._fleet.memory
+            ENGINE,
+            slots=self._fleet.slots,
+            memory=self._fleet.memory,
+            steps_per_pass=self._fleet.steps_per_pass,
         )
         self.now = 0.0
         self._heap: list[tuple[float, int, t.Callable[[], None]]] = []
@@ -164,7 +166,7 @@
         dispatcher = DirectDispatcher(
             board,
             self._settings,
-            f"domain-{number % 3}",
+            f"domain-{number % self._fleet.failure_domains}",
             f"entry-{number}",
             lambda request, tries: AttemptId(request, tries, f"{next(attempts)}"),
         )
@@ -172,14 +174,18 @@
         routes = tuple(_route(kind) for kind in self._fleet.kinds)
         deployment = Deployment(version=1, routes=routes, services=(service,))
         dispatcher.handle(DeploymentReceived(RoutingTable(deployment)), 0.0)
-        names = frozenset(f"entry-{n}" for n in range(self._fleet.entries))
-        dispatcher.handle(PeersUpdated(names), 0.0)
         for target in range(self._fleet.targets):
             listing = TargetListing(
-                f"t{target:03}", MODEL, f"t:{target}", f"domain-{target % 3}", 8
+                f"t{target:03}",
+                MODEL,
+                f"t:{target}",
+                f"domain-{target % self._fleet.failure_domains}",
+                self._fleet.slots,
             )
             dispatcher.handle(TargetListed(listing), 0.0)
-        interval = peer_update_interval(self._settings, self._fleet.entries)
+        names = frozenset(f"entry-{n}" for n in range(self._fleet.entries))
+        dispatcher.handle(PeersUpdated(names), 0.0)
+        interval = peer_update_interval(self._settings, len(board.peer_names))
         self._at(
             self._rng.uniform(0, interval), lambda: self._account(number, interval)
         )
@@ -189,7 +195,7 @@
         heapq.heappush(self._heap, (time, next(self._numbers), act))
 
     def _soon(self, act: t.Callable[[], None], hops: int = 1) -> None:
-        self._at(self.now + hops * LINK, act)
+        self._at(self.now + hops * self._fleet.link_delay, act)
 
     def _arrive(self, arrival: Arrival) -> None:
         id = f"r{len(self.outcomes)}"
@@ -228,15 +234,21 @@
     def _tell(self, entry, work_items, ended, unreachable) -> None:
         told = encode(f"entry-{entry}", work_items, ended, unreachable, 0, self.now)
         sent_at = self.now
+        names = self._entries[entry][0].peer_names
+        peers = [
+            number
+            for number in range(len(self._entries))
+            if number != entry and f"entry-{number}" in names
+        ]
 
         def arrive() -> None:
-            for peer in range(len(self._entries)):
-                for data in told if peer != entry else ():
+            for peer in peers:
+                for data in told:
                     heard: PeerUpdateReceived = decode(data, sent_at)
                     self._handle(peer, heard)
 
         lag = self._rng.expovariate(1.0 / self._lag) if self._lag else 0.0
-        self._at(self.now + LINK + lag, arrive)
+        self._at(self.now + self._fleet.link_delay + lag, arrive)
 
     # What an entry asks for
 
--- a/bench/sheet.py
+++ b/bench/sheet.py
@@ -55,6 +55,9 @@
     slots: int
     memory: int
     kinds: tuple[Kind, ...]
+    failure_domains: int = 3
+    steps_per_pass: int = 46
+    link_delay: float = 0.0015  # seconds one way, including the processes' time
 
 
 _SHORT = Kind(
@@ -97,7 +100,7 @@
     timeout=15.0,
 )
 
-# The mould makers' sheets, of today and grown.
+# The mould makers' sheets: of today, grown and large.
 FLEETS = {
     "today": Fleet(
         entries=5,
@@ -124,6 +127,45 @@
             ),
         ),
     ),
+    "large": Fleet(
+        entries=68,
+        targets=150,
+        slots=5,
+        memory=450_000,
+        kinds=(
+            dataclasses.replace(
+                _SHORT,
+                rate=108.0,
+                events=24,
+                value=1.4,
+                late_value=0.34,
+                objective=0.321,
+                max_gap=0.25,
+            ),
+            dataclasses.replace(
+                _MEDIUM,
+                rate=11.6,
+                events=15,
+                value=2.3,
+                late_value=0.58,
+                objective=1.532,
+                max_gap=0.6,
+            ),
+            dataclasses.replace(
+                _LONG,
+                rate=2.66,
+                tokens=300_000,
+                events=12,
+                value=26.0,
+                late_value=6.6,
+                objective=4.055,
+                max_gap=1.0,
+            ),
+        ),
+        failure_domains=5,
+        steps_per_pass=73,
+        link_delay=0.0019,
+    ),
 }
 
 # The bursts of their heaviest days: long prompts, then short ones, then long.
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -122,6 +122,7 @@
     timers: Timers = dataclasses.field(default_factory=Timers)
     entry_names: frozenset[str] = frozenset()  # all known entries, including this one
     peer_names: frozenset[str] = frozenset()  # entries that share this entry's targets
+    entry_names_complete: bool = True  # False until the store has listed them
     # Shift of the order of targets, in [0, 1).  By it, entries that miss one
     # another's updates prefer different targets.
     placement_offset: float = 0.0
@@ -129,9 +130,9 @@
     stopping_at: float | None = None
 
     @property
-    def entry_count(self) -> int:
-        """Return the number of known entries, this one included."""
-        return max(len(self.entry_names), 1)
+    def entry_count(self) -> int | None:
+        """Return the number of entries, this one included; None if unknown."""
+        return max(len(self.entry_names), 1) if self.entry_names_complete else None
 
     def find_service(self, name: str) -> Service | None:
         """Return a service of the current deployment, or None."""
--- a/src/chicorycove/direct/budget.py
+++ b/src/chicorycove/direct/budget.py
@@ -37,7 +37,8 @@
 
     Each entry uses an equal share of the extra retries and the ratio of its
     own requests, so that all entries together stay within the budget without
-    messages between them.
+    messages between them.  An entry that does not know the number of entries
+    uses no extra retries: all of them may have started just now.
     """
 
     def __init__(self, settings: BudgetSettings) -> None:
@@ -49,15 +50,17 @@
         """Count a caller's request."""
         self._get_counter(self._requests, service).add(now)
 
-    def available(self, service: str, entry_count: int, now: float) -> float:
+    def available(self, service: str, entry_count: int | None, now: float) -> float:
         """Return how many retries this entry may send now."""
         settings = self._settings
         requests = self._get_counter(self._requests, service).count(now)
         retries = self._get_counter(self._retries, service).count(now)
-        extra = settings.extra_retries * settings.used_share / max(entry_count, 1)
+        extra = 0.0
+        if entry_count is not None:
+            extra = settings.extra_retries * settings.used_share / entry_count
         return settings.ratio * requests * settings.used_share + extra - retries
 
-    def consume(self, service: str, entry_count: int, now: float) -> bool:
+    def consume(self, service: str, entry_count: int | None, now: float) -> bool:
         """Consume a retry, or return False if none is left."""
         if self.available(service, entry_count, now) < 1:
             return False
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -137,8 +137,9 @@
             case StoreRevisionSeen(revision):
                 self._store_lag.record_own_revision(revision)
                 return []
-            case PeersUpdated(entry_names):
+            case PeersUpdated(entry_names, complete=complete):
                 self._board.entry_names = entry_names
+                self._board.entry_names_complete = complete
                 self._board.peer_names = self._partition.peer_names()
                 return self._work.handle(event, now)
             case PeerUpdateReceived(owner, store_revision=revision):
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -126,6 +126,7 @@
 
     entry_names: frozenset[str]
     unresponsive: frozenset[str] = frozenset()  # entries without recent updates
+    complete: bool = True  # the store has listed the entries since the start
 
 
 @frozen
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -1,4 +1,4 @@
-"""Datagrams in which entries report their work to one another."""
+"""Datagrams of entries: reports of their work, and the store's changes."""
 
 import asyncio
 import itertools
@@ -8,7 +8,10 @@
 
 from .board import WorkItem, WorkItemKey
 from .event import PeerUpdateReceived
+from .store_relay import RelayUpdate
 
+# First byte of a datagram of the relay; MessagePack never begins with it.
+RELAY_MARK = b"\xc1"
 LOG_INTERVAL = 1.0  # seconds between logged failures: a dead peer causes many
 MAX_WORK_ITEMS = 12  # in a datagram, so that it fits into an Ethernet frame
 
@@ -50,8 +53,19 @@
     missed_objective: bool
 
 
+class _RelayDatagram(msgspec.Struct, array_like=True):
+    owner: str
+    revision: int
+    after: int
+    part: int
+    part_count: int
+    data: bytes
+    regained_ago: float | None
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerUpdate)
+_relay_decoder = msgspec.msgpack.Decoder(_RelayDatagram)
 
 
 def encode(
@@ -91,6 +105,37 @@
     )
 
 
+def encode_relay(update: RelayUpdate) -> bytes:
+    """Return the datagram of an update of the relay."""
+    datagram = _RelayDatagram(
+        update.owner,
+        update.revision,
+        update.after,
+        update.part,
+        update.part_count,
+        update.data,
+        update.regained_ago,
+    )
+    return RELAY_MARK + _encoder.encode(datagram)
+
+
+def decode_relay(data: bytes) -> RelayUpdate:
+    """Decode a datagram of the relay.
+
+    :raises msgspec.MsgspecError: if it is not one
+    """
+    datagram = _relay_decoder.decode(data.removeprefix(RELAY_MARK))
+    return RelayUpdate(
+        owner=datagram.owner,
+        revision=datagram.revision,
+        after=datagram.after,
+        part=datagram.part,
+        part_count=datagram.part_count,
+        data=datagram.data,
+        regained_ago=datagram.regained_ago,
+    )
+
+
 def _encode_item(work: WorkItem, now: float) -> WorkItemUpdate:
     return WorkItemUpdate(
         work.key.number,
@@ -143,10 +188,12 @@
         self,
         name: str,
         on_update: t.Callable[[PeerUpdateReceived], None],
+        on_relay: t.Callable[[RelayUpdate], None],
         on_failure: t.Callable[[str, Exception, bool], None],
     ) -> None:
         self._name = name
         self._on_update = on_update
+        self._on_relay = on_relay
         self._on_failure = on_failure
         self._logged_at: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -165,6 +212,9 @@
 
     def datagram_received(self, data: bytes, address: Address) -> None:
         try:
+            if data.startswith(RELAY_MARK):
+                self._on_relay(decode_relay(data))
+                return
             update = decode(data, self._clock())
         except msgspec.MsgspecError as error:
             self._report_failure("datagram unreadable", error)
@@ -230,6 +280,17 @@
             self.store_revision,
             self._clock(),
         )
+        self._send(names, datagrams)
+
+    def send_relay(
+        self, names: t.Container[str], updates: t.Iterable[RelayUpdate]
+    ) -> None:
+        """Send updates of the relay to the named peers that are known."""
+        self._send(names, [encode_relay(update) for update in updates])
+
+    def _send(self, names: t.Container[str], datagrams: t.Collection[bytes]) -> None:
+        if self._transport is None:
+            return
         addresses = {
             address for name, address in self._addresses.items() if name in names
         }
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,6 +5,7 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .placement import PlacementSettings
+from .store_relay import RelaySettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -56,6 +57,7 @@
     timeouts: TimeoutSettings = TimeoutSettings()
     reservation: ReservationSettings = ReservationSettings()
     budget: BudgetSettings = BudgetSettings()
+    relay: RelaySettings = RelaySettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
--- /dev/null
+++ b/src/chicorycove/direct/store_relay.py
@@ -0,0 +1,171 @@
+"""Relays the store's changes within a failure domain.
+
+A few entries of a failure domain, its watchers, watch the store.  The others
+receive each batch of changes from them, so that the calls to the store do not
+grow with the number of entries.  The load it answers: hundreds of entries that
+each would repeat the same watch.
+"""
+
+import dataclasses
+import typing as t
+
+frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+MAX_PART_SIZE = 1_200  # bytes, so that a datagram fits into an Ethernet frame
+MAX_PARTS = 12  # of a batch; larger batches are fetched from the store
+MAX_PENDING_BATCHES = 32  # incomplete or early batches that are kept
+
+
+@frozen
+class RelaySettings:
+    """Timing of the relay; times are in seconds."""
+
+    watcher_count: int = 2  # entries of a failure domain that watch the store
+    # Silence after which a watcher is no longer counted.  Heartbeats are sent
+    # five times a second.
+    watcher_timeout: float = 0.9
+    gap_tolerance: float = 0.3  # time in which missing changes may still arrive
+
+
+@frozen
+class RelayUpdate:
+    """How far a watcher has followed the store, and part of a batch."""
+
+    owner: str
+    revision: int  # that the watcher has followed the store up to
+    after: int = 0  # the batch holds all changes between this and the revision
+    part: int = 0
+    part_count: int = 0  # 0 for a heartbeat, which carries no changes
+    data: bytes = b""
+    regained_ago: float | None = None  # seconds since the watcher regained the store
+
+
+@frozen
+class RelayedChanges:
+    """A complete batch of changes, encoded."""
+
+    after: int
+    revision: int
+    data: bytes
+
+
+class StoreRelay:
+    """Decides who watches the store, and orders what watchers send.
+
+    An entry watches the store unless it hears enough watchers whose names
+    sort before its own.  Whoever hears none watches, so nothing is elected.
+    """
+
+    def __init__(self, name: str, settings: RelaySettings) -> None:
+        self._name = name
+        self._settings = settings
+        self._revision: int | None = None
+        self._heard_at: dict[str, float] = {}
+        self._batches: dict[tuple[str, int, int], list[bytes | None]] = {}
+        self._behind_since: float | None = None
+        self._newest_heard = 0  # revision
+
+    def follows(self, now: float) -> bool:
+        """Return whether this entry leaves the watch to others."""
+        return self._revision is not None and now < self.follows_until(now)
+
+    def follows_until(self, now: float) -> float:
+        """Return when too few watchers remain, unless they are heard again."""
+        limit = now - self._settings.watcher_timeout
+        heard = sorted(
+            heard_at
+            for name, heard_at in self._heard_at.items()
+            if name < self._name and heard_at > limit
+        )
+        if len(heard) < self._settings.watcher_count:
+            return now
+        return heard[-self._settings.watcher_count] + self._settings.watcher_timeout
+
+    def receive(self, update: RelayUpdate, now: float) -> None:
+        """Record a watcher's update."""
+        limit = now - self._settings.watcher_timeout
+        self._heard_at = {
+            name: heard_at
+            for name, heard_at in self._heard_at.items()
+            if heard_at > limit
+        }
+        self._heard_at[update.owner] = now
+        self._newest_heard = max(self._newest_heard, update.revision)
+        if self._revision is None or update.revision <= self._revision:
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if not 0 <= update.part < update.part_count <= MAX_PARTS:
+            return
+        key = (update.owner, update.after, update.revision)
+        if key not in self._batches and len(self._batches) >= MAX_PENDING_BATCHES:
+            del self._batches[next(iter(self._batches))]
+        parts = self._batches.setdefault(key, [None] * update.part_count)
+        if len(parts) == update.part_count:
+            parts[update.part] = update.data
+
+    def next_changes(self) -> RelayedChanges | None:
+        """Return a complete batch that continues the own revision, if any."""
+        if self._revision is None:
+            return None
+        for (_, after, revision), parts in self._batches.items():
+            if after <= self._revision < revision and None not in parts:
+                return RelayedChanges(
+                    after=after, revision=revision, data=b"".join(parts)
+                )
+        return None
+
+    def record_revision(self, revision: int | None, now: float) -> None:
+        """Record how far this entry follows the store; None if unknown."""
+        self._revision = revision
+        self._batches = {
+            key: parts
+            for key, parts in self._batches.items()
+            if revision is not None and key[2] > revision
+        }
+        behind = revision is not None and self._newest_heard > revision
+        self._behind_since = now if behind else None
+
+    def fetch_due_at(self) -> float | None:
+        """Return when missing changes are to be fetched, if there are any."""
+        if self._behind_since is None:
+            return None
+        return self._behind_since + self._settings.gap_tolerance
+
+    def create_updates(
+        self, after: int, revision: int, data: bytes, regained_ago: float | None
+    ) -> list[RelayUpdate]:
+        """Return the updates of a batch, or a heartbeat if it is too large."""
+        parts = [
+            data[start : start + MAX_PART_SIZE]
+            for start in range(0, len(data), MAX_PART_SIZE)
+        ]
+        if not 1 <= len(parts) <= MAX_PARTS:
+            return [self.create_heartbeat(revision, regained_ago)]
+        return [
+            RelayUpdate(
+                owner=self._name,
+                revision=revision,
+                after=after,
+                part=number,
+                part_count=len(parts),
+                data=part,
+                regained_ago=regained_ago,
+            )
+            for number, part in enumerate(parts)
+        ]
+
+    def create_heartbeat(
+        self, revision: int, regained_ago: float | None
+    ) -> RelayUpdate:
+        """Return an update without changes."""
+        return RelayUpdate(
+            owner=self._name, revision=revision, regained_ago=regained_ago
+        )
+
+    def recipients(self, domain_names: t.Iterable[str]) -> list[str]:
+        """Return the entries of a failure domain that may follow this one."""
+        ranked = sorted({*domain_names, self._name})
+        return [
+            name for name in ranked[self._settings.watcher_count :] if name > self._name
+        ]
--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -463,7 +463,11 @@
                 return [] if state is None else self._expire_request(state, now)
             case _PlacementDue(request, since):
                 state = self._board.requests.get(request)
-                return [] if state is None else self._place(state, since, now)
+                if state is None:
+                    return []
+                if state.request.deadline <= now:  # its own timer is due as well
+                    return self._expire_request(state, now)
+                return self._place(state, since, now)
             case _ReattachDue(attempt):
                 record = self._board.attempts.get(attempt)
                 if record is None or self._is_attached(record):
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -1,4 +1,8 @@
-"""Follows the platform's store: configuration, targets and entries."""
+"""Follows the platform's store: configuration, targets and entries.
+
+It watches the store, or receives its changes from the watchers of its failure
+domain (``direct/store_relay.py``).
+"""
 
 import asyncio
 import random
@@ -17,9 +21,11 @@
 )
 from ..direct.linelog import LineLog
 from ..direct.route import RoutingTable
+from ..direct.store_relay import RelayUpdate, StoreRelay
 from ..exceptions import LeaseLost, PlatformError
 from . import decoding
-from .store import HistoryLost, Item, Store
+from .changes import decode_changes, encode_changes
+from .store import WATCH_DURATION, HistoryLost, Item, ItemBatch, Store
 
 CONFIG_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
@@ -31,10 +37,15 @@
 LEASE_DURATION = 6.0  # seconds that an entry is listed without a renewal
 WATCH_PAUSE = 0.3  # seconds between watches, so that changes are batched
 RENEWALS_PER_LEASE = 3  # so that two may fail
+MAX_FETCH_DELAY = 0.2  # seconds, random, so that entries do not fetch at once
+FETCH_DURATION = 0.5  # seconds; missing changes are returned immediately
+REGAINED_WINDOW = 5.0  # seconds in which watchers report a regained store
+REGAINED_TOLERANCE = 1.0  # seconds by which watchers may differ in when it was
 
 
 class _Entry(msgspec.Struct):
     address: str  # "ip:port" of its datagrams
+    failure_domain: str = ""
 
 
 class Follower:
@@ -50,8 +61,14 @@
         rng: random.Random,
         handle: t.Callable[[DirectEvent], None],
         on_entries_changed: t.Callable[[dict[str, str]], None],
+        relay: StoreRelay,
+        failure_domain: str,
+        send_relay: t.Callable[[t.Collection[str], t.Iterable[RelayUpdate]], None],
     ) -> None:
         self._store = store
+        self._relay = relay
+        self._failure_domain = failure_domain
+        self._send_relay = send_relay
         self._log = log
         self._random = rng
         self._handle = handle
@@ -59,11 +76,17 @@
         self._deployment_version = -1
         self._revision: int | None = None
         self._target_ids: set[str] = set()
-        self._entry_addresses: dict[str, str] = {}
+        self._entries: dict[str, _Entry] = {}
         self._entries_reported = True
         self._store_lost = False
+        self._regained_at = float("-inf")
+        self._following = False  # relayed changes are applied as they arrive
+        # A failed call may have lost changes, which only a list returns.
+        self._must_list_at_gap = False
+        self._relay_changed = asyncio.Event()
         self._first_list_tried = asyncio.Event()
         self._watch_task: asyncio.Task | None = None
+        self._clock = asyncio.get_running_loop().time
 
     async def wait_first_list(self, timeout: float) -> None:
         """Wait for the first attempt to list the store; timeout in seconds."""
@@ -80,19 +103,24 @@
             try:
                 if self._revision is None:
                     await self._list_store()
+                elif self._relay.follows(self._clock()):
+                    await self._follow_watchers()
                 else:
-                    await self._watch_store(self._revision)
+                    await self._watch_store(self._revision, WATCH_DURATION)
                     await asyncio.sleep(WATCH_PAUSE)
                 delay = MIN_RETRY_DELAY
             except HistoryLost as error:
                 self._log.write("history lost", cause=str(error), was=self._revision)
-                self._revision = None
+                self._forget_revision()
             except PlatformError as error:
                 self._mark_store_lost(error)
                 # A store that did not send a change to a broken watch may send
                 # it late to the next one, but a list has every change that the
                 # store acknowledged.
-                self._revision = None
+                if self._relay.follows(self._clock()):
+                    self._must_list_at_gap = True
+                else:
+                    self._forget_revision()
                 self._first_list_tried.set()
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
                 delay = min(delay * 2, MAX_RETRY_DELAY)
@@ -101,9 +129,94 @@
         """Cancel the watch in flight and list the store instead."""
         if self._watch_task is not None:
             self._watch_task.cancel()
+        elif self._following:
+            self._forget_revision()
+            self._relay_changed.set()
+
+    def handle_relay(self, update: RelayUpdate) -> None:
+        """Take the changes that a watcher of the store has sent."""
+        now = self._clock()
+        self._relay.receive(update, now)
+        if not self._following:
+            return
+        self._mark_store_regained()
+        if update.regained_ago is not None:
+            self._mark_regained_by_watcher(now - update.regained_ago)
+        self._apply_relayed_changes()
+        if self._relay.fetch_due_at() is not None:
+            self._relay_changed.set()
+
+    def send_heartbeat(self) -> None:
+        """Tell followers that this entry watches the store, if it does."""
+        if self._is_watcher():
+            heartbeat = self._relay.create_heartbeat(
+                self._revision, self._regained_ago()
+            )
+            self._send_to_followers([heartbeat])
+
+    def _is_watcher(self) -> bool:
+        return (
+            self._revision is not None
+            and not self._store_lost
+            and not self._following
+            and not self._relay.follows(self._clock())
+        )
+
+    def _send_to_followers(self, updates: t.Iterable[RelayUpdate]) -> None:
+        names = self._relay.recipients(
+            name
+            for name, entry in self._entries.items()
+            if entry.failure_domain == self._failure_domain
+        )
+        if names:
+            self._send_relay(names, updates)
+
+    async def _follow_watchers(self) -> None:
+        """Apply relayed changes while watchers are heard and none is missing."""
+        self._following = True
+        self._log.write("watchers followed", revision=self._revision)
+        try:
+            self._apply_relayed_changes()
+            while self._revision is not None:
+                now = self._clock()
+                until = self._relay.follows_until(now)
+                fetch_due_at = self._relay.fetch_due_at()
+                if until <= now:
+                    self._log.write("watchers silent", revision=self._revision)
+                    return
+                if fetch_due_at is not None and fetch_due_at <= now:
+                    break
+                self._relay_changed.clear()
+                try:
+                    async with asyncio.timeout_at(min(until, fetch_due_at or until)):
+                        await self._relay_changed.wait()
+                except TimeoutError:
+                    pass
+        finally:
+            self._following = False
+        if self._must_list_at_gap:
+            self._forget_revision()
+        if self._revision is not None:
+            await asyncio.sleep(self._random.uniform(0.0, MAX_FETCH_DELAY))
+            await self._watch_store(self._revision, FETCH_DURATION)
+
+    def _apply_relayed_changes(self) -> None:
+        while (changes := self._relay.next_changes()) is not None:
+            try:
+                items = decode_changes(changes.data)
+            except ValueError as error:
+                self._log.write("relayed changes unreadable", cause=str(error))
+                self._forget_revision()
+                self._relay_changed.set()
+                return
+            followed = range(changes.after + 1, self._revision + 1)
+            newer = [item for item in items if item.revision not in followed]
+            self._apply_changes(ItemBatch(tuple(newer), changes.revision))
 
-    async def _watch_store(self, revision: int) -> None:
-        watch_task = asyncio.create_task(self._store.watch(ALL_KEYS, revision))
+    async def _watch_store(self, revision: int, duration: float) -> None:
+        watch_task = asyncio.create_task(
+            self._store.watch(ALL_KEYS, revision, duration)
+        )
         self._watch_task = watch_task
         try:
             await asyncio.wait({watch_task})
@@ -111,10 +224,21 @@
             self._watch_task = None
             watch_task.cancel()
         if watch_task.cancelled():
-            self._revision = None
+            self._forget_revision()
             return
         changes = watch_task.result()
         self._mark_store_regained()
+        self._apply_changes(changes)
+        if changes.items and self._is_watcher():
+            updates = self._relay.create_updates(
+                revision,
+                changes.revision,
+                encode_changes(changes.items),
+                self._regained_ago(),
+            )
+            self._send_to_followers(updates)
+
+    def _apply_changes(self, changes: ItemBatch) -> None:
         for item in changes.items:
             self._apply_item(item)
         self._report_entries()
@@ -122,12 +246,18 @@
 
     def _record_revision(self, revision: int) -> None:
         self._revision = revision
+        self._relay.record_revision(revision, self._clock())
         self._handle(StoreRevisionSeen(revision))
 
+    def _forget_revision(self) -> None:
+        """Let the store be listed next."""
+        self._revision = None
+        self._relay.record_revision(None, self._clock())
+
     async def register(self, name: str, address: str) -> None:
         """Keep this entry registered in the store until cancelled."""
         lease: int | None = None
-        value = msgspec.json.encode(_Entry(address))
+        value = msgspec.json.encode(_Entry(address, self._failure_domain))
         while True:
             try:
                 if lease is None:
@@ -147,6 +277,7 @@
 
     async def _list_store(self) -> None:
         """List the whole store, applying each page as it arrives."""
+        self._must_list_at_gap = False
         keys: set[str] = set()
         revision = 0
         async for page in self._store.pages(ALL_KEYS):
@@ -160,7 +291,7 @@
         for id in [id for id in self._target_ids if SERVERS_PREFIX + id not in keys]:
             self._remove_target(id)
         for name in [
-            name for name in self._entry_addresses if ENTRIES_PREFIX + name not in keys
+            name for name in self._entries if ENTRIES_PREFIX + name not in keys
         ]:
             self._remove_entry(name)
         self._report_entries()
@@ -216,13 +347,13 @@
             entry = msgspec.json.decode(item.data, type=_Entry)
         except msgspec.MsgspecError as error:
             raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
-        if self._entry_addresses.get(name) != entry.address:
-            self._entry_addresses[name] = entry.address
+        if self._entries.get(name) != entry:
+            self._entries[name] = entry
             self._log.write("peer listed", peer=name, address=entry.address)
             self._entries_reported = False
 
     def _remove_entry(self, name: str) -> None:
-        if self._entry_addresses.pop(name, None) is not None:
+        if self._entries.pop(name, None) is not None:
             self._log.write("peer gone", peer=name)
             self._entries_reported = False
 
@@ -230,7 +361,9 @@
         """Report changed entries once for a batch of changes."""
         if not self._entries_reported:
             self._entries_reported = True
-            self._on_entries_changed(dict(self._entry_addresses))
+            self._on_entries_changed(
+                {name: entry.address for name, entry in self._entries.items()}
+            )
 
     def _mark_store_lost(self, error: PlatformError) -> None:
         if not self._store_lost:
@@ -241,5 +374,20 @@
     def _mark_store_regained(self) -> None:
         if self._store_lost:
             self._store_lost = False
+            self._regained_at = self._clock()
             self._log.write("store back", revision=self._revision)
             self._handle(StoreRegained())
+
+    def _mark_regained_by_watcher(self, regained_at: float) -> None:
+        """Treat a watcher's loss of the store as one's own.
+
+        Targets that lapsed meanwhile are back soon after it.
+        """
+        if regained_at > self._regained_at + REGAINED_TOLERANCE:
+            self._regained_at = regained_at
+            self._handle(StoreLost())
+            self._handle(StoreRegained())
+
+    def _regained_ago(self) -> float | None:
+        ago = self._clock() - self._regained_at
+        return ago if ago < REGAINED_WINDOW else None
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -18,6 +18,7 @@
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
 from ..direct.settings import DirectSettings, ReservationSettings, peer_timeout
+from ..direct.store_relay import StoreRelay
 from ..exceptions import SettingsError
 from ..identity import AttemptId
 from ..metric import Metrics
@@ -42,7 +43,7 @@
 # must have the time to finish.
 MAX_STOP_ACCEPT_TIME = 2.8
 GRACE_SHARE = 0.94  # of the grace period, after which the process exits
-PEER_CHECK_INTERVAL = 0.2  # seconds between checks for unresponsive peers
+PEER_CHECK_INTERVAL = 0.2  # seconds between checks of peers, and heartbeats
 
 
 def create_settings(boot: Boot) -> DirectSettings:
@@ -74,7 +75,8 @@
         self._random = random.Random()
         self._metrics = Metrics(boot.name)
         self._store = Store(boot.store)
-        self._board = DirectBoard()
+        self._board = DirectBoard(entry_names_complete=False)
+        self._entries_listed = False
         self._peer_address = (boot.ip, boot.peer_port)
         # Each incarnation has a name of its own, so that peers do not mistake
         # the previous one's work for its own.
@@ -82,6 +84,7 @@
         self._peers = PeerLink(
             self._name,
             lambda update: self._entry.handle(update),
+            lambda update: self._follower.handle_relay(update),
             self._handle_peer_failure,
         )
         self._entry = self._create_entry()
@@ -91,6 +94,9 @@
             random.Random(),
             self._handle_store_event,
             self._handle_entries_changed,
+            StoreRelay(self._name, self._settings.relay),
+            boot.failure_domain,
+            self._peers.send_relay,
         )
         self._pages = PageHandler(
             {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
@@ -200,6 +206,7 @@
         self._entry.handle(event)
 
     def _handle_entries_changed(self, entries: dict[str, str]) -> None:
+        self._entries_listed = True
         self._listed_peers = {
             name: address for name, address in entries.items() if name != self._name
         }
@@ -210,16 +217,18 @@
         self._check_peers()
 
     async def _check_peers_periodically(self) -> None:
-        """Remove peers that are unlisted and unresponsive, until cancelled."""
+        """Remove unresponsive peers and send heartbeats, until cancelled."""
         while True:
             self._check_peers()
+            self._follower.send_heartbeat()
             await asyncio.sleep(PEER_CHECK_INTERVAL)
 
     def _check_peers(self) -> None:
         timeout = peer_timeout(self._settings, len(self._board.peer_names))
         self._peers.prune(self._listed_peers.keys(), timeout)
         names = frozenset({self._name, *self._peers.names})
-        self._entry.handle(PeersUpdated(names, self._peers.unresponsive(timeout)))
+        unresponsive = self._peers.unresponsive(timeout)
+        self._entry.handle(PeersUpdated(names, unresponsive, self._entries_listed))
 
     def _ready_page(self) -> Page:
         return Page(200 if self._entry.ready else 503)
--- a/src/chicorycove/platform/store.py
+++ b/src/chicorycove/platform/store.py
@@ -106,8 +106,8 @@
             after = page.items[-1].key
         raise StoreUnavailable("the list of the store has too many pages")
 
-    async def watch(self, prefix: str, after: int) -> ItemBatch:
-        """Return the changes after a revision, or none after a while.
+    async def watch(self, prefix: str, after: int, duration: float) -> ItemBatch:
+        """Return the changes after a revision, or none after some seconds.
 
         :raises HistoryLost: if the store has compacted these changes
         :raises StoreUnavailable: if the store does not answer
@@ -115,11 +115,11 @@
         query = {
             "prefix": prefix,
             "after": str(after),
-            "waitMs": str(int(WATCH_DURATION * 1000)),
+            "waitMs": str(int(duration * 1000)),
         }
         path = f"/chicorycove/kv-watch?{urllib.parse.urlencode(query)}"
         try:
-            timeout = WATCH_DURATION + WATCH_TIMEOUT_MARGIN
+            timeout = duration + WATCH_TIMEOUT_MARGIN
             reply = await self._watch_client.call("GET", path, timeout=timeout)
         except CallFailed as error:
             raise StoreUnavailable(str(error)) from None
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -365,3 +365,29 @@
             world.handle(RequestReceived(make_inbound("r", SHORT))), "FailRequest"
         )
         self.assertIs(fail.verdict, Verdict.NOT_RUN)
+
+
+class ScaleOutTest(unittest.TestCase):
+    """Empty targets take new work from the moment that they are listed."""
+
+    def test_empty_engines_take_the_next_prompts_of_a_loaded_fleet(self):
+        world = DirectWorld(engines=4)
+        for number in range(24):
+            world.stream(world.send(f"old-{number}", SHORT))
+        for number in range(4, 6):
+            world.add_target(f"e{number}", "model")
+        targets = [
+            world.send(f"new-{number}", SHORT).target.target for number in range(8)
+        ]
+        self.assertLessEqual({"e4", "e5"}, set(targets))
+        self.assertGreaterEqual(sum(target in ("e4", "e5") for target in targets), 6)
+
+    def test_empty_target_takes_the_next_call_of_a_loaded_service(self):
+        world = DirectWorld(shops=2)
+        for number in range(4):
+            world.send(f"old-{number}", LOOKUP)
+        world.add_target("s9", "shop")
+        targets = [
+            world.send(f"new-{number}", LOOKUP).target.target for number in range(2)
+        ]
+        self.assertEqual(targets, ["s9", "s9"])
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -11,6 +11,7 @@
 from chicorycove.direct import peers
 from chicorycove.direct.board import WorkItem, WorkItemKey
 from chicorycove.direct.budget import BudgetSettings, SharedRetryBudget
+from chicorycove.direct.event import PeersUpdated
 from chicorycove.direct.eventstream import EventBuffer, find_last_id
 from chicorycove.direct.http import end_to_end_headers
 from chicorycove.direct.linelog import MAX_BUFFERED, MAX_WRITE, LineLog
@@ -24,6 +25,8 @@
 )
 from chicorycove.direct.store_lag import StoreLagDetector
 
+from .direct import DirectWorld
+
 
 def route(prefix, host="a.example", name=""):
     return Route(
@@ -136,6 +139,29 @@
             counted = sum(1 for time in requests if time > now - 2 * limits.window)
             self.assertLessEqual(recent, limits.ratio * counted + limits.extra_retries)
 
+    def test_entries_that_restart_together_stay_within_the_budget(self):
+        # Each may have started alone or beside 67 others, which it learns from
+        # the store's first list.
+        limits = BudgetSettings(ratio=0.2, window=10.0, extra_retries=206)
+        retry_count = 0
+        for _ in range(68):
+            budget = SharedRetryBudget(limits)
+            for _ in range(10):
+                budget.count_request("s", 0.0)
+            retry_count += sum(budget.consume("s", None, 0.1) for _ in range(100))
+            retry_count += sum(budget.consume("s", 68, 0.2) for _ in range(100))
+        self.assertLessEqual(retry_count, 0.2 * 68 * 10 + 206)
+
+
+class EntryCountTest(unittest.TestCase):
+    def test_entries_are_counted_once_the_store_has_listed_them(self):
+        world = DirectWorld()
+        names = frozenset({"entry-1"})
+        world.handle(PeersUpdated(names, complete=False))
+        self.assertIsNone(world.board.entry_count)
+        world.handle(PeersUpdated(names))
+        self.assertEqual(world.board.entry_count, 1)
+
 
 class PeerUpdateTest(unittest.TestCase):
     def test_work_item_is_decoded_by_another_clock(self):
@@ -189,6 +215,7 @@
             self.link = peers.PeerLink(
                 "entry-1.aa",
                 lambda update: None,
+                lambda update: None,
                 lambda event, error, is_new: self.failures.append((event, is_new)),
             )
 
--- /dev/null
+++ b/tests/test_direct_store_relay.py
@@ -0,0 +1,395 @@
+"""The relay of the store's changes between entries of a failure domain."""
+
+import asyncio
+import random
+import unittest
+import unittest.mock
+
+import msgspec
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from chicorycove.direct import peers
+from chicorycove.direct.client import CallFailed
+from chicorycove.direct.store_relay import (
+    MAX_PART_SIZE,
+    MAX_PARTS,
+    RelaySettings,
+    RelayUpdate,
+    StoreRelay,
+)
+from chicorycove.platform.changes import decode_changes, encode_changes
+from chicorycove.platform.store import Item
+
+from .platform_case import PlatformTestCase, config, new_boot
+
+HEARTBEAT_INTERVAL = 0.2  # seconds
+NAMES = ("a", "b", "c", "d", "e")
+
+
+class SimulatedEntry:
+    """An entry that keeps a copy of the store's keys, without sockets."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.relay = StoreRelay(name, RelaySettings())
+        self.revision = None
+        self.copy = {}
+        self.cut = False  # the store does not answer it
+        self.frozen = False
+
+    def step(self):
+        """Make the call to the store that is due, if any, or apply updates."""
+        now = self.world.now
+        if self.frozen:
+            return
+        if self.revision is None:
+            self._list()
+        elif not self.relay.follows(now):
+            self._watch()
+        else:
+            self._apply_relayed()
+            due = self.relay.fetch_due_at()
+            if due is not None and due <= now:
+                self._watch()
+
+    def send_heartbeat(self):
+        if self.is_watcher:
+            self._send([self.relay.create_heartbeat(self.revision, None)])
+
+    @property
+    def is_watcher(self):
+        return (
+            not self.frozen
+            and not self.cut
+            and self.revision is not None
+            and not self.relay.follows(self.world.now)
+        )
+
+    def _list(self):
+        if not self.cut:
+            self.copy = dict(self.world.contents[-1])
+            self._record(len(self.world.contents) - 1)
+
+    def _watch(self):
+        self.world.watch_count += 1
+        if self.cut:
+            if not self.relay.follows(self.world.now):
+                self.revision = None
+                self.relay.record_revision(None, self.world.now)
+            return
+        after = self.revision
+        items = [
+            Item(key, revision, value)
+            for revision, key, value in self.world.changes
+            if revision > after
+        ]
+        self._apply(items)
+        self._record(len(self.world.contents) - 1)
+        if items and self.is_watcher:
+            data = encode_changes(items)
+            self._send(self.relay.create_updates(after, self.revision, data, None))
+
+    def _apply_relayed(self):
+        while (changes := self.relay.next_changes()) is not None:
+            items = decode_changes(changes.data)
+            self._apply([item for item in items if item.revision > self.revision])
+            self._record(changes.revision)
+
+    def _apply(self, items):
+        for item in items:
+            self.copy[item.key] = item.value
+
+    def _record(self, revision):
+        self.revision = revision
+        self.relay.record_revision(revision, self.world.now)
+
+    def _send(self, updates):
+        for name in self.relay.recipients(self.world.entries):
+            for update in updates:
+                self.world.datagrams.append((name, peers.encode_relay(update)))
+
+
+class RelayMachine(RuleBasedStateMachine):
+    """Entries of a failure domain, with lost, repeated and late datagrams."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.contents = [{}]  # the store's keys at each revision
+        self.changes = []
+        self.datagrams = []
+        self.watch_count = 0
+        self.entries = {name: SimulatedEntry(self, name) for name in NAMES}
+        for entry in self.entries.values():
+            entry.step()
+
+    @rule(key=st.sampled_from("xyz"), count=st.integers(1, 3))
+    def change(self, key, count):
+        for _ in range(count):
+            revision = len(self.contents)
+            value = f"{revision:04}"  # base64 of three bytes
+            self.contents.append({**self.contents[-1], key: value})
+            self.changes.append((revision, key, value))
+
+    @rule(seconds=st.sampled_from((0.05, 0.2, 1.0)))
+    def advance(self, seconds):
+        self.now += seconds
+        for entry in self.entries.values():
+            entry.send_heartbeat()
+
+    @rule(name=st.sampled_from(NAMES))
+    def step(self, name):
+        self.entries[name].step()
+
+    @rule(index=st.integers(0, 50), repeated=st.booleans())
+    def deliver(self, index, repeated):
+        if self.datagrams:
+            index %= len(self.datagrams)
+            name, data = self.datagrams[index]
+            if not repeated:
+                del self.datagrams[index]
+            self._receive(name, data)
+
+    @rule(index=st.integers(0, 50))
+    def lose(self, index):
+        if self.datagrams:
+            del self.datagrams[index % len(self.datagrams)]
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        self.entries[name] = SimulatedEntry(self, name)
+
+    @rule(name=st.sampled_from(NAMES), frozen=st.booleans())
+    def freeze(self, name, frozen):
+        self.entries[name].frozen = frozen
+
+    @rule(name=st.sampled_from(NAMES), cut=st.booleans())
+    def cut(self, name, cut):
+        self.entries[name].cut = cut
+
+    @rule()
+    def end_faults(self):
+        """Check that all entries follow the store again within its bound."""
+        for entry in self.entries.values():
+            entry.frozen = entry.cut = False
+        self.datagrams.clear()
+        for _ in range(10):
+            self._run_for(HEARTBEAT_INTERVAL)
+        self.change("x", 1)
+        for _ in range(10):  # two seconds, the least time that a change may take
+            self._run_for(HEARTBEAT_INTERVAL)
+        newest = len(self.contents) - 1
+        assert [entry.revision for entry in self.entries.values()] == [newest] * 5
+        before = self.watch_count
+        self._run_for(HEARTBEAT_INTERVAL)
+        assert self.watch_count - before == RelaySettings().watcher_count
+
+    def _run_for(self, seconds):
+        self.now += seconds
+        for entry in self.entries.values():
+            entry.send_heartbeat()
+            entry.step()
+        while self.datagrams:
+            self._receive(*self.datagrams.pop(0))
+
+    def _receive(self, name, data):
+        entry = self.entries[name]
+        if not entry.frozen:
+            entry.relay.receive(peers.decode_relay(data), self.now)
+
+    @invariant()
+    def each_copy_is_the_store_at_a_revision(self):
+        for entry in self.entries.values():
+            if entry.revision is not None:
+                assert entry.copy == self.contents[entry.revision], entry.name
+
+
+class RelayFuzzTest(RelayMachine.TestCase):
+    """Runs the state machine under a name that a test process can load."""
+
+
+RelayFuzzTest.settings = settings(
+    max_examples=80, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+class WatcherChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.relay = StoreRelay("c", RelaySettings())
+        self.relay.record_revision(7, 0.0)
+
+    def hear(self, name, now, revision=7):
+        self.relay.receive(RelayUpdate(owner=name, revision=revision), now)
+
+    def test_entry_watches_until_it_hears_two_earlier_watchers(self):
+        self.assertFalse(self.relay.follows(1.0))
+        self.hear("a", 1.0)
+        self.hear("d", 1.0)
+        self.assertFalse(self.relay.follows(1.0))
+        self.hear("b", 1.1)
+        self.assertTrue(self.relay.follows(1.1))
+
+    def test_entry_watches_once_a_watcher_is_silent(self):
+        self.hear("a", 1.0)
+        self.hear("b", 1.0)
+        self.hear("a", 1.8)
+        timeout = RelaySettings().watcher_timeout
+        self.assertTrue(self.relay.follows(1.0 + timeout - 0.01))
+        self.assertFalse(self.relay.follows(1.0 + timeout + 0.01))
+
+    def test_entry_without_a_revision_does_not_follow(self):
+        self.hear("a", 1.0)
+        self.hear("b", 1.0)
+        self.relay.record_revision(None, 1.0)
+        self.assertFalse(self.relay.follows(1.0))
+
+    def test_heartbeats_go_to_entries_that_may_follow(self):
+        self.assertEqual(self.relay.recipients("ab"), [])
+        self.assertEqual(self.relay.recipients("abde"), ["d", "e"])
+        self.assertEqual(StoreRelay("a", RelaySettings()).recipients("bcd"), ["c", "d"])
+
+
+class BatchTest(unittest.TestCase):
+    def setUp(self):
+        self.sender = StoreRelay("a", RelaySettings())
+        self.relay = StoreRelay("c", RelaySettings())
+        self.relay.record_revision(7, 0.0)
+
+    def test_batch_is_complete_once_all_parts_have_arrived(self):
+        data = random.Random(1).randbytes(3 * MAX_PART_SIZE - 1)
+        updates = self.sender.create_updates(7, 9, data, None)
+        self.assertEqual(len(updates), 3)
+        for update in reversed(updates):
+            self.assertIsNone(self.relay.next_changes())
+            self.relay.receive(update, 1.0)
+        changes = self.relay.next_changes()
+        self.assertEqual((changes.revision, changes.data), (9, data))
+
+    def test_batch_after_a_gap_waits_and_is_fetched(self):
+        for update in self.sender.create_updates(8, 9, b"late", None):
+            self.relay.receive(update, 1.0)
+        self.assertIsNone(self.relay.next_changes())
+        gap_tolerance = RelaySettings().gap_tolerance
+        self.assertEqual(self.relay.fetch_due_at(), 1.0 + gap_tolerance)
+        for update in self.sender.create_updates(7, 8, b"early", None):
+            self.relay.receive(update, 1.1)
+        self.assertEqual(self.relay.next_changes().data, b"early")
+        self.relay.record_revision(8, 1.1)
+        self.assertEqual(self.relay.next_changes().data, b"late")
+        self.relay.record_revision(9, 1.1)
+        self.assertIsNone(self.relay.fetch_due_at())
+
+    def test_batch_over_the_limit_is_only_announced(self):
+        data = bytes(MAX_PARTS * MAX_PART_SIZE + 1)
+        (update,) = self.sender.create_updates(7, 9, data, None)
+        self.assertEqual(update.part_count, 0)
+        self.relay.receive(update, 1.0)
+        self.assertIsNotNone(self.relay.fetch_due_at())
+
+    def test_impossible_parts_are_ignored(self):
+        for part, count in ((0, 0), (3, 3), (-1, 2), (0, 10**9)):
+            update = RelayUpdate(
+                owner="a", revision=9, after=7, part=part, part_count=count, data=b"x"
+            )
+            self.relay.receive(update, 1.0)
+        self.assertIsNone(self.relay.next_changes())
+
+    def test_memory_of_early_batches_is_bounded(self):
+        for revision in range(10, 1_000):
+            update = RelayUpdate(
+                owner="a", revision=revision, after=9, part_count=2, data=b"x"
+            )
+            self.relay.receive(update, 1.0)
+        self.assertLess(len(self.relay._batches), 50)
+
+
+class ChangesTest(unittest.TestCase):
+    def test_items_are_unchanged(self):
+        items = (Item("servers/i-1", 4, "AAEC"), Item("op/config", 5, deleted=True))
+        self.assertEqual(decode_changes(encode_changes(items)), items)
+
+    def test_item_that_is_not_base64_is_left_out(self):
+        self.assertEqual(decode_changes(encode_changes([Item("k", 4, "?")])), ())
+
+    def test_foreign_data_is_rejected(self):
+        encoded = encode_changes([Item("servers/i-1", 4, "AAEC")])
+        for data in (b"", b"x", encoded[:-6]):
+            with self.assertRaises(ValueError):
+                decode_changes(data)
+
+    def test_datagram_fits_a_frame(self):
+        relay = StoreRelay("front-kitakyushu-13.01234567", RelaySettings())
+        for update in relay.create_updates(10**9, 10**9 + 1, bytes(3_000), 1.5):
+            data = peers.encode_relay(update)
+            self.assertLess(len(data), 1400)
+            self.assertEqual(peers.decode_relay(data), update)
+        with self.assertRaises(msgspec.MsgspecError):
+            peers.decode_relay(peers.RELAY_MARK + b"hello")
+
+
+class FollowerTest(PlatformTestCase):
+    """Four entries of a failure domain on sockets."""
+
+    model_count = 0
+    shop_count = 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.processes = [self.process]
+        for number in range(2, 5):
+            boot = new_boot(store=self.boot.store, name=f"entry-{number}")
+            self.processes.append(await self.start_entry(boot))
+        await self.wait_until(self.two_follow)
+
+    async def following(self):
+        return [process._follower._following for process in self.processes]
+
+    async def two_follow(self):
+        return await self.following() == [False, False, True, True]
+
+    def versions(self):
+        return [process._board.table.deployment.version for process in self.processes]
+
+    async def wait_for_version(self, version, seconds):
+        """Write a configuration and wait until all entries apply it."""
+        self.write_config(config(version))
+        async with asyncio.timeout(seconds):
+            while self.versions() != [version] * len(self.processes):
+                await asyncio.sleep(0.02)
+
+    async def test_two_entries_watch_and_all_apply_changes(self):
+        self.store.calls.clear()
+        for version in range(2, 7):
+            await self.wait_for_version(version, 2.0)
+        watches = [path for path in self.store.calls if path.endswith("kv-watch")]
+        self.assertLessEqual(len(watches), 2 * 5 + 2)
+
+    async def test_others_watch_once_the_watchers_are_gone(self):
+        for process in self.processes[:2]:
+            await process.stop()
+        del self.processes[:2]
+        await self.wait_for_version(2, 2.0)
+
+    async def test_lost_batches_are_fetched(self):
+        with unittest.mock.patch.object(StoreRelay, "next_changes", lambda relay: None):
+            await self.wait_for_version(2, 2.0)
+
+    async def test_entry_that_the_store_refuses_follows_the_others(self):
+        refused = self.processes[3]._follower._store
+        with unittest.mock.patch.object(refused, "_call_client", RefusedClient()):
+            with unittest.mock.patch.object(refused, "_watch_client", RefusedClient()):
+                for version in range(2, 5):
+                    await self.wait_for_version(version, 2.0)
+
+
+class RefusedClient:
+    """A client of a store that refuses this host."""
+
+    async def call(self, *arguments, **options):
+        raise CallFailed(ConnectionRefusedError(), False)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -29,6 +29,7 @@
     TargetUnlisted,
 )
 from chicorycove.direct.settings import DirectSettings, peer_timeout
+from chicorycove.direct.store_relay import RelaySettings, StoreRelay
 from chicorycove.direct.target_list import TargetList
 from chicorycove.direct.work import WorkTracker
 from chicorycove.exceptions import StoreUnavailable
@@ -217,7 +218,7 @@
     async def pages(self, prefix):
         yield await self._next(True)
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, duration):
         return await self._next(False)
 
     async def _next(self, is_list):
@@ -266,7 +267,14 @@
         events = []
         store = ScriptedStore(steps)
         store_follower = follower.Follower(
-            store, NullLog(), random.Random(1), events.append, lambda entries: None
+            store,
+            NullLog(),
+            random.Random(1),
+            events.append,
+            lambda entries: None,
+            StoreRelay("entry-1", RelaySettings()),
+            "here",
+            lambda names, updates: None,
         )
         with unittest.mock.patch.multiple(
             follower, MIN_RETRY_DELAY=0.0, MAX_RETRY_DELAY=0.0, WATCH_PAUSE=0.0
