--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -172,7 +172,7 @@
             self._send_relay(names, updates)
 
     async def _follow_watchers(self) -> None:
-        """Apply relayed changes while watchers are heard and none is missing."""
+        """Apply relayed changes while they are complete and watchers heard."""
         self._following = True
         self._log.write("watchers followed", revision=self._revision)
         try:
