List the store if watchers fall silent after a failed call

A follower whose own call failed keeps its revision while watchers relay; if they then fell silent before the gap was closed, it watched on without the list that follows each lost call. Test: fails before (no kv-range call), passes after.

--- a/src/chicorycove/direct/collision.py
+++ b/src/chicorycove/direct/collision.py
@@ -7,7 +7,7 @@
 from .board import DirectBoard, DirectRequest, WorkItem
 
 # Seconds within which placements by two entries count as simultaneous.
-SIMULTANEOUS = 0.01
+SIMULTANEITY_TOLERANCE = 0.01
 # Free slots of a target that a prompt is moved to.  In a fleet without them,
 # moved prompts would collide again.
 MIN_FREE_SLOTS = 2
@@ -52,6 +52,6 @@
     if other.decoding:
         return True
     difference = other.placed_at - item.placed_at
-    if abs(difference) <= SIMULTANEOUS:
+    if abs(difference) <= SIMULTANEITY_TOLERANCE:
         return other.key < item.key
     return difference < 0
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -183,6 +183,8 @@
                 fetch_due_at = self._relay.fetch_due_at()
                 if until <= now:
                     self._log.write("watchers silent", revision=self._revision)
+                    if self._must_list_at_gap:
+                        self._forget_revision()
                     return
                 if fetch_due_at is not None and fetch_due_at <= now:
                     break
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -376,12 +376,23 @@
         with unittest.mock.patch.object(StoreRelay, "next_changes", lambda relay: None):
             await self.wait_for_version(2, 2.0)
 
+    async def test_store_is_listed_after_a_failed_call_and_silent_watchers(self):
+        # The call may have lost changes that no watcher has relayed since.
+        self.processes[3]._follower._must_list_at_gap = True
+        for process in self.processes[:2]:
+            await process.stop()
+        del self.processes[:2]
+        self.store.calls.clear()
+        await self.wait_for_version(3, 3.0)
+        self.assertIn("/chicorycove/kv-range", self.store.calls)
+
     async def test_entry_that_the_store_refuses_follows_the_others(self):
         refused = self.processes[3]._follower._store
-        with unittest.mock.patch.object(refused, "_call_client", RefusedClient()):
-            with unittest.mock.patch.object(refused, "_watch_client", RefusedClient()):
-                for version in range(2, 5):
-                    await self.wait_for_version(version, 2.0)
+        with unittest.mock.patch.multiple(
+            refused, _call_client=RefusedClient(), _watch_client=RefusedClient()
+        ):
+            for version in range(2, 5):
+                await self.wait_for_version(version, 2.0)
 
 
 class RefusedClient:
