Test YAML settings and entries of an older version

The settings are read as JSON first; a YAML file still works. An entry that registers without its failure domain gets no updates of the relay, which it could not read. Both pass on the code as it stands.

--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -83,7 +83,7 @@
 
     def page(self) -> bytes:
         """Return the metrics in Prometheus's text format."""
-        # Imported on first use, since it would be a tenth of a start.
+        # Imported on first use, so that it does not delay the start.
         import prometheus_client
 
         registry = prometheus_client.CollectorRegistry()
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -1,6 +1,7 @@
 """The relay of the store's changes between entries of a failure domain."""
 
 import asyncio
+import json
 import random
 import unittest
 import unittest.mock
@@ -376,6 +377,24 @@
         with unittest.mock.patch.object(StoreRelay, "next_changes", lambda relay: None):
             await self.wait_for_version(2, 2.0)
 
+    async def test_entry_of_an_older_version_gets_no_updates_of_the_relay(self):
+        received = []
+        protocol = asyncio.DatagramProtocol()
+        protocol.datagram_received = lambda data, address: received.append(data)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: protocol, local_addr=("127.0.0.1", 0)
+        )
+        self.addCleanup(transport.close)
+        host, port = transport.get_extra_info("sockname")
+        entry = json.dumps({"address": f"{host}:{port}"}).encode()
+        self.store.put("chicorycove/entries/entry-9.aa", entry)
+        await self.wait_for_version(2, 2.0)
+        await asyncio.sleep(0.5)
+        self.assertTrue(received)
+        marks = {data[:1] == peers.RELAY_MARK for data in received}
+        self.assertEqual(marks, {False})
+
     async def test_store_is_listed_after_a_failed_call_and_silent_watchers(self):
         # The call may have lost changes that no watcher has relayed since.
         self.processes[3]._follower._must_list_at_gap = True
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -52,6 +52,30 @@
                 open_listeners(boot.callers, boot.readiness)
         self.assertIn(address, str(caught.exception))
 
+    def test_settings_may_be_yaml(self):
+        lines = [
+            "node: front-1",
+            "ip: 10.0.0.1",
+            "zone: here",
+            'listen: {front: "10.0.0.1:80", ready: "10.0.0.1:81"}',
+            "internalPortRange:",
+            "  - 7000",
+            "  - 7010",
+            'platform: {address: "10.0.0.2:90"}',
+            "bounds:",
+            "  graceS: 8",
+            "  drainMs: 2000",
+            "  retryBudgetRatio: 0.2",
+            "  budgetWindowS: 10",
+            "  budgetExtra: 104",
+            "  holdMaxMs: 20000",
+        ]
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+            file.write("\n".join(lines))
+            file.flush()
+            boot = load_boot(file.name)
+        self.assertEqual((boot.callers, boot.peer_port), ("10.0.0.1:80", 7000))
+
     def test_error_names_the_key_of_an_invalid_setting(self):
         valid = {
             "node": "front-1",
