--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -378,12 +378,10 @@
             await self.wait_for_version(2, 2.0)
 
     async def test_entry_of_an_older_version_gets_no_updates_of_the_relay(self):
-        received = []
-        protocol = asyncio.DatagramProtocol()
-        protocol.datagram_received = lambda data, address: received.append(data)
+        recorder = DatagramRecorder()
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: protocol, local_addr=("127.0.0.1", 0)
+            lambda: recorder, local_addr=("127.0.0.1", 0)
         )
         self.addCleanup(transport.close)
         host, port = transport.get_extra_info("sockname")
@@ -391,8 +389,8 @@
         self.store.put("chicorycove/entries/entry-9.aa", entry)
         await self.wait_for_version(2, 2.0)
         await asyncio.sleep(0.5)
-        self.assertTrue(received)
-        marks = {data[:1] == peers.RELAY_MARK for data in received}
+        self.assertTrue(recorder.received)
+        marks = {data[:1] == peers.RELAY_MARK for data in recorder.received}
         self.assertEqual(marks, {False})
 
     async def test_store_is_listed_after_a_failed_call_and_silent_watchers(self):
@@ -414,6 +412,16 @@
                 await self.wait_for_version(version, 2.0)
 
 
+class DatagramRecorder(asyncio.DatagramProtocol):
+    """Keeps the datagrams that arrive."""
+
+    def __init__(self):
+        self.received = []
+
+    def datagram_received(self, data, address):
+        self.received.append(data)
+
+
 class RefusedClient:
     """A client of a store that refuses this host."""
 
