Log the request rates that targets name in their answers

Cause: an answer's Server-Limit was dropped by the adapter, so the log could not tell an entry that ignores a limit from one that keeps it alone.

Ruled out: a metric by target, which would have as many labels as targets.

Change: the adapter decodes the header, the board holds the newest value, each change is logged, and a value that is no number or negative is logged and ignored. Nothing acts on it yet.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -1,6 +1,7 @@
 """The state of a direct entry: targets, the work on them, and requests."""
 
 import dataclasses
+import math
 import typing as t
 
 from ..attempt import AttemptState
@@ -79,6 +80,7 @@
 
     listing: TargetListing
     work_items: dict[WorkItemKey, WorkItem] = dataclasses.field(default_factory=dict)
+    rate_limit: float = math.inf  # requests per second from all entries together
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -53,6 +53,7 @@
 from .partition import FleetPartition
 from .placement import Placement
 from .progress import ProgressCheckDue, ProgressMonitor, ProgressStatus
+from .rate_limit import TargetRateLimits
 from .reservation import LeaseRenewalDue, Reservations, ReservationTimeoutDue
 from .retry import DirectRetryPolicy
 from .selection import TargetSelector
@@ -90,6 +91,7 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
+        self._rate_limits = TargetRateLimits(board)
         self._reservations = Reservations(board, settings.reservation)
         self._work = WorkTracker(board, settings, entry_name)
         self._completion = RequestCompletion(board, self._reservations, self._work)
@@ -326,12 +328,14 @@
         request = self._current_request(attempt_id)
         if request is None:
             return [CancelAttempt(attempt_id)]
+        target = request.attempts[-1].agent.target
+        commands = self._rate_limits.record_answer(target, answer)
         if answer.not_run or answer.wrong_instance:
-            return self._handle_refusal(request, answer, now)
+            return commands + self._handle_refusal(request, answer, now)
         if not request.inbound.route.streamed or not answer.succeeded:
-            return []  # handled when the answer is complete
+            return commands  # the rest is done when the answer is complete
         request.answer_started = True
-        return [RelayStream(attempt_id.request, attempt_id)]
+        return [*commands, RelayStream(attempt_id.request, attempt_id)]
 
     def _handle_refusal(
         self, request: DirectRequest, answer: TargetAnswer, now: float
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -27,6 +27,9 @@
     not_run: bool  # the target did not run the request
     wrong_instance: bool = False  # another target now has the address
     faulty_address: str | None = None  # address of the group member that failed
+    # Requests per second that the target takes from all entries together.
+    rate_limit: float | None = None
+    invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
 
     @property
     def succeeded(self) -> bool:
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -26,6 +26,7 @@
 PRIORITY = b"chicorycove-request-priority"
 NOT_EXECUTED = b"chicorycove-not-executed"  # the target did not run the request
 FAULTY_SERVER = b"at-server"  # address of the group member that failed
+RATE_LIMIT = b"server-limit"  # requests per second from all entries together
 
 # Removed from a caller's request and, where a target needs them, set anew.
 REPLACED_HEADERS = frozenset(
@@ -112,11 +113,21 @@
 
     def parse_answer_head(self, status: int, headers: Headers) -> TargetAnswer:
         """Parse the head of a target's answer."""
+        invalid_headers = []
+        rate_limit = None
+        named_limit = _find_header(headers, RATE_LIMIT)
+        if named_limit is not None:
+            rate_limit = _parse_number(named_limit)
+            if rate_limit is None or rate_limit < 0:
+                rate_limit = None
+                invalid_headers.append(f"server-limit: {_decode_text(named_limit)}")
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
             wrong_instance=status == MISDIRECTED_REQUEST,
             faulty_address=_decode_text(_find_header(headers, FAULTY_SERVER)) or None,
+            rate_limit=rate_limit,
+            invalid_headers=tuple(invalid_headers),
         )
 
     def build_reserve_order(
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -66,6 +66,8 @@
         self.runs: list[Run] = []
         self.open_streams = 0
         self.reservations: dict[str, int] = {}
+        self.rate_limit: str | None = None  # named in all answers to requests
+        self.arrivals: list[float] = []  # times of requests, those refused included
         self._memory = memory
         self._slots = slots
 
@@ -116,8 +118,11 @@
 
     async def _call(self, request: Request) -> Response:
         body = await request.body()
+        self.arrivals.append(time.monotonic())
         attempt = request.headers.get("chicorycove-attempt-id", "")
         echo = {"Chicorycove-Attempt-Id": attempt}
+        if self.rate_limit is not None:
+            echo["Server-Limit"] = self.rate_limit
         if request.headers.get("chicorycove-expect-instance", self.id) != self.id:
             return Response(status_code=421, headers=echo)
         if not attempt:
