Decide the periodic report to peers in the dispatcher

Cause: the adapter gathered what peers may have missed from the board, so that simulations of several entries needed a copy of it (bench/placing.py had one).

Change: DirectDispatcher.report_to_peers returns the command; peers.encode takes the command whole. No behaviour changes.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -222,17 +222,12 @@
             self._handle(entry, Tick())
 
     def _account(self, entry: int, interval: float) -> None:
-        work_items = [
-            work
-            for state in self._entries[entry][0].requests.values()
-            for work in state.work_items
-            if work.generates_answer or not work.decoding
-        ]
-        self._tell(entry, work_items, (), ())
+        for command in self._entries[entry][1].report_to_peers(self.now):
+            self._do(entry, command)
         self._at(self.now + interval, lambda: self._account(entry, interval))
 
-    def _tell(self, entry, work_items, ended, unreachable) -> None:
-        told = encode(f"entry-{entry}", work_items, ended, unreachable, 0, self.now)
+    def _tell(self, entry: int, update: UpdatePeers) -> None:
+        told = encode(f"entry-{entry}", update, 0, self.now)
         sent_at = self.now
         names = self._entries[entry][0].peer_names
         peers = [
@@ -272,8 +267,8 @@
                 self._soon(lambda: self._cancel(attempt))
             case FinishAnswer(request):
                 self.outcomes[request].whole = True
-            case UpdatePeers(work_items, ended, unreachable):
-                self._tell(entry, work_items, ended, unreachable)
+            case UpdatePeers():
+                self._tell(entry, command)
             case ProbeTarget(target):
                 self._soon(lambda: self._handle(entry, TargetProbed(target, True)), 2)
             case FailRequest() | AbortAnswer():
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -156,6 +156,19 @@
             case Tick():
                 return self._handle_tick(now)
 
+    def report_to_peers(self, now: float) -> list[DirectCommand]:
+        """Return the periodic report of what peers may not have received.
+
+        A report without work serves as a heartbeat.
+        """
+        work_items = tuple(
+            item
+            for request in self._board.requests.values()
+            for item in request.work_items
+            if item.generates_answer or not item.decoding
+        )
+        return [UpdatePeers(work_items)]
+
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
         request = self._board.requests.get(attempt_id.request)
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -208,10 +208,8 @@
 
     def _execute(self, command: DirectCommand) -> None:
         match command:
-            case UpdatePeers(work_items, ended, unreachable):
-                self._peers.send_update(
-                    self._board.peer_names, work_items, ended, unreachable
-                )
+            case UpdatePeers():
+                self._peers.send_update(self._board.peer_names, command)
             case SendAttempt():
                 self._send_attempt(command)
             case RelayStream(request):
@@ -361,14 +359,8 @@
             await self._sleep(
                 peer_update_interval(self._settings, len(self._board.peer_names))
             )
-            work_items = [
-                work
-                for state in self._board.requests.values()
-                for work in state.work_items
-                if work.generates_answer or not work.decoding
-            ]
-            # An update without work serves as a heartbeat.
-            self._peers.send_update(self._board.peer_names, work_items)
+            for command in self._dispatcher.report_to_peers(self._loop.time()):
+                self._execute(command)
 
     async def _sleep(self, seconds: float) -> None:
         """Sleep, and log if the process woke up much later than due."""
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .board import WorkItem, WorkItemKey
+from .command import UpdatePeers
 from .event import PeerUpdateReceived
 from .store_relay import RelayUpdate
 
@@ -68,19 +69,12 @@
 _relay_decoder = msgspec.msgpack.Decoder(_RelayDatagram)
 
 
-def encode(
-    owner: str,
-    work_items: t.Iterable[WorkItem],
-    ended: t.Iterable[WorkItemKey],
-    unreachable: t.Iterable[str],
-    revision: int,
-    now: float,
-) -> list[bytes]:
-    """Return the datagrams of an update on an entry's work."""
-    items = [_encode_item(item, now) for item in work_items]
-    numbers = [key.number for key in ended]
+def encode(owner: str, update: UpdatePeers, revision: int, now: float) -> list[bytes]:
+    """Return the datagrams of an update from an entry."""
+    items = [_encode_item(item, now) for item in update.work_items]
+    numbers = [key.number for key in update.ended]
     first = PeerUpdate(
-        owner, items[:MAX_WORK_ITEMS], numbers, list(unreachable), revision
+        owner, items[:MAX_WORK_ITEMS], numbers, list(update.unreachable), revision
     )
     updates = [first]
     for start in range(MAX_WORK_ITEMS, len(items), MAX_WORK_ITEMS):
@@ -262,24 +256,11 @@
             if address not in recent_addresses
         )
 
-    def send_update(
-        self,
-        names: t.Container[str],
-        work_items: t.Iterable[WorkItem] = (),
-        ended: t.Iterable[WorkItemKey] = (),
-        unreachable: t.Iterable[str] = (),
-    ) -> None:
+    def send_update(self, names: t.Container[str], update: UpdatePeers) -> None:
         """Send an update to the named peers that are known."""
         if self._transport is None or not self._addresses:
             return
-        datagrams = encode(
-            self._name,
-            work_items,
-            ended,
-            unreachable,
-            self.store_revision,
-            self._clock(),
-        )
+        datagrams = encode(self._name, update, self.store_revision, self._clock())
         self._send(names, datagrams)
 
     def send_relay(
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -11,6 +11,7 @@
 from chicorycove.direct import peers
 from chicorycove.direct.board import WorkItem, WorkItemKey
 from chicorycove.direct.budget import BudgetSettings, SharedRetryBudget
+from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import PeersUpdated
 from chicorycove.direct.eventstream import EventBuffer, find_last_id
 from chicorycove.direct.http import end_to_end_headers
@@ -180,9 +181,8 @@
             objective_at=101.0,
             preempting=True,
         )
-        (data,) = peers.encode(
-            "entry-1", [sent], [WorkItemKey("entry-1", 3)], ["x"], 7, 100.0
-        )
+        update = UpdatePeers((sent,), (WorkItemKey("entry-1", 3),), ("x",))
+        (data,) = peers.encode("entry-1", update, 7, 100.0)
         update = peers.decode(data, 5000.0)
         (received,) = update.work_items
         self.assertEqual((received.key, received.target), (sent.key, "t"))
@@ -194,9 +194,11 @@
         self.assertEqual(update.store_revision, 7)
 
     def test_datagrams_of_many_work_items_fit_a_frame(self):
-        work_items = [WorkItem(WorkItemKey("e", n), "i-0123456789") for n in range(40)]
+        work_items = tuple(
+            WorkItem(WorkItemKey("e", n), "i-0123456789") for n in range(40)
+        )
         for data in peers.encode(
-            "front-kitakyushu-1.01234567", work_items, (), (), 10**9, 0.0
+            "front-kitakyushu-1.01234567", UpdatePeers(work_items), 10**9, 0.0
         ):
             self.assertLess(len(data), 1400)
 
@@ -220,7 +222,7 @@
             )
 
     def receive(self, name, host):
-        (data,) = peers.encode(name, (), (), (), 1, self.now)
+        (data,) = peers.encode(name, UpdatePeers(), 1, self.now)
         self.link.datagram_received(data, (host, 7000))
 
     async def test_unlisted_unresponsive_peer_is_removed(self):
