Test targets' limits over several entries; known red

What the targets get: with five entries on a virtual clock, 41 requests in 4 s where one a second was named (11 allowed), 47 where every target of a service named 2 (17 allowed); with three entries and stand-in servers on real sockets, 61 where 2 a second were named (17 allowed).

--- /dev/null
+++ b/tests/direct_fleet.py
@@ -0,0 +1,284 @@
+"""Direct entries that exchange datagrams, with simulated targets."""
+
+import bisect
+import dataclasses
+import heapq
+import itertools
+import random
+import typing as t
+
+from chicorycove import Reason, Verdict
+from chicorycove.direct import peers
+from chicorycove.direct.board import DirectBoard, TargetListing
+from chicorycove.direct.dispatch import DirectDispatcher
+from chicorycove.direct.event import (
+    AnswerHeadReceived,
+    AnswerReceived,
+    AttemptSent,
+    DeploymentReceived,
+    EventsRelayed,
+    PeersUpdated,
+    RequestReceived,
+    TargetAnswer,
+    TargetListed,
+    TargetProbed,
+)
+from chicorycove.direct.route import RoutingTable
+from chicorycove.direct.settings import DirectSettings, peer_update_interval
+from chicorycove.identity import AttemptId
+from chicorycove.lifecycle import AnswerCompleted, AttemptFailed, Tick
+
+from .direct import DEPLOYMENT, make_inbound
+
+LINK_DELAY = 0.001  # seconds, between entries and to targets
+PREFILL_TIME = 0.06  # seconds
+EVENT_GAP = 0.05  # seconds
+EVENT_COUNT = 10
+
+
+@dataclasses.dataclass
+class Arrival:
+    time: float
+    entry: str
+    request: str
+
+
+@dataclasses.dataclass
+class Outcome:
+    command: t.Any  # the last one for the request
+    arrived: float
+    ended: float
+
+    @property
+    def answered(self):
+        return type(self.command).__name__ in ("FinishAnswer", "DeliverAnswer")
+
+
+class Target:
+    """A target that may name a limit of requests per second."""
+
+    def __init__(self, id, service):
+        self.id = id
+        self.service = service
+        self.rate_limit = None
+        self.arrivals = []
+
+    def answer(self):
+        return TargetAnswer(status=200, not_run=False, rate_limit=self.rate_limit)
+
+    def count_arrivals(self, start, end):
+        """Return the number of arrivals in [start, end)."""
+        times = [arrival.time for arrival in self.arrivals]
+        return bisect.bisect_left(times, end) - bisect.bisect_left(times, start)
+
+    def most_arrivals(self, start, end, window):
+        """Return the most arrivals in a window between two times."""
+        times = [a.time for a in self.arrivals if start <= a.time < end]
+        return max(
+            (self.count_arrivals(time, time + window) for time in times), default=0
+        )
+
+
+class Entry:
+    """One entry's dispatcher and the attempts that it has open."""
+
+    def __init__(self, fleet, name, settings):
+        self.fleet = fleet
+        self.name = name
+        self.board = DirectBoard()
+        numbers = itertools.count(1)
+        self.dispatcher = DirectDispatcher(
+            self.board,
+            settings,
+            "here",
+            name,
+            lambda request, number: AttemptId(request, number, str(next(numbers))),
+        )
+        self.live = {}  # attempt: the target that it runs on
+        self.tick_at = None
+
+    def handle(self, event):
+        for command in self.dispatcher.handle(event, self.fleet.now):
+            self.execute(command)
+        due = self.board.timers.next_due
+        if due is not None and (self.tick_at is None or due < self.tick_at):
+            self.tick_at = due
+            self.fleet.call_at(due, self.tick, due)
+
+    def tick(self, due):
+        if self.tick_at == due:
+            self.tick_at = None
+            self.handle(Tick())
+
+    def execute(self, command):
+        match type(command).__name__:
+            case "UpdatePeers":
+                self.fleet.send_update(self, command)
+            case "SendAttempt":
+                self.live = {
+                    attempt: target
+                    for attempt, target in self.live.items()
+                    if attempt.request != command.attempt.request
+                }
+                self.fleet.send_attempt(self, command)
+            case "CancelAttempt":
+                self.live.pop(command.attempt, None)
+            case "ProbeTarget":
+                self.fleet.call_later(LINK_DELAY, self.probe, command.target)
+            case "LogChange":
+                self.fleet.log.append((self.fleet.now, self.name, command))
+            case "FinishAnswer" | "DeliverAnswer" | "FailRequest" | "AbortAnswer":
+                self.fleet.end_request(command)
+
+    def probe(self, target):
+        self.handle(TargetProbed(target, target in self.fleet.targets))
+
+    def send_state(self):
+        for command in self.dispatcher.report_to_peers(self.fleet.now):
+            self.execute(command)
+        interval = peer_update_interval(DirectSettings(), len(self.fleet.entries))
+        self.fleet.call_later(interval, self.send_state)
+
+
+class Fleet:
+    """Entries and targets on a virtual clock."""
+
+    def __init__(self, entries=5, engines=8, shops=0, seed=1, settings=None, loss=0.0):
+        """Lose a share of the datagrams between entries."""
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.log = []
+        self.targets = {}
+        self.outcomes = {}
+        self.arrived = {}
+        self._calls = []
+        self._numbers = itertools.count()
+        self._listings = itertools.count(1)
+        settings = settings or DirectSettings()
+        names = [f"entry-{number}" for number in range(entries)]
+        self.entries = {name: Entry(self, name, settings) for name in names}
+        for entry in self.entries.values():
+            entry.handle(DeploymentReceived(RoutingTable(DEPLOYMENT)))
+        for number in range(engines):
+            self.add_target(f"e{number}", "model")
+        for number in range(shops):
+            self.add_target(f"s{number}", "shop")
+        for entry in self.entries.values():
+            entry.handle(PeersUpdated(frozenset(names)))
+            self.call_later(self.random.random() * 0.25, entry.send_state)
+
+    def add_target(self, id, service):
+        target = Target(id, service)
+        self.targets[id] = target
+        number = next(self._listings)
+        address = f"10.0.0.{number % 250}:{8000 + number}"
+        for entry in self.entries.values():
+            entry.handle(
+                TargetListed(TargetListing(id, service, address, "here", 8, False, 1))
+            )
+        return target
+
+    def call_at(self, time, function, *arguments):
+        call = (max(time, self.now), next(self._numbers), function, arguments)
+        heapq.heappush(self._calls, call)
+
+    def call_later(self, delay, function, *arguments):
+        self.call_at(self.now + delay, function, *arguments)
+
+    def run_until(self, end):
+        while self._calls and self._calls[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self._calls)
+            function(*arguments)
+        self.now = end
+
+    def load(self, route, rate, until, **fields):
+        """Let callers send requests to random entries, by Poisson."""
+        time = self.now
+        while True:
+            time += self.random.expovariate(rate)
+            if time >= until:
+                return
+            self.call_at(time, self.receive, route, fields)
+
+    def receive(self, route, fields, entry=None):
+        """Hand a request to an entry, a random one by default."""
+        id = f"r{next(self._numbers)}"
+        entry = entry or self.random.choice(sorted(self.entries))
+        self.arrived[id] = self.now
+        inbound = make_inbound(id, route, self.now, **fields)
+        self.entries[entry].handle(RequestReceived(inbound))
+        return id
+
+    def end_request(self, command):
+        id = command.request
+        self.outcomes[id] = Outcome(command, self.arrived[id], self.now)
+
+    def answered_share(self, start, end):
+        """Return the share of the requests of a time that were answered."""
+        ids = [id for id, time in self.arrived.items() if start <= time < end]
+        answered = [
+            id for id in ids if id in self.outcomes and self.outcomes[id].answered
+        ]
+        return len(answered) / len(ids)
+
+    # Between entries
+
+    def send_update(self, sender, command):
+        datagrams = peers.encode(sender.name, command, 0, self.now)
+        for entry, datagram in itertools.product(self.entries.values(), datagrams):
+            if entry is not sender and self.random.random() >= self.loss:
+                self.call_later(LINK_DELAY, self._deliver_update, entry, datagram)
+
+    def _deliver_update(self, entry, datagram):
+        if entry.name in self.entries:
+            entry.handle(peers.decode(datagram, self.now))
+
+    # Between entries and targets
+
+    def send_attempt(self, entry, command):
+        entry.live[command.attempt] = command.target.target
+        self.call_later(LINK_DELAY, self._arrive, entry, command)
+
+    def _arrive(self, entry, command):
+        attempt = command.attempt
+        if attempt not in entry.live:
+            return
+        target = self.targets.get(command.target.target)
+        if target is None:
+            del entry.live[attempt]
+            entry.handle(
+                AttemptFailed(attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
+            )
+            return
+        target.arrivals.append(Arrival(self.now, entry.name, attempt.request))
+        entry.handle(AttemptSent(attempt))
+        if target.service == "shop":
+            self.call_later(PREFILL_TIME, self._answer_call, entry, attempt, target)
+        else:
+            first = (command.last_event_id or 0) + 1
+            self.call_later(
+                PREFILL_TIME, self._start_stream, entry, attempt, target, first
+            )
+
+    def _answer_call(self, entry, attempt, target):
+        if attempt in entry.live:
+            entry.handle(AnswerHeadReceived(attempt, target.answer()))
+        if attempt in entry.live:
+            del entry.live[attempt]
+            entry.handle(AnswerReceived(attempt, target.answer()))
+
+    def _start_stream(self, entry, attempt, target, first):
+        if attempt in entry.live:
+            entry.handle(AnswerHeadReceived(attempt, target.answer()))
+            self._send_event(entry, attempt, first)
+
+    def _send_event(self, entry, attempt, number):
+        if attempt not in entry.live:
+            return
+        if number > EVENT_COUNT:
+            del entry.live[attempt]
+            entry.handle(AnswerCompleted(attempt, 0))
+            return
+        entry.handle(EventsRelayed(attempt, 1, number))
+        self.call_later(EVENT_GAP, self._send_event, entry, attempt, number + 1)
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -6,7 +6,16 @@
 from chicorycove.direct.event import AnswerHeadReceived, TargetAnswer
 from chicorycove.platform.headers import PlatformDialect
 
-from .direct import OK, SHORT, DirectWorld
+from .direct import LOOKUP, OK, SHORT, DirectWorld
+from .direct_fleet import Fleet
+
+WINDOW = 4.0  # seconds in which requests are counted
+STABLE_AFTER = 3.0  # seconds from the first answer that names a limit
+
+
+def allowed_requests(rate):
+    """Return the requests that a target may get in a window."""
+    return 1.5 * rate * WINDOW + 5
 
 
 def limited(rate):
@@ -58,3 +67,28 @@
         change = ("answer header ignored", "server-limit: fast")
         self.assertEqual(self.log_of(answer), [change])
         self.assertEqual(self.world.board.targets["e0"].rate_limit, 1.5)
+
+
+class SharedLimitTest(unittest.TestCase):
+    def assert_limits_hold(self, fleet, ids, rate, start, end):
+        for id in ids:
+            most = fleet.targets[id].most_arrivals(start, end, WINDOW)
+            self.assertLessEqual(most, allowed_requests(rate), id)
+
+    def test_target_gets_no_more_than_its_limit_from_all_entries(self):
+        fleet = Fleet(entries=5, engines=8)
+        limited_ids = ["e0", "e1", "e2"]
+        for id in limited_ids:
+            fleet.targets[id].rate_limit = 1.0
+        fleet.load(SHORT, rate=20.0, until=20.0)
+        fleet.run_until(25.0)
+        self.assert_limits_hold(fleet, limited_ids, 1.0, STABLE_AFTER, 20.0)
+        self.assertEqual(fleet.answered_share(0.0, 20.0), 1.0)
+
+    def test_limit_of_every_target_of_a_service_holds(self):
+        fleet = Fleet(entries=5, engines=0, shops=3)
+        for target in fleet.targets.values():
+            target.rate_limit = 2.0
+        fleet.load(LOOKUP, rate=20.0, until=20.0)
+        fleet.run_until(25.0)
+        self.assert_limits_hold(fleet, fleet.targets, 2.0, STABLE_AFTER, 20.0)
--- /dev/null
+++ b/tests/test_platform_rate_limit.py
@@ -0,0 +1,53 @@
+"""Tests of targets' rate limits with entries and servers on real sockets."""
+
+import asyncio
+import random
+
+from .platform_case import Caller, PlatformTestCase, new_boot
+from .test_direct_rate_limit import STABLE_AFTER, WINDOW, allowed_requests
+
+RATE = 2.0  # requests per second that the limited server names
+LOAD = 16.0  # requests per second from all callers
+
+
+class SharedLimitTest(PlatformTestCase):
+    shop_count = 3
+    model_count = 0
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.callers = [self.boot.callers]
+        for number in (2, 3):
+            boot = new_boot(store=self.boot.store, name=f"entry-{number}")
+            await self.start_entry(boot)
+            self.callers.append(boot.callers)
+
+    async def send_requests(self, duration):
+        """Send requests by Poisson to all entries; return the statuses."""
+        rng = random.Random(1)
+        clock = asyncio.get_running_loop().time
+        end = clock() + duration
+        tasks = []
+        while clock() < end:
+            tasks.append(asyncio.create_task(self.send(rng.choice(self.callers))))
+            await asyncio.sleep(rng.expovariate(LOAD))
+        return await asyncio.gather(*tasks)
+
+    async def send(self, address):
+        caller = await Caller.open(address)
+        try:
+            return (await caller.request("/lookup/x", method="GET")).status
+        finally:
+            caller.close()
+
+    async def test_limited_server_gets_no_more_than_it_named_from_three_entries(self):
+        limited = self.shop_servers[0]
+        limited.rate_limit = str(RATE)
+        statuses = await self.send_requests(STABLE_AFTER + WINDOW + 1.0)
+        start = limited.arrivals[0] + STABLE_AFTER
+        times = [time for time in limited.arrivals if time >= start]
+        most = max(
+            sum(first <= time < first + WINDOW for time in times) for first in times
+        )
+        self.assertLessEqual(most, allowed_requests(RATE))
+        self.assertEqual(set(statuses), {200})
