Keep the requests to a target within the rate that it names

Cause: what a target says of itself in an answer reached no decision, and no entry knows what the others send it; a limit for all entries together is kept only if they count together.

Change: each limited target has a token bucket at each entry. It is charged with the entry's own placements and with those that peers report as they happen. Limits are reported to all entries, as they change and with each periodic report; the newest answer counts, one without a limit ends it, and a new incarnation begins without one. Entries of an earlier version are told that a limited target is unreachable, so that they avoid it. An entry that hears only some of its peers uses their part of the rate. A target gets a request in 10 s whatever it names, so that the end of its limit is seen. If no target of a service takes a request, callers are refused at once and told to return one after another.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -1,7 +1,6 @@
 """The state of a direct entry: targets, the work on them, and requests."""
 
 import dataclasses
-import math
 import typing as t
 
 from ..attempt import AttemptState
@@ -74,13 +73,23 @@
         return min(self.prefill_time, max(self.expected_prefill_end - now, 0.0))
 
 
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """The request rate that a target takes, and a token bucket for it."""
+
+    rate: float  # requests per second from all entries; infinite once it ended
+    named_at: float  # time of the answer that named it, in seconds
+    balance: float = 1.0  # requests that may be sent now; negative after an excess
+    refilled_at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class TargetView:
     """One target as this entry sees it; times are in seconds."""
 
     listing: TargetListing
     work_items: dict[WorkItemKey, WorkItem] = dataclasses.field(default_factory=dict)
-    rate_limit: float = math.inf  # requests per second from all entries together
+    rate_limit: RateLimit | None = None  # None if it never named one
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
@@ -125,6 +134,8 @@
     timers: Timers = dataclasses.field(default_factory=Timers)
     entry_names: frozenset[str] = frozenset()  # all known entries, including this one
     peer_names: frozenset[str] = frozenset()  # entries that share this entry's targets
+    # Part of these, including this one, whose updates arrive.
+    responsive_share: float = 1.0
     entry_names_complete: bool = True  # False until the store has listed them
     # Shift of the order of targets, in [0, 1).  By it, entries that miss one
     # another's updates prefer different targets.
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -7,6 +7,7 @@
 from ..lifecycle import FailRequest, FinishAnswer, ReleaseMemory, ReserveMemory
 from ..reason import Reason
 from .board import WorkItem, WorkItemKey
+from .event import RateLimitReport
 from .placement import Placement
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
@@ -74,11 +75,15 @@
 
 @frozen
 class UpdatePeers:
-    """Send peers an update on work and unreachable targets."""
+    """Send peers an update on work and what this entry knows of targets.
+
+    Rate limits are sent to the entries of all cells.
+    """
 
     work_items: tuple[WorkItem, ...] = ()
     ended: tuple[WorkItemKey, ...] = ()  # keys of items that have ended
     unreachable: tuple[str, ...] = ()
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 @frozen
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -91,9 +91,9 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
-        self._rate_limits = TargetRateLimits(board)
+        self._rate_limits = TargetRateLimits(board, settings.rate_limit)
         self._reservations = Reservations(board, settings.reservation)
-        self._work = WorkTracker(board, settings, entry_name)
+        self._work = WorkTracker(board, settings, entry_name, self._rate_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
@@ -101,7 +101,7 @@
         self._collisions = CollisionDetector(board)
         self._partition = FleetPartition(board, settings.max_targets, entry_name)
         self._selector = TargetSelector(
-            board, settings, self._partition, failure_domain
+            board, settings, self._partition, self._rate_limits, failure_domain
         )
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -147,7 +147,8 @@
                 self._board.peer_names = self._partition.peer_names()
                 return self._work.handle(event, now)
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
-                commands = self._work.handle(event, now)
+                commands = self._rate_limits.record_reports(event.rate_limits, now)
+                commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
                 return commands + self._check_store_lag(owner, revision, now)
             case StopRequested():
@@ -167,7 +168,11 @@
             for item in request.work_items
             if item.generates_answer or not item.decoding
         )
-        return [UpdatePeers(work_items)]
+        commands: list[DirectCommand] = [UpdatePeers(work_items)]
+        rate_limits = self._rate_limits.reports(now)
+        if rate_limits:
+            commands.append(UpdatePeers(rate_limits=rate_limits))
+        return commands
 
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
@@ -211,8 +216,7 @@
             return self._completion.fail(request, Reason.DEADLINE_PAST, None)
         placement = self._selector.choose(request, now)
         if placement is None:
-            retry_after = self._settings.retry_after_no_target
-            return self._completion.fail(request, Reason.NO_TARGET, retry_after)
+            return self._fail_unplaced(request, now)
         if now + placement.time_to_first_event > caller_request.deadline:
             retry_after = placement.time_to_first_event - (
                 caller_request.deadline - now
@@ -222,6 +226,14 @@
             )
         return self._start_attempt(request, placement, now)
 
+    def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
+        """Fail a request that no target may get now."""
+        retry_after = self._rate_limits.retry_after(request.inbound.service, now)
+        if retry_after is not None:
+            return self._completion.fail(request, Reason.TARGET_LIMIT, retry_after)
+        retry_after = self._settings.retry_after_no_target
+        return self._completion.fail(request, Reason.NO_TARGET, retry_after)
+
     def _start_attempt(
         self, request: DirectRequest, placement: Placement, now: float
     ) -> list[DirectCommand]:
@@ -342,7 +354,7 @@
         if request is None:
             return [CancelAttempt(attempt_id)]
         target = request.attempts[-1].agent.target
-        commands = self._rate_limits.record_answer(target, answer)
+        commands = self._rate_limits.record_answer(target, answer, now)
         if answer.not_run or answer.wrong_instance:
             return commands + self._handle_refusal(request, answer, now)
         if not request.inbound.route.streamed or not answer.succeeded:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -208,8 +208,10 @@
 
     def _execute(self, command: DirectCommand) -> None:
         match command:
-            case UpdatePeers():
+            case UpdatePeers(rate_limits=()):
                 self._peers.send_update(self._board.peer_names, command)
+            case UpdatePeers():
+                self._peers.send_update(self._board.entry_names, command)
             case SendAttempt():
                 self._send_attempt(command)
             case RelayStream(request):
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -139,15 +139,25 @@
     revision: int
 
 
+@frozen
+class RateLimitReport:
+    """An answer of a target has named a rate limit, or none any more."""
+
+    target: str
+    rate: float  # requests per second from all entries; infinite for none
+    named_at: float  # time of the answer, in seconds
+
+
 @frozen
 class PeerUpdateReceived:
-    """Another entry has reported its work and unreachable targets."""
+    """Another entry has reported its work and what it knows of targets."""
 
     owner: str
     work_items: tuple[WorkItem, ...] = ()
     ended: tuple[WorkItemKey, ...] = ()  # keys of items that have ended
     unreachable: tuple[str, ...] = ()
     store_revision: int = 0  # newest revision that the peer has followed
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 DirectEvent = t.Union[
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -2,25 +2,29 @@
 
 import asyncio
 import itertools
+import math
 import typing as t
 
 import msgspec
 
 from .board import WorkItem, WorkItemKey
 from .command import UpdatePeers
-from .event import PeerUpdateReceived
+from .event import PeerUpdateReceived, RateLimitReport
 from .store_relay import RelayUpdate
 
 # First byte of a datagram of the relay; MessagePack never begins with it.
 RELAY_MARK = b"\xc1"
 LOG_INTERVAL = 1.0  # seconds between logged failures: a dead peer causes many
-MAX_WORK_ITEMS = 12  # in a datagram, so that it fits into an Ethernet frame
+# In a datagram, so that it fits into an Ethernet frame.
+MAX_WORK_ITEMS = 12
+MAX_RATE_LIMITS = 20
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
-    """A datagram with some of an entry's work, in MessagePack.
+    """A datagram with some of what an entry knows, in MessagePack.
 
     Arrays carry no field names: the order of the fields is the format.
+    Entries of earlier versions ignore fields after the store's revision.
     """
 
     owner: str
@@ -28,6 +32,7 @@
     ended: list[int]  # numbers of work items
     unreachable: list[str]  # ids of targets
     store_revision: int  # that the owner has followed the store up to
+    rate_limits: list["RateLimitUpdate"] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -54,6 +59,14 @@
     missed_objective: bool
 
 
+class RateLimitUpdate(msgspec.Struct, array_like=True):
+    """A target's rate limit in a datagram; times are in seconds."""
+
+    target: str
+    rate: float  # requests per second, infinite for no limit
+    named_ago: float
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
     revision: int
@@ -80,6 +93,11 @@
     for start in range(MAX_WORK_ITEMS, len(items), MAX_WORK_ITEMS):
         batch = items[start : start + MAX_WORK_ITEMS]
         updates.append(PeerUpdate(owner, batch, [], [], revision))
+    for start in range(0, len(update.rate_limits), MAX_RATE_LIMITS):
+        limits = update.rate_limits[start : start + MAX_RATE_LIMITS]
+        updates.append(_encode_limits(owner, limits, revision, now))
+    if len(updates) > 1 and not (items or numbers or update.unreachable):
+        del updates[0]
     return [_encoder.encode(update) for update in updates]
 
 
@@ -90,15 +108,33 @@
     """
     update = _decoder.decode(data)
     owner = update.owner
+    limited_targets = {limit.target for limit in update.rate_limits}
     return PeerUpdateReceived(
         owner,
         tuple(_decode_item(owner, item, now) for item in update.work_items),
         tuple(WorkItemKey(owner, number) for number in update.ended),
-        tuple(update.unreachable),
+        tuple(id for id in update.unreachable if id not in limited_targets),
         update.store_revision,
+        tuple(
+            RateLimitReport(limit.target, limit.rate, now - limit.named_ago)
+            for limit in update.rate_limits
+        ),
     )
 
 
+def _encode_limits(
+    owner: str, limits: t.Sequence[RateLimitReport], revision: int, now: float
+) -> PeerUpdate:
+    # Entries of an earlier version know no limits, but they avoid targets that
+    # are reported as unreachable.
+    unreachable = [limit.target for limit in limits if limit.rate < math.inf]
+    updates = [
+        RateLimitUpdate(limit.target, limit.rate, now - limit.named_at)
+        for limit in limits
+    ]
+    return PeerUpdate(owner, [], [], unreachable, revision, updates)
+
+
 def encode_relay(update: RelayUpdate) -> bytes:
     """Return the datagram of an update of the relay."""
     datagram = _RelayDatagram(
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -1,9 +1,12 @@
 """Selects the target or group that a request is sent to."""
 
+import typing as t
+
 from ..request import Prompt
-from .board import DirectBoard, DirectRequest
+from .board import DirectBoard, DirectRequest, TargetView
 from .partition import FleetPartition
 from .placement import Placement, PlacementRequest, Placer, place_call
+from .rate_limit import TargetRateLimits
 from .settings import DirectSettings
 
 
@@ -15,22 +18,27 @@
         board: DirectBoard,
         settings: DirectSettings,
         partition: FleetPartition,
+        rate_limits: TargetRateLimits,
         failure_domain: str,
     ) -> None:
         self._board = board
         self._settings = settings
         self._partition = partition
+        self._rate_limits = rate_limits
         self._failure_domain = failure_domain
         self._placer = Placer(settings.placement)
 
     def choose(self, request: DirectRequest, now: float) -> Placement | None:
         """Return the best placement of a request, if any target can run it.
 
-        Targets that it was tried on are considered only if there is no other.
+        Targets that it was tried on are considered only if there is no other,
+        and targets at their rate limit not at all.
         """
         service_name = request.inbound.service
-        targets = self._partition.targets(service_name)
-        targets = targets or list(self._board.available_targets(service_name))
+        targets = self._allowed(self._partition.targets(service_name), now)
+        targets = targets or self._allowed(
+            self._board.available_targets(service_name), now
+        )
         candidates = [
             target
             for target in targets
@@ -52,6 +60,9 @@
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
 
+    def _allowed(self, targets: t.Iterable[TargetView], now: float) -> list[TargetView]:
+        return [view for view in targets if self._rate_limits.allows(view, now)]
+
     def _placement_request(
         self, request: DirectRequest, work: Prompt
     ) -> PlacementRequest:
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,6 +5,7 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .placement import PlacementSettings
+from .rate_limit import RateLimitSettings
 from .store_relay import RelaySettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,6 +59,7 @@
     reservation: ReservationSettings = ReservationSettings()
     budget: BudgetSettings = BudgetSettings()
     relay: RelaySettings = RelaySettings()
+    rate_limit: RateLimitSettings = RateLimitSettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -9,6 +9,7 @@
 from .engine import EngineProfile
 from .event import PeersUpdated, PeerUpdateReceived
 from .placement import Placement
+from .rate_limit import TargetRateLimits
 from .settings import DirectSettings, peer_timeout
 
 CALL_EVENTS = 1  # events of an answer that is not streamed
@@ -18,10 +19,15 @@
     """Records the work of this entry and its peers on the targets."""
 
     def __init__(
-        self, board: DirectBoard, settings: DirectSettings, entry_name: str
+        self,
+        board: DirectBoard,
+        settings: DirectSettings,
+        entry_name: str,
+        rate_limits: TargetRateLimits,
     ) -> None:
         self._board = board
         self._settings = settings
+        self._rate_limits = rate_limits
         self._name = entry_name
         self._last_number = 0
         self._targets_by_key: dict[WorkItemKey, str] = {}
@@ -106,9 +112,13 @@
         """Apply an update of the known entries or of a peer's work."""
         match event:
             case PeersUpdated(entry_names, unresponsive):
+                peer_names = self._board.peer_names
+                self._board.responsive_share = len(peer_names - unresponsive) / max(
+                    len(peer_names), 1
+                )
                 self._board.placement_offset = (
                     self._placement_offset(entry_names)
-                    if unresponsive & self._board.peer_names
+                    if unresponsive & peer_names
                     else 0.0
                 )
                 self._remove_expired(now)
@@ -163,8 +173,10 @@
         if item.decoding and not item.generates_answer and not item.memory:
             self._remove_item(item.key)  # a prefilled part without memory is no load
             return
-        if item.preempting and not item.decoding and item.key not in view.work_items:
-            self._delay_waiting_items(view, item)
+        if item.key not in view.work_items:
+            self._rate_limits.count(view, item.refreshed_at)
+            if item.preempting and not item.decoding:
+                self._delay_waiting_items(view, item)
         view.work_items[item.key] = item
         self._targets_by_key[item.key] = item.target
 
--- a/src/chicorycove/retry.py
+++ b/src/chicorycove/retry.py
@@ -15,6 +15,7 @@
         Reason.QUEUE_FULL,
         Reason.MEMORY_FULL,
         Reason.NO_TARGET,
+        Reason.TARGET_LIMIT,
         Reason.NOT_READY,
         Reason.TARGET_LEAVING,
         Reason.STALE_INCARNATION,
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -7,6 +7,8 @@
 import random
 import typing as t
 
+import msgspec
+
 from chicorycove import Reason, Verdict
 from chicorycove.direct import peers
 from chicorycove.direct.board import DirectBoard, TargetListing
@@ -57,9 +59,9 @@
 class Target:
     """A target that may name a limit of requests per second."""
 
-    def __init__(self, id, service):
-        self.id = id
-        self.service = service
+    def __init__(self, listing):
+        self.listing = listing
+        self.service = listing.service
         self.rate_limit = None
         self.arrivals = []
 
@@ -130,6 +132,12 @@
             case "FinishAnswer" | "DeliverAnswer" | "FailRequest" | "AbortAnswer":
                 self.fleet.end_request(command)
 
+    def encode(self, update):
+        return peers.encode(self.name, update, 0, self.fleet.now)
+
+    def decode(self, datagram):
+        return peers.decode(datagram, self.fleet.now)
+
     def probe(self, target):
         self.handle(TargetProbed(target, target in self.fleet.targets))
 
@@ -140,11 +148,47 @@
         self.fleet.call_later(interval, self.send_state)
 
 
+class OlderEntry(Entry):
+    """An entry of a version whose datagrams have five fields.
+
+    It ignores what targets say of themselves in their answers.
+    """
+
+    def handle(self, event):
+        if isinstance(event, AnswerHeadReceived):
+            answer = TargetAnswer(event.answer.status, event.answer.not_run)
+            event = AnswerHeadReceived(event.attempt, answer)
+        super().handle(event)
+
+    def encode(self, update):
+        return [cut_datagram(data) for data in super().encode(update)]
+
+    def decode(self, datagram):
+        return super().decode(cut_datagram(datagram))
+
+
+def cut_datagram(data):
+    """Return a datagram without the fields that an older version ignores."""
+    return msgspec.msgpack.encode(msgspec.msgpack.decode(data)[:5])
+
+
 class Fleet:
     """Entries and targets on a virtual clock."""
 
-    def __init__(self, entries=5, engines=8, shops=0, seed=1, settings=None, loss=0.0):
-        """Lose a share of the datagrams between entries."""
+    def __init__(
+        self,
+        entries=5,
+        engines=8,
+        shops=0,
+        older=0,
+        seed=1,
+        settings=None,
+        loss=0.0,
+    ):
+        """Start entries, some of an older version, and targets.
+
+        ``loss`` is the share of the datagrams between entries that are lost.
+        """
         self.now = 0.0
         self.random = random.Random(seed)
         self.loss = loss
@@ -155,29 +199,35 @@
         self._calls = []
         self._numbers = itertools.count()
         self._listings = itertools.count(1)
-        settings = settings or DirectSettings()
-        names = [f"entry-{number}" for number in range(entries)]
-        self.entries = {name: Entry(self, name, settings) for name in names}
-        for entry in self.entries.values():
-            entry.handle(DeploymentReceived(RoutingTable(DEPLOYMENT)))
+        self._settings = settings or DirectSettings()
+        self.entries = {}
         for number in range(engines):
             self.add_target(f"e{number}", "model")
         for number in range(shops):
             self.add_target(f"s{number}", "shop")
-        for entry in self.entries.values():
-            entry.handle(PeersUpdated(frozenset(names)))
-            self.call_later(self.random.random() * 0.25, entry.send_state)
+        for number in range(entries):
+            self.add_entry(f"entry-{number}", number < older)
+
+    def add_entry(self, name, older=False):
+        """Start an entry that knows nothing of what others have learned."""
+        entry = (OlderEntry if older else Entry)(self, name, self._settings)
+        self.entries[name] = entry
+        entry.handle(DeploymentReceived(RoutingTable(DEPLOYMENT)))
+        for target in self.targets.values():
+            entry.handle(TargetListed(target.listing))
+        for other in self.entries.values():
+            other.handle(PeersUpdated(frozenset(self.entries)))
+        self.call_later(self.random.random() * 0.25, entry.send_state)
+        return entry
 
     def add_target(self, id, service):
-        target = Target(id, service)
-        self.targets[id] = target
         number = next(self._listings)
         address = f"10.0.0.{number % 250}:{8000 + number}"
+        listing = TargetListing(id, service, address, "here", 8, False, 1)
+        self.targets[id] = Target(listing)
         for entry in self.entries.values():
-            entry.handle(
-                TargetListed(TargetListing(id, service, address, "here", 8, False, 1))
-            )
-        return target
+            entry.handle(TargetListed(listing))
+        return self.targets[id]
 
     def call_at(self, time, function, *arguments):
         call = (max(time, self.now), next(self._numbers), function, arguments)
@@ -225,14 +275,14 @@
     # Between entries
 
     def send_update(self, sender, command):
-        datagrams = peers.encode(sender.name, command, 0, self.now)
+        datagrams = sender.encode(command)
         for entry, datagram in itertools.product(self.entries.values(), datagrams):
             if entry is not sender and self.random.random() >= self.loss:
                 self.call_later(LINK_DELAY, self._deliver_update, entry, datagram)
 
     def _deliver_update(self, entry, datagram):
         if entry.name in self.entries:
-            entry.handle(peers.decode(datagram, self.now))
+            entry.handle(entry.decode(datagram))
 
     # Between entries and targets
 
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -1,13 +1,22 @@
 """Tests of the request rates that targets ask for."""
 
+import itertools
 import math
 import unittest
 
-from chicorycove.direct.event import AnswerHeadReceived, TargetAnswer
+from chicorycove import Reason, Verdict
+from chicorycove.direct import peers
+from chicorycove.direct.command import UpdatePeers
+from chicorycove.direct.event import (
+    AnswerHeadReceived,
+    PeersUpdated,
+    RateLimitReport,
+    TargetAnswer,
+)
 from chicorycove.platform.headers import PlatformDialect
 
-from .direct import LOOKUP, OK, SHORT, DirectWorld
-from .direct_fleet import Fleet
+from .direct import LOOKUP, OK, SHORT, DirectWorld, only_command
+from .direct_fleet import Fleet, cut_datagram
 
 WINDOW = 4.0  # seconds in which requests are counted
 STABLE_AFTER = 3.0  # seconds from the first answer that names a limit
@@ -45,6 +54,7 @@
         self.world = DirectWorld(engines=1)
 
     def log_of(self, answer):
+        self.world.now += 1.0
         send = self.world.send(f"r{len(self.world.command_log)}", SHORT)
         commands = self.world.handle(AnswerHeadReceived(send.attempt, answer))
         return [
@@ -59,36 +69,174 @@
         self.assertEqual(self.log_of(limited(1.5)), [change])
         self.assertEqual(self.log_of(limited(1.5)), [])
         self.assertEqual(self.log_of(OK), [("target limit changed", "none")])
-        self.assertEqual(self.world.board.targets["e0"].rate_limit, math.inf)
+        self.assertEqual(self.world.board.targets["e0"].rate_limit.rate, math.inf)
 
     def test_invalid_limit_is_logged_and_changes_nothing(self):
         self.log_of(limited(1.5))
         answer = TargetAnswer(200, False, invalid_headers=("server-limit: fast",))
         change = ("answer header ignored", "server-limit: fast")
         self.assertEqual(self.log_of(answer), [change])
-        self.assertEqual(self.world.board.targets["e0"].rate_limit, 1.5)
+        self.assertEqual(self.world.board.targets["e0"].rate_limit.rate, 1.5)
 
 
 class SharedLimitTest(unittest.TestCase):
-    def assert_limits_hold(self, fleet, ids, rate, start, end):
-        for id in ids:
-            most = fleet.targets[id].most_arrivals(start, end, WINDOW)
-            self.assertLessEqual(most, allowed_requests(rate), id)
+    def limit(self, fleet, rate, *ids):
+        self.rate = rate
+        self.limited = [fleet.targets[id] for id in ids or fleet.targets]
+        for target in self.limited:
+            target.rate_limit = rate
+
+    def assert_limits_hold(self, end, start=STABLE_AFTER):
+        for target in self.limited:
+            most = target.most_arrivals(start, end, WINDOW)
+            self.assertLessEqual(most, allowed_requests(self.rate), target.listing.id)
 
     def test_target_gets_no_more_than_its_limit_from_all_entries(self):
         fleet = Fleet(entries=5, engines=8)
-        limited_ids = ["e0", "e1", "e2"]
-        for id in limited_ids:
-            fleet.targets[id].rate_limit = 1.0
+        self.limit(fleet, 1.0, "e0", "e1", "e2")
         fleet.load(SHORT, rate=20.0, until=20.0)
         fleet.run_until(25.0)
-        self.assert_limits_hold(fleet, limited_ids, 1.0, STABLE_AFTER, 20.0)
+        self.assert_limits_hold(20.0)
         self.assertEqual(fleet.answered_share(0.0, 20.0), 1.0)
 
     def test_limit_of_every_target_of_a_service_holds(self):
         fleet = Fleet(entries=5, engines=0, shops=3)
-        for target in fleet.targets.values():
-            target.rate_limit = 2.0
+        self.limit(fleet, 2.0)
+        fleet.load(LOOKUP, rate=20.0, until=20.0)
+        fleet.run_until(25.0)
+        self.assert_limits_hold(20.0)
+
+    def test_limited_targets_get_most_of_their_rate_under_excess_load(self):
+        fleet = Fleet(entries=5, engines=0, shops=3)
+        self.limit(fleet, 2.0)
+        fleet.load(LOOKUP, rate=20.0, until=20.0)
+        fleet.run_until(25.0)
+        for target in self.limited:
+            self.assertGreaterEqual(target.count_arrivals(4.0, 20.0), 0.9 * 2.0 * 16.0)
+
+    def test_limit_holds_while_datagrams_are_lost(self):
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                fleet = Fleet(entries=5, engines=0, shops=3, seed=seed, loss=0.2)
+                self.limit(fleet, 2.0)
+                fleet.load(LOOKUP, rate=20.0, until=20.0)
+                fleet.run_until(25.0)
+                self.assert_limits_hold(20.0)
+
+    def test_limit_holds_beside_entries_of_an_older_version(self):
+        fleet = Fleet(entries=5, engines=8, older=2)
+        self.limit(fleet, 1.0, "e0", "e1", "e2")
+        fleet.load(SHORT, rate=20.0, until=20.0)
+        fleet.run_until(25.0)
+        self.assert_limits_hold(20.0)
+        self.assertEqual(fleet.answered_share(0.0, 20.0), 1.0)
+
+    def test_entries_that_hear_no_others_keep_the_limit_together(self):
+        fleet = Fleet(entries=5, engines=0, shops=3, loss=1.0)
+        self.limit(fleet, 4.0)
+        for entry in fleet.entries.values():
+            others = frozenset(fleet.entries) - {entry.name}
+            entry.handle(PeersUpdated(frozenset(fleet.entries), others))
+        fleet.load(LOOKUP, rate=40.0, until=20.0)
+        fleet.run_until(25.0)
+        self.assert_limits_hold(20.0, start=5.0)
+
+    def test_entry_that_starts_later_learns_the_limits(self):
+        fleet = Fleet(entries=4, engines=0, shops=3)
+        self.limit(fleet, 1.0)
+        fleet.load(LOOKUP, rate=10.0, until=8.0)
+        fleet.run_until(8.0)
+        late = fleet.add_entry("entry-late")
+        fleet.run_until(9.0)
+        for view in late.board.targets.values():
+            self.assertEqual(view.rate_limit.rate, 1.0)
+
+    def test_limit_ends_at_all_entries_with_an_answer_that_names_none(self):
+        fleet = Fleet(entries=5, engines=0, shops=3)
+        self.limit(fleet, 1.0)
         fleet.load(LOOKUP, rate=20.0, until=20.0)
+        fleet.run_until(10.0)
+        for target in self.limited:
+            target.rate_limit = None
         fleet.run_until(25.0)
-        self.assert_limits_hold(fleet, fleet.targets, 2.0, STABLE_AFTER, 20.0)
+        self.assertEqual(fleet.answered_share(12.0, 20.0), 1.0)
+
+    def test_target_that_named_zero_is_still_asked(self):
+        fleet = Fleet(entries=5, engines=0, shops=1)
+        self.limit(fleet, 0.0)
+        fleet.load(LOOKUP, rate=20.0, until=60.0)
+        fleet.run_until(30.0)
+        self.limited[0].rate_limit = None
+        fleet.run_until(65.0)
+        self.assertEqual(fleet.answered_share(45.0, 60.0), 1.0)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_callers_refused_together_are_told_to_return_one_by_one(self):
+        world = DirectWorld(engines=1)
+        send = world.send("r0", SHORT)
+        world.handle(AnswerHeadReceived(send.attempt, limited(2.0)))
+        world.send("r1", SHORT)
+        refusals = [
+            only_command(world.receive(f"r{number}", SHORT), "FailRequest")
+            for number in range(2, 6)
+        ]
+        for refusal in refusals:
+            self.assertIs(refusal.reason, Reason.TARGET_LIMIT)
+            self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+        returns = [refusal.retry_after for refusal in refusals]
+        for earlier, later in itertools.pairwise(returns):
+            self.assertAlmostEqual(later - earlier, 0.5)
+
+    def test_refused_caller_is_served_at_the_time_it_was_told(self):
+        world = DirectWorld(engines=1)
+        send = world.send("r0", SHORT)
+        world.handle(AnswerHeadReceived(send.attempt, limited(2.0)))
+        world.send("r1", SHORT)
+        refusal = only_command(world.receive("r2", SHORT), "FailRequest")
+        world.now += refusal.retry_after + 0.001
+        world.send("r3", SHORT)
+
+    def test_new_incarnation_has_no_limit(self):
+        world = DirectWorld(engines=1)
+        send = world.send("r0", SHORT)
+        world.handle(AnswerHeadReceived(send.attempt, limited(0.5)))
+        world.add_target("e0", "model", started_at=2)
+        for number in range(1, 4):
+            world.send(f"r{number}", SHORT)
+
+
+class LimitDatagramTest(unittest.TestCase):
+    report = RateLimitReport("t1", 1.5, 99.0)
+
+    def encode(self, *reports):
+        return peers.encode("entry-1", UpdatePeers(rate_limits=reports), 7, 100.0)
+
+    def test_limit_is_decoded_by_another_clock(self):
+        (data,) = self.encode(self.report)
+        update = peers.decode(data, 5000.0)
+        self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 4999.0),))
+        self.assertEqual(update.unreachable, ())
+
+    def test_end_of_a_limit_is_decoded(self):
+        (data,) = self.encode(RateLimitReport("t1", math.inf, 99.0))
+        (report,) = peers.decode(data, 100.0).rate_limits
+        self.assertEqual(report.rate, math.inf)
+
+    def test_entry_of_an_older_version_avoids_limited_targets(self):
+        (data,) = self.encode(self.report, RateLimitReport("t2", math.inf, 99.0))
+        update = peers.decode(cut_datagram(data), 100.0)
+        self.assertEqual(update.unreachable, ("t1",))
+
+    def test_datagram_of_an_older_version_is_decoded(self):
+        (data,) = peers.encode("e", UpdatePeers(unreachable=("t",)), 7, 100.0)
+        update = peers.decode(cut_datagram(data), 100.0)
+        self.assertEqual((update.unreachable, update.rate_limits), (("t",), ()))
+
+    def test_datagrams_of_many_limits_fit_a_frame(self):
+        reports = [RateLimitReport(f"i-{n:010x}", 1.5, 9.0) for n in range(96)]
+        decoded = []
+        for data in self.encode(*reports):
+            self.assertLess(len(data), 1400)
+            decoded += peers.decode(data, 100.0).rate_limits
+        self.assertEqual(len(decoded), 96)
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -28,6 +28,7 @@
     TargetListed,
     TargetUnlisted,
 )
+from chicorycove.direct.rate_limit import TargetRateLimits
 from chicorycove.direct.settings import DirectSettings, peer_timeout
 from chicorycove.direct.store_relay import RelaySettings, StoreRelay
 from chicorycove.direct.target_list import TargetList
@@ -165,7 +166,8 @@
         for number in range(3):
             view = TargetView(make_listing(f"t{number}"))
             self.board.targets[view.listing.id] = view
-        self.work_tracker = WorkTracker(self.board, self.settings, "self")
+        rate_limits = TargetRateLimits(self.board, self.settings.rate_limit)
+        self.work_tracker = WorkTracker(self.board, self.settings, "self", rate_limits)
         self.now = 0.0
         self.reported = {}  # key: target and time of the last update
 
