Measure what limits of targets cost callers

Cause: that the rule holds says nothing on what callers lose by it.

The property names_rate_limit replaces two copies of a comparison.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -6,6 +6,7 @@
 
     python -m bench placing --seeds 6
     python -m bench placing --fleet grown --set placement.wait_cost=0.03
+    python -m bench placing --limited 4 --limit 1.0
 """
 
 import argparse
@@ -132,6 +133,8 @@
         self._settings = settings
         self._fleet = FLEETS[options.fleet]
         self._lag = options.lag
+        self._limited = options.limited
+        self._limited_answer = dataclasses.replace(OK, rate_limit=options.limit)
         self._profile = dataclasses.replace(
             ENGINE,
             slots=self._fleet.slots,
@@ -353,7 +356,8 @@
             self.now + self._profile.first_token_delay, lambda: self._watch(target)
         )
         entry = self._owners[attempt]
-        self._soon(lambda: self._handle(entry, AnswerHeadReceived(attempt, OK)))
+        answer = self._limited_answer if target < self._limited else OK
+        self._soon(lambda: self._handle(entry, AnswerHeadReceived(attempt, answer)))
         self._wrote(attempt, False)
 
     def _wrote(self, attempt: AttemptId, last: bool) -> None:
@@ -448,6 +452,8 @@
     parser.add_argument("--fleet", choices=sorted(FLEETS), default="today")
     parser.add_argument("--rate", type=float, default=1.0, help="times the sheet's")
     parser.add_argument("--lag", type=float, default=0.0, help="of tells, mean")
+    parser.add_argument("--limited", type=int, default=0, help="targets in need")
+    parser.add_argument("--limit", type=float, default=1.0, help="a second, of these")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument(
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -1,6 +1,7 @@
 """The state of a direct entry: targets, the work on them, and requests."""
 
 import dataclasses
+import math
 import typing as t
 
 from ..attempt import AttemptState
@@ -99,6 +100,11 @@
         """Return whether the target may get new work."""
         return not self.listing.leaving
 
+    @property
+    def names_rate_limit(self) -> bool:
+        """Return whether the target asks for a limited rate of requests."""
+        return self.rate_limit is not None and self.rate_limit.rate < math.inf
+
 
 @dataclasses.dataclass(slots=True)
 class DirectRequest:
--- a/src/chicorycove/direct/rate_limit.py
+++ b/src/chicorycove/direct/rate_limit.py
@@ -78,17 +78,16 @@
 
     def count(self, view: TargetView, now: float) -> None:
         """Count a request that an entry has placed on a target."""
-        if view.rate_limit is not None and view.rate_limit.rate < math.inf:
+        if view.names_rate_limit:
             self._refill(view.rate_limit, now)
             view.rate_limit.balance -= 1
 
     def allows(self, view: TargetView, now: float) -> bool:
         """Return whether a request may be placed on a target now."""
-        limit = view.rate_limit
-        if limit is None or limit.rate == math.inf:
+        if not view.names_rate_limit:
             return True
-        self._refill(limit, now)
-        return limit.balance >= 1
+        self._refill(view.rate_limit, now)
+        return view.rate_limit.balance >= 1
 
     def retry_after(self, service: str, now: float) -> float | None:
         """Return the seconds until a refused caller should return.
