--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -108,7 +108,9 @@
 
 
 def new_arguments(fleet, rate, lag, changes):
-    return argparse.Namespace(fleet=fleet, rate=rate, lag=lag, set=list(changes))
+    return argparse.Namespace(
+        fleet=fleet, rate=rate, lag=lag, limited=0, limit=1.0, set=list(changes)
+    )
 
 
 def earned_share(outcomes):
