--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import math
 
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
@@ -22,8 +23,10 @@
     EventsRelayed,
     PeersUpdated,
     PeerUpdateReceived,
+    RateLimitReport,
     StoreLost,
     StoreRegained,
+    TargetAnswer,
     TargetProbed,
     TargetUnlisted,
 )
@@ -48,6 +51,7 @@
     DirectWorld,
 )
 
+LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
 ROUTES = {"short": SHORT, "long": LONG, "order": ORDER, "lookup": LOOKUP}
 
 
@@ -150,7 +154,10 @@
             reason = Reason.TARGET_UNREACHABLE
             self.handle(AttemptFailed(attempt, reason, Verdict.NOT_RUN))
 
-    @rule(data=st.data(), answer=st.sampled_from([OK, OK, SERVER_ERROR, TARGET_FULL]))
+    @rule(
+        data=st.data(),
+        answer=st.sampled_from([OK, OK, LIMITED, SERVER_ERROR, TARGET_FULL]),
+    )
     def answer(self, data, answer):
         attempt = self.pick(data, (set(self.live) & self.sent) - self.answered)
         if attempt is None:
@@ -160,7 +167,7 @@
             self.refused.add(attempt)
         self.handle(AnswerHeadReceived(attempt, answer))
         route = self.routes[attempt.request]
-        if attempt in self.live and not (route.streamed and answer is OK):
+        if attempt in self.live and not (route.streamed and answer.succeeded):
             self.handle(AnswerReceived(attempt, answer))
 
     @rule(data=st.data(), events=st.integers(1, 3))
@@ -234,7 +241,9 @@
     @rule(number=st.integers(1, 9), entries=st.integers(1, 5))
     def receive_peer_update(self, number, entries):
         self.handle(PeersUpdated(frozenset(f"p{n}" for n in range(entries))))
-        self.handle(PeerUpdateReceived("p1", (), (WorkItemKey("p1", number),), ("e0",)))
+        limit = RateLimitReport("e1", math.inf if number > 5 else 1.0, self.world.now)
+        ended = (WorkItemKey("p1", number),)
+        self.handle(PeerUpdateReceived("p1", (), ended, ("e0",), 0, (limit,)))
 
     @precondition(lambda self: self.request_count > 20)
     @rule()
