Log the shared parts of prompts, and whether a failed answer had begun

Cause: the log could not tell which prompts were on a target that crashed, nor which of them it had begun to answer.

Change: the adapter decodes the parts of a prompt that others may contain too; 'attempt sent' lists them, and 'attempt failed' has the status of an answer that had begun. Nothing acts on them yet.

Conclusion: per crash, the parts that all begun prompts have in common now follow from the log.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -250,6 +250,7 @@
             request=command.attempt.request,
             attempt=command.attempt.number,
             target=command.target.target,
+            parts=exchange.shared_parts,
             members=[member.target for member in placement.members],
             part=round(placement.prefill_time, 4),
             predicted=round(placement.time_to_first_event, 4),
@@ -382,6 +383,7 @@
             attempt=attempt.number,
             reason=reason.value,
             verdict=verdict.value,
+            status=self._exchanges[attempt.request].answer_status,
         )
         self.handle(AttemptFailed(attempt, reason, verdict))
 
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -5,6 +5,7 @@
 
 from ..identity import AttemptId
 from ..reason import Reason
+from ..request import Prompt
 from ..verdict import Verdict
 from .board import InboundRequest
 from .caller_connection import CallerConnection
@@ -64,6 +65,17 @@
         self._target_names: list[str] = []
         self._relay_started = False
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that others may contain too."""
+        work = self.inbound.request.work
+        return work.shared_parts if isinstance(work, Prompt) else ()
+
+    @property
+    def answer_status(self) -> int | None:
+        """Return the status of the current answer, if it has begun."""
+        return self._current_attempt.status or None
+
     def log_fields(self) -> dict[str, t.Any]:
         """Return the log fields of the exchange; times are in seconds."""
         now = asyncio.get_running_loop().time()
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -18,6 +18,7 @@
 ATTEMPT_ID = b"chicorycove-attempt-id"
 TIME_BUDGET = b"chicorycove-time-budget-ms"  # time that the caller waits
 TOKEN_COUNTS = b"chicorycove-token-counts"  # tokens: prompt, maximum of the answer
+PROMPT_PREFIX = b"chicorycove-prompt-prefix"  # parts of the prompt, as id:tokens
 MODEL = b"chicorycove-model"
 LAST_EVENT_ID = b"last-event-id"
 EXPECTED_INSTANCE = b"chicorycove-expect-instance"  # id of the only target allowed
@@ -44,6 +45,8 @@
 ORDER_PATH = "/chicorycove/order"
 LOWEST_PRIORITY = 9  # of a request that all others precede
 MISDIRECTED_REQUEST = 421  # the target is not the expected instance
+MAX_SHARED_PARTS = 64  # of a prompt; further ones are ignored
+MAX_PART_ID_LENGTH = 64  # characters
 MS_PER_SECOND = 1000.0
 
 
@@ -199,7 +202,8 @@
             _parse_integer(count.strip().encode()) or 1 for count in counts
         )
         model = _decode_text(request.header(MODEL))
-        return Prompt(model, tokens, output, True, route.repeatable)
+        parts = _parse_shared_parts(request.header(PROMPT_PREFIX))
+        return Prompt(model, tokens, output, True, route.repeatable, shared_parts=parts)
 
 
 def _format_ticket_id(reservation: AttemptId) -> str:
@@ -223,6 +227,12 @@
     return value.decode("latin-1").strip() if value is not None else ""
 
 
+def _parse_shared_parts(value: bytes | None) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which is the request's own."""
+    parts = _decode_text(value).split(",")[:-1][:MAX_SHARED_PARTS]
+    return tuple(part.partition(":")[0].strip()[:MAX_PART_ID_LENGTH] for part in parts)
+
+
 def _parse_integer(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() else None
 
--- a/src/chicorycove/request.py
+++ b/src/chicorycove/request.py
@@ -16,6 +16,8 @@
     stream: bool = False
     repeatable: bool = True
     blocks: tuple[int, ...] = ()
+    # Ids of the parts that other prompts may contain too, in order.
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def memory(self) -> int:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -325,3 +325,13 @@
         await self.request("/order/x")
         page = await self.get_page(f"127.0.0.1:{self.boot.metrics_port}", "/metrics")
         self.assertIn(b"chicorycove_answers_total", page.body)
+
+    async def test_shared_parts_and_begun_answers_are_logged(self):
+        for server in self.model_servers:
+            server.faults.abort_after = 2
+        await self.request_stream(
+            "/say/x", Chicorycove_Prompt_Prefix="5c1e07a2:800, 91bd3f06:410,e4402b7d:9"
+        )
+        lines = {line["event"]: line for line in await self.log_lines()}
+        self.assertEqual(lines["attempt sent"]["parts"], ["5c1e07a2", "91bd3f06"])
+        self.assertEqual(lines["attempt failed"]["status"], 200)
