Test prompts that crash their targets; known red

Cause, as far as the tests tell: requests that crash a target are sent to the next, and nothing links the crashes of several requests (hypothesis 1). The simulated targets crash under first attempts, by no load and at any age.

--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -19,6 +19,7 @@
 
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 MAX_RESERVATIONS = 64
+CRASH_DELAY = 0.05  # seconds from the head of the answer that crashes a server
 EVENT_TOKENS = 46  # tokens of an answer in one event
 _instance_numbers = itertools.count(1)
 
@@ -46,6 +47,7 @@
     path: str
     body: bytes
     headers: dict[str, str]
+    time: float
 
 
 class PlatformServer:
@@ -68,6 +70,8 @@
         self.reservations: dict[str, int] = {}
         self.rate_limit: str | None = None  # named in all answers to requests
         self.arrivals: list[float] = []  # times of requests, those refused included
+        self.crashing_part: str | None = None  # part of prompts that crash it
+        self.crashed = asyncio.Event()
         self._memory = memory
         self._slots = slots
 
@@ -135,7 +139,7 @@
         if request.url.query:
             path += f"?{request.url.query}"
         headers = dict(request.headers)
-        run = Run(attempt, request.method, path, body, headers)
+        run = Run(attempt, request.method, path, body, headers, time=time.monotonic())
         self.runs.append(run)
         if self._on_run is not None:
             self._on_run(run)
@@ -149,11 +153,20 @@
         if self.faults.failures:
             self.faults.failures -= 1
             return Response(b"failed", 500, signature)
+        parts = request.headers.get("chicorycove-prompt-prefix", "")
+        if self.crashing_part is not None and self.crashing_part in parts:
+            return StreamingResponse(self._crash(), 200, signature)
         if "chicorycove-token-counts" in request.headers:
             stream = self._stream_events(request)
             return StreamingResponse(stream, 200, signature, "text/event-stream")
         return Response(body or path.encode(), 200, signature)
 
+    async def _crash(self):
+        yield b"id: 1\n"
+        await asyncio.sleep(CRASH_DELAY)
+        self.crashed.set()
+        await asyncio.Event().wait()
+
     async def _stream_events(self, request: Request):
         output = int(request.headers["chicorycove-token-counts"].split(",")[1])
         first = int(request.headers.get("last-event-id", "0")) + 1
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -86,11 +86,20 @@
 TARGET_FULL = TargetAnswer(status=503, not_run=True)
 
 
-def make_inbound(id, route, now=0.0, tokens=0, output_tokens=460, time_limit=None):
+def make_inbound(
+    id, route, now=0.0, tokens=0, output_tokens=460, time_limit=None, parts=()
+):
     """Return a caller's request."""
     service = route.shares[0].service
     if route.streamed:
-        work = Prompt("m", tokens or 5_000, output_tokens, True, route.repeatable)
+        work = Prompt(
+            "m",
+            tokens or 5_000,
+            output_tokens,
+            True,
+            route.repeatable,
+            shared_parts=parts,
+        )
     else:
         work = Call(service, "POST", "/", route.repeatable)
     deadline = now + (time_limit if time_limit is not None else route.timeout)
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -24,6 +24,7 @@
     TargetAnswer,
     TargetListed,
     TargetProbed,
+    TargetUnlisted,
 )
 from chicorycove.direct.route import RoutingTable
 from chicorycove.direct.settings import DirectSettings, peer_update_interval
@@ -36,6 +37,9 @@
 PREFILL_TIME = 0.06  # seconds
 EVENT_GAP = 0.05  # seconds
 EVENT_COUNT = 10
+CRASH_DELAY = 0.06  # seconds from the head of the answer that crashes a target
+RESTART_TIME = 3.0  # seconds from a crash until its replacement is listed
+UNLIST_DELAY = 1.0  # seconds from a crash until the target is no longer listed
 
 
 @dataclasses.dataclass
@@ -43,6 +47,7 @@
     time: float
     entry: str
     request: str
+    parts: tuple[str, ...]
 
 
 @dataclasses.dataclass
@@ -64,6 +69,7 @@
         self.service = listing.service
         self.rate_limit = None
         self.arrivals = []
+        self.attempts = {}  # attempt: its entry
 
     def answer(self):
         return TargetAnswer(status=200, not_run=False, rate_limit=self.rate_limit)
@@ -194,7 +200,11 @@
         self.loss = loss
         self.log = []
         self.targets = {}
+        self.crashing_part = None
+        self.crashes = []  # times
+        self.arrivals = []
         self.outcomes = {}
+        self.parts = {}  # request: the parts of its prompt
         self.arrived = {}
         self._calls = []
         self._numbers = itertools.count()
@@ -256,6 +266,10 @@
         id = f"r{next(self._numbers)}"
         entry = entry or self.random.choice(sorted(self.entries))
         self.arrived[id] = self.now
+        parts = fields.get("parts", ())
+        if callable(parts):
+            fields = {**fields, "parts": parts(self.random)}
+        self.parts[id] = fields.get("parts", ())
         inbound = make_inbound(id, route, self.now, **fields)
         self.entries[entry].handle(RequestReceived(inbound))
         return id
@@ -264,9 +278,16 @@
         id = command.request
         self.outcomes[id] = Outcome(command, self.arrived[id], self.now)
 
-    def answered_share(self, start, end):
-        """Return the share of the requests of a time that were answered."""
-        ids = [id for id, time in self.arrived.items() if start <= time < end]
+    def answered_share(self, start, end, without=None):
+        """Return the share of the requests of a time that were answered.
+
+        Requests with the part ``without`` are left out.
+        """
+        ids = [
+            id
+            for id, time in self.arrived.items()
+            if start <= time < end and without not in self.parts[id]
+        ]
         answered = [
             id for id in ids if id in self.outcomes and self.outcomes[id].answered
         ]
@@ -301,7 +322,12 @@
                 AttemptFailed(attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
             )
             return
-        target.arrivals.append(Arrival(self.now, entry.name, attempt.request))
+        arrival = Arrival(
+            self.now, entry.name, attempt.request, self.parts[attempt.request]
+        )
+        target.arrivals.append(arrival)
+        self.arrivals.append(arrival)
+        target.attempts[attempt] = entry
         entry.handle(AttemptSent(attempt))
         if target.service == "shop":
             self.call_later(PREFILL_TIME, self._answer_call, entry, attempt, target)
@@ -319,10 +345,36 @@
             entry.handle(AnswerReceived(attempt, target.answer()))
 
     def _start_stream(self, entry, attempt, target, first):
-        if attempt in entry.live:
-            entry.handle(AnswerHeadReceived(attempt, target.answer()))
+        if attempt not in entry.live or target.listing.id not in self.targets:
+            return
+        entry.handle(AnswerHeadReceived(attempt, target.answer()))
+        if self.crashing_part in self.parts[attempt.request]:
+            self.call_later(CRASH_DELAY, self.crash, target)
+        else:
             self._send_event(entry, attempt, first)
 
+    def crash(self, target):
+        """End a target and its connections; another one replaces it."""
+        id = target.listing.id
+        if self.targets.pop(id, None) is None:
+            return
+        self.crashes.append(self.now)
+        for attempt, entry in target.attempts.items():
+            if attempt in entry.live:
+                self.call_later(LINK_DELAY, self._break, entry, attempt)
+        self.call_later(UNLIST_DELAY, self._unlist, id)
+        self.call_later(RESTART_TIME, self.add_target, f"{id}+", target.service)
+
+    def _break(self, entry, attempt):
+        if entry.live.pop(attempt, None) is not None:
+            entry.handle(
+                AttemptFailed(attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
+            )
+
+    def _unlist(self, id):
+        for entry in self.entries.values():
+            entry.handle(TargetUnlisted(id))
+
     def _send_event(self, entry, attempt, number):
         if attempt not in entry.live:
             return
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -193,6 +193,7 @@
     shop_count = 2
 
     async def asyncSetUp(self):
+        self._listeners = {}
         self.store, self._store_server = await platform_store.start()
         self.addAsyncCleanup(self._store_server.close)
         self.shop_servers = [
@@ -208,11 +209,16 @@
 
     async def add_server(self, service, **fields):
         server, listener = await platform_server.start(service, **fields)
+        self._listeners[server] = listener
         self.addAsyncCleanup(listener.close)
         server.address = listener.address
         self.register_server(server)
         return server
 
+    async def close_listener(self, server):
+        """Close a server's listener and abort its connections."""
+        await self._listeners[server].close()
+
     def register_server(self, server, **fields):
         entry = server.registration(server.address, **fields)
         self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
