Refuse prompts with parts on which targets crash

Cause: the entries handed each such prompt to the next target, twice and more, and nothing linked the crashes: an entry sees only its own attempts, and a crash was no evidence against a prompt.

Ruled out: fewer attempts for a request whose target crashed, since callers come back with new requests that share nothing but the part; the union of what ran on a crashed target as evidence, which accuses sound prompts that had been answered for seconds; a single part where the crashes don't tell it from others, which would refuse all prompts of a workspace.

Change: an entry knows which answers a target began within the last second. If such an answer breaks and a probe finds the target unreachable, it reports the shared parts of these prompts to all entries. Each reviews the crashes 50 ms later: a part under which three targets crashed, and that no target has answered since, explains them; parts that the crashes do not tell apart are refused only together. A part answered within the last minute needs six crashes, and answers to other prompts meanwhile, so that a failing fleet accuses nobody. Prompts that wait at their targets are cancelled, later ones refused at once. An answer anywhere ends it; two prompts are let through as trials, 120 s without such prompts end it too. All of it is bounded: 64 crashes of 128 parts, 1,000 answered parts, 32 quarantines. A stream without a length that ends at once counts as broken off for this.

--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -7,7 +7,7 @@
 from ..lifecycle import FailRequest, FinishAnswer, ReleaseMemory, ReserveMemory
 from ..reason import Reason
 from .board import WorkItem, WorkItemKey
-from .event import RateLimitReport
+from .event import CrashReport, PartsAnswered, QuarantineReport, RateLimitReport
 from .placement import Placement
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
@@ -77,13 +77,23 @@
 class UpdatePeers:
     """Send peers an update on work and what this entry knows of targets.
 
-    Rate limits are sent to the entries of all cells.
+    What follows the unreachable targets is sent to the entries of all cells.
     """
 
     work_items: tuple[WorkItem, ...] = ()
     ended: tuple[WorkItemKey, ...] = ()  # keys of items that have ended
     unreachable: tuple[str, ...] = ()
     rate_limits: tuple[RateLimitReport, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    answered: tuple[PartsAnswered, ...] = ()
+    quarantines: tuple[QuarantineReport, ...] = ()
+
+    @property
+    def for_all_cells(self) -> bool:
+        """Return whether the entries of other cells need the update."""
+        return bool(
+            self.rate_limits or self.crashes or self.answered or self.quarantines
+        )
 
 
 @frozen
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -45,6 +45,7 @@
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
+    StreamClosed,
     TargetAnswer,
     TargetListed,
     TargetProbed,
@@ -53,6 +54,7 @@
 from .partition import FleetPartition
 from .placement import Placement
 from .progress import ProgressCheckDue, ProgressMonitor, ProgressStatus
+from .quarantine import CrashReviewDue, PromptQuarantine
 from .rate_limit import TargetRateLimits
 from .reservation import LeaseRenewalDue, Reservations, ReservationTimeoutDue
 from .retry import DirectRetryPolicy
@@ -93,6 +95,7 @@
         self._targets = TargetList(board, settings)
         self._rate_limits = TargetRateLimits(board, settings.rate_limit)
         self._reservations = Reservations(board, settings.reservation)
+        self._quarantine = PromptQuarantine(board, settings.quarantine, entry_name)
         self._work = WorkTracker(board, settings, entry_name, self._rate_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
@@ -119,6 +122,8 @@
                 return self._handle_answer(attempt_id, answer, now)
             case AnswerCompleted(attempt_id):
                 return self._complete_request(attempt_id, now)
+            case StreamClosed(attempt_id):
+                return self._close_stream(attempt_id, now)
             case AttemptFailed(attempt_id, reason, verdict):
                 return self._fail_attempt(attempt_id, reason, verdict, now)
             case MemoryReserved(reservation_id):
@@ -148,6 +153,7 @@
                 return self._work.handle(event, now)
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
                 commands = self._rate_limits.record_reports(event.rate_limits, now)
+                commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
                 return commands + self._check_store_lag(owner, revision, now)
@@ -172,7 +178,7 @@
         rate_limits = self._rate_limits.reports(now)
         if rate_limits:
             commands.append(UpdatePeers(rate_limits=rate_limits))
-        return commands
+        return commands + self._quarantine.reports(now)
 
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
@@ -214,6 +220,11 @@
         caller_request = request.inbound.request
         if self._retry_policy.is_too_late(request, now):
             return self._completion.fail(request, Reason.DEADLINE_PAST, None)
+        retry_after = self._quarantine.retry_after(request, now)
+        if retry_after is not None:
+            return self._completion.fail(
+                request, Reason.PROMPT_QUARANTINED, retry_after
+            )
         placement = self._selector.choose(request, now)
         if placement is None:
             return self._fail_unplaced(request, now)
@@ -244,6 +255,7 @@
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, agent))
         request.expects_slot = placement.free_slots > 0
+        request.answer_began_at = None
         update = UpdatePeers(self._work.add(request, placement, now))
         if any(member.held_tokens for member in placement.members):
             return [update, *self._reservations.start(attempt_id, placement, now)]
@@ -360,6 +372,7 @@
         if not request.inbound.route.streamed or not answer.succeeded:
             return commands  # the rest is done when the answer is complete
         request.answer_started = True
+        self._quarantine.begin_answer(request, now)
         return [*commands, RelayStream(attempt_id.request, attempt_id)]
 
     def _handle_refusal(
@@ -416,10 +429,25 @@
         request = self._current_request(attempt_id)
         if request is None:
             return []
+        commands = self._quarantine.record_answer(request, now)
+        return commands + self._finish_request(request)
+
+    def _close_stream(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
+        """Finish a request, and probe a target that may have crashed."""
+        request = self._current_request(attempt_id)
+        if request is None:
+            return []
+        commands = []
+        if request.answer_began_at is not None:
+            self._quarantine.record_break(request, now)
+            commands = self._target_health.probe(request.attempts[-1].agent.target)
+        return commands + self._finish_request(request)
+
+    def _finish_request(self, request: DirectRequest) -> list[DirectCommand]:
         attempt = request.attempts[-1]
         advance(attempt, AttemptStep.END)
         self._target_health.record_success(attempt.agent.target)
-        return [FinishAnswer(attempt_id.request), *self._completion.remove(request)]
+        return [FinishAnswer(attempt.id.request), *self._completion.remove(request)]
 
     def _record_events(
         self,
@@ -434,8 +462,9 @@
         request.last_progress_at = now
         if last_event_id is not None:
             request.last_event_id = last_event_id
+        commands = self._quarantine.record_progress(request, now)
         work_items = self._work.record_events(request, event_count, now)
-        return [UpdatePeers(work_items)] if work_items else []
+        return commands + ([UpdatePeers(work_items)] if work_items else [])
 
     # Failures
 
@@ -455,6 +484,7 @@
         else:
             advance(attempt, AttemptStep.FAIL)
             self._record_failure(request, now)
+            self._quarantine.record_break(request, now)
             commands += self._target_health.probe(target)
         return commands + self._retry_or_fail(request, reason, verdict, now)
 
@@ -499,9 +529,10 @@
         self, target: str, reachable: bool, now: float
     ) -> list[DirectCommand]:
         """Retry repeatable requests of a target that cannot be reached."""
+        commands = self._quarantine.record_probe(target, reachable, now)
         if reachable:
-            return []
-        commands = self._target_health.suspect(target, now)
+            return commands
+        commands += self._target_health.suspect(target, now)
         for request in list(self._board.requests.values()):
             attempt = request.attempts[-1] if request.attempts else None
             if attempt is None or not is_live(attempt):
@@ -511,6 +542,24 @@
                 commands += self._fail_lost_attempt(request, now)
         return commands
 
+    def _record_crash_reports(
+        self, update: PeerUpdateReceived, now: float
+    ) -> list[DirectCommand]:
+        commands = self._quarantine.record_reports(
+            update.crashes, update.answered, update.quarantines, now
+        )
+        return commands + self._refuse_quarantined(now) if commands else []
+
+    def _refuse_quarantined(self, now: float) -> list[DirectCommand]:
+        """Refuse requests before their targets begin to answer them."""
+        commands: list[DirectCommand] = []
+        for request in self._quarantine.find_refused(now):
+            retry_after = self._quarantine.retry_after(request, now)
+            commands += self._completion.fail(
+                request, Reason.PROMPT_QUARANTINED, retry_after
+            )
+        return commands
+
     def _fail_lost_attempt(
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
@@ -533,6 +582,9 @@
                     commands += self._check_progress(attempt_id, now)
                 case ReservationTimeoutDue(_, reservation_id):
                     commands += self._handle_reservation_failure(reservation_id, now)
+                case CrashReviewDue():
+                    commands += self._quarantine.review_crashes(now)
+                    commands += self._refuse_quarantined(now)
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
                 case _:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -36,7 +36,12 @@
 )
 from .dialect import Dialect, Rejection
 from .dispatch import DirectDispatcher
-from .event import CallerBackpressureChanged, DirectEvent, RequestReceived
+from .event import (
+    CallerBackpressureChanged,
+    DirectEvent,
+    RequestReceived,
+    StreamClosed,
+)
 from .exchange import Exchange
 from .http import HttpRequest
 from .linelog import LineLog
@@ -208,10 +213,10 @@
 
     def _execute(self, command: DirectCommand) -> None:
         match command:
-            case UpdatePeers(rate_limits=()):
-                self._peers.send_update(self._board.peer_names, command)
-            case UpdatePeers():
+            case UpdatePeers(for_all_cells=True):
                 self._peers.send_update(self._board.entry_names, command)
+            case UpdatePeers():
+                self._peers.send_update(self._board.peer_names, command)
             case SendAttempt():
                 self._send_attempt(command)
             case RelayStream(request):
@@ -387,9 +392,11 @@
         )
         self.handle(AttemptFailed(attempt, reason, verdict))
 
-    def stream_ended(self, attempt: AttemptId) -> None:
+    def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
         """Dispatch the end of a complete stream."""
-        self.handle(AnswerCompleted(attempt, 0))
+        self.handle(
+            AnswerCompleted(attempt, 0) if self_delimited else StreamClosed(attempt)
+        )
 
 
 def get_failure_status(reason: Reason, verdict: Verdict) -> int:
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from ..identity import AttemptId
+from ..identity import AgentId, AttemptId
 from ..lifecycle import (
     AnswerCompleted,
     AttemptFailed,
@@ -67,6 +67,16 @@
     answer: TargetAnswer
 
 
+@frozen
+class StreamClosed:
+    """A stream without a length has ended with its connection.
+
+    Its last event was complete, but the target may have crashed.
+    """
+
+    attempt: AttemptId
+
+
 @frozen
 class EventsRelayed:
     """Events of a stream have been relayed to the caller."""
@@ -148,6 +158,34 @@
     named_at: float  # time of the answer, in seconds
 
 
+@frozen
+class CrashReport:
+    """A target has crashed after it began to answer some prompts."""
+
+    target: AgentId
+    parts: tuple[str, ...]  # shared parts of these prompts
+    seen_at: float  # seconds
+
+
+@frozen
+class PartsAnswered:
+    """A target has answered prompts with suspected parts."""
+
+    parts: tuple[str, ...]
+    answered_at: float  # seconds
+
+
+@frozen
+class QuarantineReport:
+    """Prompts that contain all of some parts are refused; times in seconds."""
+
+    parts: tuple[str, ...]
+    since: float
+    next_trial_at: float
+    trial_count: int
+    last_refused_at: float
+
+
 @frozen
 class PeerUpdateReceived:
     """Another entry has reported its work and what it knows of targets."""
@@ -158,6 +196,9 @@
     unreachable: tuple[str, ...] = ()
     store_revision: int = 0  # newest revision that the peer has followed
     rate_limits: tuple[RateLimitReport, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    answered: tuple[PartsAnswered, ...] = ()
+    quarantines: tuple[QuarantineReport, ...] = ()
 
 
 DirectEvent = t.Union[
@@ -166,6 +207,7 @@
     AnswerHeadReceived,
     AnswerReceived,
     EventsRelayed,
+    StreamClosed,
     AnswerCompleted,
     AttemptFailed,
     MemoryReserved,
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -37,8 +37,11 @@
     ) -> None:
         """Handle an attempt that ended without a complete answer."""
 
-    def stream_ended(self, attempt: AttemptId) -> None:
-        """Handle the end of a complete stream."""
+    def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
+        """Handle the end of a complete stream.
+
+        One that is not self-delimited has ended with its connection.
+        """
 
 
 class Exchange:
@@ -238,7 +241,7 @@
         elif self._event_buffer.has_partial_event or not self._exchange.event_count:
             self._fail(Reason.STREAM_BROKEN)
         else:
-            listener.stream_ended(self.attempt)
+            listener.stream_ended(self.attempt, self_delimited)
 
     def connection_lost(self, connected: bool) -> None:
         if not self._closed:
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -7,9 +7,16 @@
 
 import msgspec
 
+from ..identity import AgentId
 from .board import WorkItem, WorkItemKey
 from .command import UpdatePeers
-from .event import PeerUpdateReceived, RateLimitReport
+from .event import (
+    CrashReport,
+    PartsAnswered,
+    PeerUpdateReceived,
+    QuarantineReport,
+    RateLimitReport,
+)
 from .store_relay import RelayUpdate
 
 # First byte of a datagram of the relay; MessagePack never begins with it.
@@ -33,6 +40,9 @@
     unreachable: list[str]  # ids of targets
     store_revision: int  # that the owner has followed the store up to
     rate_limits: list["RateLimitUpdate"] = []
+    crashes: list["CrashUpdate"] = []
+    answered: list["AnsweredUpdate"] = []
+    quarantines: list["QuarantineUpdate"] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -67,6 +77,32 @@
     named_ago: float
 
 
+class CrashUpdate(msgspec.Struct, array_like=True):
+    """A target's crash in a datagram; times are in seconds."""
+
+    target: str
+    incarnation: str
+    parts: list[str]
+    seen_ago: float
+
+
+class AnsweredUpdate(msgspec.Struct, array_like=True):
+    """Answered parts of prompts in a datagram; times are in seconds."""
+
+    parts: list[str]
+    answered_ago: float
+
+
+class QuarantineUpdate(msgspec.Struct, array_like=True):
+    """A quarantine in a datagram; times are in seconds."""
+
+    parts: list[str]
+    began_ago: float
+    trial_in: float
+    trial_count: int
+    refused_ago: float
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
     revision: int
@@ -96,6 +132,7 @@
     for start in range(0, len(update.rate_limits), MAX_RATE_LIMITS):
         limits = update.rate_limits[start : start + MAX_RATE_LIMITS]
         updates.append(_encode_limits(owner, limits, revision, now))
+    updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
     return [_encoder.encode(update) for update in updates]
@@ -119,6 +156,28 @@
             RateLimitReport(limit.target, limit.rate, now - limit.named_ago)
             for limit in update.rate_limits
         ),
+        tuple(
+            CrashReport(
+                AgentId(crash.target, crash.incarnation),
+                tuple(crash.parts),
+                now - crash.seen_ago,
+            )
+            for crash in update.crashes
+        ),
+        tuple(
+            PartsAnswered(tuple(answer.parts), now - answer.answered_ago)
+            for answer in update.answered
+        ),
+        tuple(
+            QuarantineReport(
+                tuple(quarantine.parts),
+                now - quarantine.began_ago,
+                now + quarantine.trial_in,
+                quarantine.trial_count,
+                now - quarantine.refused_ago,
+            )
+            for quarantine in update.quarantines
+        ),
     )
 
 
@@ -135,6 +194,42 @@
     return PeerUpdate(owner, [], [], unreachable, revision, updates)
 
 
+def _encode_quarantine(
+    owner: str, update: UpdatePeers, revision: int, now: float
+) -> t.Iterator[PeerUpdate]:
+    """Yield a datagram for each report, whose parts may fill it."""
+
+    def create(**fields: t.Any) -> PeerUpdate:
+        return PeerUpdate(owner, [], [], [], revision, **fields)
+
+    for crash in update.crashes:
+        target = crash.target
+        parts = list(crash.parts)
+        yield create(
+            crashes=[
+                CrashUpdate(
+                    target.target, target.incarnation, parts, now - crash.seen_at
+                )
+            ]
+        )
+    for answer in update.answered:
+        yield create(
+            answered=[AnsweredUpdate(list(answer.parts), now - answer.answered_at)]
+        )
+    for quarantine in update.quarantines:
+        yield create(
+            quarantines=[
+                QuarantineUpdate(
+                    list(quarantine.parts),
+                    now - quarantine.since,
+                    quarantine.next_trial_at - now,
+                    quarantine.trial_count,
+                    now - quarantine.last_refused_at,
+                )
+            ]
+        )
+
+
 def encode_relay(update: RelayUpdate) -> bytes:
     """Return the datagram of an update of the relay."""
     datagram = _RelayDatagram(
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,6 +5,7 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .placement import PlacementSettings
+from .quarantine import QuarantineSettings
 from .rate_limit import RateLimitSettings
 from .store_relay import RelaySettings
 
@@ -60,6 +61,7 @@
     budget: BudgetSettings = BudgetSettings()
     relay: RelaySettings = RelaySettings()
     rate_limit: RateLimitSettings = RateLimitSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -20,16 +20,21 @@
     AnswerHeadReceived,
     AnswerReceived,
     AttemptSent,
+    CrashReport,
     EventsRelayed,
+    PartsAnswered,
     PeersUpdated,
     PeerUpdateReceived,
+    QuarantineReport,
     RateLimitReport,
     StoreLost,
     StoreRegained,
+    StreamClosed,
     TargetAnswer,
     TargetProbed,
     TargetUnlisted,
 )
+from chicorycove.identity import AgentId
 from chicorycove.lifecycle import (
     AnswerCompleted,
     AttemptFailed,
@@ -125,14 +130,18 @@
             if attempt.request == id and attempt not in self.refused
         ]
 
-    @rule(name=st.sampled_from(sorted(ROUTES)), tokens=st.integers(1_000, 900_000))
-    def receive(self, name, tokens):
+    @rule(
+        name=st.sampled_from(sorted(ROUTES)),
+        tokens=st.integers(1_000, 900_000),
+        parts=st.sampled_from([(), ("a",), ("a", "b"), ("c",)]),
+    )
+    def receive(self, name, tokens, parts):
         self.request_count += 1
         id = f"r{self.request_count}"
         route = ROUTES[name]
         self.routes[id] = route
         prompt_tokens = min(tokens, 20_000) if name == "short" else tokens
-        for command in self.world.receive(id, route, tokens=prompt_tokens):
+        for command in self.world.receive(id, route, tokens=prompt_tokens, parts=parts):
             self.execute(command)
 
     def pick(self, data, choices):
@@ -178,11 +187,13 @@
             self.last_event_ids[attempt.request] = last_event_id
             self.handle(EventsRelayed(attempt, events, last_event_id))
 
-    @rule(data=st.data())
-    def complete_answer(self, data):
+    @rule(data=st.data(), self_delimited=st.booleans())
+    def complete_answer(self, data, self_delimited):
         attempt = self.pick(data, set(self.live) & self.answered)
         if attempt is not None and attempt.request in self.last_event_ids:
-            self.handle(AnswerCompleted(attempt, 0))
+            self.handle(
+                AnswerCompleted(attempt, 0) if self_delimited else StreamClosed(attempt)
+            )
 
     @rule(data=st.data())
     def break_stream(self, data):
@@ -245,6 +256,24 @@
         ended = (WorkItemKey("p1", number),)
         self.handle(PeerUpdateReceived("p1", (), ended, ("e0",), 0, (limit,)))
 
+    @rule(part=st.sampled_from("abc"), crashes=st.integers(1, 4))
+    def receive_crash_reports(self, part, crashes):
+        reports = tuple(
+            CrashReport(AgentId(f"x{number}", "1"), (part,), self.world.now)
+            for number in range(crashes)
+        )
+        self.handle(PeerUpdateReceived("p1", crashes=reports))
+
+    @rule(part=st.sampled_from("abc"), answered=st.booleans())
+    def receive_quarantine(self, part, answered):
+        now = self.world.now
+        if answered:
+            update = {"answered": (PartsAnswered((part,), now),)}
+        else:
+            report = QuarantineReport((part,), now, now + 20.0, 0, now)
+            update = {"quarantines": (report,)}
+        self.handle(PeerUpdateReceived("p1", **update))
+
     @precondition(lambda self: self.request_count > 20)
     @rule()
     def stop(self):
