Take a resumed stream without length or events for broken off

What callers could get: a stream that had broken off after some events and was resumed at a target whose answer had neither a length nor chunks, and ended with its connection before any event, ended as complete.

Cause: whether a stream may be empty was decided from the events of all attempts, and the end of a connection is the end of an answer without a length.

Ruled out: answers with a length or chunks, which may add nothing when the first target had sent all; an end inside an event, which was found (a test of each).

Change: such a stream is complete only if the attempt relayed an event.

--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -165,6 +165,7 @@
         self._command = command
         self._answer_head: TargetAnswer | None = None
         self._event_buffer: EventBuffer | None = None
+        self._relayed_events = False
         self._closed = False
 
     async def open(self, timeout: float) -> None:
@@ -238,7 +239,7 @@
         listener = self._exchange.listener
         if self._event_buffer is None:
             listener.handle(AnswerReceived(self.attempt, self._answer_head))
-        elif self._event_buffer.has_partial_event or not self._exchange.event_count:
+        elif self._is_stream_broken(self_delimited):
             self._fail(Reason.STREAM_BROKEN)
         else:
             listener.stream_ended(self.attempt, self_delimited)
@@ -247,10 +248,21 @@
         if not self._closed:
             self._fail(Reason.STREAM_BROKEN)
 
+    def _is_stream_broken(self, self_delimited: bool) -> bool:
+        """Return whether a stream has ended before its last event."""
+        if self._event_buffer.has_partial_event:
+            return True
+        # A resumed stream may have no further events, but without a length it
+        # looks the same if its target crashed.
+        if self_delimited:
+            return not self._exchange.event_count
+        return not self._relayed_events
+
     def _relay(self, data: bytes) -> None:
         batch = self._event_buffer.feed(data)
         if batch is None:
             return
+        self._relayed_events = True
         exchange = self._exchange
         exchange.relay(batch)
         exchange.listener.handle(
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standin import platform_server
 from standin.platform_server import Faults
 
 from .platform_case import KEY, PlatformTestCase, config, route
@@ -245,6 +246,52 @@
         self.assertEqual(self.runs(), [])
 
 
+class UnframedStreamTest(PlatformTestCase):
+    """Streams without a length that end with their connection."""
+
+    model_count = 0
+    head = b"HTTP/1.1 200 OK\r\nChicorycove-Response-Signature: s\r\n"
+    events = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+    async def add_scripted_server(self, id, answer, aborts=False):
+        """Register a server that sends some bytes and ends the connection."""
+
+        async def handle(reader, writer):
+            await reader.read(65_536)
+            writer.write(answer)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if aborts:
+                writer.transport.abort()
+            writer.close()
+
+        listener = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        host, port = listener.sockets[0].getsockname()
+        server = platform_server.PlatformServer("model", id=id)
+        server.address = f"{host}:{port}"
+        self.register_server(server)
+        await asyncio.sleep(0.5)
+
+    async def test_stream_that_ends_after_an_event_is_complete(self):
+        await self.add_scripted_server("i-a", self.head + b"\r\n" + self.events)
+        answer = await self.request_stream("/say/x")
+        self.assertEqual((answer.complete, answer.events), (True, [1, 2]))
+
+    async def test_stream_that_ends_inside_an_event_is_incomplete(self):
+        await self.add_scripted_server("i-a", self.head + b"\r\n" + self.events[:-3])
+        answer = await self.request_stream("/say/x")
+        self.assertFalse(answer.complete)
+
+    async def test_resumed_stream_that_ends_before_any_event_is_incomplete(self):
+        first_chunk = b"%x\r\n%b\r\n" % (len(self.events), self.events)
+        framed = self.head + b"Transfer-Encoding: chunked\r\n\r\n" + first_chunk
+        await self.add_scripted_server("i-a", framed, aborts=True)
+        await self.add_scripted_server("i-b", self.head + b"\r\n")
+        answer = await self.request_stream("/ask/x")
+        self.assertFalse(answer.complete)
+
+
 class GroupTest(PlatformTestCase):
     model_count = 3
 
