Count only time with events as an answer; log each change of a quarantine

Cause, from reading the quarantine once more: after a freeze of the process, or of its event loop, events that had arrived before a crash were read later than a second after the answer's head, and cleared the part that had crashed the target, at all entries. A quarantine was also dropped without a log line when other parts explained its crashes, answers that a peer reported counted as answers to prompts without the suspected part, and a resumed request was not cancelled before its second target began to answer it.

Ruled out: the arrival time of the bytes, which the process does not learn.

Change: an answer counts once its events came over a second, of which a pause adds half a second at most. Each change of a quarantine's parts is logged. An entry that hears no peer at all keeps a rate above 0.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -117,9 +117,8 @@
     sent_count: int = 0  # attempts that reached a target
     refused_count: int = 0  # sent attempts that their targets did not run
     answer_started: bool = False  # the caller has the head of an answer
-    # Time in seconds at which the newest target began its answer; None
-    # before that and once it has answered for a while.
-    answer_began_at: float | None = None
+    answer_began: bool = False  # by the newest attempt's target
+    answer_time: float = 0.0  # seconds for which it has sent events, at first
     expects_slot: bool = False  # its target had a free slot when it was chosen
     last_event_id: int | None = None  # the last event that the caller has
     last_progress_at: float = 0.0
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -255,7 +255,8 @@
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, agent))
         request.expects_slot = placement.free_slots > 0
-        request.answer_began_at = None
+        request.answer_began = False
+        request.answer_time = 0.0
         update = UpdatePeers(self._work.add(request, placement, now))
         if any(member.held_tokens for member in placement.members):
             return [update, *self._reservations.start(attempt_id, placement, now)]
@@ -438,7 +439,7 @@
         if request is None:
             return []
         commands = []
-        if request.answer_began_at is not None:
+        if self._quarantine.is_answer_new(request):
             self._quarantine.record_break(request, now)
             commands = self._target_health.probe(request.attempts[-1].agent.target)
         return commands + self._finish_request(request)
@@ -459,10 +460,11 @@
         request = self._current_request(attempt_id)
         if request is None:
             return []
+        pause = now - request.last_progress_at
         request.last_progress_at = now
         if last_event_id is not None:
             request.last_event_id = last_event_id
-        commands = self._quarantine.record_progress(request, now)
+        commands = self._quarantine.record_progress(request, pause, now)
         work_items = self._work.record_events(request, event_count, now)
         return commands + ([UpdatePeers(work_items)] if work_items else [])
 
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -160,7 +160,7 @@
 
 @frozen
 class CrashReport:
-    """A target has crashed after it began to answer some prompts."""
+    """A target has crashed as it began to answer some prompts."""
 
     target: AgentId
     parts: tuple[str, ...]  # shared parts of these prompts
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -203,12 +203,13 @@
         return PeerUpdate(owner, [], [], [], revision, **fields)
 
     for crash in update.crashes:
-        target = crash.target
-        parts = list(crash.parts)
         yield create(
             crashes=[
                 CrashUpdate(
-                    target.target, target.incarnation, parts, now - crash.seen_at
+                    crash.target.target,
+                    crash.target.incarnation,
+                    list(crash.parts),
+                    now - crash.seen_at,
                 )
             ]
         )
--- a/src/chicorycove/direct/quarantine.py
+++ b/src/chicorycove/direct/quarantine.py
@@ -10,6 +10,7 @@
 import math
 import typing as t
 
+from ..attempt import is_live
 from ..identity import AgentId
 from ..request import Prompt
 from .board import DirectBoard, DirectRequest
@@ -27,6 +28,7 @@
     # Time for which a target answers a prompt, after which the prompt is not
     # taken for the cause of a crash.
     survival_time: float = 1.0
+    max_pause: float = 0.5  # part of a pause that counts towards it
     min_crashes: int = 3  # under a part that was not answered lately
     # The same for a part that was: other prompts must be answered meanwhile.
     min_crashes_of_answered: int = 6
@@ -57,11 +59,17 @@
     """The timer for a review of the crashes, after all entries report them."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BrokenAnswer:
+    at: float
+    parts: Parts
+
+
 @dataclasses.dataclass(slots=True)
 class _Crash:
     at: float
-    parts: set[str]
-    reported_until: float  # by this entry, to its peers
+    parts: set[str] = dataclasses.field(default_factory=set)
+    reported_until: float = -math.inf  # by this entry, to its peers
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,7 +107,7 @@
         self._recent_answers: collections.deque[tuple[float, Parts]] = (
             collections.deque(maxlen=16)
         )
-        self._broken: dict[AgentId, list[tuple[float, Parts]]] = {}
+        self._broken: dict[AgentId, list[_BrokenAnswer]] = {}
         self._quarantines: list[_Quarantine] = []
         self._learning_until = math.inf
 
@@ -107,71 +115,87 @@
 
     def begin_answer(self, request: DirectRequest, now: float) -> None:
         """Record that a target has begun to answer a prompt."""
-        request.answer_began_at = now
+        request.answer_began = True
+        request.answer_time = 0.0
         if self._learning_until == math.inf:
             self._learning_until = now + self._settings.learning_time
 
     def record_progress(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, pause: float, now: float
     ) -> list[DirectCommand]:
-        """Record that a target sends more of an answer."""
-        began_at = request.answer_began_at
-        if began_at is None or now < began_at + self._settings.survival_time:
+        """Record that a target sends more of an answer, after a pause."""
+        settings = self._settings
+        if not request.answer_began or request.answer_time >= settings.survival_time:
+            return []
+        # After a longer pause, the events may have arrived before it.
+        request.answer_time += min(pause, settings.max_pause)
+        if request.answer_time < settings.survival_time:
             return []
         return self.record_answer(request, now)
 
     def record_answer(self, request: DirectRequest, now: float) -> list[DirectCommand]:
         """Record that a target has answered a prompt without a crash."""
-        if request.answer_began_at is None:
-            return []
-        request.answer_began_at = None
-        return self._clear_parts(_shared_parts(request), now, now, own=True)
+        parts = _shared_parts(request)
+        self._recent_answers.append((now, parts))
+        suspected = self._suspected_parts()
+        commands = self._clear_parts(parts, now)
+        news = []
+        for part in sorted(parts & suspected):
+            answer = self._answers[part]
+            if now >= answer.next_report_at:
+                answer.next_report_at = now + self._settings.answer_report_interval
+                news.append(part)
+        if news:
+            report = PartsAnswered(tuple(news), now)
+            commands.append(UpdatePeers(answered=(report,)))
+        return commands
 
     def record_break(self, request: DirectRequest, now: float) -> None:
         """Record that an answer broke off, before its target is probed."""
-        began_at = request.answer_began_at
-        request.answer_began_at = None
-        parts = _shared_parts(request)
-        if began_at is None or not parts:
+        if not self.is_answer_new(request):
             return
         oldest = now - self._settings.probe_time
-        for agent, broken in list(self._broken.items()):
-            if broken[-1][0] < oldest:
+        for agent, answers in list(self._broken.items()):
+            if answers[-1].at < oldest:
                 del self._broken[agent]
-        self._broken.setdefault(request.attempts[-1].agent, []).append((now, parts))
+        answer = _BrokenAnswer(now, _shared_parts(request))
+        self._broken.setdefault(request.attempts[-1].agent, []).append(answer)
+
+    def is_answer_new(self, request: DirectRequest) -> bool:
+        """Return whether a target may still crash by an answer."""
+        survival_time = self._settings.survival_time
+        return request.answer_began and request.answer_time < survival_time
 
     def record_probe(
         self, target: str, reachable: bool, now: float
     ) -> list[DirectCommand]:
         """Record whether a target, of which answers broke off, has crashed."""
-        parts_by_agent: dict[AgentId, set[str]] = {}
-        for agent in [agent for agent in self._broken if agent.target == target]:
-            for broken_at, parts in self._broken.pop(agent):
-                if broken_at >= now - self._settings.probe_time:
-                    parts_by_agent.setdefault(agent, set()).update(parts)
+        broken = {
+            agent: self._broken.pop(agent)
+            for agent in list(self._broken)
+            if agent.target == target
+        }
         if reachable:
             return []
         for request in self._board.requests.values():
-            if request.answer_began_at is not None:
+            if self.is_answer_new(request):
                 agent = request.attempts[-1].agent
-                if agent.target == target:
-                    parts_by_agent.setdefault(agent, set()).update(
-                        _shared_parts(request)
-                    )
-        reports = tuple(
-            CrashReport(agent, tuple(sorted(parts)), now)
-            for agent, parts in parts_by_agent.items()
-            if parts
-        )
-        if not reports:
-            return []
-        for report in reports:
-            self._add_crash(report, now, own=True)
-        detail = ", ".join(part for report in reports for part in report.parts)
-        return [
-            LogChange("target crashed", target, f"had begun prompts with {detail}"),
-            UpdatePeers(crashes=reports),
-        ]
+                if agent.target == target and is_live(request.attempts[-1]):
+                    answer = _BrokenAnswer(now, _shared_parts(request))
+                    broken.setdefault(agent, []).append(answer)
+        commands: list[DirectCommand] = []
+        oldest = now - self._settings.probe_time
+        for agent, answers in broken.items():
+            parts = frozenset().union(
+                *(answer.parts for answer in answers if answer.at >= oldest)
+            )
+            if parts:
+                report = CrashReport(agent, tuple(sorted(parts)), now)
+                self._add_crash(report, now, own=True)
+                detail = f"had begun prompts with {_describe(parts)}"
+                commands.append(LogChange("target crashed", target, detail))
+                commands.append(UpdatePeers(crashes=(report,)))
+        return commands
 
     def record_reports(
         self,
@@ -183,9 +207,7 @@
         """Record what a peer has reported."""
         commands: list[DirectCommand] = []
         for answer in answered:
-            commands += self._clear_parts(
-                frozenset(answer.parts), answer.answered_at, now, own=False
-            )
+            commands += self._clear_parts(frozenset(answer.parts), answer.answered_at)
         for report in crashes:
             self._add_crash(report, now, own=False)
         for report in quarantines:
@@ -219,7 +241,7 @@
         if not self._quarantines:
             return None
         parts = _shared_parts(request)
-        for quarantine in self._quarantines:
+        for quarantine in list(self._quarantines):
             if quarantine.parts <= parts and self._refuses(quarantine, now):
                 return self._time_to_end(quarantine, now)
         return None
@@ -229,8 +251,7 @@
         return [
             request
             for request in self._board.requests.values()
-            if request.answer_began_at is None
-            and not request.answer_started
+            if not request.answer_began
             and any(
                 quarantine.parts <= _shared_parts(request)
                 and request.inbound.request.arrived
@@ -275,7 +296,8 @@
             for agent, other in list(self._crashes.items()):
                 if other.at < oldest or len(self._crashes) >= settings.max_crashes:
                     del self._crashes[agent]
-            crash = self._crashes[report.target] = _Crash(report.seen_at, set(), 0.0)
+            crash = _Crash(report.seen_at)
+            self._crashes[report.target] = crash
         if own:
             crash.reported_until = now + settings.report_time
         room = settings.max_crash_parts - len(crash.parts)
@@ -286,59 +308,37 @@
             if now < self._learning_until < math.inf:
                 self._board.timers.add(self._learning_until, CrashReviewDue())
 
-    def _clear_parts(
-        self, parts: Parts, answered_at: float, now: float, own: bool
-    ) -> list[DirectCommand]:
-        """Record an answer to a prompt with some parts."""
-        self._recent_answers.append((answered_at, parts))
-        suspected = {part for crash in self._crashes.values() for part in crash.parts}
-        suspected.update(*(quarantine.parts for quarantine in self._quarantines))
-        news = []
+    def _clear_parts(self, parts: Parts, answered_at: float) -> list[DirectCommand]:
+        """Record an answer to a prompt, whose parts are no longer refused."""
         for part in sorted(parts):
             answer = self._answers.pop(part, None) or _Answer()
             answer.at = max(answer.at, answered_at)
             self._answers[part] = answer
-            if own and part in suspected and now >= answer.next_report_at:
-                answer.next_report_at = now + self._settings.answer_report_interval
-                news.append(part)
         while len(self._answers) > self._settings.max_parts:
             self._answers.popitem(last=False)
-        commands = self._relax_quarantines(parts, answered_at)
-        if news:
-            answer = PartsAnswered(tuple(news), answered_at)
-            commands.append(UpdatePeers(answered=(answer,)))
-        return commands
-
-    def _relax_quarantines(
-        self, parts: Parts, answered_at: float
-    ) -> list[DirectCommand]:
-        """Remove the parts of an answered prompt from the quarantines."""
         commands: list[DirectCommand] = []
         for quarantine in list(self._quarantines):
-            if answered_at < quarantine.since or not quarantine.parts & parts:
-                continue
-            left = quarantine.parts - parts
-            if left:
-                quarantine.parts = left
-            else:
-                self._quarantines.remove(quarantine)
-                change = LogChange("prompts accepted again", _describe(parts))
-                commands.append(change)
+            if answered_at >= quarantine.since and quarantine.parts & parts:
+                commands += self._change_parts(quarantine, quarantine.parts - parts)
         return commands
 
+    def _suspected_parts(self) -> Parts:
+        return frozenset().union(
+            *(crash.parts for crash in self._crashes.values()),
+            *(quarantine.parts for quarantine in self._quarantines),
+        )
+
     def review_crashes(self, now: float) -> list[DirectCommand]:
         """Quarantine the parts that the crashes point to."""
         commands: list[DirectCommand] = []
         harmful = self._find_harmful_parts(now)
-        self._quarantines = [
-            quarantine
-            for quarantine in self._quarantines
-            if not self._is_explained(quarantine.parts, harmful)
-        ]
+        for quarantine in list(self._quarantines):
+            if self._is_explained(quarantine.parts, harmful):
+                commands += self._change_parts(quarantine, frozenset())
         for parts in harmful:
             known = self._find_overlapping(parts)
             if known is not None:
-                known.parts = parts
+                commands += self._change_parts(known, parts)
                 continue
             trial_at = now + self._settings.first_trial_delay
             quarantine = _Quarantine(parts, now, trial_at, 0, now)
@@ -373,11 +373,22 @@
                 report.last_refused_at,
             )
             return self._add_quarantine(quarantine)
-        # Clocks of entries differ by the delay of a datagram.
         known.trial_count = max(known.trial_count, report.trial_count)
         known.next_trial_at = max(known.next_trial_at, report.next_trial_at)
         known.last_refused_at = max(known.last_refused_at, report.last_refused_at)
-        return []
+        return self._change_parts(known, parts) if parts < known.parts else []
+
+    def _change_parts(
+        self, quarantine: _Quarantine, parts: Parts
+    ) -> list[DirectCommand]:
+        """Change the parts of a quarantine, or end it without any."""
+        if parts == quarantine.parts:
+            return []
+        if parts:
+            quarantine.parts = parts
+            return [LogChange("prompts refused", _describe(parts))]
+        self._quarantines.remove(quarantine)
+        return [LogChange("prompts accepted again", _describe(quarantine.parts))]
 
     def _add_quarantine(self, quarantine: _Quarantine) -> list[DirectCommand]:
         if len(self._quarantines) >= self._settings.max_quarantines:
@@ -409,7 +420,7 @@
             suspects = [
                 part
                 for part, numbers in crashes_by_part.items()
-                if self._is_suspect(part, [unexplained[n].at for n in numbers], now)
+                if self._is_suspect(part, [unexplained[n] for n in numbers], now)
             ]
             if not suspects:
                 return found
@@ -428,15 +439,16 @@
                 if number not in explained
             ]
 
-    def _is_suspect(self, part: str, crash_times: list[float], now: float) -> bool:
+    def _is_suspect(self, part: str, crashes: list[_Crash], now: float) -> bool:
         settings = self._settings
         is_unknown = now > self._answered_at(part) + settings.answered_time
         if is_unknown and not self._is_learning(now):
-            return len(crash_times) >= settings.min_crashes
-        if len(crash_times) < settings.min_crashes_of_answered:
+            return len(crashes) >= settings.min_crashes
+        if len(crashes) < settings.min_crashes_of_answered:
             return False
+        first_crash_at = min(crash.at for crash in crashes)
         return any(
-            answered_at > min(crash_times) and part not in parts
+            answered_at > first_crash_at and part not in parts
             for answered_at, parts in self._recent_answers
         )
 
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -113,7 +113,8 @@
         match event:
             case PeersUpdated(entry_names, unresponsive):
                 peer_names = self._board.peer_names
-                self._board.responsive_share = len(peer_names - unresponsive) / max(
+                responsive_count = max(len(peer_names - unresponsive), 1)
+                self._board.responsive_share = responsive_count / max(
                     len(peer_names), 1
                 )
                 self._board.placement_offset = (
--- a/tests/test_direct_quarantine.py
+++ b/tests/test_direct_quarantine.py
@@ -158,7 +158,9 @@
         """Receive reports of crashes, each with the parts of its prompts."""
         reports = [
             CrashReport(
-                AgentId(f"t{number}.{self.world.now}", "1"), parts, self.world.now
+                AgentId(f"t{number}.{self.world.now}", "1"),
+                parts,
+                self.world.now,
             )
             for number, parts in enumerate(crashes)
         ]
@@ -190,6 +192,14 @@
         self.assertIsNone(self.refusal(("a",)))
         self.assertIsNone(self.refusal(("b",)))
 
+    def test_events_after_a_frozen_process_are_no_answer(self):
+        send = self.begin("frozen", ("a",))
+        self.world.now += 5.0
+        self.world.handle(EventsRelayed(send.attempt, 1, 1))
+        self.report_crashes(("a", "b"), ("a", "c"), ("a", "d"))
+        self.world.handle(EventsRelayed(send.attempt, 1, 2))
+        self.assertIsNotNone(self.refusal(("a",)))
+
     def test_answered_part_is_no_longer_refused(self):
         self.report_crashes(("a", "b"), ("a", "b"), ("a", "b"))
         self.answer("sound", ("a",))
