Split the evidence on crashes from the quarantine

Cause: a reader of quarantine.py met the evidence, what follows from it and what peers are told in one class of 460 lines, with public methods after private ones, and answer_began beside answer_started on a request.

Change: crash_evidence.py finds the parts that explain the crashes; quarantine.py refuses, tries again and reports. The fields are newest_answer_began and newest_answer_time. An entry's rank among the others is counted in one place.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -117,8 +117,9 @@
     sent_count: int = 0  # attempts that reached a target
     refused_count: int = 0  # sent attempts that their targets did not run
     answer_started: bool = False  # the caller has the head of an answer
-    answer_began: bool = False  # by the newest attempt's target
-    answer_time: float = 0.0  # seconds for which it has sent events, at first
+    newest_answer_began: bool = False  # the newest attempt's target has begun one
+    # Time in seconds over which its events came, as long as it is short.
+    newest_answer_time: float = 0.0
     expects_slot: bool = False  # its target had a free slot when it was chosen
     last_event_id: int | None = None  # the last event that the caller has
     last_progress_at: float = 0.0
@@ -156,6 +157,10 @@
         """Return the number of entries, this one included; None if unknown."""
         return max(len(self.entry_names), 1) if self.entry_names_complete else None
 
+    def entry_rank(self, name: str) -> int:
+        """Return how many entries precede one by name."""
+        return sum(1 for other in self.entry_names if other < name)
+
     def find_service(self, name: str) -> Service | None:
         """Return a service of the current deployment, or None."""
         return self.table.services.get(name) if self.table else None
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -255,8 +255,7 @@
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, agent))
         request.expects_slot = placement.free_slots > 0
-        request.answer_began = False
-        request.answer_time = 0.0
+        request.newest_answer_began = False
         update = UpdatePeers(self._work.add(request, placement, now))
         if any(member.held_tokens for member in placement.members):
             return [update, *self._reservations.start(attempt_id, placement, now)]
@@ -550,13 +549,13 @@
         commands = self._quarantine.record_reports(
             update.crashes, update.answered, update.quarantines, now
         )
-        return commands + self._refuse_quarantined(now) if commands else []
+        return commands + self._refuse_quarantined() if commands else []
 
-    def _refuse_quarantined(self, now: float) -> list[DirectCommand]:
+    def _refuse_quarantined(self) -> list[DirectCommand]:
         """Refuse requests before their targets begin to answer them."""
         commands: list[DirectCommand] = []
-        for request in self._quarantine.find_refused(now):
-            retry_after = self._quarantine.retry_after(request, now)
+        retry_after = self._settings.quarantine.first_trial_delay
+        for request in self._quarantine.find_refused():
             commands += self._completion.fail(
                 request, Reason.PROMPT_QUARANTINED, retry_after
             )
@@ -586,7 +585,7 @@
                     commands += self._handle_reservation_failure(reservation_id, now)
                 case CrashReviewDue():
                     commands += self._quarantine.review_crashes(now)
-                    commands += self._refuse_quarantined(now)
+                    commands += self._refuse_quarantined()
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
                 case _:
--- a/src/chicorycove/direct/partition.py
+++ b/src/chicorycove/direct/partition.py
@@ -80,5 +80,5 @@
 
     def _cell_of(self, entry_name: str, cell_count: int) -> int:
         names = self._board.entry_names
-        rank = sum(1 for other in names if other < entry_name)
+        rank = self._board.entry_rank(entry_name)
         return min(rank * cell_count // max(len(names), 1), cell_count - 1)
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -135,7 +135,7 @@
 
     def _placement_offset(self, entry_names: frozenset[str]) -> float:
         """Return this entry's rank among all, scaled to [0, 1)."""
-        rank = sum(1 for name in entry_names if name < self._name)
+        rank = self._board.entry_rank(self._name)
         return rank / max(len(entry_names), 1)
 
     def _create_primary_item(
--- a/tests/test_direct_quarantine.py
+++ b/tests/test_direct_quarantine.py
@@ -255,8 +255,12 @@
             quarantine.record_reports(reports, answers, adopted, number)
         update = only_command(quarantine.reports(3_000.0), "UpdatePeers")
         self.assertLessEqual(len(update.quarantines), settings.max_quarantines)
-        self.assertLessEqual(len(quarantine._crashes), settings.max_crashes)
-        self.assertLessEqual(len(quarantine._answers), settings.max_parts)
+        evidence = quarantine._evidence
+        limits = settings.evidence
+        self.assertLessEqual(len(evidence._crashes), limits.max_crashes)
+        most_parts = limits.max_crashes * limits.max_crash_parts
+        self.assertLessEqual(len(evidence.parts), most_parts)
+        self.assertLessEqual(len(evidence._answered_at), limits.max_answered_parts)
 
 
 class QuarantineDatagramTest(unittest.TestCase):
