--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -255,7 +255,7 @@
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, agent))
         request.expects_slot = placement.free_slots > 0
-        request.answer_began_at = None
+        request.newest_answer_began = False
         update = UpdatePeers(self._work.add(request, placement, now))
         if any(member.held_tokens for member in placement.members):
             return [update, *self._reservations.start(attempt_id, placement, now)]
@@ -438,7 +438,7 @@
         if request is None:
             return []
         commands = []
-        if request.answer_began_at is not None:
+        if self._quarantine.is_answer_new(request):
             self._quarantine.record_break(request, now)
             commands = self._target_health.probe(request.attempts[-1].agent.target)
         return commands + self._finish_request(request)
@@ -459,10 +459,11 @@
         request = self._current_request(attempt_id)
         if request is None:
             return []
+        pause = now - request.last_progress_at
         request.last_progress_at = now
         if last_event_id is not None:
             request.last_event_id = last_event_id
-        commands = self._quarantine.record_progress(request, now)
+        commands = self._quarantine.record_progress(request, pause, now)
         work_items = self._work.record_events(request, event_count, now)
         return commands + ([UpdatePeers(work_items)] if work_items else [])
 
@@ -548,13 +549,13 @@
         commands = self._quarantine.record_reports(
             update.crashes, update.answered, update.quarantines, now
         )
-        return commands + self._refuse_quarantined(now) if commands else []
+        return commands + self._refuse_quarantined() if commands else []
 
-    def _refuse_quarantined(self, now: float) -> list[DirectCommand]:
+    def _refuse_quarantined(self) -> list[DirectCommand]:
         """Refuse requests before their targets begin to answer them."""
         commands: list[DirectCommand] = []
-        for request in self._quarantine.find_refused(now):
-            retry_after = self._quarantine.retry_after(request, now)
+        retry_after = self._settings.quarantine.first_trial_delay
+        for request in self._quarantine.find_refused():
             commands += self._completion.fail(
                 request, Reason.PROMPT_QUARANTINED, retry_after
             )
@@ -584,7 +585,7 @@
                     commands += self._handle_reservation_failure(reservation_id, now)
                 case CrashReviewDue():
                     commands += self._quarantine.review_crashes(now)
-                    commands += self._refuse_quarantined(now)
+                    commands += self._refuse_quarantined()
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
                 case _:
