Test limits and quarantine in a fleet of two cells

The simulated fleet sends updates to the peers that an entry would send them to: those of its cell, or all for what entries of all cells need.

--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -296,9 +296,15 @@
     # Between entries
 
     def send_update(self, sender, command):
-        datagrams = sender.encode(command)
-        for entry, datagram in itertools.product(self.entries.values(), datagrams):
-            if entry is not sender and self.random.random() >= self.loss:
+        board = sender.board
+        names = board.entry_names if command.for_all_cells else board.peer_names
+        others = [
+            entry
+            for entry in self.entries.values()
+            if entry is not sender and entry.name in names
+        ]
+        for entry, datagram in itertools.product(others, sender.encode(command)):
+            if self.random.random() >= self.loss:
                 self.call_later(LINK_DELAY, self._deliver_update, entry, datagram)
 
     def _deliver_update(self, entry, datagram):
--- a/tests/test_direct_quarantine.py
+++ b/tests/test_direct_quarantine.py
@@ -17,6 +17,7 @@
     TargetProbed,
 )
 from chicorycove.direct.quarantine import PromptQuarantine, QuarantineSettings
+from chicorycove.direct.settings import DirectSettings
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import AnswerCompleted, Tick
 
@@ -83,6 +84,14 @@
         self.assertLessEqual(self.count_late_requests(fleet), ALLOWED_REQUESTS)
         self.assertGreaterEqual(fleet.answered_share(10.0, 40.0, HARMFUL), 0.98)
 
+    def test_crashing_part_is_found_by_the_entries_of_all_cells(self):
+        settings = DirectSettings(max_targets=8)  # 16 targets make two cells
+        fleet = self.play(harmful_parts, settings=settings)
+        cells = {entry.board.peer_names for entry in fleet.entries.values()}
+        self.assertEqual(len(cells), 2)
+        self.assertLessEqual(self.count_late_requests(fleet), ALLOWED_REQUESTS)
+        self.assertLessEqual(len(fleet.crashes), 10)
+
     def test_rare_prompts_that_crash_targets_are_found(self):
         fleet = self.play(harmful_parts, rate=0.2, until=100.0)
         self.assertLessEqual(self.count_late_requests(fleet), ALLOWED_REQUESTS)
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -13,6 +13,7 @@
     RateLimitReport,
     TargetAnswer,
 )
+from chicorycove.direct.settings import DirectSettings
 from chicorycove.platform.headers import PlatformDialect
 
 from .direct import LOOKUP, OK, SHORT, DirectWorld, only_command
@@ -131,6 +132,15 @@
         self.assert_limits_hold(20.0)
         self.assertEqual(fleet.answered_share(0.0, 20.0), 1.0)
 
+    def test_limit_holds_in_a_fleet_of_two_cells(self):
+        fleet = Fleet(entries=6, engines=16, settings=DirectSettings(max_targets=8))
+        self.limit(fleet, 1.0, "e0", "e1", "e14", "e9")
+        fleet.load(SHORT, rate=30.0, until=20.0)
+        fleet.run_until(25.0)
+        cells = {entry.board.peer_names for entry in fleet.entries.values()}
+        self.assertEqual(len(cells), 2)
+        self.assert_limits_hold(20.0)
+
     def test_entries_that_hear_no_others_keep_the_limit_together(self):
         fleet = Fleet(entries=5, engines=0, shops=3, loss=1.0)
         self.limit(fleet, 4.0)
