Log the fingerprint of each request that is sent

'attempt sent' now has a fingerprint of method, path, workspace and body, which a repeat shares though its id is new. No decision reads it yet.

Ruled out: identifying a prompt by its parts header.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -32,6 +32,7 @@
     service: str
     priority: int = 0  # 0 is served first
     resumed_after: int | None = None  # id of the last event that the caller has
+    fingerprint: str = ""  # the same in each repeat of the request
 
 
 class WorkItemKey(t.NamedTuple):
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -256,6 +256,7 @@
             attempt=command.attempt.number,
             target=command.target.target,
             parts=exchange.shared_parts,
+            fingerprint=exchange.inbound.fingerprint,
             members=[member.target for member in placement.members],
             part=round(placement.prefill_time, 4),
             predicted=round(placement.time_to_first_event, 4),
--- a/src/chicorycove/direct/http.py
+++ b/src/chicorycove/direct/http.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import socket
 
 Headers = list[tuple[bytes, bytes]]
 
 KEEPALIVE_INTERVAL = 1  # seconds of inactivity before each keepalive probe
 KEEPALIVE_PROBES = 2  # unanswered, so that a dead peer is detected within 3 s
+FINGERPRINT_SIZE = 8  # bytes
 UNACKNOWLEDGED_TIMEOUT = 2500  # milliseconds that sent bytes wait for a TCP ACK
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -56,6 +58,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT)
 
 
+def compute_fingerprint(request: HttpRequest, workspace: str) -> str:
+    """Return what requests with the same path, workspace and body share."""
+    digest = hashlib.blake2b(request.body, digest_size=FINGERPRINT_SIZE)
+    for text in (request.method, request.url, workspace.encode()):
+        digest.update(b"\n" + text)
+    return digest.hexdigest()
+
+
 def format_request(method: bytes, url: bytes, headers: Headers, body: bytes) -> bytes:
     """Return the bytes of an HTTP/1.1 request."""
     lines = [b"%b %b HTTP/1.1" % (method, url)]
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -8,7 +8,13 @@
 from ..direct.command import GroupMember, SendAttempt
 from ..direct.dialect import Order, Rejection
 from ..direct.event import TargetAnswer
-from ..direct.http import Headers, HttpRequest, end_to_end_headers, format_request
+from ..direct.http import (
+    Headers,
+    HttpRequest,
+    compute_fingerprint,
+    end_to_end_headers,
+    format_request,
+)
 from ..direct.route import Route, RoutingTable, pick_service
 from ..identity import AttemptId
 from ..reason import Reason
@@ -188,6 +194,7 @@
             service,
             priority,
             _parse_integer(request.header(LAST_EVENT_ID)),
+            compute_fingerprint(request, workspace),
         )
 
     def _parse_work(
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -14,7 +14,11 @@
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import PeersUpdated
 from chicorycove.direct.eventstream import EventBuffer, find_last_id
-from chicorycove.direct.http import end_to_end_headers
+from chicorycove.direct.http import (
+    HttpRequest,
+    compute_fingerprint,
+    end_to_end_headers,
+)
 from chicorycove.direct.linelog import MAX_BUFFERED, MAX_WRITE, LineLog
 from chicorycove.direct.route import (
     Deployment,
@@ -350,3 +354,23 @@
             (b"X-Kept", b"2"),
         ]
         self.assertEqual(end_to_end_headers(headers), [(b"X-Kept", b"2")])
+
+
+class FingerprintTest(unittest.TestCase):
+    def fingerprint(self, method=b"GET", url=b"/a/1", body=b"", workspace="w", id=b""):
+        headers = [(b"Chicorycove-Attempt-Id", id)]
+        request = HttpRequest(method, url, headers, body, received_at=0.0)
+        return compute_fingerprint(request, workspace)
+
+    def test_repeat_with_another_id_has_the_same_fingerprint(self):
+        self.assertEqual(self.fingerprint(id=b"1"), self.fingerprint(id=b"2"))
+
+    def test_other_requests_have_other_fingerprints(self):
+        others = {
+            self.fingerprint(),
+            self.fingerprint(method=b"DELETE"),
+            self.fingerprint(url=b"/a/1?b"),
+            self.fingerprint(body=b"x"),
+            self.fingerprint(workspace="v"),
+        }
+        self.assertEqual(len(others), 5)
