Refuse a request once all targets of its service were unreachable

Event loops fell behind (log lines of one moment spread over 0.2 s), and what waited came all at once to each server that started.

Change: a request remembers which targets it could not reach; if the best candidate is one of them, it ends at once with 503 no_target and the time to return, instead of 503 at its deadline.

What callers lose: a request that came less than its deadline before a server was back was answered by the loop; it is told to return now. Not measured.

The new test fails without the change (a fourth attempt is sent).

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -125,6 +125,7 @@
     last_event_id: int | None = None  # the last event that the caller has
     last_progress_at: float = 0.0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
+    unreachable_targets: set[str] = dataclasses.field(default_factory=set)
     caller_blocked: bool = False  # the target's answer is not read meanwhile
 
     @property
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -226,7 +226,7 @@
                 request, Reason.REQUEST_QUARANTINED, retry_after
             )
         placement = self._selector.choose(request, now)
-        if placement is None:
+        if placement is None or placement.target in request.unreachable_targets:
             return self._fail_unplaced(request, now)
         if now + placement.time_to_first_event > caller_request.deadline:
             retry_after = placement.time_to_first_event - (
@@ -485,6 +485,7 @@
         commands: list[DirectCommand] = []
         if verdict is Verdict.NOT_RUN:
             advance(attempt, AttemptStep.REFUSE)
+            request.unreachable_targets.add(target)
             commands += self._target_health.suspect(target, now)
         else:
             advance(attempt, AttemptStep.FAIL)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -205,6 +205,17 @@
         self.assertIs(fail.verdict, Verdict.NOT_RUN)
         self.assertGreater(fail.retry_after, 0)
 
+    def test_request_whose_targets_are_all_unreachable_is_refused_after_one_try(self):
+        world = DirectWorld(shops=3)
+        commands = world.receive("r", ORDER)
+        for _ in range(3):
+            send = only_command(commands, "SendAttempt")
+            commands = world.handle(AttemptFailed(send.attempt, *UNREACHABLE))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.reason, Reason.NO_TARGET)
+        self.assertIs(fail.verdict, Verdict.NOT_RUN)
+        self.assertGreater(fail.retry_after, 0)
+
     def test_request_that_cannot_start_in_time_is_refused_immediately(self):
         world = DirectWorld(engines=1)
         commands = world.receive("r", SHORT, tokens=300_000, time_limit=0.5)
