Log what targets ask for when they turn an attempt away

'attempt refused' now has the status, the seconds of rest and whether the target leaves. Retry-After is read from a 503, Server-Leaving from any answer; other values are logged as ignored. No decision reads them yet. An invalid value of these headers does not keep a rate limit that the answer no longer names.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -392,6 +392,7 @@
             self._target_health.suspect_address(answer.faulty_address, now)
         request.tried_targets.add(target)
         commands.append(CancelAttempt(attempt.id))
+        commands.append(LogChange("attempt refused", target, _describe(answer)))
         return commands + self._retry_or_fail(
             request, Reason.QUEUE_FULL, Verdict.NOT_RUN, now
         )
@@ -638,3 +639,9 @@
             request, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
         )
         return [CancelAttempt(attempt.id), *retry]
+
+
+def _describe(answer: TargetAnswer) -> str:
+    rest = "" if answer.rest is None else f", asks for {answer.rest:g} s of rest"
+    leaving = ", is leaving" if answer.leaving else ""
+    return f"status {answer.status}{rest}{leaving}"
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -29,6 +29,9 @@
     faulty_address: str | None = None  # address of the group member that failed
     # Requests per second that the target takes from all entries together.
     rate_limit: float | None = None
+    rate_limit_invalid: bool = False  # the value for it cannot be read
+    rest: float | None = None  # seconds in which it takes nothing from this entry
+    leaving: bool = False  # the target is about to end
     invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
 
     @property
--- a/src/chicorycove/direct/rate_limit.py
+++ b/src/chicorycove/direct/rate_limit.py
@@ -46,7 +46,7 @@
             LogChange("answer header ignored", target, header)
             for header in answer.invalid_headers
         ]
-        if answer.wrong_instance or answer.invalid_headers:
+        if answer.wrong_instance or answer.rate_limit_invalid:
             return commands
         rate = math.inf if answer.rate_limit is None else answer.rate_limit
         report = RateLimitReport(target, rate, now)
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -34,6 +34,8 @@
 NOT_EXECUTED = b"chicorycove-not-executed"  # the target did not run the request
 FAULTY_SERVER = b"at-server"  # address of the group member that failed
 RATE_LIMIT = b"server-limit"  # requests per second from all entries together
+REST = b"retry-after"  # seconds in which the target takes nothing from this entry
+LEAVING = b"server-leaving"  # "1": the target is about to end
 
 # Removed from a caller's request and, where a target needs them, set anew.
 REPLACED_HEADERS = frozenset(
@@ -51,6 +53,7 @@
 ORDER_PATH = "/chicorycove/order"
 LOWEST_PRIORITY = 9  # of a request that all others precede
 MISDIRECTED_REQUEST = 421  # the target is not the expected instance
+UNAVAILABLE = 503
 MAX_SHARED_PARTS = 64  # of a prompt; further ones are ignored
 MAX_PART_ID_LENGTH = 64  # characters
 MS_PER_SECOND = 1000.0
@@ -122,20 +125,21 @@
 
     def parse_answer_head(self, status: int, headers: Headers) -> TargetAnswer:
         """Parse the head of a target's answer."""
-        invalid_headers = []
-        rate_limit = None
-        named_limit = _find_header(headers, RATE_LIMIT)
-        if named_limit is not None:
-            rate_limit = _parse_number(named_limit)
-            if rate_limit is None or rate_limit < 0:
-                rate_limit = None
-                invalid_headers.append(f"server-limit: {_decode_text(named_limit)}")
+        invalid_headers: list[str] = []
+        rate_limit = _find_positive_number(headers, RATE_LIMIT, invalid_headers)
+        rate_limit_invalid = bool(invalid_headers)
+        rest = None
+        if status == UNAVAILABLE:
+            rest = _find_positive_number(headers, REST, invalid_headers)
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
             wrong_instance=status == MISDIRECTED_REQUEST,
             faulty_address=_decode_text(_find_header(headers, FAULTY_SERVER)) or None,
             rate_limit=rate_limit,
+            rate_limit_invalid=rate_limit_invalid,
+            rest=rest,
+            leaving=_find_flag(headers, LEAVING, invalid_headers),
             invalid_headers=tuple(invalid_headers),
         )
 
@@ -230,6 +234,28 @@
     return None
 
 
+def _find_positive_number(
+    headers: Headers, name: bytes, invalid_headers: list[str]
+) -> float | None:
+    """Return a header's number; a value that is none is added to the invalid."""
+    value = _find_header(headers, name)
+    if value is None:
+        return None
+    number = _parse_number(value)
+    if number is None or number < 0:
+        invalid_headers.append(f"{name.decode()}: {_decode_text(value)}")
+        return None
+    return number
+
+
+def _find_flag(headers: Headers, name: bytes, invalid_headers: list[str]) -> bool:
+    """Return whether a header is 1; a value besides 0 and 1 is invalid."""
+    value = _decode_text(_find_header(headers, name)) or "0"
+    if value not in ("0", "1"):
+        invalid_headers.append(f"{name.decode()}: {value}")
+    return value == "1"
+
+
 def _decode_text(value: bytes | None) -> str:
     return value.decode("latin-1").strip() if value is not None else ""
 
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -49,6 +49,14 @@
                     answer.invalid_headers, (f"server-limit: {value.decode()}",)
                 )
 
+    def test_other_invalid_header_does_not_keep_a_limit(self):
+        headers = [(b"Retry-After", b"soon"), (b"Server-Leaving", b"maybe")]
+        answer = PlatformDialect().parse_answer_head(503, headers)
+        self.assertFalse(answer.rate_limit_invalid)
+        self.assertEqual(
+            answer.invalid_headers, ("retry-after: soon", "server-leaving: maybe")
+        )
+
 
 class LimitLogTest(unittest.TestCase):
     def setUp(self):
@@ -74,7 +82,10 @@
 
     def test_invalid_limit_is_logged_and_changes_nothing(self):
         self.log_of(limited(1.5))
-        answer = TargetAnswer(200, False, invalid_headers=("server-limit: fast",))
+        invalid = ("server-limit: fast",)
+        answer = TargetAnswer(
+            200, False, rate_limit_invalid=True, invalid_headers=invalid
+        )
         change = ("answer header ignored", "server-limit: fast")
         self.assertEqual(self.log_of(answer), [change])
         self.assertEqual(self.world.board.targets["e0"].rate_limit.rate, 1.5)
