Test targets that ask entries to back off or that leave; known red

A simulated fleet of entries that exchange datagrams, and one entry on sockets, with targets that refuse all requests with a time, and targets that say in their answers that they leave.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -642,6 +642,7 @@
 
 
 def _describe(answer: TargetAnswer) -> str:
-    rest = "" if answer.rest is None else f", asks for {answer.rest:g} s of rest"
-    leaving = ", is leaving" if answer.leaving else ""
-    return f"status {answer.status}{rest}{leaving}"
+    detail = f"status {answer.status}"
+    if answer.retry_after is not None:
+        detail += f", retry after {answer.retry_after:g} s"
+    return f"{detail}, leaving" if answer.leaving else detail
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -30,7 +30,7 @@
     # Requests per second that the target takes from all entries together.
     rate_limit: float | None = None
     rate_limit_invalid: bool = False  # the value for it cannot be read
-    rest: float | None = None  # seconds in which it takes nothing from this entry
+    retry_after: float | None = None  # seconds for which this entry is to back off
     leaving: bool = False  # the target is about to end
     invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
 
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -34,7 +34,7 @@
 NOT_EXECUTED = b"chicorycove-not-executed"  # the target did not run the request
 FAULTY_SERVER = b"at-server"  # address of the group member that failed
 RATE_LIMIT = b"server-limit"  # requests per second from all entries together
-REST = b"retry-after"  # seconds in which the target takes nothing from this entry
+RETRY_AFTER = b"retry-after"  # seconds for which this entry is to back off
 LEAVING = b"server-leaving"  # "1": the target is about to end
 
 # Removed from a caller's request and, where a target needs them, set anew.
@@ -128,9 +128,9 @@
         invalid_headers: list[str] = []
         rate_limit = _find_positive_number(headers, RATE_LIMIT, invalid_headers)
         rate_limit_invalid = bool(invalid_headers)
-        rest = None
+        retry_after = None
         if status == UNAVAILABLE:
-            rest = _find_positive_number(headers, REST, invalid_headers)
+            retry_after = _find_positive_number(headers, RETRY_AFTER, invalid_headers)
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
@@ -138,7 +138,7 @@
             faulty_address=_decode_text(_find_header(headers, FAULTY_SERVER)) or None,
             rate_limit=rate_limit,
             rate_limit_invalid=rate_limit_invalid,
-            rest=rest,
+            retry_after=retry_after,
             leaving=_find_flag(headers, LEAVING, invalid_headers),
             invalid_headers=tuple(invalid_headers),
         )
@@ -237,7 +237,7 @@
 def _find_positive_number(
     headers: Headers, name: bytes, invalid_headers: list[str]
 ) -> float | None:
-    """Return a header's number; a value that is none is added to the invalid."""
+    """Return the number in a header, or add its value to the invalid ones."""
     value = _find_header(headers, name)
     if value is None:
         return None
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -72,6 +72,8 @@
         self.open_streams = 0
         self.reservations: dict[str, int] = {}
         self.rate_limit: str | None = None  # named in all answers to requests
+        self.retry_after: str | None = None  # named as all requests are refused
+        self.leaving = False  # named in all answers to requests
         self.arrivals: list[float] = []  # times of requests, those refused included
         self.crashing_part: str | None = None  # part of prompts that crash it
         self.crashing_path: str | None = None  # path of requests that crash it
@@ -140,13 +142,17 @@
         echo = {"Chicorycove-Attempt-Id": attempt}
         if self.rate_limit is not None:
             echo["Server-Limit"] = self.rate_limit
+        if self.leaving:
+            echo["Server-Leaving"] = "1"
         if request.headers.get("chicorycove-expect-instance", self.id) != self.id:
             return Response(status_code=421, headers=echo)
         if not attempt:
             return Response(status_code=400, headers={"Chicorycove-Not-Executed": "1"})
-        if self.faults.refusals:
-            self.faults.refusals -= 1
+        if self.faults.refusals or self.retry_after is not None:
+            self.faults.refusals = max(self.faults.refusals - 1, 0)
             headers = {**echo, "Chicorycove-Not-Executed": "1"}
+            if self.retry_after is not None:
+                headers["Retry-After"] = self.retry_after
             return Response(status_code=503, headers=headers)
         path = request.url.path
         if request.url.query:
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -69,11 +69,39 @@
         self.listing = listing
         self.service = listing.service
         self.rate_limit = None
+        self.retry_after = None  # seconds; all requests are refused with it
+        self.leaving = False  # answers say that it is about to end
+        self.refusals = []  # (time, entry, seconds) of each refused request
         self.arrivals = []
         self.attempts = {}  # attempt: its entry
 
     def answer(self):
-        return TargetAnswer(status=200, not_run=False, rate_limit=self.rate_limit)
+        return TargetAnswer(
+            200, False, rate_limit=self.rate_limit, leaving=self.leaving
+        )
+
+    def refuse(self):
+        return TargetAnswer(
+            503, True, retry_after=self.retry_after, leaving=self.leaving
+        )
+
+    def most_arrivals_in_backoff(self, grace):
+        """Return the most requests of one entry after a refusal to it.
+
+        Those of the first ``grace`` seconds, and those after the time that the
+        refusal named, are not counted.
+        """
+        return max(
+            (
+                sum(
+                    arrival.entry == entry
+                    and refused_at + grace <= arrival.time < refused_at + delay
+                    for arrival in self.arrivals
+                )
+                for refused_at, entry, delay in self.refusals
+            ),
+            default=0,
+        )
 
     def count_arrivals(self, start, end):
         """Return the number of arrivals in [start, end)."""
@@ -348,7 +376,10 @@
         self.arrivals.append(arrival)
         target.attempts[attempt] = entry
         entry.handle(AttemptSent(attempt))
-        if self._crashes_before_head(arrival, target):
+        if target.retry_after is not None:
+            target.refusals.append((self.now, entry.name, target.retry_after))
+            self.call_later(LINK_DELAY, self._refuse, entry, attempt, target)
+        elif self._crashes_before_head(arrival, target):
             self.call_later(CRASH_DELAY, self.crash, target)
         elif target.service == "shop":
             self.call_later(PREFILL_TIME, self._answer_call, entry, attempt, target)
@@ -358,6 +389,11 @@
                 PREFILL_TIME, self._start_stream, entry, attempt, target, first
             )
 
+    def _refuse(self, entry, attempt, target):
+        if attempt in entry.live:
+            del entry.live[attempt]
+            entry.handle(AnswerHeadReceived(attempt, target.refuse()))
+
     def _crashes_before_head(self, arrival, target):
         return arrival.fingerprint == self.crashing_fingerprint and (
             self.crash_before_head or target.service == "shop"
--- a/tests/test_platform_rate_limit.py
+++ b/tests/test_platform_rate_limit.py
@@ -1,9 +1,10 @@
-"""Tests of targets' rate limits with entries and servers on real sockets."""
+"""Tests of what servers say of themselves, with entries on real sockets."""
 
 import asyncio
 import random
 
 from .platform_case import Caller, PlatformTestCase, new_boot
+from .test_direct_backoff import ALLOWED_REQUESTS, DRAIN_TIME, GRACE
 from .test_direct_rate_limit import STABLE_AFTER, WINDOW, allowed_requests
 
 RATE = 2.0  # requests per second that the limited server names
@@ -51,3 +52,38 @@
         )
         self.assertLessEqual(most, allowed_requests(RATE))
         self.assertEqual(set(statuses), {200})
+
+
+class BackoffTest(PlatformTestCase):
+    shop_count = 2
+    model_count = 0
+
+    async def fetch_for(self, duration):
+        """Fetch pages one after another; return the statuses."""
+        clock = asyncio.get_running_loop().time
+        end = clock() + duration
+        statuses = set()
+        while clock() < end:
+            answer = await self.request("/lookup/x", method="GET")
+            statuses.add(answer.status)
+            await asyncio.sleep(0.02)
+        return statuses
+
+    async def test_server_that_asks_to_back_off_gets_no_requests(self):
+        server = self.shop_servers[0]
+        server.retry_after = "2"
+        statuses = await self.fetch_for(1.9)
+        self.assertEqual(statuses, {200})
+        self.assertGreaterEqual(len(server.arrivals), 1)
+        first = server.arrivals[0]
+        late = [time for time in server.arrivals if first + GRACE <= time < first + 2]
+        self.assertLessEqual(len(late), ALLOWED_REQUESTS)
+
+    async def test_server_that_says_it_leaves_gets_no_requests(self):
+        server = self.shop_servers[0]
+        server.leaving = True
+        statuses = await self.fetch_for(DRAIN_TIME + 1.0)
+        self.assertEqual(statuses, {200})
+        self.assertGreaterEqual(len(server.arrivals), 1)
+        end = server.arrivals[0] + DRAIN_TIME
+        self.assertEqual([time for time in server.arrivals if time >= end], [])
