Send a target nothing for the time that its refusal names

What callers saw: prompts late or refused, since targets that refused everything for 9 s were tried first by each one.

Cause: the entry read the status of a refusal but not its Retry-After (nor Server-Leaving of any answer), so that the next request went to the same target: without work it looks best. Each refusal used the shared retry budget, until requests that other targets would have taken were refused. Class of fault: what a target says of itself reaches no decision, as with rate limits; same place, so the same mechanism is extended.

Change: a target that refused this entry is excluded until the time is over (300 s at most), the others prefer other targets meanwhile; one whose answers say that it leaves is excluded by all. Notices are fields added at the end of the peers' datagrams, for all cells, with the incarnation they belong to; older builds are told that the target is unreachable.

Ruled out: excluding the target at all entries (the last target of a service would be excluded by what it told another), and leaving the others to find out by refusals.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -94,12 +94,26 @@
     rate_limit: RateLimit | None = None  # None if it never named one
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
+    backoff_until: float = 0.0  # it asked this entry to send nothing until then
+    peer_backoff_until: float = 0.0  # the same, for other entries
+    says_leaving: bool = False  # in an answer, to this entry or to another
+    said_leaving_here: bool = False
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
     def available(self) -> bool:
         """Return whether the target may get new work."""
-        return not self.listing.leaving
+        return not self.listing.leaving and not self.says_leaving
+
+    def is_excluded(self, now: float) -> bool:
+        """Return whether this entry must send the target nothing at a time."""
+        return not self.available or now < self.backoff_until
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether other targets are preferred at a time."""
+        return now < max(
+            self.suspected_until, self.ejected_until, self.peer_backoff_until
+        )
 
     @property
     def names_rate_limit(self) -> bool:
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -7,7 +7,13 @@
 from ..lifecycle import FailRequest, FinishAnswer, ReleaseMemory, ReserveMemory
 from ..reason import Reason
 from .board import WorkItem, WorkItemKey
-from .event import CrashReport, QuarantineReport, RateLimitReport, TraitsAnswered
+from .event import (
+    CrashReport,
+    QuarantineReport,
+    RateLimitReport,
+    TargetNotice,
+    TraitsAnswered,
+)
 from .placement import Placement
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
@@ -87,12 +93,17 @@
     crashes: tuple[CrashReport, ...] = ()
     answered: tuple[TraitsAnswered, ...] = ()
     quarantines: tuple[QuarantineReport, ...] = ()
+    notices: tuple[TargetNotice, ...] = ()
 
     @property
     def for_all_cells(self) -> bool:
         """Return whether the entries of other cells need the update."""
         return bool(
-            self.rate_limits or self.crashes or self.answered or self.quarantines
+            self.rate_limits
+            or self.crashes
+            or self.answered
+            or self.quarantines
+            or self.notices
         )
 
 
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -153,6 +153,7 @@
                 return self._work.handle(event, now)
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
                 commands = self._rate_limits.record_reports(event.rate_limits, now)
+                commands += self._rate_limits.record_notices(event.notices, now)
                 commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
@@ -175,9 +176,7 @@
             if item.generates_answer or not item.decoding
         )
         commands: list[DirectCommand] = [UpdatePeers(work_items)]
-        rate_limits = self._rate_limits.reports(now)
-        if rate_limits:
-            commands.append(UpdatePeers(rate_limits=rate_limits))
+        commands += self._rate_limits.reports(now)
         return commands + self._quarantine.reports(now)
 
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
@@ -286,7 +285,8 @@
         request = self._board.requests.get(reservation_id.request)
         if placement is None or request is None:
             return []
-        if placement.target not in self._board.targets:
+        view = self._board.targets.get(placement.target)
+        if view is None or view.is_excluded(now):
             return self._try_other_group(request, placement.target, now)
         return [self._send_attempt(request, placement, now)]
 
@@ -365,8 +365,8 @@
         request = self._current_request(attempt_id)
         if request is None:
             return [CancelAttempt(attempt_id)]
-        target = request.attempts[-1].agent.target
-        commands = self._rate_limits.record_answer(target, answer, now)
+        agent = request.attempts[-1].agent
+        commands = self._rate_limits.record_answer(agent, answer, now)
         if answer.not_run or answer.wrong_instance:
             return commands + self._handle_refusal(request, answer, now)
         if not request.inbound.route.streamed or not answer.succeeded:
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -161,6 +161,15 @@
     named_at: float  # time of the answer, in seconds
 
 
+@frozen
+class TargetNotice:
+    """A target has asked an entry to back off, or says that it leaves."""
+
+    target: AgentId
+    backoff_until: float  # time in seconds; past if it did not ask
+    leaving: bool
+
+
 @frozen
 class CrashReport:
     """A target has crashed while it ran some requests."""
@@ -202,6 +211,7 @@
     crashes: tuple[CrashReport, ...] = ()
     answered: tuple[TraitsAnswered, ...] = ()
     quarantines: tuple[QuarantineReport, ...] = ()
+    notices: tuple[TargetNotice, ...] = ()
 
 
 DirectEvent = t.Union[
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -15,6 +15,7 @@
     PeerUpdateReceived,
     QuarantineReport,
     RateLimitReport,
+    TargetNotice,
     TraitsAnswered,
 )
 from .store_relay import RelayUpdate
@@ -25,6 +26,7 @@
 # In a datagram, so that it fits into an Ethernet frame.
 MAX_WORK_ITEMS = 12
 MAX_RATE_LIMITS = 20
+MAX_NOTICES = 20
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
@@ -43,6 +45,7 @@
     crashes: list["CrashUpdate"] = []
     answered: list["AnsweredUpdate"] = []
     quarantines: list["QuarantineUpdate"] = []
+    notices: list["NoticeUpdate"] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -103,6 +106,15 @@
     refused_ago: float
 
 
+class NoticeUpdate(msgspec.Struct, array_like=True):
+    """What a target told the owner, in a datagram; times are in seconds."""
+
+    target: str
+    incarnation: str
+    backoff_left: float
+    leaving: bool
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
     revision: int
@@ -132,6 +144,9 @@
     for start in range(0, len(update.rate_limits), MAX_RATE_LIMITS):
         limits = update.rate_limits[start : start + MAX_RATE_LIMITS]
         updates.append(_encode_limits(owner, limits, revision, now))
+    for start in range(0, len(update.notices), MAX_NOTICES):
+        notices = update.notices[start : start + MAX_NOTICES]
+        updates.append(_encode_notices(owner, notices, revision, now))
     updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
@@ -145,12 +160,14 @@
     """
     update = _decoder.decode(data)
     owner = update.owner
-    limited_targets = {limit.target for limit in update.rate_limits}
+    # What is said of these targets besides is for entries of earlier versions.
+    known_targets = {limit.target for limit in update.rate_limits}
+    known_targets.update(notice.target for notice in update.notices)
     return PeerUpdateReceived(
         owner,
         tuple(_decode_item(owner, item, now) for item in update.work_items),
         tuple(WorkItemKey(owner, number) for number in update.ended),
-        tuple(id for id in update.unreachable if id not in limited_targets),
+        tuple(id for id in update.unreachable if id not in known_targets),
         update.store_revision,
         tuple(
             RateLimitReport(limit.target, limit.rate, now - limit.named_ago)
@@ -178,6 +195,14 @@
             )
             for quarantine in update.quarantines
         ),
+        tuple(
+            TargetNotice(
+                AgentId(notice.target, notice.incarnation),
+                now + notice.backoff_left,
+                notice.leaving,
+            )
+            for notice in update.notices
+        ),
     )
 
 
@@ -194,6 +219,24 @@
     return PeerUpdate(owner, [], [], unreachable, revision, updates)
 
 
+def _encode_notices(
+    owner: str, notices: t.Sequence[TargetNotice], revision: int, now: float
+) -> PeerUpdate:
+    # Entries of an earlier version know no notices, but avoid unreachable
+    # targets.
+    unreachable = [notice.target.target for notice in notices]
+    updates = [
+        NoticeUpdate(
+            notice.target.target,
+            notice.target.incarnation,
+            max(notice.backoff_until - now, 0.0),
+            notice.leaving,
+        )
+        for notice in notices
+    ]
+    return PeerUpdate(owner, [], [], unreachable, revision, notices=updates)
+
+
 def _encode_quarantine(
     owner: str, update: UpdatePeers, revision: int, now: float
 ) -> t.Iterator[PeerUpdate]:
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -40,7 +40,7 @@
     spare_slot_cost: float = 0.04  # share of the value for each of these that is used
     other_domain_cost: float = 0.005  # cost of a target in another failure domain
     group_member_cost: float = 0.02  # cost of each further target of a group
-    suspect_cost: float = 50.0  # cost of a suspected or ejected target
+    suspect_cost: float = 50.0  # cost of a target that is avoided
     # Time to connect, send the request and receive the first event.
     transit_time: float = 0.005
     max_memory_share: float = 0.92  # share of an engine's memory that is used
@@ -422,7 +422,7 @@
         return engine.chunk_tokens * engine.steps_per_pass / engine.prefill_rate
 
     def _suspect_cost(self, load: _Load, now: float) -> float:
-        if load.target.suspected_until > now or load.target.ejected_until > now:
+        if load.target.is_avoided(now):
             return self._settings.suspect_cost
         return 0.0
 
@@ -434,7 +434,7 @@
     return min(
         targets,
         key=lambda target: (
-            target.ejected_until > now or target.suspected_until > now,
+            target.is_avoided(now),
             len(target.work_items),
             target.listing.failure_domain != failure_domain,
             target.listing.id,
--- a/src/chicorycove/direct/rate_limit.py
+++ b/src/chicorycove/direct/rate_limit.py
@@ -1,16 +1,18 @@
-"""Keeps the requests to a target within the rate that it names.
+"""Keeps the requests to a target within what it says that it takes.
 
 The load it answers: a target in need names the rate that it takes from all
-entries together, while callers send to each entry as before.
+entries together, asks the entry that it refused to back off, or says that it
+leaves, while callers send to each entry as before.
 """
 
 import dataclasses
 import math
 import typing as t
 
+from ..identity import AgentId
 from .board import DirectBoard, RateLimit, TargetView
 from .command import DirectCommand, LogChange, UpdatePeers
-from .event import RateLimitReport, TargetAnswer
+from .event import RateLimitReport, TargetAnswer, TargetNotice
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,10 +26,17 @@
     ended_report_time: float = 3.0  # time for which a limit's end is reported
     # Time within which refused callers are told to return one after another.
     return_time: float = 2.0
+    # Requests per second for which callers are told to return to a target
+    # after its backoff.
+    return_rate: float = 20.0
+    max_backoff: float = 300.0  # a longer time that a target names counts as this
 
 
 class TargetRateLimits:
-    """Counts the requests of all entries to targets that name a limit.
+    """Counts requests to targets that name a limit, and excludes others.
+
+    Excluded are targets that asked this entry to back off and those that
+    leave.  Targets that asked other entries to back off are avoided.
 
     Every entry counts its own requests and those that its peers report.
     Entries that hear only some of the others use their part of the rate.
@@ -39,14 +48,19 @@
         self._next_returns: dict[str, float] = {}
 
     def record_answer(
-        self, target: str, answer: TargetAnswer, now: float
+        self, agent: AgentId, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
-        """Record the limit that an answer names, or that it names none."""
+        """Record what a target's answer says that the target takes."""
+        target = agent.target
         commands: list[DirectCommand] = [
             LogChange("answer header ignored", target, header)
             for header in answer.invalid_headers
         ]
-        if answer.wrong_instance or answer.rate_limit_invalid:
+        view = self._find_incarnation(agent)
+        if answer.wrong_instance or view is None:
+            return commands
+        commands += self._record_notice(view, answer, now)
+        if answer.rate_limit_invalid:
             return commands
         rate = math.inf if answer.rate_limit is None else answer.rate_limit
         report = RateLimitReport(target, rate, now)
@@ -64,8 +78,36 @@
             commands += self._apply(report, now)
         return commands
 
-    def reports(self, now: float) -> tuple[RateLimitReport, ...]:
-        """Return the limits, and the recent ends of limits, for peers."""
+    def record_notices(
+        self, notices: t.Iterable[TargetNotice], now: float
+    ) -> list[DirectCommand]:
+        """Record what targets have told a peer."""
+        commands: list[DirectCommand] = []
+        for notice in notices:
+            view = self._find_incarnation(notice.target)
+            if view is None:
+                continue
+            latest = now + self._settings.max_backoff
+            backoff_until = min(notice.backoff_until, latest)
+            view.peer_backoff_until = max(view.peer_backoff_until, backoff_until)
+            if notice.leaving:
+                commands += self._exclude(view)
+        return commands
+
+    def reports(self, now: float) -> list[DirectCommand]:
+        """Return the update that peers may not have received, if any."""
+        rate_limits = self._rate_limit_reports(now)
+        notices = tuple(
+            _to_notice(view)
+            for view in self._board.targets.values()
+            if view.said_leaving_here or now < view.backoff_until
+        )
+        if not rate_limits and not notices:
+            return []
+        return [UpdatePeers(rate_limits=rate_limits, notices=notices)]
+
+    def _rate_limit_reports(self, now: float) -> tuple[RateLimitReport, ...]:
+        """Return the limits, and the recent ends of limits."""
         return tuple(
             RateLimitReport(view.listing.id, limit.rate, limit.named_at)
             for view in self._board.targets.values()
@@ -84,6 +126,8 @@
 
     def allows(self, view: TargetView, now: float) -> bool:
         """Return whether a request may be placed on a target now."""
+        if view.is_excluded(now):
+            return False
         if not view.names_rate_limit:
             return True
         self._refill(view.rate_limit, now)
@@ -92,24 +136,22 @@
     def retry_after(self, service: str, now: float) -> float | None:
         """Return the seconds until a refused caller should return.
 
-        Callers are told different times, at the rate of the service's limited
-        targets.  Return None if the service has no such target.
+        Callers are told different times, at the rate that such targets take.
+        Return None if the service has no target that excludes requests now.
         """
-        limits = [
-            view.rate_limit
+        views = [
+            view
             for view in self._board.available_targets(service)
             if not self.allows(view, now)
         ]
-        if not limits:
+        if not views:
             return None
-        first_return = now + min(
-            (1 - limit.balance) / self._rate(limit) for limit in limits
-        )
+        first_return = min(self._next_turn(view, now) for view in views)
         next_return = self._next_returns.get(service, 0.0)
         last_return = first_return + self._settings.return_time
         if not first_return <= next_return <= last_return:
             next_return = first_return
-        interval = 1 / sum(self._rate(limit) for limit in limits)
+        interval = 1 / sum(self._return_rate(view) for view in views)
         interval *= max(len(self._board.peer_names), 1)
         self._next_returns[service] = next_return + interval
         return next_return - now
@@ -137,6 +179,47 @@
         detail = f"{report.rate:g} requests/s" if report.rate < math.inf else "none"
         return [LogChange("target limit changed", report.target, detail)]
 
+    def _record_notice(
+        self, view: TargetView, answer: TargetAnswer, now: float
+    ) -> list[DirectCommand]:
+        commands: list[DirectCommand] = []
+        if answer.retry_after:
+            delay = min(answer.retry_after, self._settings.max_backoff)
+            view.backoff_until = max(view.backoff_until, now + delay)
+            detail = f"for {delay:g} s"
+            commands.append(LogChange("target backoff begun", view.listing.id, detail))
+        if answer.leaving:
+            view.said_leaving_here = True
+            commands += self._exclude(view)
+        return [*commands, UpdatePeers(notices=(_to_notice(view),))] if commands else []
+
+    def _exclude(self, view: TargetView) -> list[DirectCommand]:
+        """Exclude a target that leaves."""
+        if view.says_leaving:
+            return []
+        view.says_leaving = True
+        self._board.targets_version += 1
+        return [LogChange("target changed", view.listing.id, "says that it leaves")]
+
+    def _find_incarnation(self, agent: AgentId) -> TargetView | None:
+        view = self._board.targets.get(agent.target)
+        if view is None or str(view.listing.started_at) != agent.incarnation:
+            return None
+        return view
+
+    def _next_turn(self, view: TargetView, now: float) -> float:
+        """Return when a target takes a request again."""
+        if not view.names_rate_limit:
+            return view.backoff_until
+        limit = view.rate_limit
+        turn = now + max(1 - limit.balance, 0.0) / self._rate(limit)
+        return max(turn, view.backoff_until)
+
+    def _return_rate(self, view: TargetView) -> float:
+        if not view.names_rate_limit:
+            return self._settings.return_rate
+        return self._rate(view.rate_limit)
+
     def _rate(self, limit: RateLimit) -> float:
         rate = max(limit.rate, self._settings.min_rate)
         return rate * self._board.responsive_share
@@ -147,3 +230,8 @@
         elapsed = max(now - limit.refilled_at, 0.0)
         limit.balance = min(limit.balance + elapsed * rate, size)
         limit.refilled_at = now
+
+
+def _to_notice(view: TargetView) -> TargetNotice:
+    agent = AgentId(view.listing.id, str(view.listing.started_at))
+    return TargetNotice(agent, view.backoff_until, view.said_leaving_here)
--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -78,7 +78,7 @@
         view = self._board.targets.get(target)
         if view is None or view.remove_at is not None:
             return []
-        if view.listing.leaving or not self._may_have_lapsed(now):
+        if not view.available or not self._may_have_lapsed(now):
             return self._remove(target, "unlisted")
         view.remove_at = max(self._board.store_regained_at, now) + self._lapse_grace
         due = _LapseDue(target, view.remove_at)
--- a/tests/test_direct_backoff.py
+++ b/tests/test_direct_backoff.py
@@ -2,11 +2,23 @@
 
 import unittest
 
+from chicorycove import Reason, Verdict
+from chicorycove.direct import peers
+from chicorycove.direct.command import UpdatePeers
+from chicorycove.direct.event import (
+    AnswerHeadReceived,
+    PeerUpdateReceived,
+    TargetAnswer,
+    TargetNotice,
+)
+from chicorycove.direct.rate_limit import RateLimitSettings
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.identity import AgentId
+from chicorycove.lifecycle import MemoryReserved
 from chicorycove.platform.headers import PlatformDialect
 
-from .direct import LOOKUP, SHORT
-from .direct_fleet import Fleet
+from .direct import LONG, LOOKUP, SHORT, DirectWorld, command_names, only_command
+from .direct_fleet import Fleet, cut_datagram
 
 RETRY_AFTER = 3.0  # seconds that targets name
 GRACE = 0.5  # seconds after a refusal in which requests may still arrive
@@ -137,3 +149,91 @@
             fleet.receive(SHORT, {}, entry="entry-late")
         fleet.run_until(36.0)
         self.assertEqual(fleet.targets["e0"].count_arrivals(start, 36.0), 0)
+
+
+class ExclusionTest(unittest.TestCase):
+    def setUp(self):
+        self.world = DirectWorld(engines=0, shops=1)
+
+    def refuse(self, id, **fields):
+        """Let the target refuse a request; return the commands that follow."""
+        send = self.world.send(id, LOOKUP)
+        answer = TargetAnswer(503, True, **fields)
+        return self.world.handle(AnswerHeadReceived(send.attempt, answer))
+
+    def refusal(self, id):
+        """Return the failure of a request, or None if it is sent."""
+        commands = self.world.receive(id, LOOKUP)
+        failures = [c for c in commands if type(c).__name__ == "FailRequest"]
+        return failures[0] if failures else None
+
+    def test_refused_caller_is_told_when_the_backoff_ends(self):
+        failure = only_command(self.refuse("r", retry_after=3.0), "FailRequest")
+        self.assertIs(failure.reason, Reason.TARGET_LIMIT)
+        self.assertIs(failure.verdict, Verdict.NOT_RUN)
+        self.assertEqual(failure.retry_after, 3.0)
+        self.world.now = 2.9
+        self.assertGreaterEqual(self.refusal("early").retry_after, 0.1)
+        self.world.now = 3.0
+        self.assertIsNone(self.refusal("late"))
+
+    def test_long_backoff_is_cut(self):
+        self.refuse("r", retry_after=1e9)
+        self.world.now = RateLimitSettings().max_backoff
+        self.assertIsNone(self.refusal("late"))
+
+    def test_new_incarnation_of_a_target_that_left_gets_requests(self):
+        self.refuse("r", leaving=True)
+        self.assertIs(self.refusal("gone").reason, Reason.NO_TARGET)
+        self.world.add_target("s0", "shop", started_at=2)
+        self.assertIsNone(self.refusal("new"))
+
+    def test_answer_of_an_earlier_incarnation_does_not_exclude_the_new_one(self):
+        send = self.world.send("r", LOOKUP)
+        self.world.add_target("s0", "shop", started_at=2)
+        answer = TargetAnswer(503, True, retry_after=3.0, leaving=True)
+        self.world.handle(AnswerHeadReceived(send.attempt, answer))
+        self.assertIsNone(self.refusal("new"))
+
+    def test_group_is_not_sent_to_a_target_that_asked_to_back_off_meanwhile(self):
+        world = DirectWorld(engines=4)
+        reserve = only_command(
+            world.receive("large", LONG, tokens=600_000), "ReserveMemory"
+        )
+        primary = world.board.requests["large"].attempts[-1].agent
+        notice = TargetNotice(primary, 9.0, True)
+        world.handle(PeerUpdateReceived("entry-2", notices=(notice,)))
+        commands = world.handle(MemoryReserved(reserve.attempt))
+        self.assertNotIn("SendAttempt", command_names(commands))
+
+    def test_notice_of_another_incarnation_is_ignored(self):
+        notice = TargetNotice(AgentId("s0", "0"), 9.0, True)
+        self.world.handle(PeerUpdateReceived("entry-2", notices=(notice,)))
+        self.assertIsNone(self.refusal("r"))
+
+    def test_backoff_of_a_peer_does_not_exclude_the_last_target(self):
+        notice = TargetNotice(AgentId("s0", "1"), 9.0, False)
+        self.world.handle(PeerUpdateReceived("entry-2", notices=(notice,)))
+        self.assertIsNone(self.refusal("r"))
+
+
+class NoticeDatagramTest(unittest.TestCase):
+    notice = TargetNotice(AgentId("t", "7"), 103.0, True)
+
+    def test_notice_is_decoded_by_another_clock(self):
+        (data,) = peers.encode("e", UpdatePeers(notices=(self.notice,)), 7, 100.0)
+        received = peers.decode(data, 5000.0)
+        self.assertEqual(
+            received.notices, (TargetNotice(AgentId("t", "7"), 5003.0, True),)
+        )
+        self.assertEqual(received.unreachable, ())
+
+    def test_older_version_is_told_that_the_target_is_unreachable(self):
+        (data,) = peers.encode("e", UpdatePeers(notices=(self.notice,)), 7, 100.0)
+        self.assertEqual(peers.decode(cut_datagram(data), 0.0).unreachable, ("t",))
+
+    def test_many_notices_are_split(self):
+        update = UpdatePeers(notices=(self.notice,) * 45)
+        datagrams = peers.encode("e", update, 7, 100.0)
+        self.assertEqual(len(datagrams), 3)
+        self.assertLess(max(map(len, datagrams)), 1400)
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -57,6 +57,8 @@
 )
 
 LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
+BACKOFF = TargetAnswer(status=503, not_run=True, retry_after=2.0)
+LEAVING = TargetAnswer(status=200, not_run=False, leaving=True)
 ROUTES = {"short": SHORT, "long": LONG, "order": ORDER, "lookup": LOOKUP}
 
 
@@ -73,6 +75,7 @@
         self.pending_reservations = {}  # reservation: its unanswered order
         self.held_reservations = collections.Counter()
         self.finished = {}  # request: the last command to its caller
+        self.backoff_until = {}  # incarnation: time, infinite once it leaves
         self.last_event_ids = {}  # request: id of the last event that its caller has
 
     def handle(self, event):
@@ -84,6 +87,8 @@
             case "SendAttempt":
                 id = command.attempt.request
                 assert id not in self.finished, "sent after the request ended"
+                backoff_until = self.backoff_until.get(command.target, -math.inf)
+                assert self.world.now >= backoff_until, "sent during a backoff"
                 self.live = {
                     attempt: sent
                     for attempt, sent in self.live.items()
@@ -165,7 +170,9 @@
 
     @rule(
         data=st.data(),
-        answer=st.sampled_from([OK, OK, LIMITED, SERVER_ERROR, TARGET_FULL]),
+        answer=st.sampled_from(
+            [OK, OK, LIMITED, SERVER_ERROR, TARGET_FULL, BACKOFF, LEAVING]
+        ),
     )
     def answer(self, data, answer):
         attempt = self.pick(data, (set(self.live) & self.sent) - self.answered)
@@ -174,11 +181,20 @@
         self.answered.add(attempt)
         if answer.not_run:
             self.refused.add(attempt)
+        agent = self.live[attempt].target
+        view = self.world.board.targets.get(agent.target)
+        if view is not None and str(view.listing.started_at) == agent.incarnation:
+            self.record_backoff(agent, answer)
         self.handle(AnswerHeadReceived(attempt, answer))
         route = self.routes[attempt.request]
         if attempt in self.live and not (route.streamed and answer.succeeded):
             self.handle(AnswerReceived(attempt, answer))
 
+    def record_backoff(self, agent, answer):
+        delay = math.inf if answer.leaving else answer.retry_after or -math.inf
+        backoff_until = self.backoff_until.get(agent, -math.inf)
+        self.backoff_until[agent] = max(backoff_until, self.world.now + delay)
+
     @rule(data=st.data(), events=st.integers(1, 3))
     def relay_events(self, data, events):
         attempt = self.pick(data, set(self.live) & self.answered)
