Give up answers without end; bound the memory of answers

A header line, headers, interim answers, an answer to another request, an event of a stream and the reply to an order were read without a bound; buffered bodies were bounded one by one (8 MiB), so that 40 at once exceed the memory of a host.

What exceeds this fails the attempt as answer_too_large, which is sent elsewhere if it may be repeated.

--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -11,6 +11,7 @@
 # Seconds. The kernel retransmits a lost SYN after 1, 3 and 7 s, so that a new
 # attempt connects sooner once the network path has recovered.
 CONNECT_TIMEOUT = 0.4
+MAX_REPLY_SIZE = 16_777_216  # bytes, several times those of a page of the store
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,8 +51,9 @@
 class HttpClient:
     """A client of one address that makes one call at a time."""
 
-    def __init__(self, address: str) -> None:
-        """Use the server at "ip:port"."""
+    def __init__(self, address: str, max_reply_size: int = MAX_REPLY_SIZE) -> None:
+        """Use the server at "ip:port"; the size of a reply is in bytes."""
+        self._max_reply_size = max_reply_size
         self._address = address
         self._host, port = address.rsplit(":", 1)
         self._port = int(port)
@@ -108,10 +110,14 @@
             format_request(method.encode(), path.encode(), headers, body)
         )
         reply_parser = _ReplyParser()
+        size = 0
         while not reply_parser.complete:
             data = await self._reader.read(READ_SIZE)
             if not data:
                 raise EOFError("the connection closed before the answer was complete")
+            size += len(data)
+            if size > self._max_reply_size:
+                raise OSError(f"the reply exceeds {self._max_reply_size} bytes")
             reply_parser.parser.feed_data(data)
         reply = Reply(reply_parser.parser.get_status_code(), bytes(reply_parser.body))
         if not reply_parser.parser.should_keep_alive():
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -20,6 +20,7 @@
 from ..reason import Reason
 from ..utils import Tasks
 from ..verdict import Verdict
+from .answer_buffers import AnswerBuffers
 from .board import DirectBoard, InboundRequest
 from .caller_connection import CallerConnection
 from .command import (
@@ -81,6 +82,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
+        self._answer_buffers = AnswerBuffers()
         self._exchanges: dict[str, Exchange] = {}
         self._callers: dict[CallerConnection, Exchange] = {}
         self._connections: set[CallerConnection] = set()
@@ -186,7 +188,9 @@
         if id in self._exchanges:
             self._reject(connection, Rejection(400, Reason.BAD_REQUEST, id))
             return
-        exchange = Exchange(self, self._dialect, connection, request, inbound)
+        exchange = Exchange(
+            self, self._dialect, connection, request, inbound, self._answer_buffers
+        )
         self._exchanges[id] = exchange
         self._callers[connection] = exchange
         self._metrics.arrived(inbound.route.name)
--- a/src/chicorycove/direct/eventstream.py
+++ b/src/chicorycove/direct/eventstream.py
@@ -31,6 +31,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._pending.strip())
 
+    @property
+    def pending_size(self) -> int:
+        """Return the bytes of the incomplete event."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> EventBatch | None:
         """Add bytes and return the events that they complete, if any."""
         self._pending += data
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -7,6 +7,7 @@
 from ..reason import Reason
 from ..request import Prompt
 from ..verdict import Verdict
+from .answer_buffers import AnswerBuffers
 from .board import InboundRequest
 from .caller_connection import CallerConnection
 from .command import SendAttempt
@@ -23,7 +24,7 @@
 from .http import Headers, HttpRequest, end_to_end_headers
 from .target_connection import TargetConnection
 
-MAX_ANSWER = 8_388_608  # bytes of an answer that is not streamed
+MAX_EVENT_SIZE = 262_144  # bytes of one event of a stream
 
 
 class AttemptListener(t.Protocol):
@@ -54,8 +55,10 @@
         connection: CallerConnection,
         request: HttpRequest,
         inbound: InboundRequest,
+        answer_buffers: AnswerBuffers,
     ) -> None:
         self.listener = listener
+        self.answer_buffers = answer_buffers
         self.dialect = dialect
         self.connection = connection
         self.request = request
@@ -192,6 +195,8 @@
     def close(self) -> None:
         """Close the connection and ignore what it still reports."""
         self._closed = True
+        self._exchange.answer_buffers.release(len(self.body))
+        self.body = bytearray()
         if self.connection is not None:
             self.connection.abort()
 
@@ -228,10 +233,12 @@
             return
         if self._event_buffer is not None:
             self._relay(data)
-        elif len(self.body) + len(data) > MAX_ANSWER:
-            self._fail(Reason.ANSWER_TOO_LARGE)
-        else:
+            return
+        size = len(self.body)
+        if self._exchange.answer_buffers.resize(size, size + len(data)):
             self.body += data
+        else:
+            self.answer_too_large()
 
     def answer_completed(self, self_delimited: bool) -> None:
         if self._closed:
@@ -244,6 +251,10 @@
         else:
             listener.stream_ended(self.attempt, self_delimited)
 
+    def answer_too_large(self) -> None:
+        if not self._closed:
+            self._fail(Reason.ANSWER_TOO_LARGE)
+
     def connection_lost(self, connected: bool) -> None:
         if not self._closed:
             self._fail(Reason.STREAM_BROKEN)
@@ -260,6 +271,9 @@
 
     def _relay(self, data: bytes) -> None:
         batch = self._event_buffer.feed(data)
+        if self._event_buffer.pending_size > MAX_EVENT_SIZE:
+            self.answer_too_large()
+            return
         if batch is None:
             return
         self._relayed_events = True
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -13,6 +13,8 @@
 from .linelog import LineLog
 from .settings import DirectSettings
 
+MAX_ORDER_REPLY_SIZE = 65_536  # bytes
+
 
 class TargetCalls:
     """Sends orders and probes to targets and reports the results as events."""
@@ -69,7 +71,7 @@
         if view is None:
             self._log.write(event, request=reservation.request, cause="target gone")
             return None
-        client = HttpClient(view.listing.address)
+        client = HttpClient(view.listing.address, MAX_ORDER_REPLY_SIZE)
         try:
             timeout = self._settings.reservation.answer_timeout
             reply = await client.call("POST", order.path, order.body, timeout)
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -7,6 +7,9 @@
 
 from .http import Headers, enable_keepalive
 
+MAX_HEAD_SIZE = 65_536  # bytes of an answer's head, and of interim answers
+MAX_SKIPPED_SIZE = 8_388_608  # bytes of answers that belong to no request
+
 
 class AnswerListener(t.Protocol):
     """Receives the answer that comes over a connection to a target."""
@@ -27,6 +30,9 @@
         connection.
         """
 
+    def answer_too_large(self) -> None:
+        """Handle an answer that has no end, or none within its bounds."""
+
     def connection_lost(self, connected: bool) -> None:
         """Handle the end of a connection before the answer was complete."""
 
@@ -41,6 +47,8 @@
         self._done = False
         self._head_received = False
         self._self_delimited = False
+        self._head_size = 0  # bytes until the head is complete, less the skipped
+        self._skipped_size = 0  # bytes of the bodies of skipped answers
         self._reset()
 
     def _reset(self) -> None:
@@ -61,10 +69,13 @@
     def data_received(self, data: bytes) -> None:
         if self._done:
             return
+        skipped_before = self._skipped_size
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail()
+            return
+        self._check_size(len(data) - (self._skipped_size - skipped_before))
 
     def eof_received(self) -> bool:
         if not self._done and self._head_received and not self._self_delimited:
@@ -97,7 +108,9 @@
         self._head_received = not self._message_skipped
 
     def on_body(self, body: bytes) -> None:
-        if not self._message_skipped and not self._done:
+        if self._message_skipped:
+            self._skipped_size += len(body)
+        elif not self._done:
             self._listener.body_received(body)
 
     def on_message_complete(self) -> None:
@@ -130,6 +143,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _check_size(self, added_head_size: int) -> None:
+        """Give up an answer whose head, or what precedes it, has no end."""
+        if self._done or self._head_received:
+            return
+        self._head_size += added_head_size
+        if self._head_size > MAX_HEAD_SIZE or self._skipped_size > MAX_SKIPPED_SIZE:
+            self._done = True
+            self._listener.answer_too_large()
+            if self._transport is not None:
+                self._transport.abort()
+
     def _fail(self) -> None:
         if self._done:
             return
