Hold requests that come before the first configuration

All entries restart while the store is away; they listen after 0.6 s and refused each caller with Retry-After 0, so that callers spent their tries within a quarter of a second, up to 0.9 s before the configuration came.

Change: direct/cold_start.py decides which requests are held (256, 16 MiB of bodies), each until 0.15 s before its caller's deadline, and admits them by their deadlines, 2 ms apart, once the store has been listed. 401, 404 and the like come as soon as the configuration is there; a caller that leaves is dropped; SIGTERM refuses all at once. Refusals say to return after the time for which the configuration has been awaited (0.3 to 5 s), up to twice that.

Two ways weighed: holding alone loses callers whose deadline ends first and those beyond the bound; Retry-After alone loses those whose client waits a third of its time at most.

--- a/src/chicorycove/direct/dialect.py
+++ b/src/chicorycove/direct/dialect.py
@@ -39,6 +39,9 @@
     ) -> InboundRequest | Rejection:
         """Parse a caller's request; a draw from [0, 1) selects its service."""
 
+    def parse_time_limit(self, request: HttpRequest) -> float | None:
+        """Return the seconds for which a caller waits, if it names them."""
+
     def build_request(
         self,
         request: HttpRequest,
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -144,6 +144,7 @@
                     self._target_health.remove(event.target)
                 return self._targets.handle(event, now)
             case StoreRevisionSeen(revision):
+                self._board.store_listed = True
                 self._store_lag.record_own_revision(revision)
                 return []
             case PeersUpdated(entry_names, complete=complete):
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -23,6 +23,7 @@
 from .answer_buffers import AnswerBuffers
 from .board import DirectBoard, InboundRequest
 from .caller_connection import CallerConnection
+from .cold_start import HeldRequests
 from .command import (
     AbortAnswer,
     CancelAttempt,
@@ -85,6 +86,11 @@
         self._answer_buffers = AnswerBuffers()
         self._exchanges: dict[str, Exchange] = {}
         self._callers: dict[CallerConnection, Exchange] = {}
+        self._held = HeldRequests[CallerConnection](
+            settings.cold_start, self._loop.time()
+        )
+        self._held_requests: dict[CallerConnection, HttpRequest] = {}
+        self._releasing = False
         self._connections: set[CallerConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
@@ -127,10 +133,14 @@
         for command in self._dispatcher.handle(event, now):
             self._execute(command)
         self._schedule_timer()
+        if self._held_requests and self._board.table and self._board.store_listed:
+            self._release_held_requests()
 
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
+        for connection in list(self._held_requests):
+            self._refuse_held_request(connection)
 
     # Callers
 
@@ -153,7 +163,12 @@
     def request_received(
         self, connection: CallerConnection, request: HttpRequest
     ) -> None:
-        """Admit a request, or reject it."""
+        """Admit a request, hold it for a deployment, or reject it."""
+        if self._board.table is None and self._hold(connection, request):
+            return
+        self._answer(connection, request)
+
+    def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         connection.close_after_answer = connection.close_after_answer or self.stopping
         parsed = self._dialect.parse_request(
             request, self._board.table, self._random.random()
@@ -174,7 +189,13 @@
             reason=rejection.reason.value,
             version=table.deployment.version if table else None,
         )
-        retry_after = 0.0 if rejection.status == 503 else None
+        retry_after = None
+        if rejection.reason is Reason.NOT_READY and not self.stopping:
+            retry_after = self._held.retry_after(
+                self._random.random(), self._loop.time()
+            )
+        elif rejection.status == 503:
+            retry_after = 0.0
         headers = self._dialect.entry_headers(rejection.request, retry_after)
         connection.send_answer(rejection.status, headers, b"")
 
@@ -204,6 +225,9 @@
 
     def caller_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the request of a caller that closed its connection."""
+        if self._held.remove(connection):
+            del self._held_requests[connection]
+            return
         exchange = self._callers.get(connection)
         if exchange is None:
             return
@@ -213,6 +237,49 @@
         self.handle(CallerDisconnected(id))
         self._remove_exchange(exchange)
 
+    # Requests held before the first deployment
+
+    def _hold(self, connection: CallerConnection, request: HttpRequest) -> bool:
+        """Hold a request; return whether there was time and room for it."""
+        if self.stopping:
+            return False
+        now = self._loop.time()
+        time_limit = self._dialect.parse_time_limit(request)
+        hold_until = self._held.hold(
+            connection, len(request.body), request.received_at, time_limit, now
+        )
+        if hold_until is None:
+            return False
+        self._held_requests[connection] = request
+        self._log.write("request held", left=round(hold_until - now, 3))
+        self._loop.call_at(hold_until, self._expire_held_request, connection, request)
+        return True
+
+    def _expire_held_request(
+        self, connection: CallerConnection, request: HttpRequest
+    ) -> None:
+        if self._held_requests.get(connection) is request:
+            self._refuse_held_request(connection)
+
+    def _refuse_held_request(self, connection: CallerConnection) -> None:
+        self._held.remove(connection)
+        self._answer(connection, self._held_requests.pop(connection))
+
+    def _release_held_requests(self) -> None:
+        """Admit held requests one after another, by their deadlines."""
+        if not self._releasing:
+            self._releasing = True
+            self._release_next_request()
+
+    def _release_next_request(self) -> None:
+        connection = self._held.take_next()
+        if connection is None:
+            self._releasing = False
+            return
+        interval = self._settings.cold_start.release_interval
+        self._loop.call_later(interval, self._release_next_request)
+        self._answer(connection, self._held_requests.pop(connection))
+
     # Commands
 
     def _execute(self, command: DirectCommand) -> None:
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -4,6 +4,7 @@
 
 from ..health import HealthSettings
 from .budget import BudgetSettings
+from .cold_start import ColdStartSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
 from .rate_limit import RateLimitSettings
@@ -62,6 +63,7 @@
     relay: RelaySettings = RelaySettings()
     rate_limit: RateLimitSettings = RateLimitSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    cold_start: ColdStartSettings = ColdStartSettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -89,6 +89,11 @@
                 priority = workspace_keys.priority
         return self._build_inbound(id, request, route, workspace, priority, draw)
 
+    def parse_time_limit(self, request: HttpRequest) -> float | None:
+        """Return the seconds for which a caller waits, if it names them."""
+        budget_ms = _parse_number(request.header(TIME_BUDGET))
+        return budget_ms / MS_PER_SECOND if budget_ms is not None else None
+
     def build_request(
         self,
         request: HttpRequest,
