--- a/bench/placing.py
+++ b/bench/placing.py
@@ -67,6 +67,10 @@
 PERCENTILES = (0.5, 0.95)
 # Names that settings had earlier, which --set still takes.
 FORMER_NAMES = {
+    "rate_limit.burst_time": "target_limits.burst_time",
+    "rate_limit.min_rate": "target_limits.min_rate",
+    "rate_limit.ended_report_time": "target_limits.ended_report_time",
+    "rate_limit.return_time": "target_limits.return_time",
     "placement.early": "placement.loss_start_share",
     "placement.over": "placement.full_loss_share",
     "placement.late_share": "placement.late_loss_share",
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -55,7 +55,6 @@
 from .placement import Placement
 from .progress import ProgressCheckDue, ProgressMonitor, ProgressStatus
 from .quarantine import CrashReviewDue, RequestQuarantine
-from .rate_limit import TargetRateLimits
 from .reservation import LeaseRenewalDue, Reservations, ReservationTimeoutDue
 from .retry import DirectRetryPolicy
 from .selection import TargetSelector
@@ -63,6 +62,7 @@
 from .shutdown import ShutdownPolicy
 from .store_lag import StoreLagDetector
 from .target_health import TargetHealth
+from .target_limits import TargetLimits
 from .target_list import TargetList
 from .work import WorkTracker
 
@@ -93,10 +93,10 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
-        self._rate_limits = TargetRateLimits(board, settings.rate_limit)
+        self._target_limits = TargetLimits(board, settings.target_limits)
         self._reservations = Reservations(board, settings.reservation)
         self._quarantine = RequestQuarantine(board, settings.quarantine, entry_name)
-        self._work = WorkTracker(board, settings, entry_name, self._rate_limits)
+        self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
@@ -104,7 +104,7 @@
         self._collisions = CollisionDetector(board)
         self._partition = FleetPartition(board, settings.max_targets, entry_name)
         self._selector = TargetSelector(
-            board, settings, self._partition, self._rate_limits, failure_domain
+            board, settings, self._partition, self._target_limits, failure_domain
         )
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -153,8 +153,8 @@
                 self._board.peer_names = self._partition.peer_names()
                 return self._work.handle(event, now)
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
-                commands = self._rate_limits.record_reports(event.rate_limits, now)
-                commands += self._rate_limits.record_notices(event.notices, now)
+                commands = self._target_limits.record_reports(event.rate_limits, now)
+                commands += self._target_limits.record_notices(event.notices, now)
                 commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
@@ -177,7 +177,7 @@
             if item.generates_answer or not item.decoding
         )
         commands: list[DirectCommand] = [UpdatePeers(work_items)]
-        commands += self._rate_limits.reports(now)
+        commands += self._target_limits.reports(now)
         return commands + self._quarantine.reports(now)
 
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
@@ -239,7 +239,7 @@
 
     def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
         """Fail a request that no target may get now."""
-        retry_after = self._rate_limits.retry_after(request.inbound.service, now)
+        retry_after = self._target_limits.retry_after(request.inbound.service, now)
         if retry_after is not None:
             return self._completion.fail(request, Reason.TARGET_LIMIT, retry_after)
         retry_after = self._settings.retry_after_no_target
@@ -367,7 +367,7 @@
         if request is None:
             return [CancelAttempt(attempt_id)]
         agent = request.attempts[-1].agent
-        commands = self._rate_limits.record_answer(agent, answer, now)
+        commands = self._target_limits.record_answer(agent, answer, now)
         if answer.not_run or answer.wrong_instance:
             return commands + self._handle_refusal(request, answer, now)
         if not request.inbound.route.streamed or not answer.succeeded:
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -6,8 +6,8 @@
 from .board import DirectBoard, DirectRequest, TargetView
 from .partition import FleetPartition
 from .placement import Placement, PlacementRequest, Placer, place_call
-from .rate_limit import TargetRateLimits
 from .settings import DirectSettings
+from .target_limits import TargetLimits
 
 
 class TargetSelector:
@@ -18,13 +18,13 @@
         board: DirectBoard,
         settings: DirectSettings,
         partition: FleetPartition,
-        rate_limits: TargetRateLimits,
+        target_limits: TargetLimits,
         failure_domain: str,
     ) -> None:
         self._board = board
         self._settings = settings
         self._partition = partition
-        self._rate_limits = rate_limits
+        self._target_limits = target_limits
         self._failure_domain = failure_domain
         self._placer = Placer(settings.placement)
 
@@ -61,7 +61,7 @@
         return Placement(target=target.listing.id, candidates=len(candidates))
 
     def _allowed(self, targets: t.Iterable[TargetView], now: float) -> list[TargetView]:
-        return [view for view in targets if self._rate_limits.allows(view, now)]
+        return [view for view in targets if self._target_limits.allows(view, now)]
 
     def _placement_request(
         self, request: DirectRequest, work: Prompt
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -7,8 +7,8 @@
 from .cold_start import ColdStartSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
-from .rate_limit import RateLimitSettings
 from .store_relay import RelaySettings
+from .target_limits import TargetLimitSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -61,7 +61,7 @@
     reservation: ReservationSettings = ReservationSettings()
     budget: BudgetSettings = BudgetSettings()
     relay: RelaySettings = RelaySettings()
-    rate_limit: RateLimitSettings = RateLimitSettings()
+    target_limits: TargetLimitSettings = TargetLimitSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
     health: HealthSettings = HealthSettings(
--- a/src/chicorycove/direct/rate_limit.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -16,8 +16,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RateLimitSettings:
-    """Settings of targets' rate limits; times are in seconds."""
+class TargetLimitSettings:
+    """How entries keep to what targets take; times are in seconds."""
 
     burst_time: float = 1.0  # time whose requests may be sent at once, besides one
     # Requests per second that a target may get despite a lower limit: only an
@@ -32,7 +32,7 @@
     max_backoff: float = 300.0  # a longer time that a target names counts as this
 
 
-class TargetRateLimits:
+class TargetLimits:
     """Counts requests to targets that name a limit, and excludes others.
 
     Excluded are targets that asked this entry to back off and those that
@@ -42,7 +42,7 @@
     Entries that hear only some of the others use their part of the rate.
     """
 
-    def __init__(self, board: DirectBoard, settings: RateLimitSettings) -> None:
+    def __init__(self, board: DirectBoard, settings: TargetLimitSettings) -> None:
         self._board = board
         self._settings = settings
         self._next_returns: dict[str, float] = {}
@@ -106,18 +106,6 @@
             return []
         return [UpdatePeers(rate_limits=rate_limits, notices=notices)]
 
-    def _rate_limit_reports(self, now: float) -> tuple[RateLimitReport, ...]:
-        """Return the limits, and the recent ends of limits."""
-        return tuple(
-            RateLimitReport(view.listing.id, limit.rate, limit.named_at)
-            for view in self._board.targets.values()
-            if (limit := view.rate_limit) is not None
-            and (
-                limit.rate < math.inf
-                or now < limit.named_at + self._settings.ended_report_time
-            )
-        )
-
     def count(self, view: TargetView, now: float) -> None:
         """Count a request that an entry has placed on a target."""
         if view.names_rate_limit:
@@ -179,6 +167,18 @@
         detail = f"{report.rate:g} requests/s" if report.rate < math.inf else "none"
         return [LogChange("target limit changed", report.target, detail)]
 
+    def _rate_limit_reports(self, now: float) -> tuple[RateLimitReport, ...]:
+        """Return the limits, and the recent ends of limits."""
+        return tuple(
+            RateLimitReport(view.listing.id, limit.rate, limit.named_at)
+            for view in self._board.targets.values()
+            if (limit := view.rate_limit) is not None
+            and (
+                limit.rate < math.inf
+                or now < limit.named_at + self._settings.ended_report_time
+            )
+        )
+
     def _record_notice(
         self, view: TargetView, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -9,8 +9,8 @@
 from .engine import EngineProfile
 from .event import PeersUpdated, PeerUpdateReceived
 from .placement import Placement
-from .rate_limit import TargetRateLimits
 from .settings import DirectSettings, peer_timeout
+from .target_limits import TargetLimits
 
 CALL_EVENTS = 1  # events of an answer that is not streamed
 
@@ -23,11 +23,11 @@
         board: DirectBoard,
         settings: DirectSettings,
         entry_name: str,
-        rate_limits: TargetRateLimits,
+        target_limits: TargetLimits,
     ) -> None:
         self._board = board
         self._settings = settings
-        self._rate_limits = rate_limits
+        self._target_limits = target_limits
         self._name = entry_name
         self._last_number = 0
         self._targets_by_key: dict[WorkItemKey, str] = {}
@@ -175,7 +175,7 @@
             self._remove_item(item.key)  # a prefilled part without memory is no load
             return
         if item.key not in view.work_items:
-            self._rate_limits.count(view, item.refreshed_at)
+            self._target_limits.count(view, item.refreshed_at)
             if item.preempting and not item.decoding:
                 self._delay_waiting_items(view, item)
         view.work_items[item.key] = item
--- a/tests/test_direct_backoff.py
+++ b/tests/test_direct_backoff.py
@@ -11,8 +11,8 @@
     TargetAnswer,
     TargetNotice,
 )
-from chicorycove.direct.rate_limit import RateLimitSettings
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.direct.target_limits import TargetLimitSettings
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import MemoryReserved
 from chicorycove.platform.headers import PlatformDialect
@@ -179,7 +179,7 @@
 
     def test_long_backoff_is_cut(self):
         self.refuse("r", retry_after=1e9)
-        self.world.now = RateLimitSettings().max_backoff
+        self.world.now = TargetLimitSettings().max_backoff
         self.assertIsNone(self.refusal("late"))
 
     def test_new_incarnation_of_a_target_that_left_gets_requests(self):
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -28,9 +28,9 @@
     TargetListed,
     TargetUnlisted,
 )
-from chicorycove.direct.rate_limit import TargetRateLimits
 from chicorycove.direct.settings import DirectSettings, peer_timeout
 from chicorycove.direct.store_relay import RelaySettings, StoreRelay
+from chicorycove.direct.target_limits import TargetLimits
 from chicorycove.direct.target_list import TargetList
 from chicorycove.direct.work import WorkTracker
 from chicorycove.exceptions import StoreUnavailable
@@ -166,8 +166,10 @@
         for number in range(3):
             view = TargetView(make_listing(f"t{number}"))
             self.board.targets[view.listing.id] = view
-        rate_limits = TargetRateLimits(self.board, self.settings.rate_limit)
-        self.work_tracker = WorkTracker(self.board, self.settings, "self", rate_limits)
+        target_limits = TargetLimits(self.board, self.settings.target_limits)
+        self.work_tracker = WorkTracker(
+            self.board, self.settings, "self", target_limits
+        )
         self.now = 0.0
         self.reported = {}  # key: target and time of the last update
 
