Soak backoffs, leaving servers, cold starts and one crashing request

After the faults, a server refuses everything with a time to return, another says that it leaves, all entries restart while the store is paused, and callers send one request that crashes the plain servers beside the prompts that crash the engines. The steps are in soak/steps.py.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,9 +17,10 @@
 from chicorycove.direct.client import HttpClient
 from tests.platform_case import Caller, config
 
-from . import check
+from . import check, steps
 from .fleet import (
     CRASHING_PART,
+    CRASHING_PATH,
     GRACE_PERIOD,
     Entry,
     Operator,
@@ -33,8 +34,8 @@
 KEYS = ("key-1", "key-2", "key-3")
 CALLER_PAUSE = 0.06  # seconds between a caller's requests
 SETTLING_TIME = 3.5  # seconds after a fault until requests are undisturbed
-LIMIT = 2.0  # requests a second that a server names
-CRASH_TIME = 8.0  # seconds in which callers send prompts that crash servers
+CRASH_TIME = 8.0  # seconds in which callers send requests that crash servers
+CRASHING_BODY = "crash"  # of the one request that crashes servers
 RECOVERY_TIME = 12.0  # seconds after the last fault until requests are answered
 ROUTES = ("order", "order", "lookup", "ask", "ask", "say")  # repeated by weight
 
@@ -55,7 +56,7 @@
         self._numbers = itertools.count(1)
         self._last_fault_at = time.time()
         self._stopped = False
-        self._crashing = False  # whether callers send prompts that crash servers
+        self._crashing = False  # whether callers send requests that crash servers
 
     async def run(self) -> list[str]:
         """Run the test and return a line for each violation."""
@@ -67,9 +68,14 @@
             await self._clear_faults()
             cleared_at = time.time()
             await asyncio.sleep(RECOVERY_TIME)
-            violations = await self._limit_server()
+            violations = await self._check_answers_of_servers()
             recovered_until = time.time()
-            crashes = await self._send_crashing_prompts()
+            violations += await steps.check_cold_start(
+                self._entries,
+                self._store,
+                lambda: self._create_request("lookup", self._keys[-1], ""),
+            )
+            crashes = await self._send_crashing_requests()
             self._stopped = True
             await asyncio.gather(*callers)
             await asyncio.sleep(4.5)  # by then all reservations have ended
@@ -78,7 +84,8 @@
         violations += check.find_violations(
             self._sent, runs, self._draining, self._revoked, reservations
         )
-        violations += check.check_crashes(runs, CRASHING_PART, crashes)
+        violations += check.check_crashes(runs, CRASHING_PART, crashes["model"])
+        violations += check.check_crashing_request(runs, CRASHING_BODY, crashes["shop"])
         return violations + check.check_recovery(
             self._sent, cleared_at + RECOVERY_TIME, recovered_until
         )
@@ -166,14 +173,24 @@
         except (OSError, TimeoutError):
             return None
 
-    async def _send_request(self, caller: Caller, rng: random.Random) -> bool:
-        """Send one request; return whether the connection can be reused."""
-        route = rng.choice(ROUTES)
+    def _create_request(
+        self, route: str, key: str, body: str | None = None
+    ) -> check.SentRequest:
+        """Record a request to be sent, by default with its own body."""
         id = f"{self._options.seed:04x}{next(self._numbers):08x}"
-        key = rng.choice(self._keys)
-        body = f"body of {id}"
+        body = f"body of {id}" if body is None else body
         request = check.SentRequest(id, route, body, key, time.time())
         self._sent.append(request)
+        return request
+
+    async def _send_request(self, caller: Caller, rng: random.Random) -> bool:
+        """Send one request; return whether the connection can be reused."""
+        route = rng.choice(ROUTES)
+        request = self._create_request(route, rng.choice(self._keys))
+        id = request.id
+        path = f"/{route}/x"
+        if self._crashing and route == "lookup" and rng.random() < 0.2:
+            path, request.body = CRASHING_PATH, CRASHING_BODY
         headers = {}
         if route in ("ask", "say"):
             parts = ["common", f"session-{rng.randrange(20)}", id]
@@ -185,7 +202,7 @@
             headers["Chicorycove_Token_Counts"] = f"{tokens},460"
         started_at = time.time()
         try:
-            caller.send(f"/{route}/x", body.encode(), key=key, id=id, **headers)
+            caller.send(path, request.body.encode(), key=request.key, id=id, **headers)
             answer = await caller.read()
         except (OSError, EOFError, TimeoutError):
             return False
@@ -196,27 +213,22 @@
 
     # What servers say, and what crashes them
 
-    async def _limit_server(self) -> list[str]:
-        """Let a server name a limit, and check what it gets."""
-        server = self._random.choice(
-            [server for server in self._servers if server.running]
-        )
-        client = HttpClient(f"127.0.0.1:{server.port}")
-        await client.call("POST", "/standin/limit", str(LIMIT).encode())
-        started_at = time.monotonic()
-        await asyncio.sleep(check.STABLE_TIME + check.LIMIT_WINDOW + 1.0)
-        await client.call("POST", "/standin/limit")
-        reply = await client.call("GET", "/standin/arrivals", timeout=5.0)
-        client.close()
-        arrivals = json.loads(reply.body)
-        # Nothing binds before an answer has named the limit.
-        named_at = min((at for at in arrivals if at > started_at), default=started_at)
-        start = named_at + check.STABLE_TIME
-        return check.check_rate_limit(arrivals, LIMIT, start, time.monotonic())
-
-    async def _send_crashing_prompts(self) -> list[float]:
-        """Let callers send prompts that crash servers; return the times."""
-        crashes = []
+    async def _check_answers_of_servers(self) -> list[str]:
+        """Let servers say what they take, and check what they get."""
+        running = [server for server in self._servers if server.running]
+        limited, busy = self._random.sample(running, 2)
+        violations = await steps.check_rate_limit(limited)
+        violations += await steps.check_backoff(busy, len(self._entries))
+        leaving = self._random.choice(running)
+        await self._add_server(leaving.service)
+        violations += await steps.check_leaving(leaving)
+        self._kill(leaving)
+        await self._operator.put(f"servers/{leaving.id}", None)
+        return violations
+
+    async def _send_crashing_requests(self) -> dict[str, list[float]]:
+        """Let callers crash servers; return the times for each service."""
+        crashes: dict[str, list[float]] = {"model": [], "shop": []}
         # A proxy accepts connections to a crashed server, so that probes open.
         for server in [each for each in self._servers if each.running]:
             await self._expose(server)
@@ -227,7 +239,7 @@
             for server in [each for each in self._servers if not each.running]:
                 if server.id not in self._killed:
                     self._killed.add(server.id)
-                    crashes.append(time.time())
+                    crashes[server.service].append(time.time())
                     await self._operator.put(f"servers/{server.id}", None)
                     await self._expose(await self._add_server(server.service))
             await asyncio.sleep(0.05)
--- a/soak/check.py
+++ b/soak/check.py
@@ -13,6 +13,9 @@
 LIMIT_FACTOR = 1.5  # times a limit that a server may get, besides the extra ones
 LIMIT_EXTRA = 5  # requests
 COUNTED_CRASHES = 5  # under one part, after which few prompts with it may run
+COUNTED_CRASHES_OF_REQUEST = 3  # under one request, the same
+BACKOFF_GRACE = 0.5  # seconds after a refusal in which requests may still arrive
+MAX_REQUESTS_IN_BACKOFF = 2  # of one entry, from then on
 MAX_LATE_RUNS = 3
 MIN_ANSWERED_SHARE = 0.9  # of the requests sent after the recovery time
 
@@ -177,13 +180,57 @@
     runs: list[Run], crashing_part: str, crashes: list[float]
 ) -> list[str]:
     """Check that prompts with a crashing part ran on few servers."""
-    if len(crashes) < COUNTED_CRASHES:
+    times = [run.started_at for run in runs if crashing_part in run.prefix]
+    return _check_late_runs("prompts", times, crashes, COUNTED_CRASHES)
+
+
+def check_crashing_request(
+    runs: list[Run], body: str, crashes: list[float]
+) -> list[str]:
+    """Check that a request that crashes servers ran on few of them."""
+    times = [run.started_at for run in runs if run.body == body]
+    return _check_late_runs("a request", times, crashes, COUNTED_CRASHES_OF_REQUEST)
+
+
+def _check_late_runs(
+    subject: str, times: list[float], crashes: list[float], counted_crashes: int
+) -> list[str]:
+    if len(crashes) < counted_crashes:
         return []
-    since = sorted(crashes)[COUNTED_CRASHES - 1] + STABLE_TIME
-    late = sum(run.started_at >= since and crashing_part in run.prefix for run in runs)
+    since = sorted(crashes)[counted_crashes - 1] + STABLE_TIME
+    late = sum(time >= since for time in times)
     if late <= MAX_LATE_RUNS:
         return []
-    return [f"crashes: {late} runs of prompts that crash servers after {len(crashes)}"]
+    return [f"crashes: {late} runs of {subject} after {len(crashes)} servers crashed"]
+
+
+def check_backoff(arrivals: list[float], backoff: float, entry_count: int) -> list[str]:
+    """Check that a server that refuses all requests got few of them."""
+    most = max(
+        (
+            sum(refused + BACKOFF_GRACE <= at < refused + backoff for at in arrivals)
+            for refused in arrivals
+        ),
+        default=0,
+    )
+    allowed = MAX_REQUESTS_IN_BACKOFF * entry_count
+    if most <= allowed:
+        return []
+    return [f"backoff: {most} requests in {backoff} s, allowed {allowed}"]
+
+
+def check_leaving(arrivals: list[float]) -> list[str]:
+    """Check that a server that says it leaves gets nothing after a time."""
+    late = [at for at in arrivals if at > arrivals[0] + DRAIN_TIME + CLOCK_TOLERANCE]
+    return [f"leaving: {len(late)} requests to a server that leaves"] if late else []
+
+
+def check_cold_start(statuses: list[int | None]) -> list[str]:
+    """Check that callers who came before the configuration were answered."""
+    answered = statuses.count(200)
+    if answered == len(statuses):
+        return []
+    return [f"cold start: {answered} of {len(statuses)} answered, {statuses}"]
 
 
 def check_recovery(sent: list[SentRequest], since: float, until: float) -> list[str]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,7 @@
 GRACE_PERIOD = 8.0  # seconds from SIGTERM to SIGKILL, as on the platform
 EVENT_PAUSE = 0.02  # seconds between events of a stream
 CRASHING_PART = "bad"
+CRASHING_PATH = "/lookup/bad"
 BOUNDS = {
     "graceS": GRACE_PERIOD,
     "drainMs": 2000,
@@ -91,6 +92,7 @@
         command = ["standin.platform_server", "--port", str(self.port)]
         command += ["--service", service, "--id", id, "--pause", str(EVENT_PAUSE)]
         command += ["--crashing-part", CRASHING_PART]
+        command += ["--crashing-path", CRASHING_PATH]
         super().__init__(f"server-{id}", folder, command)
 
     def registration(self, state: str = "ready") -> str:
--- /dev/null
+++ b/soak/steps.py
@@ -0,0 +1,110 @@
+"""Steps of a soak test that follow the faults, each with its check."""
+
+import asyncio
+import json
+import signal
+import time
+import typing as t
+
+from chicorycove.direct.client import HttpClient
+from tests.platform_case import Caller
+
+from . import check
+from .fleet import Entry, Process, Server
+
+LIMIT = 2.0  # requests a second that a server names
+BACKOFF = 3.0  # seconds that a server names as it refuses requests
+AWAY_TIME = 1.2  # seconds for which the store stays away from restarted entries
+CALLERS_PER_ENTRY = 5
+
+
+async def check_rate_limit(server: Server) -> list[str]:
+    """Let a server name a limit, and check what it gets."""
+    started_at = time.monotonic()
+    arrivals = await _set_and_count(
+        server, "limit", LIMIT, check.STABLE_TIME + check.LIMIT_WINDOW + 1.0
+    )
+    # Nothing binds before an answer has named the limit.
+    named_at = min((at for at in arrivals if at > started_at), default=started_at)
+    start = named_at + check.STABLE_TIME
+    return check.check_rate_limit(arrivals, LIMIT, start, time.monotonic())
+
+
+async def check_backoff(server: Server, entry_count: int) -> list[str]:
+    """Let a server refuse all requests for a time, and check what it gets."""
+    started_at = time.monotonic()
+    arrivals = await _set_and_count(server, "backoff", BACKOFF, 3 * BACKOFF)
+    refused_at = [at for at in arrivals if at > started_at]
+    return check.check_backoff(refused_at, BACKOFF, entry_count)
+
+
+async def check_leaving(server: Server) -> list[str]:
+    """Let a server say that it leaves, and check what it gets."""
+    started_at = time.monotonic()
+    arrivals = await _set_and_count(server, "leaving", 1, check.DRAIN_TIME + 3.0)
+    told_at = [at for at in arrivals if at > started_at]
+    return check.check_leaving(told_at)
+
+
+async def check_cold_start(
+    entries: list[Entry],
+    store: Process,
+    create_request: t.Callable[[], check.SentRequest],
+) -> list[str]:
+    """Restart all entries while the store is away, and check their callers."""
+    store.signal(signal.SIGSTOP)
+    for entry in entries:
+        entry.kill()
+        entry.start()
+    callers = [
+        asyncio.create_task(_send_until_accepted(entry, create_request()))
+        for entry in entries
+        for _ in range(CALLERS_PER_ENTRY)
+    ]
+    for entry in entries:
+        await _wait_until_listening(entry)
+    await asyncio.sleep(AWAY_TIME)
+    store.signal(signal.SIGCONT)
+    requests = await asyncio.gather(*callers)
+    return check.check_cold_start([request.status for request in requests])
+
+
+async def _set_and_count(
+    server: Server, name: str, value: float, seconds: float
+) -> list[float]:
+    """Let a server say something for some time; return all its arrivals."""
+    client = HttpClient(f"127.0.0.1:{server.port}")
+    await client.call("POST", f"/standin/{name}", str(value).encode())
+    await asyncio.sleep(seconds)
+    await client.call("POST", f"/standin/{name}")
+    reply = await client.call("GET", "/standin/arrivals", timeout=5.0)
+    client.close()
+    return json.loads(reply.body)
+
+
+async def _wait_until_listening(entry: Entry) -> None:
+    async with asyncio.timeout(15.0):
+        while True:
+            try:
+                caller = await Caller.open(f"127.0.0.1:{entry.caller_port}")
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            caller.close()
+            return
+
+
+async def _send_until_accepted(
+    entry: Entry, request: check.SentRequest
+) -> check.SentRequest:
+    """Send a request once an entry listens, and record the status."""
+    await _wait_until_listening(entry)
+    caller = await Caller.open(f"127.0.0.1:{entry.caller_port}")
+    try:
+        caller.send(f"/{request.route}/x", method="GET", key=request.key, id=request.id)
+        request.status = (await caller.read()).status
+    except (OSError, EOFError, TimeoutError):
+        pass  # the status shows that there was no answer
+    finally:
+        caller.close()
+    return request
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -88,6 +88,8 @@
                 Route("/chicorycove/order", self._order, methods=["POST"]),
                 Route("/standin/tickets", self._show_reservations),
                 Route("/standin/limit", self._set_rate_limit, methods=["POST"]),
+                Route("/standin/backoff", self._set_retry_after, methods=["POST"]),
+                Route("/standin/leaving", self._set_leaving, methods=["POST"]),
                 Route("/standin/arrivals", self._show_arrivals),
                 Route("/{path:path}", self._call, methods=METHODS),
             ]
@@ -132,6 +134,14 @@
         self.rate_limit = (await request.body()).decode() or None
         return Response()
 
+    async def _set_retry_after(self, request: Request) -> Response:
+        self.retry_after = (await request.body()).decode() or None
+        return Response()
+
+    async def _set_leaving(self, request: Request) -> Response:
+        self.leaving = bool(await request.body())
+        return Response()
+
     async def _show_arrivals(self, request: Request) -> Response:
         return JSONResponse(self.arrivals)
 
@@ -223,6 +233,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--id", required=True)
     parser.add_argument("--crashing-part", help="part of prompts that crash it")
+    parser.add_argument("--crashing-path", help="path of requests that crash it")
     parser.add_argument("--pause", type=float, default=0.0, help="in s, between events")
     options = parser.parse_args()
 
@@ -240,6 +251,7 @@
         on_crash=lambda: os._exit(1),
     )
     instance.crashing_part = options.crashing_part
+    instance.crashing_path = options.crashing_path
     instance.faults.pause = options.pause
     server.run(instance.app(), options.host, options.port)
 
