--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,7 +34,7 @@
 KEYS = ("key-1", "key-2", "key-3")
 CALLER_PAUSE = 0.06  # seconds between a caller's requests
 SETTLING_TIME = 3.5  # seconds after a fault until requests are undisturbed
-CRASH_TIME = 8.0  # seconds in which callers send requests that crash servers
+CRASH_TIME = 14.0  # seconds in which callers send requests that crash servers
 CRASHING_BODY = "crash"  # of the one request that crashes servers
 RECOVERY_TIME = 12.0  # seconds after the last fault until requests are answered
 ROUTES = ("order", "order", "lookup", "ask", "ask", "say")  # repeated by weight
