--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -96,14 +96,14 @@
     suspected_until: float = 0.0  # a target is suspected after a failed connection
     backoff_until: float = 0.0  # it asked this entry to send nothing until then
     peer_backoff_until: float = 0.0  # the same, for other entries
-    says_leaving: bool = False  # in an answer, to this entry or to another
-    said_leaving_here: bool = False
+    leaving_announced: bool = False  # in an answer, to this entry or to another
+    leaving_announced_here: bool = False  # to this entry, which tells its peers
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
     def available(self) -> bool:
         """Return whether the target may get new work."""
-        return not self.listing.leaving and not self.says_leaving
+        return not self.listing.leaving and not self.leaving_announced
 
     def is_excluded(self, now: float) -> bool:
         """Return whether this entry must send the target nothing at a time."""
@@ -133,7 +133,8 @@
     refused_count: int = 0  # sent attempts that their targets did not run
     answer_started: bool = False  # the caller has the head of an answer
     newest_answer_began: bool = False  # the newest attempt's target has begun one
-    # Time in seconds over which its events came, as long as it is short.
+    # Time in seconds over which events of the newest attempt's answer came.
+    # It stays as it is once the answer can no longer crash its target.
     newest_answer_time: float = 0.0
     expects_slot: bool = False  # its target had a free slot when it was chosen
     last_event_id: int | None = None  # the last event that the caller has
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -393,7 +393,7 @@
             self._target_health.suspect_address(answer.faulty_address, now)
         request.tried_targets.add(target)
         commands.append(CancelAttempt(attempt.id))
-        commands.append(LogChange("attempt refused", target, _describe(answer)))
+        commands.append(LogChange("attempt refused", target, _describe_refusal(answer)))
         return commands + self._retry_or_fail(
             request, Reason.QUEUE_FULL, Verdict.NOT_RUN, now
         )
@@ -642,7 +642,7 @@
         return [CancelAttempt(attempt.id), *retry]
 
 
-def _describe(answer: TargetAnswer) -> str:
+def _describe_refusal(answer: TargetAnswer) -> str:
     detail = f"status {answer.status}"
     if answer.retry_after is not None:
         detail += f", retry after {answer.retry_after:g} s"
--- a/src/chicorycove/direct/quarantine.py
+++ b/src/chicorycove/direct/quarantine.py
@@ -27,7 +27,7 @@
     # taken for the cause of a crash.
     survival_time: float = 1.0
     max_pause: float = 0.5  # part of a pause that counts towards it
-    probe_time: float = 2.0  # time in which a broken answer awaits its probe
+    probe_time: float = 2.0  # time in which a broken attempt awaits its probe
     # Time from a report of a crash to its review: other entries report it too.
     settle_time: float = 0.05
     # Time between reports that a suspected trait was answered.
@@ -46,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _BrokenAnswer:
+class _BrokenAttempt:
     at: float
     traits: Traits
 
@@ -74,7 +74,7 @@
         self._settings = settings
         self._name = entry_name
         self._evidence = CrashEvidence(settings.evidence)
-        self._broken: dict[AgentId, list[_BrokenAnswer]] = {}
+        self._broken: dict[AgentId, list[_BrokenAttempt]] = {}
         self._quarantines: list[_Quarantine] = []
         self._answers_reported_at: dict[str, float] = {}
 
@@ -120,11 +120,11 @@
         if not traits:
             return
         oldest = now - self._settings.probe_time
-        for agent, answers in list(self._broken.items()):
-            if answers[-1].at < oldest:
+        for agent, attempts in list(self._broken.items()):
+            if attempts[-1].at < oldest:
                 del self._broken[agent]
-        answer = _BrokenAnswer(now, traits)
-        self._broken.setdefault(request.attempts[-1].agent, []).append(answer)
+        attempt = _BrokenAttempt(now, traits)
+        self._broken.setdefault(request.attempts[-1].agent, []).append(attempt)
 
     def is_answer_new(self, request: DirectRequest) -> bool:
         """Return whether a target may still crash by its newest answer."""
@@ -136,7 +136,7 @@
     def record_probe(
         self, target: str, reachable: bool, now: float
     ) -> list[DirectCommand]:
-        """Record whether a target, of which answers broke off, has crashed."""
+        """Record whether a target whose attempts broke off has crashed."""
         broken = {
             agent: self._broken.pop(agent)
             for agent in list(self._broken)
@@ -149,13 +149,13 @@
             if attempt is None or attempt.agent.target != target:
                 continue
             if attempt.state == STARTED:
-                answer = _BrokenAnswer(now, self._suspected_by_crash(request))
-                broken.setdefault(attempt.agent, []).append(answer)
+                traits = self._suspected_by_crash(request)
+                broken.setdefault(attempt.agent, []).append(_BrokenAttempt(now, traits))
         commands: list[DirectCommand] = []
         oldest = now - self._settings.probe_time
-        for agent, answers in broken.items():
+        for agent, attempts in broken.items():
             traits = frozenset().union(
-                *(answer.traits for answer in answers if answer.at >= oldest)
+                *(attempt.traits for attempt in attempts if attempt.at >= oldest)
             )
             if traits:
                 report = CrashReport(agent, tuple(sorted(traits)), now)
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -100,7 +100,7 @@
         notices = tuple(
             _to_notice(view)
             for view in self._board.targets.values()
-            if view.said_leaving_here or now < view.backoff_until
+            if view.leaving_announced_here or now < view.backoff_until
         )
         if not rate_limits and not notices:
             return []
@@ -189,15 +189,15 @@
             detail = f"for {delay:g} s"
             commands.append(LogChange("target backoff begun", view.listing.id, detail))
         if answer.leaving:
-            view.said_leaving_here = True
+            view.leaving_announced_here = True
             commands += self._exclude(view)
         return [*commands, UpdatePeers(notices=(_to_notice(view),))] if commands else []
 
     def _exclude(self, view: TargetView) -> list[DirectCommand]:
         """Exclude a target that leaves."""
-        if view.says_leaving:
+        if view.leaving_announced:
             return []
-        view.says_leaving = True
+        view.leaving_announced = True
         self._board.targets_version += 1
         return [LogChange("target changed", view.listing.id, "says that it leaves")]
 
@@ -234,4 +234,4 @@
 
 def _to_notice(view: TargetView) -> TargetNotice:
     agent = AgentId(view.listing.id, str(view.listing.started_at))
-    return TargetNotice(agent, view.backoff_until, view.said_leaving_here)
+    return TargetNotice(agent, view.backoff_until, view.leaving_announced_here)
