Wait for the endless server to be listed, not for 0.3 s

Traced: with no wait at all the test fails at the same lines, since the entry has not seen the listing yet; the store's watch pauses for 0.3 s. The test now waits until the entry lists the server; its checks and bounds are as before.

--- a/tests/test_direct_endless_answer.py
+++ b/tests/test_direct_endless_answer.py
@@ -158,7 +158,10 @@
         self.store.put(
             "servers/a-endless", json.dumps(sound.registration(address)).encode()
         )
-        await asyncio.sleep(0.3)
+        await self.wait_until(self.is_endless_listed)
+
+    async def is_endless_listed(self):
+        return "a-endless" in self.process._board.targets
 
     async def assert_given_up(self, most):
         async with asyncio.timeout(10.0):
