Reword comments of the change that could not be read alone

Comments only, and one docstring: which crashes a span is between, what a fingerprint covers, what the four fields of a backoff and a leaving target hold, what entries of earlier versions understand; a note on the size of a reply is gone.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -94,10 +94,12 @@
     rate_limit: RateLimit | None = None  # None if it never named one
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
-    backoff_until: float = 0.0  # it asked this entry to send nothing until then
-    peer_backoff_until: float = 0.0  # the same, for other entries
-    leaving_announced: bool = False  # in an answer, to this entry or to another
-    leaving_announced_here: bool = False  # to this entry, which tells its peers
+    # Time until which the target asked this entry, or other ones, to send nothing.
+    backoff_until: float = 0.0
+    peer_backoff_until: float = 0.0
+    # Whether an answer, to any entry or to this one, said that it leaves.
+    leaving_announced: bool = False
+    leaving_announced_here: bool = False
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -11,7 +11,7 @@
 # Seconds. The kernel retransmits a lost SYN after 1, 3 and 7 s, so that a new
 # attempt connects sooner once the network path has recovered.
 CONNECT_TIMEOUT = 0.4
-MAX_REPLY_SIZE = 16_777_216  # bytes, several times those of a page of the store
+MAX_REPLY_SIZE = 16_777_216  # bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicorycove/direct/crash_evidence.py
+++ b/src/chicorycove/direct/crash_evidence.py
@@ -17,7 +17,8 @@
     min_crashes: int = 3  # under a trait that was not answered lately
     # The same for a trait that was: other requests must be answered meanwhile.
     min_crashes_of_answered: int = 6
-    # Time between the first and the last of these: a domain dies faster.
+    # Shortest time between the first and the last crash under a trait that was
+    # answered lately. The targets of a failure domain crash together.
     min_crash_span_of_answered: float = 1.0
     answered_time: float = 60.0  # time for which a trait counts as answered lately
     # Time from the first answer or crash that this process knows of, in which
--- a/src/chicorycove/direct/http.py
+++ b/src/chicorycove/direct/http.py
@@ -59,7 +59,7 @@
 
 
 def compute_fingerprint(request: HttpRequest, workspace: str) -> str:
-    """Return what requests with the same path, workspace and body share."""
+    """Return a digest of a request's method, path, workspace and body."""
     digest = hashlib.blake2b(request.body, digest_size=FINGERPRINT_SIZE)
     for text in (request.method, request.url, workspace.encode()):
         digest.update(b"\n" + text)
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -160,7 +160,8 @@
     """
     update = _decoder.decode(data)
     owner = update.owner
-    # What is said of these targets besides is for entries of earlier versions.
+    # Entries of earlier versions only understand that a limited or excluded
+    # target is unreachable.
     known_targets = {limit.target for limit in update.rate_limits}
     known_targets.update(notice.target for notice in update.notices)
     return PeerUpdateReceived(
