--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -94,10 +94,10 @@
     rate_limit: RateLimit | None = None  # None if it never named one
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
-    # Time until which the target asked this entry, or other ones, to send nothing.
+    # Time until which the target asked this entry, or a peer, to send nothing.
     backoff_until: float = 0.0
     peer_backoff_until: float = 0.0
-    # Whether an answer, to any entry or to this one, said that it leaves.
+    # Whether the target said that it leaves, to any entry or to this one.
     leaving_announced: bool = False
     leaving_announced_here: bool = False
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
