--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from .http import enable_keepalive, format_request
+from .http import Headers, enable_keepalive, format_request
 
 READ_SIZE = 65_536  # bytes
 # Seconds. The kernel retransmits a lost SYN after 1, 3 and 7 s, so that a new
@@ -20,6 +20,7 @@
 
     status: int
     body: bytes
+    headers: Headers = dataclasses.field(default_factory=list)
 
 
 class CallFailed(OSError):
@@ -38,9 +39,13 @@
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
+        self.headers: Headers = []
         self.body = bytearray()
         self.complete = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+
     def on_body(self, body: bytes) -> None:
         self.body += body
 
@@ -119,7 +124,11 @@
             if size > self._max_reply_size:
                 raise OSError(f"the reply exceeds {self._max_reply_size} bytes")
             reply_parser.parser.feed_data(data)
-        reply = Reply(reply_parser.parser.get_status_code(), bytes(reply_parser.body))
+        reply = Reply(
+            reply_parser.parser.get_status_code(),
+            bytes(reply_parser.body),
+            reply_parser.headers,
+        )
         if not reply_parser.parser.should_keep_alive():
             self.close()
         return reply
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -9,7 +9,7 @@
 from .board import DirectBoard
 from .client import CallFailed, HttpClient
 from .dialect import Dialect, Order
-from .event import DirectEvent, TargetProbed
+from .event import DirectEvent, TargetAnswer, TargetProbed
 from .linelog import LineLog
 from .settings import DirectSettings
 
@@ -65,7 +65,7 @@
         self, target: str, order: Order, event: str, reservation: AttemptId
     ) -> int | None:
         """Send an order; return the answer's status, or None without one."""
-        status = None
+        answer: TargetAnswer | None = None
         cause = ""
         view = self._board.targets.get(target)
         if view is None:
@@ -75,7 +75,7 @@
         try:
             timeout = self._settings.reservation.answer_timeout
             reply = await client.call("POST", order.path, order.body, timeout)
-            status = reply.status
+            answer = self._dialect.parse_answer_head(reply.status, reply.headers)
         except CallFailed as error:
             cause = str(error)
         finally:
@@ -85,7 +85,9 @@
             request=reservation.request,
             reservation=reservation.nonce,
             target=target,
-            status=status,
+            status=answer.status if answer else None,
+            retry_after=answer.retry_after if answer else None,
+            leaving=answer.leaving if answer else None,
             cause=cause,
         )
-        return status
+        return answer.status if answer else None
--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -65,7 +65,8 @@
             view = None  # another incarnation does not run the last one's work
         if view is None:
             self._board.targets[listing.id] = TargetView(listing)
-            return [LogChange("target listed", listing.id, listing.address)]
+            detail = f"{listing.address}, incarnation {listing.started_at}"
+            return [LogChange("target listed", listing.id, detail)]
         changed = view.listing.leaving != listing.leaving
         view.listing = listing
         view.remove_at = None
