Keep what a target said while the platform does not list it

Callers saw requests refused by a target that had asked for rest, and the target got more than the two requests allowed: backoff, leaving and rate limit stood in TargetView, which begins anew when the platform drops a target and lists the same incarnation again, or after a 421 for it.

Answers and peers' notices on an incarnation that is not listed count too. A peer's work that is reported again after the listing is not charged again to the limit that is kept.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -1,13 +1,14 @@
 """The state of a direct entry: targets, the work on them, and requests."""
 
 import dataclasses
-import math
 import typing as t
 
 from ..attempt import AttemptState
+from ..identity import AgentId
 from ..request import Request
 from ..timers import Timers
 from .route import Route, RoutingTable, Service
+from .target_terms import TargetTerms, UnlistedTerms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +23,11 @@
     leaving: bool = False
     started_at: int = 0  # start of the incarnation, in ms since the epoch
 
+    @property
+    def agent(self) -> AgentId:
+        """Return the id of the target's incarnation."""
+        return AgentId(self.id, str(self.started_at))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InboundRequest:
@@ -75,53 +81,32 @@
         return min(self.prefill_time, max(self.expected_prefill_end - now, 0.0))
 
 
-@dataclasses.dataclass(slots=True)
-class RateLimit:
-    """The request rate that a target takes, and a token bucket for it."""
-
-    rate: float  # requests per second from all entries; infinite once it ended
-    named_at: float  # time of the answer that named it, in seconds
-    balance: float = 1.0  # requests that may be sent now; negative after an excess
-    refilled_at: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class TargetView:
     """One target as this entry sees it; times are in seconds."""
 
     listing: TargetListing
     work_items: dict[WorkItemKey, WorkItem] = dataclasses.field(default_factory=dict)
-    rate_limit: RateLimit | None = None  # None if it never named one
+    terms: TargetTerms = dataclasses.field(default_factory=TargetTerms)
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
-    # Time until which the target asked this entry, or a peer, to send nothing.
-    backoff_until: float = 0.0
-    peer_backoff_until: float = 0.0
-    # Whether the target said that it leaves, to any entry or to this one.
-    leaving_announced: bool = False
-    leaving_announced_here: bool = False
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
     def available(self) -> bool:
         """Return whether the target may get new work."""
-        return not self.listing.leaving and not self.leaving_announced
+        return not self.listing.leaving and not self.terms.leaving_announced
 
     def is_excluded(self, now: float) -> bool:
         """Return whether this entry must send the target nothing at a time."""
-        return not self.available or now < self.backoff_until
+        return not self.available or now < self.terms.backoff_until
 
     def is_avoided(self, now: float) -> bool:
         """Return whether other targets are preferred at a time."""
         return now < max(
-            self.suspected_until, self.ejected_until, self.peer_backoff_until
+            self.suspected_until, self.ejected_until, self.terms.peer_backoff_until
         )
 
-    @property
-    def names_rate_limit(self) -> bool:
-        """Return whether the target asks for a limited rate of requests."""
-        return self.rate_limit is not None and self.rate_limit.rate < math.inf
-
 
 @dataclasses.dataclass(slots=True)
 class DirectRequest:
@@ -158,6 +143,7 @@
     table: RoutingTable | None = None
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
     targets_version: int = 0  # incremented by each change of the targets
+    unlisted_terms: UnlistedTerms = dataclasses.field(default_factory=UnlistedTerms)
     requests: dict[str, DirectRequest] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
     entry_names: frozenset[str] = frozenset()  # all known entries, including this one
@@ -185,6 +171,11 @@
         """Return a service of the current deployment, or None."""
         return self.table.services.get(name) if self.table else None
 
+    def find_incarnation(self, agent: AgentId) -> TargetView | None:
+        """Return a target if this incarnation of it is listed."""
+        view = self.targets.get(agent.target)
+        return view if view is not None and view.listing.agent == agent else None
+
     def available_targets(self, service: str) -> t.Iterator[TargetView]:
         """Yield the targets of a service that are not leaving."""
         for view in self.targets.values():
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -10,9 +10,10 @@
 import typing as t
 
 from ..identity import AgentId
-from .board import DirectBoard, RateLimit, TargetView
+from .board import DirectBoard, TargetView
 from .command import DirectCommand, LogChange, UpdatePeers
 from .event import RateLimitReport, TargetAnswer, TargetNotice
+from .target_terms import RateLimit, TargetTerms
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,18 +57,19 @@
             LogChange("answer header ignored", target, header)
             for header in answer.invalid_headers
         ]
-        view = self._find_incarnation(agent)
-        if answer.wrong_instance or view is None:
+        if answer.wrong_instance:
             return commands
-        commands += self._record_notice(view, answer, now)
-        if answer.rate_limit_invalid:
-            return commands
-        rate = math.inf if answer.rate_limit is None else answer.rate_limit
-        report = RateLimitReport(target, rate, now)
-        changes = self._apply(report, now)
-        if changes:
-            changes.append(UpdatePeers(rate_limits=(report,)))
-        return commands + changes
+        terms = self._find_terms(agent)
+        commands += self._record_notice(agent, terms, answer, now)
+        if not answer.rate_limit_invalid:
+            rate = math.inf if answer.rate_limit is None else answer.rate_limit
+            report = RateLimitReport(target, rate, now)
+            changes = self._apply(terms, report, now)
+            if changes:
+                changes.append(UpdatePeers(rate_limits=(report,)))
+            commands += changes
+        self._keep_terms(agent, terms)
+        return commands
 
     def record_reports(
         self, reports: t.Iterable[RateLimitReport], now: float
@@ -75,7 +77,9 @@
         """Record limits that a peer has reported, if they are news."""
         commands: list[DirectCommand] = []
         for report in reports:
-            commands += self._apply(report, now)
+            view = self._board.targets.get(report.target)
+            if view is not None:
+                commands += self._apply(view.terms, report, now)
         return commands
 
     def record_notices(
@@ -84,23 +88,22 @@
         """Record what targets have told a peer."""
         commands: list[DirectCommand] = []
         for notice in notices:
-            view = self._find_incarnation(notice.target)
-            if view is None:
-                continue
+            terms = self._find_terms(notice.target)
             latest = now + self._settings.max_backoff
             backoff_until = min(notice.backoff_until, latest)
-            view.peer_backoff_until = max(view.peer_backoff_until, backoff_until)
+            terms.peer_backoff_until = max(terms.peer_backoff_until, backoff_until)
             if notice.leaving:
-                commands += self._exclude(view)
+                commands += self._exclude(notice.target, terms)
+            self._keep_terms(notice.target, terms)
         return commands
 
     def reports(self, now: float) -> list[DirectCommand]:
         """Return the update that peers may not have received, if any."""
         rate_limits = self._rate_limit_reports(now)
         notices = tuple(
-            _to_notice(view)
+            _to_notice(view.listing.agent, view.terms)
             for view in self._board.targets.values()
-            if view.leaving_announced_here or now < view.backoff_until
+            if view.terms.leaving_announced_here or now < view.terms.backoff_until
         )
         if not rate_limits and not notices:
             return []
@@ -108,18 +111,18 @@
 
     def count(self, view: TargetView, now: float) -> None:
         """Count a request that an entry has placed on a target."""
-        if view.names_rate_limit:
-            self._refill(view.rate_limit, now)
-            view.rate_limit.balance -= 1
+        if view.terms.names_rate_limit:
+            self._refill(view.terms.rate_limit, now)
+            view.terms.rate_limit.balance -= 1
 
     def allows(self, view: TargetView, now: float) -> bool:
         """Return whether a request may be placed on a target now."""
         if view.is_excluded(now):
             return False
-        if not view.names_rate_limit:
+        if not view.terms.names_rate_limit:
             return True
-        self._refill(view.rate_limit, now)
-        return view.rate_limit.balance >= 1
+        self._refill(view.terms.rate_limit, now)
+        return view.terms.rate_limit.balance >= 1
 
     def retry_after(self, service: str, now: float) -> float | None:
         """Return the seconds until a refused caller should return.
@@ -144,15 +147,14 @@
         self._next_returns[service] = next_return + interval
         return next_return - now
 
-    def _apply(self, report: RateLimitReport, now: float) -> list[DirectCommand]:
-        view = self._board.targets.get(report.target)
-        if view is None:
-            return []
-        limit = view.rate_limit
+    def _apply(
+        self, terms: TargetTerms, report: RateLimitReport, now: float
+    ) -> list[DirectCommand]:
+        limit = terms.rate_limit
         if limit is None:
             if report.rate == math.inf:
                 return []
-            view.rate_limit = RateLimit(report.rate, report.named_at, refilled_at=now)
+            terms.rate_limit = RateLimit(report.rate, report.named_at, refilled_at=now)
         elif report.named_at <= limit.named_at:
             return []
         elif report.rate == limit.rate:
@@ -172,7 +174,7 @@
         return tuple(
             RateLimitReport(view.listing.id, limit.rate, limit.named_at)
             for view in self._board.targets.values()
-            if (limit := view.rate_limit) is not None
+            if (limit := view.terms.rate_limit) is not None
             and (
                 limit.rate < math.inf
                 or now < limit.named_at + self._settings.ended_report_time
@@ -180,45 +182,50 @@
         )
 
     def _record_notice(
-        self, view: TargetView, answer: TargetAnswer, now: float
+        self, agent: AgentId, terms: TargetTerms, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
         commands: list[DirectCommand] = []
         if answer.retry_after:
             delay = min(answer.retry_after, self._settings.max_backoff)
-            view.backoff_until = max(view.backoff_until, now + delay)
+            terms.backoff_until = max(terms.backoff_until, now + delay)
             detail = f"for {delay:g} s"
-            commands.append(LogChange("target backoff begun", view.listing.id, detail))
+            commands.append(LogChange("target backoff begun", agent.target, detail))
         if answer.leaving:
-            view.leaving_announced_here = True
-            commands += self._exclude(view)
-        return [*commands, UpdatePeers(notices=(_to_notice(view),))] if commands else []
+            terms.leaving_announced_here = True
+            commands += self._exclude(agent, terms)
+        if commands:
+            commands.append(UpdatePeers(notices=(_to_notice(agent, terms),)))
+        return commands
 
-    def _exclude(self, view: TargetView) -> list[DirectCommand]:
+    def _exclude(self, agent: AgentId, terms: TargetTerms) -> list[DirectCommand]:
         """Exclude a target that leaves."""
-        if view.leaving_announced:
+        if terms.leaving_announced:
             return []
-        view.leaving_announced = True
+        terms.leaving_announced = True
         self._board.targets_version += 1
-        return [LogChange("target changed", view.listing.id, "says that it leaves")]
+        return [LogChange("target changed", agent.target, "says that it leaves")]
 
-    def _find_incarnation(self, agent: AgentId) -> TargetView | None:
-        view = self._board.targets.get(agent.target)
-        if view is None or str(view.listing.started_at) != agent.incarnation:
-            return None
-        return view
+    def _find_terms(self, agent: AgentId) -> TargetTerms:
+        view = self._board.find_incarnation(agent)
+        return view.terms if view else self._board.unlisted_terms.find(agent)
+
+    def _keep_terms(self, agent: AgentId, terms: TargetTerms) -> None:
+        """Keep the terms of an incarnation that is not listed."""
+        if self._board.find_incarnation(agent) is None:
+            self._board.unlisted_terms.keep(agent, terms)
 
     def _next_turn(self, view: TargetView, now: float) -> float:
         """Return when a target takes a request again."""
-        if not view.names_rate_limit:
-            return view.backoff_until
-        limit = view.rate_limit
+        if not view.terms.names_rate_limit:
+            return view.terms.backoff_until
+        limit = view.terms.rate_limit
         turn = now + max(1 - limit.balance, 0.0) / self._rate(limit)
-        return max(turn, view.backoff_until)
+        return max(turn, view.terms.backoff_until)
 
     def _return_rate(self, view: TargetView) -> float:
-        if not view.names_rate_limit:
+        if not view.terms.names_rate_limit:
             return self._settings.return_rate
-        return self._rate(view.rate_limit)
+        return self._rate(view.terms.rate_limit)
 
     def _rate(self, limit: RateLimit) -> float:
         rate = max(limit.rate, self._settings.min_rate)
@@ -232,6 +239,5 @@
         limit.refilled_at = now
 
 
-def _to_notice(view: TargetView) -> TargetNotice:
-    agent = AgentId(view.listing.id, str(view.listing.started_at))
-    return TargetNotice(agent, view.backoff_until, view.leaving_announced_here)
+def _to_notice(agent: AgentId, terms: TargetTerms) -> TargetNotice:
+    return TargetNotice(agent, terms.backoff_until, terms.leaving_announced_here)
--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -62,9 +62,11 @@
     def _add_or_update(self, listing: TargetListing) -> list[DirectCommand]:
         view = self._board.targets.get(listing.id)
         if view is not None and view.listing.started_at != listing.started_at:
+            self._board.unlisted_terms.keep(view.listing.agent, view.terms)
             view = None  # another incarnation does not run the last one's work
         if view is None:
-            self._board.targets[listing.id] = TargetView(listing)
+            terms = self._board.unlisted_terms.take(listing.agent)
+            self._board.targets[listing.id] = TargetView(listing, terms=terms)
             detail = f"{listing.address}, incarnation {listing.started_at}"
             return [LogChange("target listed", listing.id, detail)]
         changed = view.listing.leaving != listing.leaving
@@ -93,5 +95,6 @@
 
     def _remove(self, target: str, cause: str) -> list[DirectCommand]:
         self._board.targets_version += 1
-        del self._board.targets[target]
+        view = self._board.targets.pop(target)
+        self._board.unlisted_terms.keep(view.listing.agent, view.terms)
         return [LogChange("target gone", target, cause)]
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -174,8 +174,9 @@
         if item.decoding and not item.generates_answer and not item.memory:
             self._remove_item(item.key)  # a prefilled part without memory is no load
             return
-        if item.key not in view.work_items:
+        if item.key not in self._targets_by_key:
             self._target_limits.count(view, item.refreshed_at)
+        if item.key not in view.work_items:
             if item.preempting and not item.decoding:
                 self._delay_waiting_items(view, item)
         view.work_items[item.key] = item
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -29,7 +29,12 @@
 from chicorycove.direct.route import RoutingTable
 from chicorycove.direct.settings import DirectSettings, peer_update_interval
 from chicorycove.identity import AttemptId
-from chicorycove.lifecycle import AnswerCompleted, AttemptFailed, Tick
+from chicorycove.lifecycle import (
+    AnswerCompleted,
+    AttemptFailed,
+    CallerDisconnected,
+    Tick,
+)
 
 from .direct import DEPLOYMENT, make_inbound
 
@@ -71,10 +76,18 @@
         self.rate_limit = None
         self.retry_after = None  # seconds; all requests are refused with it
         self.leaving = False  # answers say that it is about to end
+        self.refusal_delay = 0.0  # seconds from an arrival to its refusal
         self.refusals = []  # (time, entry, seconds) of each refused request
-        self.arrivals = []
+        self.arrivals = []  # of requests, orders and probes
         self.attempts = {}  # attempt: its entry
 
+    @property
+    def agent(self):
+        return self.listing.agent
+
+    def record_refusal(self, now, entry):
+        self.refusals.append((now, entry, self.retry_after))
+
     def answer(self):
         return TargetAnswer(
             200, False, rate_limit=self.rate_limit, leaving=self.leaving
@@ -132,6 +145,7 @@
             lambda request, number: AttemptId(request, number, str(next(numbers))),
         )
         self.live = {}  # attempt: the target that it runs on
+        self.cancelled = {}  # attempt: time
         self.tick_at = None
 
     def handle(self, event):
@@ -159,7 +173,8 @@
                 }
                 self.fleet.send_attempt(self, command)
             case "CancelAttempt":
-                self.live.pop(command.attempt, None)
+                if self.live.pop(command.attempt, None) is not None:
+                    self.cancelled[command.attempt] = self.fleet.now
             case "ProbeTarget":
                 self.fleet.call_later(LINK_DELAY, self.probe, command.target)
             case "LogChange":
@@ -229,6 +244,7 @@
         self.loss = loss
         self.log = []
         self.targets = {}
+        self.event_count = EVENT_COUNT
         self.crashing_part = None
         self.crashing_fingerprint = None
         self.crash_before_head = False
@@ -271,6 +287,15 @@
             entry.handle(TargetListed(listing))
         return self.targets[id]
 
+    def relist(self, id, gap):
+        """Let the platform drop a target, and list it again after a time."""
+        self._unlist(id)
+        self.call_later(gap, self._list, id)
+
+    def _list(self, id):
+        for entry in self.entries.values():
+            entry.handle(TargetListed(self.targets[id].listing))
+
     def call_at(self, time, function, *arguments):
         call = (max(time, self.now), next(self._numbers), function, arguments)
         heapq.heappush(self._calls, call)
@@ -284,16 +309,19 @@
             function(*arguments)
         self.now = end
 
-    def load(self, route, rate, until, **fields):
-        """Let callers send requests to random entries, by Poisson."""
+    def load(self, route, rate, until, patience=None, **fields):
+        """Let callers send requests to random entries, by Poisson.
+
+        With a patience, in seconds, they leave without an answer after it.
+        """
         time = self.now
         while True:
             time += self.random.expovariate(rate)
             if time >= until:
                 return
-            self.call_at(time, self.receive, route, fields)
+            self.call_at(time, self.receive, route, fields, None, patience)
 
-    def receive(self, route, fields, entry=None):
+    def receive(self, route, fields, entry=None, patience=None):
         """Hand a request to an entry, a random one by default."""
         id = f"r{next(self._numbers)}"
         entry = entry or self.random.choice(sorted(self.entries))
@@ -308,8 +336,18 @@
         self.fingerprints[id] = fields["fingerprint"]
         inbound = make_inbound(id, route, self.now, **fields)
         self.entries[entry].handle(RequestReceived(inbound))
+        if patience is not None:
+            event = CallerDisconnected(id)
+            self.call_later(patience, self._leave, self.entries[entry], event)
         return id
 
+    def _leave(self, entry, event):
+        if event.request not in self.outcomes:
+            for attempt in [a for a in entry.live if a.request == event.request]:
+                del entry.live[attempt]
+                entry.cancelled[attempt] = self.now
+            entry.handle(event)
+
     def end_request(self, command):
         id = command.request
         self.outcomes[id] = Outcome(command, self.arrived[id], self.now)
@@ -377,8 +415,7 @@
         target.attempts[attempt] = entry
         entry.handle(AttemptSent(attempt))
         if target.retry_after is not None:
-            target.refusals.append((self.now, entry.name, target.retry_after))
-            self.call_later(LINK_DELAY, self._refuse, entry, attempt, target)
+            self.call_later(target.refusal_delay, self._refuse, entry, attempt, target)
         elif self._crashes_before_head(arrival, target):
             self.call_later(CRASH_DELAY, self.crash, target)
         elif target.service == "shop":
@@ -390,6 +427,14 @@
             )
 
     def _refuse(self, entry, attempt, target):
+        """Refuse a request, unless its connection was seen to close before."""
+        cancelled_at = entry.cancelled.get(attempt, self.now)
+        if cancelled_at + LINK_DELAY < self.now:
+            return
+        target.record_refusal(self.now, entry.name)
+        self.call_later(LINK_DELAY, self._deliver_refusal, entry, attempt, target)
+
+    def _deliver_refusal(self, entry, attempt, target):
         if attempt in entry.live:
             del entry.live[attempt]
             entry.handle(AnswerHeadReceived(attempt, target.refuse()))
@@ -444,7 +489,7 @@
     def _send_event(self, entry, attempt, number):
         if attempt not in entry.live:
             return
-        if number > EVENT_COUNT:
+        if number > self.event_count:
             del entry.live[attempt]
             entry.handle(AnswerCompleted(attempt, 0))
             return
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -78,7 +78,7 @@
         self.assertEqual(self.log_of(limited(1.5)), [change])
         self.assertEqual(self.log_of(limited(1.5)), [])
         self.assertEqual(self.log_of(OK), [("target limit changed", "none")])
-        self.assertEqual(self.world.board.targets["e0"].rate_limit.rate, math.inf)
+        self.assertEqual(self.world.board.targets["e0"].terms.rate_limit.rate, math.inf)
 
     def test_invalid_limit_is_logged_and_changes_nothing(self):
         self.log_of(limited(1.5))
@@ -88,7 +88,7 @@
         )
         change = ("answer header ignored", "server-limit: fast")
         self.assertEqual(self.log_of(answer), [change])
-        self.assertEqual(self.world.board.targets["e0"].rate_limit.rate, 1.5)
+        self.assertEqual(self.world.board.targets["e0"].terms.rate_limit.rate, 1.5)
 
 
 class SharedLimitTest(unittest.TestCase):
@@ -170,7 +170,7 @@
         late = fleet.add_entry("entry-late")
         fleet.run_until(9.0)
         for view in late.board.targets.values():
-            self.assertEqual(view.rate_limit.rate, 1.0)
+            self.assertEqual(view.terms.rate_limit.rate, 1.0)
 
     def test_limit_ends_at_all_entries_with_an_answer_that_names_none(self):
         fleet = Fleet(entries=5, engines=0, shops=3)
