Read what a target says to a request that has ended

Callers saw refusals by a target that had asked for rest, which got one request after another: when a request ends or moves before its answer, its connection was aborted, and an answer on its way was lost, with the time or the leaving that it names. Where callers leave that early, the entry never learns.

A cancelled request's connection is now closed for sending only and read for 0.2 s, 64 connections at most; the head of a late answer is reported as TargetAnswered, which counts as any other answer does. The target sees the end of the request as before (half-closed, then closed).

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -4,7 +4,7 @@
 import typing as t
 
 from ..attempt import AttemptState, AttemptStep, advance, is_live
-from ..identity import AgentId, AttemptId
+from ..identity import AttemptId
 from ..lifecycle import (
     AnswerCompleted,
     AttemptFailed,
@@ -47,6 +47,7 @@
     StoreRevisionSeen,
     StreamClosed,
     TargetAnswer,
+    TargetAnswered,
     TargetListed,
     TargetProbed,
     TargetUnlisted,
@@ -120,6 +121,8 @@
                 return self._handle_answer_head(attempt_id, answer, now)
             case AnswerReceived(attempt_id, answer):
                 return self._handle_answer(attempt_id, answer, now)
+            case TargetAnswered(agent, answer):
+                return self._target_limits.record_answer(agent, answer, now)
             case AnswerCompleted(attempt_id):
                 return self._complete_request(attempt_id, now)
             case StreamClosed(attempt_id):
@@ -251,9 +254,8 @@
         """Send a request, or first reserve the memory of its group."""
         caller_request = request.inbound.request
         view = self._board.targets[placement.target]
-        agent = AgentId(placement.target, str(view.listing.started_at))
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
-        request.attempts.append(AttemptState(attempt_id, agent))
+        request.attempts.append(AttemptState(attempt_id, view.listing.agent))
         request.expects_slot = placement.free_slots > 0
         request.newest_answer_began = False
         update = UpdatePeers(self._work.add(request, placement, now))
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -51,6 +51,7 @@
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
 from .target_calls import TargetCalls
+from .target_connection import CancelledConnections
 
 MAX_WAKE_DELAY = 0.1  # seconds; longer delays are logged; a pass takes half of it
 IDLE_CHECK_INTERVAL = 0.5  # seconds between checks of all connections
@@ -84,6 +85,7 @@
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
         self._answer_buffers = AnswerBuffers()
+        self._cancelled_connections = CancelledConnections()
         self._exchanges: dict[str, Exchange] = {}
         self._callers: dict[CallerConnection, Exchange] = {}
         self._held = HeldRequests[CallerConnection](
@@ -210,7 +212,13 @@
             self._reject(connection, Rejection(400, Reason.BAD_REQUEST, id))
             return
         exchange = Exchange(
-            self, self._dialect, connection, request, inbound, self._answer_buffers
+            self,
+            self._dialect,
+            connection,
+            request,
+            inbound,
+            self._answer_buffers,
+            self._cancelled_connections,
         )
         self._exchanges[id] = exchange
         self._callers[connection] = exchange
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -70,6 +70,14 @@
     answer: TargetAnswer
 
 
+@frozen
+class TargetAnswered:
+    """A target has answered an order, or a request that has ended."""
+
+    target: AgentId
+    answer: TargetAnswer
+
+
 @frozen
 class StreamClosed:
     """A stream without a length has ended with its connection.
@@ -219,6 +227,7 @@
     AttemptSent,
     AnswerHeadReceived,
     AnswerReceived,
+    TargetAnswered,
     EventsRelayed,
     StreamClosed,
     AnswerCompleted,
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -19,10 +19,11 @@
     DirectEvent,
     EventsRelayed,
     TargetAnswer,
+    TargetAnswered,
 )
 from .eventstream import EventBatch, EventBuffer
 from .http import Headers, HttpRequest, end_to_end_headers
-from .target_connection import TargetConnection
+from .target_connection import CancelledConnections, TargetConnection
 
 MAX_EVENT_SIZE = 262_144  # bytes of one event of a stream
 
@@ -56,9 +57,11 @@
         request: HttpRequest,
         inbound: InboundRequest,
         answer_buffers: AnswerBuffers,
+        cancelled_connections: CancelledConnections,
     ) -> None:
         self.listener = listener
         self.answer_buffers = answer_buffers
+        self.cancelled_connections = cancelled_connections
         self.dialect = dialect
         self.connection = connection
         self.request = request
@@ -169,6 +172,7 @@
         self._answer_head: TargetAnswer | None = None
         self._event_buffer: EventBuffer | None = None
         self._relayed_events = False
+        self._awaits_head = False  # the request is sent, and not answered yet
         self._closed = False
 
     async def open(self, timeout: float) -> None:
@@ -193,11 +197,16 @@
         self._event_buffer = EventBuffer(self._command.last_event_id)
 
     def close(self) -> None:
-        """Close the connection and ignore what it still reports."""
+        """Close the connection; of a late answer, only the head is read."""
+        was_closed = self._closed
         self._closed = True
         self._exchange.answer_buffers.release(len(self.body))
         self.body = bytearray()
-        if self.connection is not None:
+        if self.connection is None:
+            return
+        if self._awaits_head and not was_closed:
+            self._exchange.cancelled_connections.add(self.connection)
+        else:
             self.connection.abort()
 
     # AnswerListener
@@ -213,13 +222,16 @@
                 exchange.request, exchange.inbound, self._command, time_left
             )
         )
+        self._awaits_head = True
 
     def head_received(self, status: int, headers: Headers) -> bool:
-        if self._closed:
-            return False
         dialect = self._exchange.dialect
         if not dialect.is_answer_to(headers, self._exchange.inbound):
             return False
+        if self._closed:
+            self._report_late_answer(status, headers)
+            return False
+        self._awaits_head = False
         self.status = status
         self.headers = headers
         self._answer_head = dialect.parse_answer_head(status, headers)
@@ -259,6 +271,15 @@
         if not self._closed:
             self._fail(Reason.STREAM_BROKEN)
 
+    def _report_late_answer(self, status: int, headers: Headers) -> None:
+        """Report what the answer to a cancelled request says of its target."""
+        if not self._awaits_head:
+            return
+        self._awaits_head = False
+        answer = self._exchange.dialect.parse_answer_head(status, headers)
+        self._exchange.listener.handle(TargetAnswered(self._command.target, answer))
+        self.connection.abort()
+
     def _is_stream_broken(self, self_delimited: bool) -> bool:
         """Return whether a stream has ended before its last event."""
         if self._event_buffer.has_partial_event:
--- a/src/chicorycove/direct/reservation.py
+++ b/src/chicorycove/direct/reservation.py
@@ -156,7 +156,9 @@
         reservation_id = AttemptId(
             attempt_id.request, attempt_id.number, f"{attempt_id.nonce}.{number}"
         )
-        agent = AgentId(member.target, str(view.listing.started_at))
         return HeldReservation(
-            reservation_id, agent, view.listing.address, member.held_tokens
+            reservation_id,
+            view.listing.agent,
+            view.listing.address,
+            member.held_tokens,
         )
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -9,6 +9,10 @@
 
 MAX_HEAD_SIZE = 65_536  # bytes of an answer's head, and of interim answers
 MAX_SKIPPED_SIZE = 8_388_608  # bytes of answers that belong to no request
+# Seconds for which an answer to a cancelled request is read, as it may be on
+# its way.  A target that has not noticed the end by then works in vain.
+LATE_ANSWER_TIME = 0.2
+MAX_CANCELLED_CONNECTIONS = 64
 
 
 class AnswerListener(t.Protocol):
@@ -137,6 +141,19 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def end_request(self) -> bool:
+        """Close for sending; return whether an answer may still be read.
+
+        A request that is not completely sent has no answer.
+        """
+        transport = self._transport
+        if self._done or transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size():
+            return False
+        transport.write_eof()
+        return True
+
     def abort(self) -> None:
         """Close immediately, without notice to the listener."""
         self._done = True
@@ -161,3 +178,27 @@
         self._listener.connection_lost(True)
         if self._transport is not None:
             self._transport.abort()
+
+
+class CancelledConnections:
+    """Connections whose requests are cancelled, open for a late answer.
+
+    Its head still says what the target takes.
+    """
+
+    def __init__(self) -> None:
+        self._connections: set[TargetConnection] = set()
+        self._loop = asyncio.get_running_loop()
+
+    def add(self, connection: TargetConnection) -> None:
+        """Close a connection for sending at once, and soon altogether."""
+        full = len(self._connections) >= MAX_CANCELLED_CONNECTIONS
+        if full or not connection.end_request():
+            connection.abort()
+            return
+        self._connections.add(connection)
+        self._loop.call_later(LATE_ANSWER_TIME, self._close, connection)
+
+    def _close(self, connection: TargetConnection) -> None:
+        self._connections.discard(connection)
+        connection.abort()
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -22,6 +22,7 @@
     PeersUpdated,
     RequestReceived,
     TargetAnswer,
+    TargetAnswered,
     TargetListed,
     TargetProbed,
     TargetUnlisted,
@@ -32,7 +33,9 @@
 from chicorycove.lifecycle import (
     AnswerCompleted,
     AttemptFailed,
+    AttemptRefused,
     CallerDisconnected,
+    MemoryReserved,
     Tick,
 )
 
@@ -175,6 +178,8 @@
             case "CancelAttempt":
                 if self.live.pop(command.attempt, None) is not None:
                     self.cancelled[command.attempt] = self.fleet.now
+            case "ReserveMemory" | "ReleaseMemory":
+                self.fleet.call_later(LINK_DELAY, self.fleet.order, self, command)
             case "ProbeTarget":
                 self.fleet.call_later(LINK_DELAY, self.probe, command.target)
             case "LogChange":
@@ -189,6 +194,8 @@
         return peers.decode(datagram, self.fleet.now)
 
     def probe(self, target):
+        if target in self.fleet.targets:
+            self.fleet.record_call(self, self.fleet.targets[target], "probe")
         self.handle(TargetProbed(target, target in self.fleet.targets))
 
     def send_state(self):
@@ -438,6 +445,34 @@
         if attempt in entry.live:
             del entry.live[attempt]
             entry.handle(AnswerHeadReceived(attempt, target.refuse()))
+        else:
+            entry.handle(TargetAnswered(target.agent, target.refuse()))
+
+    def record_call(self, entry, target, request):
+        """Record the arrival of an order or a probe."""
+        arrival = Arrival(self.now, entry.name, request, (), "")
+        target.arrivals.append(arrival)
+
+    def order(self, entry, command):
+        """Let a target answer an order for memory."""
+        target = self.targets.get(command.agent.target)
+        if target is None:
+            return
+        self.record_call(entry, target, type(command).__name__)
+        self.call_later(LINK_DELAY, self._answer_order, entry, command, target)
+        if target.retry_after is not None:
+            target.record_refusal(self.now, entry.name)
+
+    def _answer_order(self, entry, command, target):
+        refused = target.retry_after is not None
+        answer = target.refuse() if refused else target.answer()
+        entry.handle(TargetAnswered(target.agent, answer))
+        if type(command).__name__ == "ReserveMemory":
+            if refused:
+                event = AttemptRefused(command.attempt, Reason.MEMORY_FULL)
+            else:
+                event = MemoryReserved(command.attempt)
+            entry.handle(event)
 
     def _crashes_before_head(self, arrival, target):
         return arrival.fingerprint == self.crashing_fingerprint and (
--- a/tests/test_direct_target_terms.py
+++ b/tests/test_direct_target_terms.py
@@ -14,7 +14,7 @@
 from chicorycove.identity import AgentId
 
 from .direct import LOOKUP, SHORT, DirectWorld
-from .direct_fleet import Fleet
+from .direct_fleet import LINK_DELAY, Fleet
 from .test_direct_backoff import ALLOWED_REQUESTS, GRACE
 
 RETRY_AFTER = 6.0  # seconds that targets name
@@ -131,3 +131,15 @@
             for number in range(4)
         ]
         self.assertEqual(kept, [False, False, True, True])
+
+
+class UnawaitedAnswerTest(TermsTestCase):
+    def test_refusal_of_a_request_whose_caller_left_begins_a_backoff(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                fleet = Fleet(engines=4, shops=1, seed=seed)
+                targets = self.refuse(fleet, "s0")
+                patience = 1.5 * LINK_DELAY  # the refusal is on its way then
+                fleet.load(LOOKUP, rate=20.0, until=END, patience=patience)
+                fleet.run_until(30.0)
+                self.assert_backoff(targets)
--- a/tests/test_platform_rate_limit.py
+++ b/tests/test_platform_rate_limit.py
@@ -1,6 +1,7 @@
 """Tests of what servers say of themselves, with entries on real sockets."""
 
 import asyncio
+import json
 import random
 
 from .platform_case import Caller, PlatformTestCase, new_boot
@@ -87,3 +88,66 @@
         self.assertGreaterEqual(len(server.arrivals), 1)
         end = server.arrivals[0] + DRAIN_TIME
         self.assertEqual([time for time in server.arrivals if time >= end], [])
+
+
+class LateAnswerTest(PlatformTestCase):
+    shop_count = 1
+    model_count = 0
+
+    async def add_slow_server(self, delay):
+        """Add a server that refuses a request some seconds after it came."""
+
+        async def refuse(reader, writer):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                self.arrivals.append(asyncio.get_running_loop().time())
+                await asyncio.sleep(delay)
+                writer.write(
+                    b"HTTP/1.1 503 Unavailable\r\nChicorycove-Not-Executed: 1\r\n"
+                    b"Retry-After: 5\r\nContent-Length: 0\r\n\r\n"
+                )
+                await writer.drain()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass  # the entry closed the connection
+            finally:
+                writer.close()
+
+        self.arrivals = []
+        server = await asyncio.start_server(refuse, "127.0.0.1", 0)
+        self.addAsyncCleanup(self.close_server, server)
+        host, port = server.sockets[0].getsockname()
+        self.store.put(
+            "servers/slow",
+            json.dumps(
+                self.shop_servers[0].registration(f"{host}:{port}", born=2)
+            ).encode(),
+        )
+        await asyncio.sleep(0.2)
+
+    async def close_server(self, server):
+        server.close()
+        await server.wait_closed()
+
+    async def leave_early(self, delay):
+        """Let a caller leave the slow server, which is the only one, early."""
+        await self.add_slow_server(delay)
+        self.register_server(self.shop_servers[0], state="draining")
+        await asyncio.sleep(0.1)
+        caller = await self.open_caller()
+        caller.send("/lookup/x", method="GET")
+        await asyncio.sleep(0.03)
+        caller.close()
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(self.arrivals), 1)
+        lines = await self.log_lines()
+        return [line for line in lines if line["event"] == "target backoff begun"]
+
+    async def test_refusal_that_comes_after_its_caller_left_begins_a_backoff(self):
+        self.assertEqual(len(await self.leave_early(delay=0.05)), 1)
+        answer = await self.request("/lookup/x", method="GET")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 3.0)
+        self.assertEqual(len(self.arrivals), 1)
+
+    async def test_answer_long_after_its_caller_left_is_not_awaited(self):
+        self.assertEqual(await self.leave_early(delay=0.4), [])
