Keep to a target's backoff with orders and probes too

Callers saw long prompts fail at targets that had refused an order with a time: replies to orders were read for their status only, so each further group tried the same members; and renewals and releases went on to a member in its backoff.

Every command of the dispatcher passes TargetLimits.withhold_calls now. In a backoff a target gets no releases, and two renewals or probes at most; leases are renewed at once as it begins, then only if they would end. Replies to orders are recorded like all answers, up to 1 s after the order; orders go to the incarnation they were made for, not to another with its id.

Ruled out: that leases end meanwhile (gaps between renewals under 3 s in a backoff of 6 s).

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -95,7 +95,9 @@
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
         self._target_limits = TargetLimits(board, settings.target_limits)
-        self._reservations = Reservations(board, settings.reservation)
+        self._reservations = Reservations(
+            board, settings.reservation, self._target_limits
+        )
         self._quarantine = RequestQuarantine(board, settings.quarantine, entry_name)
         self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
@@ -110,6 +112,9 @@
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return the commands that an event leads to."""
+        return self._target_limits.withhold_calls(self._handle(event, now), now)
+
+    def _handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         match event:
             case EventsRelayed(attempt_id, event_count, last_event_id):
                 return self._record_events(attempt_id, event_count, last_event_id, now)
@@ -122,7 +127,10 @@
             case AnswerReceived(attempt_id, answer):
                 return self._handle_answer(attempt_id, answer, now)
             case TargetAnswered(agent, answer):
-                return self._target_limits.record_answer(agent, answer, now)
+                return [
+                    *self._target_limits.record_answer(agent, answer, now),
+                    *self._reservations.renew_for_backoff(agent, now),
+                ]
             case AnswerCompleted(attempt_id):
                 return self._complete_request(attempt_id, now)
             case StreamClosed(attempt_id):
@@ -288,9 +296,10 @@
         request = self._board.requests.get(reservation_id.request)
         if placement is None or request is None:
             return []
-        view = self._board.targets.get(placement.target)
-        if view is None or view.is_excluded(now):
-            return self._try_other_group(request, placement.target, now)
+        for target in placement.targets:
+            view = self._board.targets.get(target)
+            if view is None or view.is_excluded(now):
+                return self._try_other_group(request, target, now)
         return [self._send_attempt(request, placement, now)]
 
     def _handle_reservation_failure(
@@ -371,12 +380,13 @@
         agent = request.attempts[-1].agent
         commands = self._target_limits.record_answer(agent, answer, now)
         if answer.not_run or answer.wrong_instance:
-            return commands + self._handle_refusal(request, answer, now)
-        if not request.inbound.route.streamed or not answer.succeeded:
-            return commands  # the rest is done when the answer is complete
-        request.answer_started = True
-        self._quarantine.begin_answer(request, now)
-        return [*commands, RelayStream(attempt_id.request, attempt_id)]
+            commands += self._handle_refusal(request, answer, now)
+        elif request.inbound.route.streamed and answer.succeeded:
+            request.answer_started = True
+            self._quarantine.begin_answer(request, now)
+            commands.append(RelayStream(attempt_id.request, attempt_id))
+        # An answer that is not streamed is handled once it is complete.
+        return commands + self._reservations.renew_for_backoff(agent, now)
 
     def _handle_refusal(
         self, request: DirectRequest, answer: TargetAnswer, now: float
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -315,10 +315,11 @@
                 if exchange is not None:
                     exchange.cancel(attempt)
             case ReserveMemory(reservation, agent, memory):
-                call = self._target_calls.reserve(reservation, agent.target, memory)
-                self._tasks.spawn(call)
+                self._tasks.spawn(
+                    self._target_calls.reserve(reservation, agent, memory)
+                )
             case ReleaseMemory(reservation, agent):
-                self._tasks.spawn(self._target_calls.release(reservation, agent.target))
+                self._tasks.spawn(self._target_calls.release(reservation, agent))
             case ProbeTarget(target, address):
                 self._tasks.spawn(self._target_calls.probe(target, address))
             case ResyncStore():
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -84,6 +84,11 @@
     free_slots: int = 1  # of the target, as far as is known
     prefill_time: float = 0.0  # seconds for each part
 
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Return the targets of the whole group."""
+        return (self.target, *(member.target for member in self.members))
+
 
 @dataclasses.dataclass(slots=True)
 class _Load:
--- a/src/chicorycove/direct/reservation.py
+++ b/src/chicorycove/direct/reservation.py
@@ -8,6 +8,7 @@
 from .command import DirectCommand, GroupMember
 from .placement import Placement, PlacementMember
 from .settings import ReservationSettings
+from .target_limits import TargetLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +42,7 @@
     placement: Placement
     reservations: tuple[HeldReservation, ...]
     pending: set[AttemptId]
+    leased_until: dict[AttemptId, float]  # times in seconds
 
 
 class Reservations:
@@ -52,9 +54,15 @@
     late, is freed within seconds.
     """
 
-    def __init__(self, board: DirectBoard, settings: ReservationSettings) -> None:
+    def __init__(
+        self,
+        board: DirectBoard,
+        settings: ReservationSettings,
+        target_limits: TargetLimits,
+    ) -> None:
         self._board = board
         self._settings = settings
+        self._target_limits = target_limits
         self._groups: dict[str, _Group] = {}
 
     def start(
@@ -67,16 +75,14 @@
             if member.held_tokens
         )
         pending = {reservation.id for reservation in reservations}
-        self._groups[attempt_id.request] = _Group(placement, reservations, pending)
+        group = _Group(placement, reservations, pending, {})
+        self._groups[attempt_id.request] = group
         due = now + self._settings.answer_timeout
         for reservation in reservations:
             self._board.timers.add(
                 due, ReservationTimeoutDue(attempt_id.request, reservation.id)
             )
-        return [
-            ReserveMemory(reservation.id, reservation.target, reservation.memory)
-            for reservation in reservations
-        ]
+        return [self._reserve(group, reservation, now) for reservation in reservations]
 
     def confirm(self, reservation_id: AttemptId, now: float) -> Placement | None:
         """Record a reservation; return the placement once it has them all."""
@@ -135,16 +141,45 @@
         )
 
     def renew(self, due: LeaseRenewalDue, now: float) -> list[DirectCommand]:
-        """Renew the leases of a request, if they are still held."""
+        """Renew the leases of a request, if they are still held.
+
+        During a backoff, a lease is renewed only if it would end.
+        """
         group = self._groups.get(due.request_id)
         if group is None or group.reservations[0].id != due.first_reservation:
             return []
         self._schedule_renewal(due.request_id, group, now)
         return [
-            ReserveMemory(reservation.id, reservation.target, reservation.memory)
+            self._reserve(group, reservation, now)
             for reservation in group.reservations
+            if not self._target_limits.is_backing_off(reservation.target, now)
+            or self._ends_before_next_renewal(group, reservation, now)
         ]
 
+    def renew_for_backoff(self, agent: AgentId, now: float) -> list[DirectCommand]:
+        """Renew all leases at a target if its backoff begins now."""
+        if not self._target_limits.begins_backoff(agent, now):
+            return []
+        return [
+            self._reserve(group, reservation, now)
+            for group in self._groups.values()
+            for reservation in group.reservations
+            if reservation.target == agent and reservation.id not in group.pending
+        ]
+
+    def _reserve(
+        self, group: _Group, reservation: HeldReservation, now: float
+    ) -> ReserveMemory:
+        group.leased_until[reservation.id] = now + self._settings.lease_duration
+        return ReserveMemory(reservation.id, reservation.target, reservation.memory)
+
+    def _ends_before_next_renewal(
+        self, group: _Group, reservation: HeldReservation, now: float
+    ) -> bool:
+        next_renewal = now + self._settings.renewal_interval
+        margin = self._settings.answer_timeout
+        return group.leased_until[reservation.id] < next_renewal + margin
+
     def _schedule_renewal(self, request_id: str, group: _Group, now: float) -> None:
         due = LeaseRenewalDue(request_id, group.reservations[0].id)
         self._board.timers.add(now + self._settings.renewal_interval, due)
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -3,17 +3,20 @@
 import asyncio
 import typing as t
 
-from ..identity import AttemptId
+from ..identity import AgentId, AttemptId
 from ..lifecycle import AttemptRefused, MemoryReserved
 from ..reason import Reason
 from .board import DirectBoard
 from .client import CallFailed, HttpClient
 from .dialect import Dialect, Order
-from .event import DirectEvent, TargetAnswer, TargetProbed
+from .event import DirectEvent, TargetAnswer, TargetAnswered, TargetProbed
 from .linelog import LineLog
 from .settings import DirectSettings
 
 MAX_ORDER_REPLY_SIZE = 65_536  # bytes
+# Seconds for which a reply is read.  One that is later than the reservation's
+# timeout still says what its target takes.
+ORDER_TIMEOUT = 1.0
 
 
 class TargetCalls:
@@ -33,7 +36,9 @@
         self._log = log
         self._handle = handle
 
-    async def reserve(self, reservation: AttemptId, target: str, memory: int) -> None:
+    async def reserve(
+        self, reservation: AttemptId, target: AgentId, memory: int
+    ) -> None:
         """Reserve a target's memory, in tokens, and report the result."""
         duration = self._settings.reservation.lease_duration
         order = self._dialect.build_reserve_order(reservation, memory, duration)
@@ -43,7 +48,7 @@
         else:
             self._handle(AttemptRefused(reservation, Reason.MEMORY_FULL))
 
-    async def release(self, reservation: AttemptId, target: str) -> None:
+    async def release(self, reservation: AttemptId, target: AgentId) -> None:
         """Release a reservation of a target's memory."""
         order = self._dialect.build_release_order(reservation)
         await self._send_order(target, order, "memory released", reservation)
@@ -62,19 +67,21 @@
         self._handle(TargetProbed(target, True))
 
     async def _send_order(
-        self, target: str, order: Order, event: str, reservation: AttemptId
+        self, target: AgentId, order: Order, event: str, reservation: AttemptId
     ) -> int | None:
-        """Send an order; return the answer's status, or None without one."""
+        """Send an order; return the answer's status, or None without one.
+
+        Report what the answer says of the target before.
+        """
         answer: TargetAnswer | None = None
         cause = ""
-        view = self._board.targets.get(target)
+        view = self._board.find_incarnation(target)
         if view is None:
             self._log.write(event, request=reservation.request, cause="target gone")
             return None
         client = HttpClient(view.listing.address, MAX_ORDER_REPLY_SIZE)
         try:
-            timeout = self._settings.reservation.answer_timeout
-            reply = await client.call("POST", order.path, order.body, timeout)
+            reply = await client.call("POST", order.path, order.body, ORDER_TIMEOUT)
             answer = self._dialect.parse_answer_head(reply.status, reply.headers)
         except CallFailed as error:
             cause = str(error)
@@ -84,10 +91,13 @@
             event,
             request=reservation.request,
             reservation=reservation.nonce,
-            target=target,
+            target=target.target,
             status=answer.status if answer else None,
             retry_after=answer.retry_after if answer else None,
             leaving=answer.leaving if answer else None,
             cause=cause,
         )
-        return answer.status if answer else None
+        if answer is None:
+            return None
+        self._handle(TargetAnswered(target, answer))
+        return answer.status
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -10,8 +10,9 @@
 import typing as t
 
 from ..identity import AgentId
+from ..lifecycle import ReleaseMemory, ReserveMemory
 from .board import DirectBoard, TargetView
-from .command import DirectCommand, LogChange, UpdatePeers
+from .command import DirectCommand, LogChange, ProbeTarget, UpdatePeers
 from .event import RateLimitReport, TargetAnswer, TargetNotice
 from .target_terms import RateLimit, TargetTerms
 
@@ -31,6 +32,9 @@
     # after its backoff.
     return_rate: float = 20.0
     max_backoff: float = 300.0  # a longer time that a target names counts as this
+    # Orders and probes that a target gets during a backoff, for the answers
+    # that it has begun.
+    max_backoff_calls: int = 2
 
 
 class TargetLimits:
@@ -124,6 +128,42 @@
         self._refill(view.terms.rate_limit, now)
         return view.terms.rate_limit.balance >= 1
 
+    def is_backing_off(self, agent: AgentId, now: float) -> bool:
+        """Return whether a target asked this entry to send nothing now."""
+        return now < self._find_terms(agent).backoff_until
+
+    def begins_backoff(self, agent: AgentId, now: float) -> bool:
+        """Return whether a target asked for its backoff just now."""
+        terms = self._find_terms(agent)
+        return terms.backoff_began_at == now < terms.backoff_until
+
+    def withhold_calls(
+        self, commands: t.Iterable[DirectCommand], now: float
+    ) -> list[DirectCommand]:
+        """Return the commands without the orders and probes not allowed now.
+
+        A release is never sent during a backoff: without renewals, the lease
+        ends by itself.
+        """
+        return [command for command in commands if self._admits(command, now)]
+
+    def _admits(self, command: DirectCommand, now: float) -> bool:
+        match command:
+            case ReserveMemory(agent=agent) | ReleaseMemory(agent=agent):
+                terms = self._find_terms(agent)
+            case ProbeTarget(target) if target in self._board.targets:
+                terms = self._board.targets[target].terms
+            case _:
+                return True
+        if now >= terms.backoff_until or now <= terms.backoff_began_at:
+            return True
+        if isinstance(command, ReleaseMemory):
+            return False
+        if terms.backoff_calls >= self._settings.max_backoff_calls:
+            return False
+        terms.backoff_calls += 1
+        return True
+
     def retry_after(self, service: str, now: float) -> float | None:
         """Return the seconds until a refused caller should return.
 
@@ -187,6 +227,9 @@
         commands: list[DirectCommand] = []
         if answer.retry_after:
             delay = min(answer.retry_after, self._settings.max_backoff)
+            if now >= terms.backoff_until:
+                terms.backoff_began_at = now
+                terms.backoff_calls = 0
             terms.backoff_until = max(terms.backoff_until, now + delay)
             detail = f"for {delay:g} s"
             commands.append(LogChange("target backoff begun", agent.target, detail))
--- a/src/chicorycove/direct/target_terms.py
+++ b/src/chicorycove/direct/target_terms.py
@@ -26,6 +26,8 @@
     # Time until which it asked this entry, or a peer, to send nothing.
     backoff_until: float = 0.0
     peer_backoff_until: float = 0.0
+    backoff_began_at: float = 0.0
+    backoff_calls: int = 0  # orders and probes sent since then
     # Whether it said that it leaves, to any entry or to this one.
     leaving_announced: bool = False
     leaving_announced_here: bool = False
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -72,9 +72,11 @@
         self.open_streams = 0
         self.reservations: dict[str, int] = {}
         self.rate_limit: str | None = None  # named in all answers to requests
-        self.retry_after: str | None = None  # named as all requests are refused
+        # Named as all requests and orders are refused.
+        self.retry_after: str | None = None
         self.leaving = False  # named in all answers to requests
-        self.arrivals: list[float] = []  # times of requests, those refused included
+        # Times of requests and orders, those refused included.
+        self.arrivals: list[float] = []
         self.crashing_part: str | None = None  # part of prompts that crash it
         self.crashing_path: str | None = None  # path of requests that crash it
         self.crashed = asyncio.Event()
@@ -111,6 +113,11 @@
 
     async def _order(self, request: Request) -> Response:
         order = await request.json()
+        self.arrivals.append(time.monotonic())
+        if self.retry_after is not None:
+            headers = {"Chicorycove-Not-Executed": "1"}
+            headers["Retry-After"] = self.retry_after
+            return Response(status_code=503, headers=headers)
         match order["operation"]:
             case "reserve":
                 held = sum(self.reservations.values()) - self.reservations.get(
--- a/tests/test_direct_target_terms.py
+++ b/tests/test_direct_target_terms.py
@@ -1,19 +1,25 @@
 """Tests that what a target says holds for its incarnation, however it came."""
 
+import itertools
 import unittest
 
 from chicorycove.direct.board import WorkItem, WorkItemKey
+from chicorycove.direct.command import ProbeTarget
 from chicorycove.direct.event import (
     AnswerHeadReceived,
+    AttemptSent,
     PeerUpdateReceived,
     TargetAnswer,
+    TargetAnswered,
     TargetNotice,
     TargetUnlisted,
 )
+from chicorycove.direct.settings import DirectSettings
 from chicorycove.direct.target_terms import TargetTerms, UnlistedTerms
 from chicorycove.identity import AgentId
+from chicorycove.lifecycle import CallerDisconnected, MemoryReserved, Tick
 
-from .direct import LOOKUP, SHORT, DirectWorld
+from .direct import LONG, LOOKUP, SHORT, DirectWorld, command_names, only_command
 from .direct_fleet import LINK_DELAY, Fleet
 from .test_direct_backoff import ALLOWED_REQUESTS, GRACE
 
@@ -143,3 +149,103 @@
                 fleet.load(LOOKUP, rate=20.0, until=END, patience=patience)
                 fleet.run_until(30.0)
                 self.assert_backoff(targets)
+
+
+class GroupBackoffTest(TermsTestCase):
+    def play(self, seed):
+        """Let targets refuse requests while groups hold memory on them."""
+        fleet = Fleet(entries=2, engines=4, seed=seed)
+        fleet.event_count = 160  # the answers take 8 s
+        fleet.load(LONG, rate=0.5, until=15.0, tokens=600_000)
+        fleet.load(SHORT, rate=10.0, until=15.0)
+        targets = self.refuse(fleet, *fleet.targets)
+        fleet.run_until(30.0)
+        return fleet, targets
+
+    def test_orders_of_groups_keep_to_the_backoff_of_their_members(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                _, targets = self.play(seed)
+                self.assert_backoff(targets)
+
+
+class LeaseBackoffTest(unittest.TestCase):
+    def setUp(self):
+        self.world = DirectWorld(engines=4)
+        orders = self.orders(self.world.receive("r", LONG, tokens=700_000))
+        for order in orders:
+            commands = self.world.handle(MemoryReserved(order.attempt))
+        self.send = only_command(commands, "SendAttempt")
+        self.world.handle(AttemptSent(self.send.attempt))
+        self.world.stream(self.send)
+        self.member = orders[-1].agent
+        self.sent_at = [0.0]  # times of the orders to the member
+
+    def orders(self, commands, agent=None):
+        return [
+            command
+            for command in commands
+            if type(command).__name__ in ("ReserveMemory", "ReleaseMemory")
+            and agent in (None, command.agent)
+        ]
+
+    def refuse(self, retry_after):
+        answer = TargetAnswer(503, True, retry_after=retry_after)
+        commands = self.world.handle(TargetAnswered(self.member, answer))
+        self.sent_at += [self.world.now] * len(self.orders(commands, self.member))
+
+    def run_until(self, end):
+        """Let time pass while the answer goes on."""
+        while self.world.now < end:
+            self.world.now = min(self.world.now + 0.1, end)
+            self.world.stream(self.send, events=1)
+            commands = self.world.handle(Tick())
+            self.sent_at += [self.world.now] * len(self.orders(commands, self.member))
+
+    def test_lease_is_renewed_as_a_backoff_begins_and_when_it_would_end(self):
+        self.run_until(0.5)
+        self.refuse(retry_after=6.0)
+        self.run_until(6.5)
+        in_backoff = [time for time in self.sent_at if 0.5 < time < 6.5]
+        self.assertEqual(self.sent_at[1], 0.5)
+        self.assertLessEqual(len(in_backoff), ALLOWED_REQUESTS)
+        lease = DirectSettings().reservation.lease_duration
+        for earlier, later in itertools.pairwise(self.sent_at):
+            self.assertLess(later - earlier, lease)
+
+    def test_lease_is_renewed_each_second_again_after_the_backoff(self):
+        self.refuse(retry_after=3.0)
+        self.run_until(8.0)
+        times = [time for time in self.sent_at if time >= 3.0]
+        self.assertGreaterEqual(len(times), 4)
+
+    def test_no_release_is_sent_during_a_backoff(self):
+        self.run_until(0.5)
+        self.refuse(retry_after=6.0)
+        self.run_until(0.7)
+        commands = self.world.handle(CallerDisconnected("r"))
+        self.assertEqual(self.orders(commands, self.member), [])
+        self.world.now = 6.6
+        self.assertEqual(self.orders(self.world.handle(Tick())), [])
+
+    def test_group_is_not_sent_while_a_member_backs_off(self):
+        orders = self.orders(self.world.receive("r2", LONG, tokens=700_000))
+        answer = TargetAnswer(503, True, retry_after=3.0)
+        self.world.handle(TargetAnswered(orders[-1].agent, answer))
+        for order in orders:
+            commands = self.world.handle(MemoryReserved(order.attempt))
+            self.assertNotIn("SendAttempt", command_names(commands))
+
+    def test_probes_share_the_calls_of_a_backoff(self):
+        self.refuse(retry_after=6.0)
+        self.world.now = 0.1
+        target = self.member.target
+        probes = [
+            len(
+                self.world.dispatcher._target_limits.withhold_calls(
+                    [ProbeTarget(target, "10.0.0.1:80")], 0.1
+                )
+            )
+            for _ in range(4)
+        ]
+        self.assertEqual(probes, [1, 1, 0, 0])
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -6,6 +6,7 @@
 from standin.platform_server import Faults
 
 from .platform_case import KEY, PlatformTestCase, config, route
+from .test_direct_backoff import ALLOWED_REQUESTS, GRACE
 
 
 class RelayTest(PlatformTestCase):
@@ -331,6 +332,18 @@
         self.assertIn("retry-after", answer.headers)
         self.assertEqual(self.runs(), [])
 
+    async def test_servers_that_refuse_orders_with_a_time_get_no_more(self):
+        for server in self.model_servers:
+            server.retry_after = "3"
+        for _ in range(12):
+            await self.request_long()
+            await asyncio.sleep(0.1)
+        arrivals = [server.arrivals for server in self.model_servers if server.arrivals]
+        self.assertTrue(arrivals)
+        for times in arrivals:
+            late = [time for time in times if time >= times[0] + GRACE]
+            self.assertLessEqual(len(late), ALLOWED_REQUESTS)
+
     async def has_no_reservations(self):
         return not any(server.reservations for server in self.model_servers)
 
