Withdraw an attempt whose target begins a backoff while it connects

Callers waited for a refusal that was known: an attempt may wait up to 0.3 s for its connection, or longer in a delayed process, and was sent even if the target had asked for a backoff meanwhile. A fourth way past the target's word, besides the listing, the request and the order.

The dispatcher is asked when the connection opens, before the request is sent (AttemptSent is AttemptConnected now, as it names that moment). The attempt is withdrawn, uses no retry budget and may go elsewhere.

Evidence: two tests of decisions failed before.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -33,7 +33,7 @@
 from chicorycove.direct.dispatch import DirectDispatcher
 from chicorycove.direct.event import (
     AnswerHeadReceived,
-    AttemptSent,
+    AttemptConnected,
     DeploymentReceived,
     DirectEvent,
     EventsRelayed,
@@ -292,7 +292,7 @@
             outcome.predicted = waited + send.placement.time_to_first_event
         self._sends[send.attempt] = send
         self._owners[send.attempt] = entry
-        self._soon(lambda: self._handle(entry, AttemptSent(send.attempt)), 2)
+        self._soon(lambda: self._handle(entry, AttemptConnected(send.attempt)), 2)
         self._soon(lambda: self._submit(send), 3)
 
     def _submit(self, send: SendAttempt) -> None:
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -34,7 +34,7 @@
 from .event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptSent,
+    AttemptConnected,
     CallerBackpressureChanged,
     DeploymentReceived,
     DirectEvent,
@@ -120,8 +120,8 @@
                 return self._record_events(attempt_id, event_count, last_event_id, now)
             case RequestReceived(inbound):
                 return self._receive_request(inbound, now)
-            case AttemptSent(attempt_id):
-                return self._record_sent(attempt_id, now)
+            case AttemptConnected(attempt_id):
+                return self._begin_sending(attempt_id, now)
             case AnswerHeadReceived(attempt_id, answer):
                 return self._handle_answer_head(attempt_id, answer, now)
             case AnswerReceived(attempt_id, answer):
@@ -363,14 +363,33 @@
 
     # Answers
 
-    def _record_sent(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
+    def _begin_sending(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
+        """Count an attempt as sent, or withdraw it if its target backs off."""
         request = self._current_request(attempt_id)
-        if request is not None:
-            advance(request.attempts[-1], AttemptStep.START)
-            request.sent_count += 1
-            request.run_count += 1
+        if request is None:
+            return []
+        attempt = request.attempts[-1]
+        if self._target_limits.is_backing_off(attempt.agent, now):
+            return self._withdraw_attempt(request, now)
+        advance(attempt, AttemptStep.START)
+        request.sent_count += 1
+        request.run_count += 1
         return []
 
+    def _withdraw_attempt(
+        self, request: DirectRequest, now: float
+    ) -> list[DirectCommand]:
+        """Send a request elsewhere before its target has got it."""
+        attempt = request.attempts[-1]
+        advance(attempt, AttemptStep.REFUSE)
+        request.tried_targets.add(attempt.agent.target)
+        return [
+            CancelAttempt(attempt.id),
+            LogChange("attempt withdrawn", attempt.agent.target, "backoff"),
+            *self._completion.release_work(request),
+            *self._place(request, now),
+        ]
+
     def _handle_answer_head(
         self, attempt_id: AttemptId, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -48,8 +48,8 @@
 
 
 @frozen
-class AttemptSent:
-    """The target is connected, and the request is on its way to it."""
+class AttemptConnected:
+    """An attempt's connection is open, and its request is to be sent."""
 
     attempt: AttemptId
 
@@ -224,7 +224,7 @@
 
 DirectEvent = t.Union[
     RequestReceived,
-    AttemptSent,
+    AttemptConnected,
     AnswerHeadReceived,
     AnswerReceived,
     TargetAnswered,
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -15,7 +15,7 @@
 from .event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptSent,
+    AttemptConnected,
     DirectEvent,
     EventsRelayed,
     TargetAnswer,
@@ -215,7 +215,9 @@
         if self._closed:
             return
         exchange = self._exchange
-        exchange.listener.handle(AttemptSent(self.attempt))
+        exchange.listener.handle(AttemptConnected(self.attempt))
+        if self._closed:
+            return
         time_left = self._command.deadline - asyncio.get_running_loop().time()
         self.connection.send(
             exchange.dialect.build_request(
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -9,7 +9,7 @@
 from chicorycove.direct.event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptSent,
+    AttemptConnected,
     DeploymentReceived,
     EventsRelayed,
     RequestReceived,
@@ -160,7 +160,7 @@
         """Receive a request, and return the command that sends it."""
         commands = self.receive(id, route, **fields)
         send = only_command(commands, "SendAttempt")
-        self.handle(AttemptSent(send.attempt))
+        self.handle(AttemptConnected(send.attempt))
         return send
 
     def stream(self, send, events=3):
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -16,7 +16,7 @@
 from chicorycove.direct.event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptSent,
+    AttemptConnected,
     DeploymentReceived,
     EventsRelayed,
     PeersUpdated,
@@ -79,6 +79,7 @@
         self.rate_limit = None
         self.retry_after = None  # seconds; all requests are refused with it
         self.leaving = False  # answers say that it is about to end
+        self.connect_delay = LINK_DELAY  # seconds
         self.refusal_delay = 0.0  # seconds from an arrival to its refusal
         self.refusals = []  # (time, entry, seconds) of each refused request
         self.arrivals = []  # of requests, orders and probes
@@ -397,7 +398,9 @@
 
     def send_attempt(self, entry, command):
         entry.live[command.attempt] = command.target.target
-        self.call_later(LINK_DELAY, self._arrive, entry, command)
+        target = self.targets.get(command.target.target)
+        delay = target.connect_delay if target is not None else LINK_DELAY
+        self.call_later(delay, self._arrive, entry, command)
 
     def _arrive(self, entry, command):
         attempt = command.attempt
@@ -410,6 +413,9 @@
                 AttemptFailed(attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
             )
             return
+        entry.handle(AttemptConnected(attempt))
+        if attempt not in entry.live:
+            return
         arrival = Arrival(
             self.now,
             entry.name,
@@ -420,7 +426,6 @@
         target.arrivals.append(arrival)
         self.arrivals.append(arrival)
         target.attempts[attempt] = entry
-        entry.handle(AttemptSent(attempt))
         if target.retry_after is not None:
             self.call_later(target.refusal_delay, self._refuse, entry, attempt, target)
         elif self._crashes_before_head(arrival, target):
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -8,7 +8,7 @@
 from chicorycove.direct.board import WorkItem, WorkItemKey
 from chicorycove.direct.event import (
     AnswerHeadReceived,
-    AttemptSent,
+    AttemptConnected,
     CallerBackpressureChanged,
     EventsRelayed,
     PeersUpdated,
@@ -79,7 +79,7 @@
             self.world.handle(AttemptFailed(send.attempt, *BROKEN_STREAM)),
             "SendAttempt",
         )
-        self.world.handle(AttemptSent(retry.attempt))
+        self.world.handle(AttemptConnected(retry.attempt))
         commands = self.world.handle(AnswerHeadReceived(retry.attempt, OK))
         self.assertEqual(command_names(commands), ["RelayStream"])
         self.world.handle(EventsRelayed(retry.attempt, 2, 5))
@@ -93,7 +93,7 @@
             self.world.handle(AttemptFailed(send.attempt, *BROKEN_STREAM)),
             "SendAttempt",
         )
-        self.world.handle(AttemptSent(retry.attempt))
+        self.world.handle(AttemptConnected(retry.attempt))
         commands = self.world.handle(AttemptFailed(retry.attempt, *BROKEN_STREAM))
         self.assertIn("AbortAnswer", command_names(commands))
 
@@ -164,7 +164,7 @@
                 world = DirectWorld(shops=1)
                 send = only_command(world.receive("r", ORDER), "SendAttempt")
                 if reached:
-                    world.handle(AttemptSent(send.attempt))
+                    world.handle(AttemptConnected(send.attempt))
                 world.now = 0.61
                 fail = only_command(world.handle(Tick()), "FailRequest")
                 verdict = Verdict.MAY_HAVE_RUN if reached else Verdict.NOT_RUN
@@ -185,7 +185,7 @@
         send = self.world.send("r", LOOKUP)
         retry = only_command(self.world.answer(send, SERVER_ERROR), "SendAttempt")
         self.assertNotEqual(retry.target, send.target)
-        self.world.handle(AttemptSent(retry.attempt))
+        self.world.handle(AttemptConnected(retry.attempt))
         self.assertEqual(
             command_names(self.world.answer(retry, SERVER_ERROR)), ["DeliverAnswer"]
         )
@@ -242,7 +242,7 @@
             ]
             if not sends:
                 break
-            world.handle(AttemptSent(sends[0].attempt))
+            world.handle(AttemptConnected(sends[0].attempt))
             commands = world.handle(AnswerHeadReceived(sends[0].attempt, TARGET_FULL))
         fail = only_command(commands, "FailRequest")
         self.assertIs(fail.reason, Reason.RETRY_BUDGET)
@@ -253,7 +253,7 @@
         send = world.send("r", SHORT)
         commands = world.handle(TargetProbed(send.target.target, False))
         retry = only_command(commands, "SendAttempt")
-        world.handle(AttemptSent(retry.attempt))
+        world.handle(AttemptConnected(retry.attempt))
         for target in list(world.board.targets):
             world.handle(TargetUnlisted(target))
         fail = only_command(
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -19,7 +19,7 @@
 from chicorycove.direct.event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptSent,
+    AttemptConnected,
     CrashReport,
     EventsRelayed,
     PeersUpdated,
@@ -158,7 +158,7 @@
         attempt = self.pick(data, set(self.live) - self.sent)
         if attempt is not None:
             self.sent.add(attempt)
-            self.handle(AttemptSent(attempt))
+            self.handle(AttemptConnected(attempt))
 
     @rule(data=st.data())
     def fail_to_connect(self, data):
--- a/tests/test_direct_reservation.py
+++ b/tests/test_direct_reservation.py
@@ -3,7 +3,7 @@
 import unittest
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct.event import AnswerHeadReceived, AttemptSent
+from chicorycove.direct.event import AnswerHeadReceived, AttemptConnected
 from chicorycove.lifecycle import (
     AnswerCompleted,
     AttemptFailed,
@@ -85,7 +85,7 @@
     def test_released_when_the_answer_is_complete(self):
         orders = self.reserve()
         send = self.confirm_all(orders)
-        self.world.handle(AttemptSent(send.attempt))
+        self.world.handle(AttemptConnected(send.attempt))
         self.world.stream(send)
         commands = self.world.handle(AnswerCompleted(send.attempt, 0))
         self.assertEqual(
@@ -106,7 +106,7 @@
     def test_released_when_the_attempt_fails(self):
         orders = self.reserve()
         send = self.confirm_all(orders)
-        self.world.handle(AttemptSent(send.attempt))
+        self.world.handle(AttemptConnected(send.attempt))
         failure = AttemptFailed(
             send.attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN
         )
@@ -127,7 +127,7 @@
     def test_renewed_until_the_answer_is_complete(self):
         orders = self.reserve()
         send = self.confirm_all(orders)
-        self.world.handle(AttemptSent(send.attempt))
+        self.world.handle(AttemptConnected(send.attempt))
         self.world.handle(AnswerHeadReceived(send.attempt, OK))
         self.world.now = 1.01
         renewed = commands_of_type(self.world.handle(Tick()), "ReserveMemory")
--- a/tests/test_direct_target_terms.py
+++ b/tests/test_direct_target_terms.py
@@ -3,11 +3,12 @@
 import itertools
 import unittest
 
+from chicorycove import Reason, Verdict
 from chicorycove.direct.board import WorkItem, WorkItemKey
 from chicorycove.direct.command import ProbeTarget
 from chicorycove.direct.event import (
     AnswerHeadReceived,
-    AttemptSent,
+    AttemptConnected,
     PeerUpdateReceived,
     TargetAnswer,
     TargetAnswered,
@@ -151,6 +152,33 @@
                 self.assert_backoff(targets)
 
 
+class WaitingConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.world = DirectWorld(engines=0, shops=2)
+        send = only_command(self.world.receive("first", LOOKUP), "SendAttempt")
+        self.waiting = send
+        answer = TargetAnswer(503, True, retry_after=3.0)
+        self.world.handle(TargetAnswered(send.target, answer))
+        self.world.now = 0.4
+
+    def test_request_whose_connection_opens_during_a_backoff_goes_elsewhere(self):
+        commands = self.world.handle(AttemptConnected(self.waiting.attempt))
+        cancelled = only_command(commands, "CancelAttempt")
+        self.assertEqual(cancelled.attempt, self.waiting.attempt)
+        other = only_command(commands, "SendAttempt")
+        self.assertNotEqual(other.target.target, self.waiting.target.target)
+        request = self.world.board.requests["first"]
+        self.assertEqual((request.sent_count, request.run_count), (0, 0))
+
+    def test_withdrawn_request_without_another_target_is_refused_as_not_run(self):
+        self.world.handle(TargetUnlisted("s0"))
+        self.world.handle(TargetUnlisted("s1"))
+        commands = self.world.handle(AttemptConnected(self.waiting.attempt))
+        failure = only_command(commands, "FailRequest")
+        self.assertIs(failure.verdict, Verdict.NOT_RUN)
+        self.assertIs(failure.reason, Reason.NO_TARGET)
+
+
 class GroupBackoffTest(TermsTestCase):
     def play(self, seed):
         """Let targets refuse requests while groups hold memory on them."""
@@ -176,7 +204,7 @@
         for order in orders:
             commands = self.world.handle(MemoryReserved(order.attempt))
         self.send = only_command(commands, "SendAttempt")
-        self.world.handle(AttemptSent(self.send.attempt))
+        self.world.handle(AttemptConnected(self.send.attempt))
         self.world.stream(self.send)
         self.member = orders[-1].agent
         self.sent_at = [0.0]  # times of the orders to the member
