Fuzz what targets say in any answer, over listings and groups

The state machine knew backoffs of requests only, and only of listed targets. It now answers requests late, refuses orders with a time, lists targets again, and checks requests, members, orders and probes against the terms of each incarnation; a release that a backoff withholds must be followed by the end of its lease, as strict as 'nothing is held' before.

--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -30,10 +30,13 @@
     StoreRegained,
     StreamClosed,
     TargetAnswer,
+    TargetAnswered,
+    TargetListed,
     TargetProbed,
     TargetUnlisted,
     TraitsAnswered,
 )
+from chicorycove.direct.settings import DirectSettings
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import (
     AnswerCompleted,
@@ -59,6 +62,8 @@
 LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
 BACKOFF = TargetAnswer(status=503, not_run=True, retry_after=2.0)
 LEAVING = TargetAnswer(status=200, not_run=False, leaving=True)
+NO_BACKOFF = (-math.inf, -math.inf)
+LEASE = DirectSettings().reservation.lease_duration
 ROUTES = {"short": SHORT, "long": LONG, "order": ORDER, "lookup": LOOKUP}
 
 
@@ -73,9 +78,13 @@
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
         self.pending_reservations = {}  # reservation: its unanswered order
-        self.held_reservations = collections.Counter()
+        self.held_reservations = {}  # reservation: its target, end of its lease
+        self.unreleased = set()  # reservations whose leases end instead
         self.finished = {}  # request: the last command to its caller
-        self.backoff_until = {}  # incarnation: time, infinite once it leaves
+        self.cancelled = {}  # attempt: its command, until a late answer comes
+        self.backoffs = {}  # incarnation: time of its begin and its end
+        self.backoff_calls = collections.Counter()  # orders and probes, by incarnation
+        self.leaving = set()  # incarnations that say that they leave
         self.last_event_ids = {}  # request: id of the last event that its caller has
 
     def handle(self, event):
@@ -87,24 +96,31 @@
             case "SendAttempt":
                 id = command.attempt.request
                 assert id not in self.finished, "sent after the request ended"
-                backoff_until = self.backoff_until.get(command.target, -math.inf)
-                assert self.world.now >= backoff_until, "sent during a backoff"
-                self.live = {
-                    attempt: sent
-                    for attempt, sent in self.live.items()
-                    if attempt.request != id
-                }
+                for target in command.placement.targets:
+                    agent = self.world.board.targets[target].listing.agent
+                    assert not self.backs_off(agent), "sent during a backoff"
+                    assert agent not in self.leaving, "sent to a leaving target"
+                self.close_attempts(id)
                 self.live[command.attempt] = command
                 assert command.last_event_id == self.last_event_ids.get(
                     id
                 ), "resumed after the wrong event"
             case "CancelAttempt":
-                self.live.pop(command.attempt, None)
+                self.close_attempt(command.attempt)
+            case "ProbeTarget":
+                view = self.world.board.targets.get(command.target)
+                if view is not None:
+                    self.count_call(view.listing.agent)
             case "ReserveMemory":
+                self.count_call(command.agent)
+                self.end_earlier_groups(command.attempt)
                 if command.attempt not in self.held_reservations:
                     self.pending_reservations[command.attempt] = command
-                    self.held_reservations[command.attempt] = 1
+                assert command.attempt not in self.unreleased, "renewed after its end"
+                leased_until = self.world.now + LEASE
+                self.held_reservations[command.attempt] = (command.agent, leased_until)
             case "ReleaseMemory":
+                assert not self.is_within_backoff(command.agent), "released in one"
                 assert self.held_reservations.pop(
                     command.attempt, 0
                 ), "released a reservation that is not held"
@@ -119,14 +135,31 @@
                         not possible_runs
                     ), "verdict is not run, but the request may have run"
 
+    def close_attempt(self, attempt):
+        command = self.live.pop(attempt, None)
+        if command is not None and attempt in self.sent - self.answered:
+            self.cancelled[attempt] = command
+
+    def close_attempts(self, id):
+        for attempt in [attempt for attempt in self.live if attempt.request == id]:
+            self.close_attempt(attempt)
+
+    def backs_off(self, agent):
+        return self.world.now < self.backoffs.get(agent, NO_BACKOFF)[1]
+
+    def is_within_backoff(self, agent):
+        """Return whether a backoff has begun before now."""
+        return self.backs_off(agent) and self.world.now > self.backoffs[agent][0]
+
+    def count_call(self, agent):
+        if self.is_within_backoff(agent):
+            self.backoff_calls[agent] += 1
+            assert self.backoff_calls[agent] <= 2, "called during a backoff"
+
     def finish_request(self, id, command):
         assert id not in self.finished, "the request ended twice"
         self.finished[id] = command
-        self.live = {
-            attempt: sent
-            for attempt, sent in self.live.items()
-            if attempt.request != id
-        }
+        self.close_attempts(id)
 
     def possible_runs(self, id):
         return [
@@ -157,8 +190,11 @@
     def connect(self, data):
         attempt = self.pick(data, set(self.live) - self.sent)
         if attempt is not None:
-            self.sent.add(attempt)
+            agent = self.live[attempt].target
             self.handle(AttemptConnected(attempt))
+            if attempt in self.live:
+                assert not self.backs_off(agent), "sent during a backoff"
+                self.sent.add(attempt)
 
     @rule(data=st.data())
     def fail_to_connect(self, data):
@@ -181,19 +217,30 @@
         self.answered.add(attempt)
         if answer.not_run:
             self.refused.add(attempt)
-        agent = self.live[attempt].target
-        view = self.world.board.targets.get(agent.target)
-        if view is not None and str(view.listing.started_at) == agent.incarnation:
-            self.record_backoff(agent, answer)
+        self.record_terms(self.live[attempt].target, answer)
         self.handle(AnswerHeadReceived(attempt, answer))
         route = self.routes[attempt.request]
         if attempt in self.live and not (route.streamed and answer.succeeded):
             self.handle(AnswerReceived(attempt, answer))
 
-    def record_backoff(self, agent, answer):
-        delay = math.inf if answer.leaving else answer.retry_after or -math.inf
-        backoff_until = self.backoff_until.get(agent, -math.inf)
-        self.backoff_until[agent] = max(backoff_until, self.world.now + delay)
+    def record_terms(self, agent, answer):
+        now = self.world.now
+        if answer.retry_after:
+            began, until = self.backoffs.get(agent, NO_BACKOFF)
+            if now >= until:
+                began = now
+                self.backoff_calls[agent] = 0
+            self.backoffs[agent] = (began, max(until, now + answer.retry_after))
+        if answer.leaving:
+            self.leaving.add(agent)
+
+    @rule(data=st.data(), answer=st.sampled_from([OK, BACKOFF, LEAVING]))
+    def answer_late(self, data, answer):
+        attempt = self.pick(data, self.cancelled)
+        if attempt is not None:
+            agent = self.cancelled.pop(attempt).target
+            self.record_terms(agent, answer)
+            self.handle(TargetAnswered(agent, answer))
 
     @rule(data=st.data(), events=st.integers(1, 3))
     def relay_events(self, data, events):
@@ -219,11 +266,26 @@
             reason = Reason.STREAM_BROKEN
             self.handle(AttemptFailed(attempt, reason, Verdict.MAY_HAVE_RUN))
 
-    @rule(data=st.data(), reserved=st.booleans())
-    def answer_reservation(self, data, reserved):
+    @rule(data=st.data(), answer=st.sampled_from([BACKOFF, BACKOFF, LEAVING]))
+    def answer_earlier_order(self, data, answer):
+        agents = {command.target for command in self.live.values()}
+        agents.update(agent for agent, _ in self.held_reservations.values())
+        agent = self.pick(data, agents)
+        if agent is not None:
+            self.record_terms(agent, answer)
+            self.handle(TargetAnswered(agent, answer))
+
+    @rule(
+        data=st.data(),
+        reserved=st.booleans(),
+        answer=st.sampled_from([OK, OK, BACKOFF, LEAVING]),
+    )
+    def answer_reservation(self, data, reserved, answer):
         reservation = self.pick(data, self.pending_reservations)
         if reservation is not None:
-            del self.pending_reservations[reservation]
+            agent = self.pending_reservations.pop(reservation).agent
+            self.record_terms(agent, answer)
+            self.handle(TargetAnswered(agent, answer))
             if reserved:
                 self.handle(MemoryReserved(reservation))
             else:
@@ -234,11 +296,7 @@
         id = self.pick(data, set(self.world.board.requests))
         if id is not None:
             self.handle(CallerDisconnected(id))
-            self.live = {
-                attempt: sent
-                for attempt, sent in self.live.items()
-                if attempt.request != id
-            }
+            self.close_attempts(id)
             self.finished.setdefault(id, None)
 
     @rule(data=st.data(), reachable=st.booleans())
@@ -256,6 +314,14 @@
     def list_engine(self, number, leaving, started_at):
         self.world.add_target(f"e{number}", "model", leaving, started_at)
 
+    @rule(id=st.sampled_from(["e0", "e1", "e2", "e3", "s0"]))
+    def list_again(self, id):
+        view = self.world.board.targets.get(id)
+        if view is not None:
+            listing = view.listing
+            self.handle(TargetUnlisted(id))
+            self.handle(TargetListed(listing))
+
     @rule(number=st.integers(0, 2))
     def replace_shop(self, number):
         self.handle(TargetUnlisted(f"s{number}"))
@@ -314,7 +380,10 @@
         board = self.world.board
         ids = set(board.requests)
         assert not ids & set(self.finished)
-        assert {reservation.request for reservation in self.held_reservations} <= ids
+        for reservation in self.held_reservations:
+            if reservation.request not in ids:
+                self.expect_lease_end(reservation)
+        self.end_leases()
         own_keys = [
             key
             for view in board.targets.values()
@@ -328,11 +397,32 @@
         }
         assert set(own_keys) <= expected_keys
 
+    def end_earlier_groups(self, attempt):
+        for reservation in self.held_reservations:
+            if (
+                reservation.request == attempt.request
+                and reservation.number < attempt.number
+            ):
+                self.expect_lease_end(reservation)
+
+    def expect_lease_end(self, reservation):
+        if reservation not in self.unreleased:
+            agent, _ = self.held_reservations[reservation]
+            assert self.is_within_backoff(agent), "not released"
+            self.unreleased.add(reservation)
+
+    def end_leases(self):
+        for reservation in list(self.unreleased):
+            if self.world.now >= self.held_reservations[reservation][1]:
+                del self.held_reservations[reservation]
+                self.unreleased.remove(reservation)
+
     def teardown(self):
         # After every deadline all requests have been answered.
         for _ in range(40):
             self.world.now += 1.0
             self.handle(Tick())
+            self.finished_requests_leave_nothing()
         assert not self.world.board.requests
         assert not self.held_reservations
 
