Apply a reported rate limit to the incarnation that named it

An entry that had not seen a target's restart went on to report the limit of the earlier incarnation, and its peers applied it to the new one, which had named none: callers were refused target_limit until an answer ended it. What a target says belongs to its incarnation; backoffs and leaving were reported with it, limits without.

Reports carry the incarnation as a last field. Entries of the build before ignore it; theirs, without it, count for the listed incarnation as before (tested). Failed before: the limit of incarnation 1 refused requests to incarnation 2.

--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -167,6 +167,7 @@
     target: str
     rate: float  # requests per second from all entries; infinite for none
     named_at: float  # time of the answer, in seconds
+    incarnation: str = ""  # empty if an entry of an earlier version reports it
 
 
 @frozen
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -78,6 +78,7 @@
     target: str
     rate: float  # requests per second, infinite for no limit
     named_ago: float
+    incarnation: str = ""  # empty if an entry of an earlier version reports it
 
 
 class CrashUpdate(msgspec.Struct, array_like=True):
@@ -171,7 +172,9 @@
         tuple(id for id in update.unreachable if id not in known_targets),
         update.store_revision,
         tuple(
-            RateLimitReport(limit.target, limit.rate, now - limit.named_ago)
+            RateLimitReport(
+                limit.target, limit.rate, now - limit.named_ago, limit.incarnation
+            )
             for limit in update.rate_limits
         ),
         tuple(
@@ -214,7 +217,9 @@
     # are reported as unreachable.
     unreachable = [limit.target for limit in limits if limit.rate < math.inf]
     updates = [
-        RateLimitUpdate(limit.target, limit.rate, now - limit.named_at)
+        RateLimitUpdate(
+            limit.target, limit.rate, now - limit.named_at, limit.incarnation
+        )
         for limit in limits
     ]
     return PeerUpdate(owner, [], [], unreachable, revision, updates)
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -67,7 +67,7 @@
         commands += self._record_notice(agent, terms, answer, now)
         if not answer.rate_limit_invalid:
             rate = math.inf if answer.rate_limit is None else answer.rate_limit
-            report = RateLimitReport(target, rate, now)
+            report = RateLimitReport(target, rate, now, agent.incarnation)
             changes = self._apply(terms, report, now)
             if changes:
                 changes.append(UpdatePeers(rate_limits=(report,)))
@@ -81,9 +81,13 @@
         """Record limits that a peer has reported, if they are news."""
         commands: list[DirectCommand] = []
         for report in reports:
+            agent = AgentId(report.target, report.incarnation)
             view = self._board.targets.get(report.target)
-            if view is not None:
-                commands += self._apply(view.terms, report, now)
+            if not report.incarnation and view is not None:
+                agent = view.listing.agent
+            terms = self._find_terms(agent)
+            commands += self._apply(terms, report, now)
+            self._keep_terms(agent, terms)
         return commands
 
     def record_notices(
@@ -212,7 +216,12 @@
     def _rate_limit_reports(self, now: float) -> tuple[RateLimitReport, ...]:
         """Return the limits, and the recent ends of limits."""
         return tuple(
-            RateLimitReport(view.listing.id, limit.rate, limit.named_at)
+            RateLimitReport(
+                view.listing.id,
+                limit.rate,
+                limit.named_at,
+                view.listing.agent.incarnation,
+            )
             for view in self._board.targets.values()
             if (limit := view.terms.rate_limit) is not None
             and (
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -4,12 +4,15 @@
 import math
 import unittest
 
+import msgspec
+
 from chicorycove import Reason, Verdict
 from chicorycove.direct import peers
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import (
     AnswerHeadReceived,
     PeersUpdated,
+    PeerUpdateReceived,
     RateLimitReport,
     TargetAnswer,
 )
@@ -226,9 +229,24 @@
         for number in range(1, 4):
             world.send(f"r{number}", SHORT)
 
+    def test_limit_that_peers_report_holds_for_its_incarnation_only(self):
+        world = DirectWorld(engines=1)
+        world.add_target("e0", "model", started_at=2)
+        report = RateLimitReport("e0", 0.5, 0.0, "1")
+        world.handle(PeerUpdateReceived("entry-2", rate_limits=(report,)))
+        for number in range(4):
+            world.send(f"r{number}", SHORT)
+
+    def test_limit_from_an_older_version_holds_for_the_listed_incarnation(self):
+        world = DirectWorld(engines=1)
+        report = RateLimitReport("e0", 0.5, 0.0)
+        world.handle(PeerUpdateReceived("entry-2", rate_limits=(report,)))
+        world.send("r0", SHORT)
+        only_command(world.receive("r1", SHORT), "FailRequest")
+
 
 class LimitDatagramTest(unittest.TestCase):
-    report = RateLimitReport("t1", 1.5, 99.0)
+    report = RateLimitReport("t1", 1.5, 99.0, "7")
 
     def encode(self, *reports):
         return peers.encode("entry-1", UpdatePeers(rate_limits=reports), 7, 100.0)
@@ -236,7 +254,7 @@
     def test_limit_is_decoded_by_another_clock(self):
         (data,) = self.encode(self.report)
         update = peers.decode(data, 5000.0)
-        self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 4999.0),))
+        self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 4999.0, "7"),))
         self.assertEqual(update.unreachable, ())
 
     def test_end_of_a_limit_is_decoded(self):
@@ -254,8 +272,17 @@
         update = peers.decode(cut_datagram(data), 100.0)
         self.assertEqual((update.unreachable, update.rate_limits), (("t",), ()))
 
+    def test_limit_in_a_datagram_without_an_incarnation_is_decoded(self):
+        (data,) = self.encode(self.report)
+        fields = msgspec.msgpack.decode(data)
+        fields[5] = [limit[:3] for limit in fields[5]]
+        update = peers.decode(msgspec.msgpack.encode(fields), 100.0)
+        self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 99.0),))
+
     def test_datagrams_of_many_limits_fit_a_frame(self):
-        reports = [RateLimitReport(f"i-{n:010x}", 1.5, 9.0) for n in range(96)]
+        reports = [
+            RateLimitReport(f"i-{n:010x}", 1.5, 9.0, "1792178455735") for n in range(96)
+        ]
         decoded = []
         for data in self.encode(*reports):
             self.assertLess(len(data), 1400)
