Take a listing without a start time as of the known incarnation

An entry of another writer may lack the start; the target was listed as incarnation 0 then, without backoff or leaving, and with its running work forgotten, until the next listing. It is the listed incarnation's now. The test failed before: a request went to a target in its backoff.

--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -61,6 +61,9 @@
 
     def _add_or_update(self, listing: TargetListing) -> list[DirectCommand]:
         view = self._board.targets.get(listing.id)
+        if view is not None and not listing.started_at:
+            # Another writer's entry may lack it; the target was not restarted.
+            listing = dataclasses.replace(listing, started_at=view.listing.started_at)
         if view is not None and view.listing.started_at != listing.started_at:
             self._board.unlisted_terms.keep(view.listing.agent, view.terms)
             view = None  # another incarnation does not run the last one's work
--- a/tests/test_direct_target_terms.py
+++ b/tests/test_direct_target_terms.py
@@ -128,6 +128,13 @@
         limit = self.world.board.targets["s0"].terms.rate_limit
         self.assertEqual(limit.balance, balance)
 
+    def test_listing_without_a_start_time_is_of_the_incarnation_listed_before(self):
+        send = self.world.send("r", LOOKUP)
+        answer = TargetAnswer(503, True, retry_after=3.0)
+        self.world.handle(AnswerHeadReceived(send.attempt, answer))
+        self.world.add_target("s0", "shop", started_at=0)
+        self.assertTrue(self.is_refused("early"))
+
     def test_oldest_terms_are_dropped_beyond_the_capacity(self):
         unlisted = UnlistedTerms(capacity=2)
         for number in range(4):
