--- a/tests/test_platform_rate_limit.py
+++ b/tests/test_platform_rate_limit.py
@@ -80,6 +80,28 @@
         late = [time for time in server.arrivals if first + GRACE <= time < first + 2]
         self.assertLessEqual(len(late), ALLOWED_REQUESTS)
 
+    async def test_backoff_outlasts_new_listings_a_resync_and_a_reload(self):
+        server, other = self.shop_servers
+        self.store.remove(f"servers/{other.id}")
+        await asyncio.sleep(0.6)
+        server.retry_after = "3"
+        self.assertEqual(await self.fetch_for(0.5), {503})
+        disturbances = (self.list_again, self.process.reload, self.resync)
+        for disturb in disturbances * 2:
+            disturb()
+            self.assertEqual(await self.fetch_for(0.25), {503})
+        first = server.arrivals[0]
+        late = [time for time in server.arrivals if first < time < first + 3]
+        self.assertEqual(late, [])
+
+    def list_again(self):
+        server = self.shop_servers[0]
+        self.store.remove(f"servers/{server.id}")
+        self.register_server(server)
+
+    def resync(self):
+        self.process._follower.resync()
+
     async def test_server_that_says_it_leaves_gets_no_requests(self):
         server = self.shop_servers[0]
         server.leaving = True
