--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -218,10 +218,12 @@
         running = [server for server in self._servers if server.running]
         limited, busy = self._random.sample(running, 2)
         violations = await steps.check_rate_limit(limited)
-        violations += await steps.check_backoff(busy, len(self._entries))
+        violations += await steps.check_backoff(
+            busy, self._operator, len(self._entries)
+        )
         leaving = self._random.choice(running)
         await self._add_server(leaving.service)
-        violations += await steps.check_leaving(leaving)
+        violations += await steps.check_leaving(leaving, self._operator)
         self._kill(leaving)
         await self._operator.put(f"servers/{leaving.id}", None)
         return violations
--- a/soak/steps.py
+++ b/soak/steps.py
@@ -1,6 +1,7 @@
 """Steps of a soak test that follow the faults, each with its check."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import time
@@ -10,10 +11,11 @@
 from tests.platform_case import Caller
 
 from . import check
-from .fleet import Entry, Process, Server
+from .fleet import Entry, Operator, Process, Server
 
 LIMIT = 2.0  # requests a second that a server names
 BACKOFF = 3.0  # seconds that a server names as it refuses requests
+LISTING_INTERVAL = 0.4  # seconds between listings of a server
 AWAY_TIME = 1.2  # seconds for which the store stays away from restarted entries
 CALLERS_PER_ENTRY = 5
 
@@ -21,7 +23,7 @@
 async def check_rate_limit(server: Server) -> list[str]:
     """Let a server name a limit, and check what it gets."""
     started_at = time.monotonic()
-    arrivals = await _set_and_count(
+    arrivals, _ = await _set_and_count(
         server, "limit", LIMIT, check.STABLE_TIME + check.LIMIT_WINDOW + 1.0
     )
     # Nothing binds before an answer has named the limit.
@@ -30,18 +32,25 @@
     return check.check_rate_limit(arrivals, LIMIT, start, time.monotonic())
 
 
-async def check_backoff(server: Server, entry_count: int) -> list[str]:
-    """Let a server refuse all requests for a time, and check what it gets."""
+async def check_backoff(
+    server: Server, operator: Operator, entry_count: int
+) -> list[str]:
+    """Let a server refuse all requests for a time, and check what it gets.
+
+    The platform lists the server again and again meanwhile.
+    """
     started_at = time.monotonic()
-    arrivals = await _set_and_count(server, "backoff", BACKOFF, 3 * BACKOFF)
-    refused_at = [at for at in arrivals if at > started_at]
+    async with _listed_again(server, operator):
+        requests, orders = await _set_and_count(server, "backoff", BACKOFF, 3 * BACKOFF)
+    refused_at = [at for at in sorted(requests + orders) if at > started_at]
     return check.check_backoff(refused_at, BACKOFF, entry_count)
 
 
-async def check_leaving(server: Server) -> list[str]:
-    """Let a server say that it leaves, and check what it gets."""
+async def check_leaving(server: Server, operator: Operator) -> list[str]:
+    """Let a server that is listed again say that it leaves."""
     started_at = time.monotonic()
-    arrivals = await _set_and_count(server, "leaving", 1, check.DRAIN_TIME + 3.0)
+    async with _listed_again(server, operator):
+        arrivals, _ = await _set_and_count(server, "leaving", 1, check.DRAIN_TIME + 3.0)
     told_at = [at for at in arrivals if at > started_at]
     return check.check_leaving(told_at)
 
@@ -69,17 +78,40 @@
     return check.check_cold_start([request.status for request in requests])
 
 
+@contextlib.asynccontextmanager
+async def _listed_again(server: Server, operator: Operator) -> t.AsyncIterator[None]:
+    """List a server again and again, as the same incarnation."""
+
+    async def list_repeatedly() -> None:
+        while True:
+            await asyncio.sleep(LISTING_INTERVAL)
+            await operator.put(f"servers/{server.id}", None)
+            await operator.put(f"servers/{server.id}", server.registration())
+
+    task = asyncio.create_task(list_repeatedly())
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await operator.put(f"servers/{server.id}", server.registration())
+
+
 async def _set_and_count(
     server: Server, name: str, value: float, seconds: float
-) -> list[float]:
-    """Let a server say something for some time; return all its arrivals."""
+) -> tuple[list[float], list[float]]:
+    """Let a server say something for some time.
+
+    Return the times of all requests and of all orders that it got.
+    """
     client = HttpClient(f"127.0.0.1:{server.port}")
     await client.call("POST", f"/standin/{name}", str(value).encode())
     await asyncio.sleep(seconds)
     await client.call("POST", f"/standin/{name}")
     reply = await client.call("GET", "/standin/arrivals", timeout=5.0)
     client.close()
-    return json.loads(reply.body)
+    arrivals = json.loads(reply.body)
+    return arrivals["requests"], arrivals["orders"]
 
 
 async def _wait_until_listening(entry: Entry) -> None:
--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -75,8 +75,9 @@
         # Named as all requests and orders are refused.
         self.retry_after: str | None = None
         self.leaving = False  # named in all answers to requests
-        # Times of requests and orders, those refused included.
+        # Times of requests and of orders, those refused included.
         self.arrivals: list[float] = []
+        self.order_arrivals: list[float] = []
         self.crashing_part: str | None = None  # part of prompts that crash it
         self.crashing_path: str | None = None  # path of requests that crash it
         self.crashed = asyncio.Event()
@@ -113,7 +114,7 @@
 
     async def _order(self, request: Request) -> Response:
         order = await request.json()
-        self.arrivals.append(time.monotonic())
+        self.order_arrivals.append(time.monotonic())
         if self.retry_after is not None:
             headers = {"Chicorycove-Not-Executed": "1"}
             headers["Retry-After"] = self.retry_after
@@ -150,7 +151,7 @@
         return Response()
 
     async def _show_arrivals(self, request: Request) -> Response:
-        return JSONResponse(self.arrivals)
+        return JSONResponse({"requests": self.arrivals, "orders": self.order_arrivals})
 
     async def _call(self, request: Request) -> Response:
         body = await request.body()
