--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -126,9 +126,9 @@
                 return self._handle_answer_head(attempt_id, answer, now)
             case AnswerReceived(attempt_id, answer):
                 return self._handle_answer(attempt_id, answer, now)
-            case TargetAnswered(agent, answer):
+            case TargetAnswered(agent, answer, to_order):
                 return [
-                    *self._target_limits.record_answer(agent, answer, now),
+                    *self._target_limits.record_answer(agent, answer, now, to_order),
                     *self._reservations.renew_for_backoff(agent, now),
                 ]
             case AnswerCompleted(attempt_id):
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -76,6 +76,7 @@
 
     target: AgentId
     answer: TargetAnswer
+    to_order: bool = False
 
 
 @frozen
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -99,5 +99,5 @@
         )
         if answer is None:
             return None
-        self._handle(TargetAnswered(target, answer))
+        self._handle(TargetAnswered(target, answer, to_order=True))
         return answer.status
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -53,9 +53,16 @@
         self._next_returns: dict[str, float] = {}
 
     def record_answer(
-        self, agent: AgentId, answer: TargetAnswer, now: float
+        self,
+        agent: AgentId,
+        answer: TargetAnswer,
+        now: float,
+        to_order: bool = False,
     ) -> list[DirectCommand]:
-        """Record what a target's answer says that the target takes."""
+        """Record what a target's answer says that the target takes.
+
+        An answer to an order that names no rate limit does not end one.
+        """
         target = agent.target
         commands: list[DirectCommand] = [
             LogChange("answer header ignored", target, header)
@@ -65,7 +72,7 @@
             return commands
         terms = self._find_terms(agent)
         commands += self._record_notice(agent, terms, answer, now)
-        if not answer.rate_limit_invalid:
+        if answer.rate_limit is not None or not (answer.rate_limit_invalid or to_order):
             rate = math.inf if answer.rate_limit is None else answer.rate_limit
             report = RateLimitReport(target, rate, now, agent.incarnation)
             changes = self._apply(terms, report, now)
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -471,7 +471,7 @@
     def _answer_order(self, entry, command, target):
         refused = target.retry_after is not None
         answer = target.refuse() if refused else target.answer()
-        entry.handle(TargetAnswered(target.agent, answer))
+        entry.handle(TargetAnswered(target.agent, answer, to_order=True))
         if type(command).__name__ == "ReserveMemory":
             if refused:
                 event = AttemptRefused(command.attempt, Reason.MEMORY_FULL)
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -285,7 +285,7 @@
         if reservation is not None:
             agent = self.pending_reservations.pop(reservation).agent
             self.record_terms(agent, answer)
-            self.handle(TargetAnswered(agent, answer))
+            self.handle(TargetAnswered(agent, answer, to_order=True))
             if reserved:
                 self.handle(MemoryReserved(reservation))
             else:
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -15,8 +15,10 @@
     PeerUpdateReceived,
     RateLimitReport,
     TargetAnswer,
+    TargetAnswered,
 )
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.identity import AgentId
 from chicorycove.platform.headers import PlatformDialect
 
 from .direct import LOOKUP, OK, SHORT, DirectWorld, only_command
@@ -229,6 +231,15 @@
         for number in range(1, 4):
             world.send(f"r{number}", SHORT)
 
+    def test_answer_to_an_order_names_a_limit_but_does_not_end_one(self):
+        world = DirectWorld(engines=1)
+        agent = AgentId("e0", "1")
+        for answer in (limited(0.5), OK):
+            world.now += 0.1
+            world.handle(TargetAnswered(agent, answer, to_order=True))
+        world.send("r0", SHORT)
+        only_command(world.receive("r1", SHORT), "FailRequest")
+
     def test_limit_that_peers_report_holds_for_its_incarnation_only(self):
         world = DirectWorld(engines=1)
         world.add_target("e0", "model", started_at=2)
