--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -46,6 +46,11 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the started process."""
+        return self._process.pid
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, or None if the process has not ended."""
