--- a/src/chicorycove/direct/target_list.py
+++ b/src/chicorycove/direct/target_list.py
@@ -62,7 +62,7 @@
     def _add_or_update(self, listing: TargetListing) -> list[DirectCommand]:
         view = self._board.targets.get(listing.id)
         if view is not None and not listing.started_at:
-            # Another writer's entry may lack it; the target was not restarted.
+            # A listing by another writer may lack the start time.
             listing = dataclasses.replace(listing, started_at=view.listing.started_at)
         if view is not None and view.listing.started_at != listing.started_at:
             self._board.unlisted_terms.keep(view.listing.agent, view.terms)
