Decode regions, cold starts, link delays and evacuations

Change: the platform's adapter decodes them into the project's types and events; the dispatcher takes the new events and does nothing with them yet.

Without these fields every type keeps its former default.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -22,6 +22,8 @@
     slots: int
     leaving: bool = False
     started_at: int = 0  # start of the incarnation, in ms since the epoch
+    region: str = ""
+    cold_time_left: float | None = None  # seconds; None if the listing lacks it
 
     @property
     def agent(self) -> AgentId:
@@ -39,6 +41,7 @@
     priority: int = 0  # 0 is served first
     resumed_after: int | None = None  # id of the last event that the caller has
     fingerprint: str = ""  # the same in each repeat of the request
+    allowed_regions: frozenset[str] | None = None  # None for any region
 
 
 class WorkItemKey(t.NamedTuple):
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -38,6 +38,8 @@
     CallerBackpressureChanged,
     DeploymentReceived,
     DirectEvent,
+    DomainEvacuated,
+    DomainReadmitted,
     EventsRelayed,
     PeersUpdated,
     PeerUpdateReceived,
@@ -154,6 +156,8 @@
                 if isinstance(event, TargetUnlisted):
                     self._target_health.remove(event.target)
                 return self._targets.handle(event, now)
+            case DomainEvacuated() | DomainReadmitted():
+                return []
             case StoreRevisionSeen(revision):
                 self._board.store_listed = True
                 self._store_lag.record_own_revision(revision)
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -32,6 +32,7 @@
     rate_limit_invalid: bool = False  # the value for it cannot be read
     retry_after: float | None = None  # seconds for which this entry is to back off
     leaving: bool = False  # the target is about to end
+    cold_time_left: float | None = None  # seconds for which the target is cold
     invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
 
     @property
@@ -135,6 +136,20 @@
     target: str
 
 
+@frozen
+class DomainEvacuated:
+    """The operator asks that a failure domain's targets get nothing new."""
+
+    failure_domain: str
+
+
+@frozen
+class DomainReadmitted:
+    """The operator has ended the evacuation of a failure domain."""
+
+    failure_domain: str
+
+
 @frozen
 class StoreLost:
     """The platform's store does not answer."""
@@ -242,6 +257,8 @@
     DeploymentReceived,
     TargetListed,
     TargetUnlisted,
+    DomainEvacuated,
+    DomainReadmitted,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
--- a/src/chicorycove/direct/route.py
+++ b/src/chicorycove/direct/route.py
@@ -8,12 +8,25 @@
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
+@frozen
+class LinkDelay:
+    """The one-way delay between two failure domains, in seconds."""
+
+    domains: frozenset[str]
+    delay: float
+
+
 @frozen
 class Service:
     """A kind of target; one with an engine profile answers prompts."""
 
     name: str
     engine: EngineProfile | None = None
+    cold_duration: float = 0.0  # seconds for which a started target is cold
+    # Requests per second that a cold target takes from all entries together; 0
+    # if the service has no cold starts.
+    cold_rate: float = 0.0
+    link_delays: tuple[LinkDelay, ...] = ()
 
 
 @frozen
@@ -40,6 +53,7 @@
     max_attempts: int = 1
     priority: int = 0  # 0 is served first
     public: bool = False
+    allowed_regions: frozenset[str] | None = None  # None for any region
 
 
 @frozen
@@ -49,6 +63,7 @@
     name: str
     keys: tuple[str, ...]
     priority: int | None = None  # replaces the route's priority
+    allowed_regions: frozenset[str] | None = None  # None for any region
 
 
 @frozen
--- a/src/chicorycove/platform/boot.py
+++ b/src/chicorycove/platform/boot.py
@@ -1,9 +1,12 @@
 """The settings of a process."""
 
 import dataclasses
+import typing as t
 
 from .settings_file import SettingsFile, read_settings_file
 
+BYTES_PER_MEGABYTE = 1_000_000
+
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
@@ -25,6 +28,9 @@
     repeat_window: float  # sliding window of the retry budget
     repeat_extra: int  # retries besides the ratio, for all entries together
     hold_most: float  # longest lease of a memory reservation
+    memory: int  # bytes that the process may use; 0 if the settings do not say
+    regions: t.Mapping[str, str]  # by failure domain
+    features: frozenset[str]  # parts of the platform's rules that are in force
 
 
 def load_boot(path: str | None = None) -> Boot:
@@ -58,4 +64,9 @@
         repeat_window=float(file.get("bounds.budgetWindowS", (int, float))),
         repeat_extra=int(file.get("bounds.budgetExtra", (int, float))),
         hold_most=file.get("bounds.holdMaxMs", (int, float)) / 1000,
+        memory=int(
+            file.get_optional("limits.memoryMb", (int, float), 0) * BYTES_PER_MEGABYTE
+        ),
+        regions=file.get_optional("zones", dict, {}),
+        features=frozenset(file.get_optional("contracts", list, [])),
     )
--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -4,6 +4,8 @@
 what a field holds where its name may mislead.
 """
 
+import typing as t
+
 import msgspec
 
 from ..direct.board import TargetListing
@@ -11,6 +13,7 @@
 from ..direct.route import (
     CallerLimits,
     Deployment,
+    LinkDelay,
     Route,
     Service,
     Share,
@@ -27,6 +30,12 @@
     """A value in the store that cannot be decoded."""
 
 
+class _LinkDelay(msgspec.Struct):
+    origin: str = msgspec.field(name="from")  # failure domain
+    destination: str = msgspec.field(name="targetVersion")  # failure domain
+    delay_ms: float  # one way
+
+
 class _Engine(msgspec.Struct):
     slots: int  # requests admitted at the same time
     kvCapacityTokens: int
@@ -38,11 +47,14 @@
     pairs_per_m: float  # milliseconds of prefill for each million pairs of tokens
     chunk: int  # prefill tokens in a step
     hopMs: float = 0.0  # added to each step of a group
+    delays: list[_LinkDelay] = []
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    coldStartS: float = 0.0  # seconds for which a started server is cold
+    coldPerS: float = 0.0  # requests per second that a cold server takes
 
 
 class _Split(msgspec.Struct):
@@ -64,6 +76,7 @@
     public: bool = False  # needs no API key
     resumable: bool = False
     gapTargetMs: float = 0.0  # longest time between events of a stream
+    allowedRegions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -77,6 +90,7 @@
     name: str  # name of the workspace
     apiKeys: list[str]
     priority: int | None = None  # overrides the route's
+    allowedRegions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -94,6 +108,7 @@
     state: str  # "ready" or "draining"
     slots: int = 1
     born: int = 0  # start of the server, in milliseconds since the epoch
+    coldRemainingMs: float | None = None
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -119,6 +134,7 @@
                 name=tenant.name,
                 keys=tuple(tenant.apiKeys),
                 priority=tenant.priority,
+                allowed_regions=_to_regions(tenant.allowedRegions),
             )
             for tenant in config.tenants or ()
         ),
@@ -127,8 +143,8 @@
     )
 
 
-def decode_listing(id: str, data: bytes) -> TargetListing:
-    """Decode a server's value in the store.
+def decode_listing(id: str, data: bytes, regions: t.Mapping[str, str]) -> TargetListing:
+    """Decode a server's value in the store; regions by failure domain.
 
     :raises UndecodableValue: if it is not a server that can be used
     """
@@ -150,6 +166,8 @@
         slots=server.slots,
         leaving=_LEAVING_BY_STATE[server.state],
         started_at=server.born,
+        region=regions.get(server.zone, ""),
+        cold_time_left=_to_seconds(server.coldRemainingMs),
     )
 
 
@@ -175,12 +193,14 @@
         max_attempts=route.maxAttempts,
         priority=route.priority,
         public=route.public,
+        allowed_regions=_to_regions(route.allowedRegions),
     )
 
 
 def _to_service(service: _Service) -> Service:
     engine = service.engine
     profile = None
+    link_delays: tuple[LinkDelay, ...] = ()
     if engine is not None:
         profile = EngineProfile(
             slots=engine.slots,
@@ -194,7 +214,28 @@
             steps_per_pass=engine.stride,
             group_step_delay=engine.hopMs / MS_PER_SECOND,
         )
-    return Service(name=service.name, engine=profile)
+        link_delays = tuple(
+            LinkDelay(
+                domains=frozenset((link.origin, link.destination)),
+                delay=link.delay_ms / MS_PER_SECOND,
+            )
+            for link in engine.delays
+        )
+    return Service(
+        name=service.name,
+        engine=profile,
+        cold_duration=service.coldStartS,
+        cold_rate=service.coldPerS,
+        link_delays=link_delays,
+    )
+
+
+def _to_regions(names: list[str] | None) -> frozenset[str] | None:
+    return frozenset(names) if names is not None else None
+
+
+def _to_seconds(milliseconds: float | None) -> float | None:
+    return milliseconds / MS_PER_SECOND if milliseconds is not None else None
 
 
 def _to_limits(limits: _Limits) -> CallerLimits:
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -13,6 +13,8 @@
 from ..direct.event import (
     DeploymentReceived,
     DirectEvent,
+    DomainEvacuated,
+    DomainReadmitted,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
@@ -29,6 +31,7 @@
 
 CONFIG_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"  # followed by the name of a failure domain
 ENTRIES_PREFIX = "chicorycove/entries/"
 ALL_KEYS = ""  # one watch for all prefixes, since the platform charges each call
 
@@ -63,11 +66,13 @@
         on_entries_changed: t.Callable[[dict[str, str]], None],
         relay: StoreRelay,
         failure_domain: str,
+        regions: t.Mapping[str, str],
         send_relay: t.Callable[[t.Collection[str], t.Iterable[RelayUpdate]], None],
     ) -> None:
         self._store = store
         self._relay = relay
         self._failure_domain = failure_domain
+        self._regions = regions
         self._send_relay = send_relay
         self._log = log
         self._random = rng
@@ -76,6 +81,7 @@
         self._deployment_version = -1
         self._revision: int | None = None
         self._target_ids: set[str] = set()
+        self._evacuated_domains: set[str] = set()
         self._entries: dict[str, _Entry] = {}
         self._entries_reported = True
         self._store_lost = False
@@ -292,6 +298,12 @@
             self._first_list_tried.set()
         for id in [id for id in self._target_ids if SERVERS_PREFIX + id not in keys]:
             self._remove_target(id)
+        for domain in [
+            domain
+            for domain in self._evacuated_domains
+            if EVACUATIONS_PREFIX + domain not in keys
+        ]:
+            self._set_evacuated(domain, False)
         for name in [
             name for name in self._entries if ENTRIES_PREFIX + name not in keys
         ]:
@@ -306,6 +318,9 @@
                 self._apply_deployment(item)
             elif item.key.startswith(SERVERS_PREFIX):
                 self._apply_target(item.key.removeprefix(SERVERS_PREFIX), item)
+            elif item.key.startswith(EVACUATIONS_PREFIX):
+                domain = item.key.removeprefix(EVACUATIONS_PREFIX)
+                self._set_evacuated(domain, not item.deleted)
             elif item.key.startswith(ENTRIES_PREFIX):
                 self._apply_entry(item.key.removeprefix(ENTRIES_PREFIX), item)
         except (decoding.UndecodableValue, ValueError) as error:
@@ -333,10 +348,20 @@
         if item.deleted:
             self._remove_target(id)
             return
-        listing = decoding.decode_listing(id, item.data)
+        listing = decoding.decode_listing(id, item.data, self._regions)
         self._target_ids.add(id)
         self._handle(TargetListed(listing))
 
+    def _set_evacuated(self, domain: str, evacuated: bool) -> None:
+        if evacuated == (domain in self._evacuated_domains):
+            return
+        if evacuated:
+            self._evacuated_domains.add(domain)
+            self._handle(DomainEvacuated(domain))
+        else:
+            self._evacuated_domains.discard(domain)
+            self._handle(DomainReadmitted(domain))
+
     def _remove_target(self, id: str) -> None:
         self._target_ids.discard(id)
         self._handle(TargetUnlisted(id))
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates the platform's HTTP headers and orders to the project's terms."""
 
+import dataclasses
 import math
 
 import msgspec
@@ -36,6 +37,7 @@
 RATE_LIMIT = b"server-limit"  # requests per second from all entries together
 RETRY_AFTER = b"retry-after"  # seconds for which this entry is to back off
 LEAVING = b"server-leaving"  # "1": the target is about to end
+COLD_TIME_LEFT = b"chicorycove-cold-ms"  # how much longer the target is cold
 
 # Removed from a caller's request and, where a target needs them, set anew.
 REPLACED_HEADERS = frozenset(
@@ -78,6 +80,7 @@
             return Rejection(404, Reason.UNKNOWN_PATH, id)
         workspace = ""
         priority = route.priority
+        allowed_regions = route.allowed_regions
         if table.deployment.authenticated and not route.public:
             workspace_keys = table.find_workspace(
                 _parse_bearer_key(request.header(b"authorization"))
@@ -87,7 +90,11 @@
             workspace = workspace_keys.name
             if workspace_keys.priority is not None:
                 priority = workspace_keys.priority
-        return self._build_inbound(id, request, route, workspace, priority, draw)
+            allowed_regions = _intersect(
+                allowed_regions, workspace_keys.allowed_regions
+            )
+        inbound = self._build_inbound(id, request, route, workspace, priority, draw)
+        return dataclasses.replace(inbound, allowed_regions=allowed_regions)
 
     def parse_time_limit(self, request: HttpRequest) -> float | None:
         """Return the seconds for which a caller waits, if it names them."""
@@ -136,6 +143,7 @@
         retry_after = None
         if status == UNAVAILABLE:
             retry_after = _find_positive_number(headers, RETRY_AFTER, invalid_headers)
+        cold_ms = _find_positive_number(headers, COLD_TIME_LEFT, invalid_headers)
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
@@ -145,6 +153,7 @@
             rate_limit_invalid=rate_limit_invalid,
             retry_after=retry_after,
             leaving=_find_flag(headers, LEAVING, invalid_headers),
+            cold_time_left=cold_ms / MS_PER_SECOND if cold_ms is not None else None,
             invalid_headers=tuple(invalid_headers),
         )
 
@@ -261,6 +270,15 @@
     return value == "1"
 
 
+def _intersect(
+    first: frozenset[str] | None, second: frozenset[str] | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow; None allows any."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
+
 def _decode_text(value: bytes | None) -> str:
     return value.decode("latin-1").strip() if value is not None else ""
 
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -96,6 +96,7 @@
             self._handle_entries_changed,
             StoreRelay(self._name, self._settings.relay),
             boot.failure_domain,
+            boot.regions,
             self._peers.send_relay,
         )
         self._pages = PageHandler(
--- a/src/chicorycove/platform/settings_file.py
+++ b/src/chicorycove/platform/settings_file.py
@@ -61,11 +61,9 @@
 
         :raises SettingsError: if it is missing or has another type
         """
-        value = self._data
-        for name in key.split("."):
-            if not isinstance(value, dict) or value.get(name) is None:
-                raise SettingsError(f'{self._path}: key "{key}" is missing')
-            value = value[name]
+        value = self._find(key)
+        if value is None:
+            raise SettingsError(f'{self._path}: key "{key}" is missing')
         if not isinstance(value, expected_type) or isinstance(value, bool):
             types = (
                 expected_type if isinstance(expected_type, tuple) else (expected_type,)
@@ -74,6 +72,17 @@
             raise self.invalid_value(key, expected, value)
         return value
 
+    def get_optional(
+        self, key: str, expected_type: type | tuple[type, ...], default: t.Any
+    ) -> t.Any:
+        """Return the value of a dotted key, or a default if it is missing.
+
+        :raises SettingsError: if it has another type
+        """
+        if self._find(key) is None:
+            return default
+        return self.get(key, expected_type)
+
     def get_address(self, key: str) -> str:
         """Return the value of a key that holds "ip:port".
 
@@ -85,6 +94,14 @@
             raise self.invalid_value(key, '"ip:port"', value)
         return value
 
+    def _find(self, key: str) -> t.Any:
+        value = self._data
+        for name in key.split("."):
+            if not isinstance(value, dict):
+                return None
+            value = value.get(name)
+        return value
+
     def invalid_value(self, key: str, expected: str, value: t.Any) -> SettingsError:
         """Return the error for a value that is not as expected."""
         return SettingsError(
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -93,6 +93,9 @@
         "repeat_window": 10.0,
         "repeat_extra": 100,
         "hold_most": 20.0,
+        "memory": 200_000_000,
+        "regions": {"here": "north", "there": "south"},
+        "features": frozenset(),
     }
     return Boot(**{**values, **fields})
 
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -278,6 +278,7 @@
             lambda entries: None,
             StoreRelay("entry-1", RelaySettings()),
             "here",
+            {},
             lambda names, updates: None,
         )
         with unittest.mock.patch.multiple(
