Keep requests in their allowed regions

Cause: a route or a workspace may name the regions that its requests may reach, and the entry placed them on any target.

Change: the selector drops targets in other regions before it considers load, rate limits or targets already tried, so that neither groups, repeats, resumes nor the fallback to other cells reach them. A target whose failure domain has no region is in none that is allowed. Without a target left, the request is refused with no_target, or with target_limit and the time of the allowed targets alone. The simulated entry and fleet of the tests gain failure domains and regions.

Requests without a list are placed as before.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -30,6 +30,10 @@
         """Return the id of the target's incarnation."""
         return AgentId(self.id, str(self.started_at))
 
+    def is_in(self, regions: frozenset[str] | None) -> bool:
+        """Return whether the target is in one of the regions; None for any."""
+        return regions is None or self.region in regions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InboundRequest:
@@ -97,7 +101,11 @@
 
     @property
     def available(self) -> bool:
-        """Return whether the target may get new work."""
+        """Return whether the target is not leaving.
+
+        Whether its failure domain is evacuated is on the board: a target that
+        lapses meanwhile is not leaving, and keeps its grace period.
+        """
         return not self.listing.leaving and not self.terms.leaving_announced
 
     def is_excluded(self, now: float) -> bool:
@@ -131,6 +139,8 @@
     last_progress_at: float = 0.0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     unreachable_targets: set[str] = dataclasses.field(default_factory=set)
+    # Failure domains of the newest attempt's targets, listed or not.
+    attempt_domains: frozenset[str] = frozenset()
     caller_blocked: bool = False  # the target's answer is not read meanwhile
 
     @property
@@ -146,6 +156,8 @@
     table: RoutingTable | None = None
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
     targets_version: int = 0  # incremented by each change of the targets
+    # Evacuated failure domains, and the times in seconds from which they are.
+    evacuated_since: dict[str, float] = dataclasses.field(default_factory=dict)
     unlisted_terms: UnlistedTerms = dataclasses.field(default_factory=UnlistedTerms)
     requests: dict[str, DirectRequest] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
@@ -179,8 +191,22 @@
         view = self.targets.get(agent.target)
         return view if view is not None and view.listing.agent == agent else None
 
-    def available_targets(self, service: str) -> t.Iterator[TargetView]:
-        """Yield the targets of a service that are not leaving."""
+    def is_evacuated(self, view: TargetView) -> bool:
+        """Return whether a target's failure domain is evacuated."""
+        return view.listing.failure_domain in self.evacuated_since
+
+    def available_targets(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> t.Iterator[TargetView]:
+        """Yield the targets of a service that may get new work.
+
+        Those that leave, are evacuated or are in other regions may not.
+        """
         for view in self.targets.values():
-            if view.listing.service == service and view.available:
+            if (
+                view.listing.service == service
+                and view.available
+                and not self.is_evacuated(view)
+                and view.listing.is_in(regions)
+            ):
                 yield view
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -254,7 +254,10 @@
 
     def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
         """Fail a request that no target may get now."""
-        retry_after = self._target_limits.retry_after(request.inbound.service, now)
+        inbound = request.inbound
+        retry_after = self._target_limits.retry_after(
+            inbound.service, now, inbound.allowed_regions
+        )
         if retry_after is not None:
             return self._completion.fail(request, Reason.TARGET_LIMIT, retry_after)
         retry_after = self._settings.retry_after_no_target
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -32,12 +32,14 @@
         """Return the best placement of a request, if any target can run it.
 
         Targets that it was tried on are considered only if there is no other,
-        and targets at their rate limit not at all.
+        and targets at their rate limit or in other regions than those allowed
+        not at all.
         """
         service_name = request.inbound.service
-        targets = self._allowed(self._partition.targets(service_name), now)
+        regions = request.inbound.allowed_regions
+        targets = self._allowed(self._partition.targets(service_name), regions, now)
         targets = targets or self._allowed(
-            self._board.available_targets(service_name), now
+            self._board.available_targets(service_name), regions, now
         )
         candidates = [
             target
@@ -60,8 +62,17 @@
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
 
-    def _allowed(self, targets: t.Iterable[TargetView], now: float) -> list[TargetView]:
-        return [view for view in targets if self._target_limits.allows(view, now)]
+    def _allowed(
+        self,
+        targets: t.Iterable[TargetView],
+        regions: frozenset[str] | None,
+        now: float,
+    ) -> list[TargetView]:
+        return [
+            view
+            for view in targets
+            if view.listing.is_in(regions) and self._target_limits.allows(view, now)
+        ]
 
     def _placement_request(
         self, request: DirectRequest, work: Prompt
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -175,7 +175,9 @@
         terms.backoff_calls += 1
         return True
 
-    def retry_after(self, service: str, now: float) -> float | None:
+    def retry_after(
+        self, service: str, now: float, regions: frozenset[str] | None = None
+    ) -> float | None:
         """Return the seconds until a refused caller should return.
 
         Callers are told different times, at the rate that such targets take.
@@ -183,7 +185,7 @@
         """
         views = [
             view
-            for view in self._board.available_targets(service)
+            for view in self._board.available_targets(service, regions)
             if not self.allows(view, now)
         ]
         if not views:
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -85,6 +85,13 @@
 SERVER_ERROR = TargetAnswer(status=500, not_run=False)
 TARGET_FULL = TargetAnswer(status=503, not_run=True)
 
+REGIONS = {"here": "north", "there": "south", "beyond": "south"}
+
+
+def domain_of(id, domains):
+    """Return the failure domain of a target among some."""
+    return domains[sum(id.encode()) % len(domains)]
+
 
 def make_inbound(
     id,
@@ -95,6 +102,7 @@
     time_limit=None,
     parts=(),
     fingerprint=None,
+    regions=None,
 ):
     """Return a caller's request."""
     service = route.shares[0].service
@@ -115,13 +123,23 @@
         route,
         service,
         fingerprint=fingerprint or f"only-{id}",
+        allowed_regions=regions,
     )
 
 
 class DirectWorld:
     """A dispatcher on a virtual clock."""
 
-    def __init__(self, engines=4, shops=2, settings=None, deployment=DEPLOYMENT):
+    def __init__(
+        self,
+        engines=4,
+        shops=2,
+        settings=None,
+        deployment=DEPLOYMENT,
+        domains=("here",),
+    ):
+        """Start an entry in the first of some failure domains."""
+        self.domains = domains
         self.board = DirectBoard()
         numbers = itertools.count(1)
         self.dispatcher = DirectDispatcher(
@@ -142,9 +160,19 @@
     def add_target(self, id, service, leaving=False, started_at=1):
         number = sum(id.encode())
         address = f"10.0.0.{number % 250}:{8000 + number}"
+        domain = domain_of(id, self.domains)
         self.handle(
             TargetListed(
-                TargetListing(id, service, address, "here", 8, leaving, started_at)
+                TargetListing(
+                    id,
+                    service,
+                    address,
+                    domain,
+                    8,
+                    leaving,
+                    started_at,
+                    REGIONS[domain],
+                )
             )
         )
 
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -18,6 +18,8 @@
     AnswerReceived,
     AttemptConnected,
     DeploymentReceived,
+    DomainEvacuated,
+    DomainReadmitted,
     EventsRelayed,
     PeersUpdated,
     RequestReceived,
@@ -39,7 +41,7 @@
     Tick,
 )
 
-from .direct import DEPLOYMENT, make_inbound
+from .direct import DEPLOYMENT, REGIONS, domain_of, make_inbound
 
 LINK_DELAY = 0.001  # seconds, between entries and to targets
 PREFILL_TIME = 0.06  # seconds
@@ -148,11 +150,25 @@
             name,
             lambda request, number: AttemptId(request, number, str(next(numbers))),
         )
+        self.frozen_events = None  # events that await the end of a freeze
         self.live = {}  # attempt: the target that it runs on
         self.cancelled = {}  # attempt: time
         self.tick_at = None
 
+    def freeze(self, seconds):
+        """Handle no event for some time, and all of them after it."""
+        self.frozen_events = []
+        self.fleet.call_later(seconds, self._unfreeze)
+
+    def _unfreeze(self):
+        events, self.frozen_events = self.frozen_events, None
+        for event in events:
+            self.handle(event)
+
     def handle(self, event):
+        if self.frozen_events is not None:
+            self.frozen_events.append(event)
+            return
         for command in self.dispatcher.handle(event, self.fleet.now):
             self.execute(command)
         due = self.board.timers.next_due
@@ -242,14 +258,19 @@
         seed=1,
         settings=None,
         loss=0.0,
+        domains=("here",),
     ):
         """Start entries, some of an older version, and targets.
 
+        The targets are spread over failure domains, of which the entries are
+        in the first.
         ``loss`` is the share of the datagrams between entries that are lost.
         """
         self.now = 0.0
         self.random = random.Random(seed)
         self.loss = loss
+        self.domains = domains
+        self.evacuated = set()
         self.log = []
         self.targets = {}
         self.event_count = EVENT_COUNT
@@ -279,6 +300,8 @@
         entry = (OlderEntry if older else Entry)(self, name, self._settings)
         self.entries[name] = entry
         entry.handle(DeploymentReceived(RoutingTable(DEPLOYMENT)))
+        for domain in sorted(self.evacuated):
+            entry.handle(DomainEvacuated(domain))
         for target in self.targets.values():
             entry.handle(TargetListed(target.listing))
         for other in self.entries.values():
@@ -289,12 +312,42 @@
     def add_target(self, id, service):
         number = next(self._listings)
         address = f"10.0.0.{number % 250}:{8000 + number}"
-        listing = TargetListing(id, service, address, "here", 8, False, 1)
+        domain = domain_of(id, self.domains)
+        listing = TargetListing(
+            id, service, address, domain, 8, False, 1, REGIONS[domain]
+        )
         self.targets[id] = Target(listing)
         for entry in self.entries.values():
             entry.handle(TargetListed(listing))
         return self.targets[id]
 
+    def evacuate(self, domain, end, delays=(0.0,)):
+        """Evacuate a failure domain until a time.
+
+        Entries learn of the begin and the end after one of some delays each.
+        """
+        self.evacuated.add(domain)
+        self._tell(DomainEvacuated(domain), delays)
+        self.call_at(end, self._readmit, domain, delays)
+
+    def _readmit(self, domain, delays):
+        self.evacuated.discard(domain)
+        self._tell(DomainReadmitted(domain), delays)
+
+    def _tell(self, event, delays):
+        for entry, delay in zip(self.entries.values(), itertools.cycle(delays)):
+            self.call_later(delay, entry.handle, event)
+
+    def arrivals_in(self, domain, start, end):
+        """Return the arrivals at targets of a domain in [start, end)."""
+        return [
+            arrival
+            for target in self.targets.values()
+            if target.listing.failure_domain == domain
+            for arrival in target.arrivals
+            if start <= arrival.time < end
+        ]
+
     def relist(self, id, gap):
         """Let the platform drop a target, and list it again after a time."""
         self._unlist(id)
