Send nothing new to evacuated failure domains

Cause: an operator may evacuate a failure domain, whose targets stay listed. The entry decoded the order and ignored it.

Change: the board records the evacuated domains, and their targets are no longer among those available for placement, groups, moved and repeated prompts, cells and probes. The check is made again when an attempt's connection opens and when the last reservation of a group is confirmed, by the domains that were recorded with the attempt, since a target may have been unlisted meanwhile. What runs finishes, leases are renewed and released. TargetView.available stays what the target's listing and answers say, so that an evacuated target that lapses keeps its grace period. If all targets of a service are evacuated, requests are refused with the new reason service_evacuated. Log lines and two gauges show the evacuation.

--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -32,6 +32,8 @@
 - `class`: the priority class of the request; at a direct entry, its route.
 - `length`: the class of the prompt's length, named by its upper bound in
   tokens, or `over`.
+- `failure_domain`: its name. The series appear at a direct entry, once the
+  domain has been evacuated.
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
 - `verdict`: {verdicts}.
@@ -59,6 +61,7 @@
     metrics.decided("run")
     metrics.first_token(1.0, 1000)
     metrics.answer_time(1.0, "class")
+    metrics.evacuated("domain", 1)
     for reason in Reason:
         metrics.retried(reason)
         for verdict in Verdict:
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -31,6 +31,7 @@
     UpdatePeers,
 )
 from .completion import RequestCompletion
+from .evacuation import Evacuation, EvacuationStatus
 from .event import (
     AnswerHeadReceived,
     AnswerReceived,
@@ -96,6 +97,7 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
+        self._evacuation = Evacuation(board, settings.evacuation)
         self._target_limits = TargetLimits(board, settings.target_limits)
         self._reservations = Reservations(
             board, settings.reservation, self._target_limits
@@ -157,7 +159,7 @@
                     self._target_health.remove(event.target)
                 return self._targets.handle(event, now)
             case DomainEvacuated() | DomainReadmitted():
-                return []
+                return self._evacuation.handle(event, now)
             case StoreRevisionSeen(revision):
                 self._board.store_listed = True
                 self._store_lag.record_own_revision(revision)
@@ -180,6 +182,10 @@
             case Tick():
                 return self._handle_tick(now)
 
+    def evacuations(self) -> t.Iterator[EvacuationStatus]:
+        """Yield the evacuated failure domains, and what still runs there."""
+        return self._evacuation.statuses()
+
     def report_to_peers(self, now: float) -> list[DirectCommand]:
         """Return the periodic report of what peers may not have received.
 
@@ -255,6 +261,9 @@
     def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
         """Fail a request that no target may get now."""
         inbound = request.inbound
+        retry_after = self._evacuation.retry_after(request, now)
+        if retry_after is not None:
+            return self._completion.fail(request, Reason.SERVICE_EVACUATED, retry_after)
         retry_after = self._target_limits.retry_after(
             inbound.service, now, inbound.allowed_regions
         )
@@ -271,6 +280,10 @@
         view = self._board.targets[placement.target]
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, view.listing.agent))
+        request.attempt_domains = frozenset(
+            self._board.targets[target].listing.failure_domain
+            for target in placement.targets
+        )
         request.expects_slot = placement.free_slots > 0
         request.newest_answer_began = False
         update = UpdatePeers(self._work.add(request, placement, now))
@@ -303,6 +316,8 @@
         request = self._board.requests.get(reservation_id.request)
         if placement is None or request is None:
             return []
+        if self._evacuation.affects(request):
+            return self._withdraw_attempt(request, "evacuation", now)
         for target in placement.targets:
             view = self._board.targets.get(target)
             if view is None or view.is_excluded(now):
@@ -371,28 +386,34 @@
     # Answers
 
     def _begin_sending(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
-        """Count an attempt as sent, or withdraw it if its target backs off."""
+        """Count an attempt as sent, or withdraw it.
+
+        Its target may have asked for a backoff, or the failure domain of one
+        of its targets may have been evacuated, while its connection opened.
+        """
         request = self._current_request(attempt_id)
         if request is None:
             return []
         attempt = request.attempts[-1]
+        if self._evacuation.affects(request):
+            return self._withdraw_attempt(request, "evacuation", now)
         if self._target_limits.is_backing_off(attempt.agent, now):
-            return self._withdraw_attempt(request, now)
+            request.tried_targets.add(attempt.agent.target)
+            return self._withdraw_attempt(request, "backoff", now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
         return []
 
     def _withdraw_attempt(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, cause: str, now: float
     ) -> list[DirectCommand]:
         """Send a request elsewhere before its target has got it."""
         attempt = request.attempts[-1]
         advance(attempt, AttemptStep.REFUSE)
-        request.tried_targets.add(attempt.agent.target)
         return [
             CancelAttempt(attempt.id),
-            LogChange("attempt withdrawn", attempt.agent.target, "backoff"),
+            LogChange("attempt withdrawn", attempt.agent.target, cause),
             *self._completion.release_work(request),
             *self._place(request, now),
         ]
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -138,6 +138,12 @@
         if self._held_requests and self._board.table and self._board.store_listed:
             self._release_held_requests()
 
+    def update_metrics(self) -> None:
+        """Set the metrics of the present state."""
+        self._metrics.readmit_domains()
+        for status in self._dispatcher.evacuations():
+            self._metrics.evacuated(status.failure_domain, status.running_count)
+
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
--- a/src/chicorycove/direct/partition.py
+++ b/src/chicorycove/direct/partition.py
@@ -60,7 +60,7 @@
     def _find_peer_names(self) -> frozenset[str]:
         sizes: dict[str, int] = {}
         for target in self._board.targets.values():
-            if target.available:
+            if target.available and not self._board.is_evacuated(target):
                 service = target.listing.service
                 sizes[service] = sizes.get(service, 0) + 1
         cell_count = self._cell_count(max(sizes.values(), default=0))
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,6 +5,7 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .cold_start import ColdStartSettings
+from .evacuation import EvacuationSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
 from .store_relay import RelaySettings
@@ -64,6 +65,7 @@
     target_limits: TargetLimitSettings = TargetLimitSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
+    evacuation: EvacuationSettings = EvacuationSettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
--- a/src/chicorycove/direct/target_health.py
+++ b/src/chicorycove/direct/target_health.py
@@ -49,6 +49,11 @@
                 view.suspected_until = now + self._suspicion_time
 
     def probe(self, target: str) -> list[DirectCommand]:
-        """Return the command to probe a target, if it is still listed."""
+        """Return the command to probe a target that is listed.
+
+        One that is evacuated gets no probe.
+        """
         view = self._board.targets.get(target)
-        return [ProbeTarget(target, view.listing.address)] if view else []
+        if view is None or self._board.is_evacuated(view):
+            return []
+        return [ProbeTarget(target, view.listing.address)]
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -27,7 +27,8 @@
     name: str
     description: str
     labels: tuple[str, ...]
-    unit: str = ""
+    unit: str = ""  # of a histogram
+    gauge: bool = False
 
 
 REQUESTS = Instrument(
@@ -56,6 +57,18 @@
     ("class",),
     "seconds",
 )
+EVACUATED_DOMAINS = Instrument(
+    "chicorycove_evacuated_domains",
+    "Whether a failure domain is evacuated, from its first evacuation on",
+    ("failure_domain",),
+    gauge=True,
+)
+EVACUATED_DOMAIN_REQUESTS = Instrument(
+    "chicorycove_evacuated_domain_requests",
+    "Requests of this entry with a target in an evacuated failure domain",
+    ("failure_domain",),
+    gauge=True,
+)
 
 INSTRUMENTS = (
     REQUESTS,
@@ -66,6 +79,8 @@
     ATTEMPTS,
     FIRST_TOKEN,
     ANSWER_TIME,
+    EVACUATED_DOMAINS,
+    EVACUATED_DOMAIN_REQUESTS,
 )
 
 
@@ -75,7 +90,12 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._counters: dict[Instrument, dict[Labels, int]] = {
-            instrument: {} for instrument in INSTRUMENTS if not instrument.unit
+            instrument: {}
+            for instrument in INSTRUMENTS
+            if not instrument.unit and not instrument.gauge
+        }
+        self._gauges: dict[Instrument, dict[Labels, int]] = {
+            instrument: {} for instrument in INSTRUMENTS if instrument.gauge
         }
         self._histograms: dict[Instrument, dict[Labels, _Histogram]] = {
             instrument: {} for instrument in INSTRUMENTS if instrument.unit
@@ -104,6 +124,13 @@
             for labels, count in counts.items():
                 counter.add_metric(labels, count)
             yield counter
+        for instrument, values in self._gauges.items():
+            gauge = core.GaugeMetricFamily(
+                instrument.name, instrument.description, labels=instrument.labels
+            )
+            for labels, value in values.items():
+                gauge.add_metric(labels, value)
+            yield gauge
         for instrument, histograms in self._histograms.items():
             family = core.HistogramMetricFamily(
                 instrument.name,
@@ -147,6 +174,17 @@
         """Record a time to first token, by prompt length."""
         self._observe(FIRST_TOKEN, seconds, length_class(tokens))
 
+    def evacuated(self, failure_domain: str, running_count: int) -> None:
+        """Set the number of requests in an evacuated failure domain."""
+        self._gauges[EVACUATED_DOMAINS][(failure_domain,)] = 1
+        self._gauges[EVACUATED_DOMAIN_REQUESTS][(failure_domain,)] = running_count
+
+    def readmit_domains(self) -> None:
+        """Set all failure domains to not evacuated."""
+        for instrument in (EVACUATED_DOMAINS, EVACUATED_DOMAIN_REQUESTS):
+            values = self._gauges[instrument]
+            values.update(dict.fromkeys(values, 0))
+
     def _count(self, instrument: Instrument, *labels: str) -> None:
         counts = self._counters[instrument]
         counts[labels] = counts.get(labels, 0) + 1
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -235,6 +235,7 @@
         return Page(200 if self._entry.ready else 503)
 
     def _metrics_page(self) -> Page:
+        self._entry.update_metrics()
         return Page(200, self._metrics.page())
 
 
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -35,6 +35,7 @@
     LIMIT_TOKENS = "limit_tokens"
     LIMIT_MEMORY = "limit_memory"
     NO_TARGET = "no_target"
+    SERVICE_EVACUATED = "service_evacuated"  # all its targets are evacuated
     REQUEST_QUARANTINED = "request_quarantined"  # such requests crash targets
     TARGET_LIMIT = "target_limit"  # no target takes more requests now
     NOT_READY = "not_ready"
--- a/src/chicorycove/retry.py
+++ b/src/chicorycove/retry.py
@@ -16,6 +16,7 @@
         Reason.MEMORY_FULL,
         Reason.NO_TARGET,
         Reason.TARGET_LIMIT,
+        Reason.SERVICE_EVACUATED,
         Reason.NOT_READY,
         Reason.TARGET_LEAVING,
         Reason.STALE_INCARNATION,
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -21,6 +21,8 @@
     AnswerReceived,
     AttemptConnected,
     CrashReport,
+    DomainEvacuated,
+    DomainReadmitted,
     EventsRelayed,
     PeersUpdated,
     PeerUpdateReceived,
@@ -53,10 +55,12 @@
     LOOKUP,
     OK,
     ORDER,
+    REGIONS,
     SERVER_ERROR,
     SHORT,
     TARGET_FULL,
     DirectWorld,
+    domain_of,
 )
 
 LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
@@ -64,13 +68,16 @@
 LEAVING = TargetAnswer(status=200, not_run=False, leaving=True)
 NO_BACKOFF = (-math.inf, -math.inf)
 LEASE = DirectSettings().reservation.lease_duration
+DOMAINS = ("here", "there")
 ROUTES = {"short": SHORT, "long": LONG, "order": ORDER, "lookup": LOOKUP}
 
 
 class DirectMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.world = DirectWorld(engines=4, shops=3)
+        self.world = DirectWorld(engines=4, shops=3, domains=DOMAINS)
+        self.evacuated = set()  # failure domains
+        self.regions = {}  # request: its allowed regions, None for any
         self.request_count = 0
         self.routes = {}
         self.live = {}  # attempt: its command, while its connection is open
@@ -100,6 +107,12 @@
                     agent = self.world.board.targets[target].listing.agent
                     assert not self.backs_off(agent), "sent during a backoff"
                     assert agent not in self.leaving, "sent to a leaving target"
+                    domain = domain_of(target, DOMAINS)
+                    assert domain not in self.evacuated, "sent to an evacuated target"
+                    regions = self.regions[id]
+                    assert (
+                        regions is None or REGIONS[domain] in regions
+                    ), "sent to another region"
                 self.close_attempts(id)
                 self.live[command.attempt] = command
                 assert command.last_event_id == self.last_event_ids.get(
@@ -111,10 +124,14 @@
                 view = self.world.board.targets.get(command.target)
                 if view is not None:
                     self.count_call(view.listing.agent)
+                domain = domain_of(command.target, DOMAINS)
+                assert domain not in self.evacuated, "probed an evacuated target"
             case "ReserveMemory":
                 self.count_call(command.agent)
                 self.end_earlier_groups(command.attempt)
                 if command.attempt not in self.held_reservations:
+                    domain = domain_of(command.agent.target, DOMAINS)
+                    assert domain not in self.evacuated, "reserved in an evacuation"
                     self.pending_reservations[command.attempt] = command
                 assert command.attempt not in self.unreleased, "renewed after its end"
                 leased_until = self.world.now + LEASE
@@ -172,14 +189,18 @@
         name=st.sampled_from(sorted(ROUTES)),
         tokens=st.integers(1_000, 900_000),
         parts=st.sampled_from([(), ("a",), ("a", "b"), ("c",)]),
+        regions=st.sampled_from([None, None, None, ("south",), ()]),
     )
-    def receive(self, name, tokens, parts):
+    def receive(self, name, tokens, parts, regions):
         self.request_count += 1
         id = f"r{self.request_count}"
         route = ROUTES[name]
         self.routes[id] = route
         prompt_tokens = min(tokens, 20_000) if name == "short" else tokens
-        for command in self.world.receive(id, route, tokens=prompt_tokens, parts=parts):
+        self.regions[id] = frozenset(regions) if regions is not None else None
+        for command in self.world.receive(
+            id, route, tokens=prompt_tokens, parts=parts, regions=self.regions[id]
+        ):
             self.execute(command)
 
     def pick(self, data, choices):
@@ -191,8 +212,11 @@
         attempt = self.pick(data, set(self.live) - self.sent)
         if attempt is not None:
             agent = self.live[attempt].target
+            targets = self.live[attempt].placement.targets
             self.handle(AttemptConnected(attempt))
             if attempt in self.live:
+                domains = {domain_of(target, DOMAINS) for target in targets}
+                assert not domains & self.evacuated, "sent to an evacuated target"
                 assert not self.backs_off(agent), "sent during a backoff"
                 self.sent.add(attempt)
 
@@ -331,6 +355,15 @@
     def change_store(self, lost):
         self.handle(StoreLost() if lost else StoreRegained())
 
+    @rule(domain=st.sampled_from(DOMAINS), evacuated=st.booleans())
+    def change_evacuation(self, domain, evacuated):
+        if evacuated:
+            self.evacuated.add(domain)
+            self.handle(DomainEvacuated(domain))
+        else:
+            self.evacuated.discard(domain)
+            self.handle(DomainReadmitted(domain))
+
     @rule(number=st.integers(1, 9), entries=st.integers(1, 5))
     def receive_peer_update(self, number, entries):
         self.handle(PeersUpdated(frozenset(f"p{n}" for n in range(entries))))
