--- a/standin/platform_server.py
+++ b/standin/platform_server.py
@@ -98,12 +98,14 @@
             ]
         )
 
-    def registration(self, address: str, state: str = "ready", born: int = 1) -> dict:
+    def registration(
+        self, address: str, state: str = "ready", born: int = 1, zone: str = "here"
+    ) -> dict:
         """Return the value that the server registers itself with."""
         return {
             "service": self.service,
             "address": address,
-            "zone": "here",
+            "zone": zone,
             "version": "v1",
             "slots": self._slots,
             "state": state,
