Keep requests to cold targets within their rate

Cause: a target that has just started takes a low rate of requests from all entries together and crashes well above it. Nothing read the cold times that listings and answers name.

Change: coldness is a term of an incarnation, and the target's token bucket refills at the lower of the named rate and the service's cold rate. Besides, an entry places no more than a share that follows from the listed entries alone, so that the bound also holds for entries that do not hear one another. A target listed without a cold time, or readmitted, is presumed cold. News from answers goes to peers in a new field of the datagrams. The simulated targets can be cold, and entries can pause, be cut off and restart.

--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -1,6 +1,7 @@
 """Commands of direct entries, in addition to those of ``lifecycle``."""
 
 import dataclasses
+import enum
 import typing as t
 
 from ..identity import AgentId, AttemptId
@@ -8,6 +9,7 @@
 from ..reason import Reason
 from .board import WorkItem, WorkItemKey
 from .event import (
+    ColdReport,
     CrashReport,
     QuarantineReport,
     RateLimitReport,
@@ -94,6 +96,7 @@
     answered: tuple[TraitsAnswered, ...] = ()
     quarantines: tuple[QuarantineReport, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
+    cold_targets: tuple[ColdReport, ...] = ()
 
     @property
     def for_all_cells(self) -> bool:
@@ -104,6 +107,7 @@
             or self.answered
             or self.quarantines
             or self.notices
+            or self.cold_targets
         )
 
 
@@ -121,6 +125,22 @@
     detail: str = ""
 
 
+class TargetState(enum.Enum):
+    """What an entry has found a target to be."""
+
+    COLD = "cold"
+    WARM = "warm"
+
+
+@frozen
+class RecordTargetState:
+    """Log and count a change of what a target is found to be."""
+
+    target: str
+    state: TargetState
+    detail: str = ""
+
+
 DirectCommand = t.Union[
     SendAttempt,
     ReserveMemory,
@@ -135,4 +155,5 @@
     UpdatePeers,
     ResyncStore,
     LogChange,
+    RecordTargetState,
 ]
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -19,6 +19,7 @@
 from ..reason import Reason
 from ..verdict import Verdict
 from .board import DirectBoard, DirectRequest, InboundRequest, WorkItem
+from .cold_targets import ColdEndDue
 from .collision import MIN_FREE_SLOTS, CollisionDetector
 from .command import (
     CancelAttempt,
@@ -66,7 +67,7 @@
 from .store_lag import StoreLagDetector
 from .target_health import TargetHealth
 from .target_limits import TargetLimits
-from .target_list import TargetList
+from .target_list import ListEvent, TargetList
 from .work import WorkTracker
 
 AttemptFactory = t.Callable[[str, int], AttemptId]
@@ -96,7 +97,7 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
-        self._target_limits = TargetLimits(board, settings.target_limits)
+        self._target_limits = TargetLimits(board, settings.target_limits, entry_name)
         self._reservations = Reservations(
             board, settings.reservation, self._target_limits
         )
@@ -114,6 +115,7 @@
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return the commands that an event leads to."""
+        self._target_limits.observe(now)
         return self._target_limits.withhold_calls(self._handle(event, now), now)
 
     def _handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -151,11 +153,12 @@
                 return self._handle_probe_result(target, reachable, now)
             case DeploymentReceived(table):
                 self._board.table = table
-                return []
+                return self._target_limits.record_deployment(now)
             case TargetListed() | TargetUnlisted() | StoreLost() | StoreRegained():
                 if isinstance(event, TargetUnlisted):
                     self._target_health.remove(event.target)
-                return self._targets.handle(event, now)
+                commands = self._record_list_event(event, now)
+                return commands + self._targets.handle(event, now)
             case DomainEvacuated() | DomainReadmitted():
                 return []
             case StoreRevisionSeen(revision):
@@ -170,6 +173,9 @@
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
                 commands = self._target_limits.record_reports(event.rate_limits, now)
                 commands += self._target_limits.record_notices(event.notices, now)
+                commands += self._target_limits.record_cold_reports(
+                    event.cold_targets, now
+                )
                 commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
@@ -195,6 +201,15 @@
         commands += self._target_limits.reports(now)
         return commands + self._quarantine.reports(now)
 
+    def _record_list_event(self, event: ListEvent, now: float) -> list[DirectCommand]:
+        """Record what limits requests to targets before the list changes."""
+        match event:
+            case TargetListed(listing):
+                return self._target_limits.record_listing(listing, now)
+            case StoreLost() | StoreRegained():
+                self._target_limits.record_store(isinstance(event, StoreLost))
+        return []
+
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
         request = self._board.requests.get(attempt_id.request)
@@ -368,20 +383,21 @@
     # Answers
 
     def _begin_sending(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
-        """Count an attempt as sent, or withdraw it if its target backs off."""
+        """Count an attempt as sent, or withdraw it if it must not be sent."""
         request = self._current_request(attempt_id)
         if request is None:
             return []
         attempt = request.attempts[-1]
-        if self._target_limits.is_backing_off(attempt.agent, now):
-            return self._withdraw_attempt(request, now)
+        cause = self._target_limits.withdrawal_cause(attempt.agent, now)
+        if cause is not None:
+            return self._withdraw_attempt(request, cause, now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
         return []
 
     def _withdraw_attempt(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, cause: str, now: float
     ) -> list[DirectCommand]:
         """Send a request elsewhere before its target has got it."""
         attempt = request.attempts[-1]
@@ -389,7 +405,7 @@
         request.tried_targets.add(attempt.agent.target)
         return [
             CancelAttempt(attempt.id),
-            LogChange("attempt withdrawn", attempt.agent.target, "backoff"),
+            LogChange("attempt withdrawn", attempt.agent.target, cause),
             *self._completion.release_work(request),
             *self._place(request, now),
         ]
@@ -630,6 +646,8 @@
                     commands += self._refuse_quarantined()
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
+                case ColdEndDue():
+                    commands += self._target_limits.end_coldness(item, now)
                 case _:
                     commands += self._targets.remove_lapsed(item, now)
         return commands
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -195,6 +195,14 @@
     leaving: bool
 
 
+@frozen
+class ColdReport:
+    """An answer of a target has said that the target is cold."""
+
+    target: AgentId
+    cold_until: float  # time in seconds
+
+
 @frozen
 class CrashReport:
     """A target has crashed while it ran some requests."""
@@ -237,6 +245,7 @@
     answered: tuple[TraitsAnswered, ...] = ()
     quarantines: tuple[QuarantineReport, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
+    cold_targets: tuple[ColdReport, ...] = ()
 
 
 DirectEvent = t.Union[
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -11,6 +11,7 @@
 from .board import WorkItem, WorkItemKey
 from .command import UpdatePeers
 from .event import (
+    ColdReport,
     CrashReport,
     PeerUpdateReceived,
     QuarantineReport,
@@ -27,6 +28,7 @@
 MAX_WORK_ITEMS = 12
 MAX_RATE_LIMITS = 20
 MAX_NOTICES = 20
+MAX_COLD_TARGETS = 20
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
@@ -46,6 +48,7 @@
     answered: list["AnsweredUpdate"] = []
     quarantines: list["QuarantineUpdate"] = []
     notices: list["NoticeUpdate"] = []
+    cold_targets: list["ColdUpdate"] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -116,6 +119,14 @@
     leaving: bool
 
 
+class ColdUpdate(msgspec.Struct, array_like=True):
+    """A cold target in a datagram; times are in seconds."""
+
+    target: str
+    incarnation: str
+    cold_time_left: float
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
     revision: int
@@ -148,6 +159,9 @@
     for start in range(0, len(update.notices), MAX_NOTICES):
         notices = update.notices[start : start + MAX_NOTICES]
         updates.append(_encode_notices(owner, notices, revision, now))
+    for start in range(0, len(update.cold_targets), MAX_COLD_TARGETS):
+        reports = update.cold_targets[start : start + MAX_COLD_TARGETS]
+        updates.append(_encode_cold_targets(owner, reports, revision, now))
     updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
@@ -161,10 +175,11 @@
     """
     update = _decoder.decode(data)
     owner = update.owner
-    # Entries of earlier versions only understand that a limited or excluded
-    # target is unreachable.
+    # Entries of earlier versions only understand that a limited, excluded or
+    # cold target is unreachable.
     known_targets = {limit.target for limit in update.rate_limits}
     known_targets.update(notice.target for notice in update.notices)
+    known_targets.update(report.target for report in update.cold_targets)
     return PeerUpdateReceived(
         owner,
         tuple(_decode_item(owner, item, now) for item in update.work_items),
@@ -207,6 +222,13 @@
             )
             for notice in update.notices
         ),
+        tuple(
+            ColdReport(
+                AgentId(report.target, report.incarnation),
+                now + report.cold_time_left,
+            )
+            for report in update.cold_targets
+        ),
     )
 
 
@@ -243,6 +265,23 @@
     return PeerUpdate(owner, [], [], unreachable, revision, notices=updates)
 
 
+def _encode_cold_targets(
+    owner: str, reports: t.Sequence[ColdReport], revision: int, now: float
+) -> PeerUpdate:
+    # Entries of an earlier version know no cold targets, but avoid unreachable
+    # ones.
+    unreachable = [report.target.target for report in reports]
+    updates = [
+        ColdUpdate(
+            report.target.target,
+            report.target.incarnation,
+            max(report.cold_until - now, 0.0),
+        )
+        for report in reports
+    ]
+    return PeerUpdate(owner, [], [], unreachable, revision, cold_targets=updates)
+
+
 def _encode_quarantine(
     owner: str, update: UpdatePeers, revision: int, now: float
 ) -> t.Iterator[PeerUpdate]:
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -1,8 +1,8 @@
 """Keeps the requests to a target within what it says that it takes.
 
 The load it answers: a target in need names the rate that it takes from all
-entries together, asks the entry that it refused to back off, or says that it
-leaves, while callers send to each entry as before.
+entries together, asks the entry that it refused to back off, says that it
+leaves, or is cold, while callers send to each entry as before.
 """
 
 import dataclasses
@@ -11,9 +11,10 @@
 
 from ..identity import AgentId
 from ..lifecycle import ReleaseMemory, ReserveMemory
-from .board import DirectBoard, TargetView
+from .board import DirectBoard, TargetListing, TargetView
+from .cold_targets import ColdEndDue, ColdTargets, ColdTargetSettings
 from .command import DirectCommand, LogChange, ProbeTarget, UpdatePeers
-from .event import RateLimitReport, TargetAnswer, TargetNotice
+from .event import ColdReport, RateLimitReport, TargetAnswer, TargetNotice
 from .target_terms import RateLimit, TargetTerms
 
 
@@ -35,6 +36,7 @@
     # Orders and probes that a target gets during a backoff, for the answers
     # that it has begun.
     max_backoff_calls: int = 2
+    cold_targets: ColdTargetSettings = ColdTargetSettings()
 
 
 class TargetLimits:
@@ -44,12 +46,16 @@
     leave.  Targets that asked other entries to back off are avoided.
 
     Every entry counts its own requests and those that its peers report.
-    Entries that hear only some of the others use their part of the rate.
+    Entries that hear only some of the others use their part of the rate.  The
+    rate of a cold target is that of its service, if it names no lower one.
     """
 
-    def __init__(self, board: DirectBoard, settings: TargetLimitSettings) -> None:
+    def __init__(
+        self, board: DirectBoard, settings: TargetLimitSettings, entry_name: str
+    ) -> None:
         self._board = board
         self._settings = settings
+        self._cold_targets = ColdTargets(board, settings.cold_targets, entry_name)
         self._next_returns: dict[str, float] = {}
 
     def record_answer(
@@ -79,9 +85,67 @@
             if changes:
                 changes.append(UpdatePeers(rate_limits=(report,)))
             commands += changes
+        if answer.cold_time_left:
+            commands += self._cold_targets.record_answer(
+                agent, terms, answer.cold_time_left, now
+            )
         self._keep_terms(agent, terms)
         return commands
 
+    def record_listing(self, listing: TargetListing, now: float) -> list[DirectCommand]:
+        """Record how long a listing says that its target is cold.
+
+        It is called before the listing is on the board.
+        """
+        view = self._board.targets.get(listing.id)
+        if view is not None and not listing.started_at:
+            started_at = view.listing.started_at
+            listing = dataclasses.replace(listing, started_at=started_at)
+        view = self._board.find_incarnation(listing.agent)
+        gap = view is None or view.remove_at is not None
+        terms = self._find_terms(listing.agent)
+        commands = self._cold_targets.record_listing(listing, terms, gap, now)
+        self._keep_terms(listing.agent, terms)
+        return commands
+
+    def record_deployment(self, now: float) -> list[DirectCommand]:
+        """Apply the cold starts of a new deployment to the listed targets."""
+        return [
+            command
+            for view in self._board.targets.values()
+            for command in self._cold_targets.update_state(
+                view.listing.agent, view.terms, now
+            )
+        ]
+
+    def record_store(self, lost: bool) -> None:
+        """Record that the store has become unavailable or available."""
+        self._cold_targets.record_store(lost)
+
+    def readmit_domain(self, failure_domain: str, now: float) -> list[DirectCommand]:
+        """Presume that the targets of a readmitted failure domain are cold."""
+        return [
+            command
+            for view in self._board.targets.values()
+            if view.listing.failure_domain == failure_domain
+            for command in self._cold_targets.presume(view, now)
+        ]
+
+    def end_coldness(self, due: ColdEndDue, now: float) -> list[DirectCommand]:
+        """Record that a target is no longer cold, if it is so."""
+        return self._cold_targets.end_due(due, now)
+
+    def record_cold_reports(
+        self, reports: t.Iterable[ColdReport], now: float
+    ) -> list[DirectCommand]:
+        """Record the cold targets that a peer has reported."""
+        commands: list[DirectCommand] = []
+        for report in reports:
+            terms = self._find_terms(report.target)
+            commands += self._cold_targets.record_report(report, terms, now)
+            self._keep_terms(report.target, terms)
+        return commands
+
     def record_reports(
         self, reports: t.Iterable[RateLimitReport], now: float
     ) -> list[DirectCommand]:
@@ -114,30 +178,61 @@
 
     def reports(self, now: float) -> list[DirectCommand]:
         """Return the update that peers may not have received, if any."""
+        self._cold_targets.observe(now)
         rate_limits = self._rate_limit_reports(now)
+        cold_targets = self._cold_targets.reports(now)
         notices = tuple(
             _to_notice(view.listing.agent, view.terms)
             for view in self._board.targets.values()
             if view.terms.leaving_announced_here or now < view.terms.backoff_until
         )
-        if not rate_limits and not notices:
+        if not rate_limits and not notices and not cold_targets:
             return []
-        return [UpdatePeers(rate_limits=rate_limits, notices=notices)]
+        return [
+            UpdatePeers(
+                rate_limits=rate_limits, notices=notices, cold_targets=cold_targets
+            )
+        ]
 
-    def count(self, view: TargetView, now: float) -> None:
-        """Count a request that an entry has placed on a target."""
-        if view.terms.names_rate_limit:
-            self._refill(view.terms.rate_limit, now)
+    def count(self, view: TargetView, now: float, own: bool) -> None:
+        """Count a request that this entry or a peer has placed on a target."""
+        if own:
+            self._cold_targets.count_own(view, now)
+        if self._is_limited(view, now):
+            self._refill(view, now)
             view.terms.rate_limit.balance -= 1
 
     def allows(self, view: TargetView, now: float) -> bool:
         """Return whether a request may be placed on a target now."""
         if view.is_excluded(now):
             return False
-        if not view.terms.names_rate_limit:
+        if not self._is_limited(view, now):
             return True
-        self._refill(view.terms.rate_limit, now)
-        return view.terms.rate_limit.balance >= 1
+        self._refill(view, now)
+        if view.terms.rate_limit.balance < 1:
+            return False
+        cold_rate = self._cold_targets.rate(view, now)
+        return (
+            cold_rate == math.inf
+            or self._cold_targets.next_own_turn(view, cold_rate, now) <= now
+        )
+
+    def withdrawal_cause(self, agent: AgentId, now: float) -> str | None:
+        """Return why a placed request must not be sent now, if so."""
+        if self.is_backing_off(agent, now):
+            return "backoff"
+        view = self._board.find_incarnation(agent)
+        if (
+            view is not None
+            and self._cold_targets.resumed_just_before(now)
+            and self._cold_targets.rate(view, now) < math.inf
+        ):
+            return "cold, after a pause"
+        return None
+
+    def observe(self, now: float) -> None:
+        """Note that an event is handled, to detect pauses of the process."""
+        self._cold_targets.observe(now)
 
     def is_backing_off(self, agent: AgentId, now: float) -> bool:
         """Return whether a target asked this entry to send nothing now."""
@@ -193,7 +288,7 @@
         last_return = first_return + self._settings.return_time
         if not first_return <= next_return <= last_return:
             next_return = first_return
-        interval = 1 / sum(self._return_rate(view) for view in views)
+        interval = 1 / sum(self._return_rate(view, now) for view in views)
         interval *= max(len(self._board.peer_names), 1)
         self._next_returns[service] = next_return + interval
         return next_return - now
@@ -212,8 +307,14 @@
             if report.rate < math.inf:
                 limit.named_at = report.named_at
             return []
+        elif limit.rate == math.inf:
+            # A bucket that only a cold target needed goes on as it is.
+            limit.balance = min(limit.balance, 1.0) if terms.cold else 1.0
+            limit.refilled_at = now
+            limit.rate = report.rate
+            limit.named_at = report.named_at
         else:
-            self._refill(limit, now)
+            self._refill_bucket(limit, self._named_rate(limit), now)
             limit.rate = report.rate
             limit.named_at = report.named_at
             limit.balance = min(max(limit.balance, -1.0), 1.0)
@@ -275,23 +376,47 @@
 
     def _next_turn(self, view: TargetView, now: float) -> float:
         """Return when a target takes a request again."""
-        if not view.terms.names_rate_limit:
+        if not self._is_limited(view, now):
             return view.terms.backoff_until
         limit = view.terms.rate_limit
-        turn = now + max(1 - limit.balance, 0.0) / self._rate(limit)
+        turn = now + max(1 - limit.balance, 0.0) / self._rate(view, now)
+        cold_rate = self._cold_targets.rate(view, now)
+        if cold_rate < math.inf:
+            turn = max(turn, self._cold_targets.next_own_turn(view, cold_rate, now))
+            if not view.terms.names_rate_limit:
+                turn = min(turn, self._cold_targets.end(view))
         return max(turn, view.terms.backoff_until)
 
-    def _return_rate(self, view: TargetView) -> float:
-        if not view.terms.names_rate_limit:
+    def _return_rate(self, view: TargetView, now: float) -> float:
+        if not self._is_limited(view, now):
             return self._settings.return_rate
-        return self._rate(view.terms.rate_limit)
+        return self._rate(view, now)
+
+    def _is_limited(self, view: TargetView, now: float) -> bool:
+        """Return whether a target takes requests at a limited rate."""
+        return (
+            view.terms.names_rate_limit or self._cold_targets.rate(view, now) < math.inf
+        )
 
-    def _rate(self, limit: RateLimit) -> float:
+    def _rate(self, view: TargetView, now: float) -> float:
+        """Return the part of a limited target's rate that this entry uses."""
+        rate = self._cold_targets.rate(view, now) * self._board.responsive_share
+        if view.terms.names_rate_limit:
+            rate = min(rate, self._named_rate(view.terms.rate_limit))
+        return rate
+
+    def _named_rate(self, limit: RateLimit) -> float:
         rate = max(limit.rate, self._settings.min_rate)
         return rate * self._board.responsive_share
 
-    def _refill(self, limit: RateLimit, now: float) -> None:
-        rate = self._rate(limit)
+    def _refill(self, view: TargetView, now: float) -> None:
+        rate = self._rate(view, now)
+        if self._cold_targets.rate(view, now) < math.inf:
+            self._cold_targets.refill(view.terms.rate_limit, rate, now)
+        else:
+            self._refill_bucket(view.terms.rate_limit, rate, now)
+
+    def _refill_bucket(self, limit: RateLimit, rate: float, now: float) -> None:
         size = 1 + rate * self._settings.burst_time
         elapsed = max(now - limit.refilled_at, 0.0)
         limit.balance = min(limit.balance + elapsed * rate, size)
--- a/src/chicorycove/direct/target_terms.py
+++ b/src/chicorycove/direct/target_terms.py
@@ -1,5 +1,6 @@
 """What incarnations of targets say of the requests that they take."""
 
+import collections
 import dataclasses
 import math
 
@@ -10,7 +11,10 @@
 
 @dataclasses.dataclass(slots=True)
 class RateLimit:
-    """The request rate that a target takes, and a token bucket for it."""
+    """The request rate that a target names, and a token bucket.
+
+    The bucket is used for a cold target also if the target names no rate.
+    """
 
     rate: float  # requests per second from all entries; infinite once it ended
     named_at: float  # time of the answer that named it, in seconds
@@ -31,6 +35,16 @@
     # Whether it said that it leaves, to any entry or to this one.
     leaving_announced: bool = False
     leaving_announced_here: bool = False
+    # Time until which it is cold, as listings or answers to any entry say, and
+    # as an answer to this entry said.
+    cold_until: float = -math.inf
+    cold_announced_until: float = -math.inf
+    presumed_cold_at: float = -math.inf  # since then, for its service's time
+    cold: bool = False  # as last recorded; it may have ended since
+    # Times of this entry's latest requests, if its service has cold starts.
+    own_placements: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
     @property
     def names_rate_limit(self) -> bool:
--- a/src/chicorycove/direct/work.py
+++ b/src/chicorycove/direct/work.py
@@ -175,7 +175,8 @@
             self._remove_item(item.key)  # a prefilled part without memory is no load
             return
         if item.key not in self._targets_by_key:
-            self._target_limits.count(view, item.refreshed_at)
+            own = item.key.owner == self._name
+            self._target_limits.count(view, item.refreshed_at, own)
         if item.key not in view.work_items:
             if item.preempting and not item.decoding:
                 self._delay_waiting_items(view, item)
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -1,5 +1,6 @@
 """A direct entry's dispatcher with simulated targets and callers."""
 
+import dataclasses
 import itertools
 
 from bench.sheet import ENGINE
@@ -81,6 +82,16 @@
     authenticated=True,
 )
 
+COLD_RATE = 28.0  # requests per second
+COLD_DURATION = 3.0  # seconds
+COLD_DEPLOYMENT = dataclasses.replace(
+    DEPLOYMENT,
+    services=tuple(
+        dataclasses.replace(service, cold_duration=COLD_DURATION, cold_rate=COLD_RATE)
+        for service in DEPLOYMENT.services
+    ),
+)
+
 OK = TargetAnswer(status=200, not_run=False)
 SERVER_ERROR = TargetAnswer(status=500, not_run=False)
 TARGET_FULL = TargetAnswer(status=503, not_run=True)
@@ -139,12 +150,21 @@
         for number in range(shops):
             self.add_target(f"s{number}", "shop")
 
-    def add_target(self, id, service, leaving=False, started_at=1):
+    def add_target(self, id, service, leaving=False, started_at=1, cold_time_left=None):
         number = sum(id.encode())
         address = f"10.0.0.{number % 250}:{8000 + number}"
         self.handle(
             TargetListed(
-                TargetListing(id, service, address, "here", 8, leaving, started_at)
+                TargetListing(
+                    id,
+                    service,
+                    address,
+                    "here",
+                    8,
+                    leaving,
+                    started_at,
+                    cold_time_left=cold_time_left,
+                )
             )
         )
 
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -4,6 +4,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing as t
 
@@ -21,6 +22,8 @@
     EventsRelayed,
     PeersUpdated,
     RequestReceived,
+    StoreLost,
+    StoreRegained,
     TargetAnswer,
     TargetAnswered,
     TargetListed,
@@ -28,7 +31,11 @@
     TargetUnlisted,
 )
 from chicorycove.direct.route import RoutingTable
-from chicorycove.direct.settings import DirectSettings, peer_update_interval
+from chicorycove.direct.settings import (
+    DirectSettings,
+    peer_timeout,
+    peer_update_interval,
+)
 from chicorycove.identity import AttemptId
 from chicorycove.lifecycle import (
     AnswerCompleted,
@@ -47,6 +54,7 @@
 EVENT_COUNT = 10
 CRASH_DELAY = 0.06  # seconds from the start of a run that crashes a target
 RESTART_TIME = 3.0  # seconds from a crash until its replacement is listed
+LEASE_LEFT = 4.0  # seconds until an entry without the store is unlisted
 UNLIST_DELAY = 1.0  # seconds from a crash until the target is no longer listed
 
 
@@ -84,6 +92,8 @@
         self.refusals = []  # (time, entry, seconds) of each refused request
         self.arrivals = []  # of requests, orders and probes
         self.attempts = {}  # attempt: its entry
+        self.parts = []  # times at which parts of groups arrived
+        self.cold_since = self.cold_until = 0.0
 
     @property
     def agent(self):
@@ -92,11 +102,19 @@
     def record_refusal(self, now, entry):
         self.refusals.append((now, entry, self.retry_after))
 
-    def answer(self):
+    def answer(self, now=0.0):
         return TargetAnswer(
-            200, False, rate_limit=self.rate_limit, leaving=self.leaving
+            200,
+            False,
+            rate_limit=self.rate_limit,
+            leaving=self.leaving,
+            cold_time_left=self.cold_time_left(now),
         )
 
+    def cold_time_left(self, now):
+        """Return the time that an answer names, None if the target is warm."""
+        return self.cold_until - now if now < self.cold_until else None
+
     def refuse(self):
         return TargetAnswer(
             503, True, retry_after=self.retry_after, leaving=self.leaving
@@ -120,6 +138,22 @@
             default=0,
         )
 
+    def most_requests(self, start, end):
+        """Return the most requests and parts in a second between two times.
+
+        Orders and probes are not counted.
+        """
+        calls = ("probe", "ReserveMemory", "ReleaseMemory")
+        times = [a.time for a in self.arrivals if a.request not in calls]
+        times = sorted(t for t in [*times, *self.parts] if start <= t < end)
+        return max(
+            (
+                bisect.bisect_left(times, time + 1.0) - index
+                for index, time in enumerate(times)
+            ),
+            default=0,
+        )
+
     def count_arrivals(self, start, end):
         """Return the number of arrivals in [start, end)."""
         times = [arrival.time for arrival in self.arrivals]
@@ -151,8 +185,63 @@
         self.live = {}  # attempt: the target that it runs on
         self.cancelled = {}  # attempt: time
         self.tick_at = None
+        self.paused = False
+        self.waiting = []  # calls that the paused process does later
+        self.cut_off = False  # neither sends nor receives datagrams
+        self.store_cut_off = False  # gets no listings of targets and entries
+        self.registered_at = 0.0
+        self.unregistered_at = math.inf  # its lease in the store ends then
+        self.names_complete_at = 0.0
+        self.heard_at = {}  # entry: time of its last datagram
+        self.names = frozenset()  # entries that the store listed
+
+    def pause(self):
+        """Stop the process until it is resumed."""
+        self.paused = True
+
+    def resume(self):
+        """Let the process do what it has missed."""
+        self.paused = False
+        waiting, self.waiting = self.waiting, []
+        for function, arguments in waiting:
+            function(*arguments)
+
+    def check_peers(self):
+        """Report the listed entries, and those without recent datagrams."""
+        if self.paused:
+            self.waiting.append((self.check_peers, ()))
+            return
+        if not self.store_cut_off:
+            self.names = frozenset(self.fleet.listed_names())
+        self.names |= {self.name}
+        complete = self.fleet.now >= self.names_complete_at
+        limit = self.fleet.now - peer_timeout(DirectSettings(), len(self.names))
+        unresponsive = frozenset(
+            name
+            for name in self.names - {self.name}
+            if self.heard_at.get(name, 0.0) < limit
+        )
+        self.handle(PeersUpdated(self.names, unresponsive, complete))
+        self.fleet.call_later(0.3, self.check_peers)
+
+    def cut_store(self):
+        """Separate the entry from the store, where its lease ends later."""
+        self.store_cut_off = True
+        self.unregistered_at = self.fleet.now + LEASE_LEFT
+        self.fleet.call_later(0.5, self.handle, StoreLost())
+
+    def restore_store(self):
+        """Let the entry list the store again, and register in it."""
+        self.store_cut_off = False
+        self.unregistered_at = math.inf
+        self.handle(StoreRegained())
+        for target in list(self.fleet.targets.values()):
+            self.handle(TargetListed(target.listing))
 
     def handle(self, event):
+        if self.paused:
+            self.waiting.append((self.handle, (event,)))
+            return
         for command in self.dispatcher.handle(event, self.fleet.now):
             self.execute(command)
         due = self.board.timers.next_due
@@ -161,7 +250,9 @@
             self.fleet.call_at(due, self.tick, due)
 
     def tick(self, due):
-        if self.tick_at == due:
+        if self.paused:
+            self.waiting.append((self.tick, (due,)))
+        elif self.tick_at == due:
             self.tick_at = None
             self.handle(Tick())
 
@@ -200,6 +291,9 @@
         self.handle(TargetProbed(target, target in self.fleet.targets))
 
     def send_state(self):
+        if self.paused:
+            self.waiting.append((self.send_state, ()))
+            return
         for command in self.dispatcher.report_to_peers(self.fleet.now):
             self.execute(command)
         interval = peer_update_interval(DirectSettings(), len(self.fleet.entries))
@@ -242,14 +336,19 @@
         seed=1,
         settings=None,
         loss=0.0,
+        deployment=DEPLOYMENT,
+        watch_peers=False,
     ):
         """Start entries, some of an older version, and targets.
 
         ``loss`` is the share of the datagrams between entries that are lost.
+        With ``watch_peers``, entries learn which others they hear.
         """
         self.now = 0.0
         self.random = random.Random(seed)
         self.loss = loss
+        self.deployment = deployment
+        self.watch_peers = watch_peers
         self.log = []
         self.targets = {}
         self.event_count = EVENT_COUNT
@@ -261,6 +360,8 @@
         self.outcomes = {}
         self.parts = {}  # request: the parts of its prompt
         self.fingerprints = {}
+        self.listing_delay = 0.0  # the longest until an entry gets a listing
+        self._leases = {}  # entry that crashed: end of its lease
         self.arrived = {}
         self._calls = []
         self._numbers = itertools.count()
@@ -278,22 +379,77 @@
         """Start an entry that knows nothing of what others have learned."""
         entry = (OlderEntry if older else Entry)(self, name, self._settings)
         self.entries[name] = entry
-        entry.handle(DeploymentReceived(RoutingTable(DEPLOYMENT)))
+        entry.handle(DeploymentReceived(RoutingTable(self.deployment)))
         for target in self.targets.values():
             entry.handle(TargetListed(target.listing))
+        if self.watch_peers:
+            entry.heard_at = dict.fromkeys(self.entries, self.now)
+            entry.check_peers()
         for other in self.entries.values():
             other.handle(PeersUpdated(frozenset(self.entries)))
         self.call_later(self.random.random() * 0.25, entry.send_state)
         return entry
 
-    def add_target(self, id, service):
+    def listed_names(self):
+        """Return the entries that the store lists."""
+        self._leases = {
+            name: end for name, end in self._leases.items() if self.now < end
+        }
+        registered = [
+            entry.name
+            for entry in self.entries.values()
+            if entry.registered_at <= self.now < entry.unregistered_at
+        ]
+        return [*registered, *self._leases]
+
+    def remove_entry(self, name):
+        """Let an entry crash, which stays listed until its lease ends."""
+        entry = self.entries.pop(name)
+        entry.pause()
+        self._leases[name] = self.now + LEASE_LEFT
+
+    def start_entry(self, name, register_delay, list_delay):
+        """Start an entry that registers and lists the others after delays."""
+        entry = Entry(self, name, self._settings)
+        entry.registered_at = self.now + register_delay
+        entry.names_complete_at = self.now + list_delay
+        entry.board.entry_names_complete = False
+        self.entries[name] = entry
+        entry.handle(DeploymentReceived(RoutingTable(self.deployment)))
+        for target in self.targets.values():
+            entry.handle(TargetListed(target.listing))
+        entry.check_peers()
+        entry.send_state()
+
+    def add_target(self, id, service, started_at=1, cold_time_left=0.0):
         number = next(self._listings)
         address = f"10.0.0.{number % 250}:{8000 + number}"
-        listing = TargetListing(id, service, address, "here", 8, False, 1)
+        listing = TargetListing(
+            id,
+            service,
+            address,
+            "here",
+            8,
+            False,
+            started_at,
+            cold_time_left=cold_time_left,
+        )
         self.targets[id] = Target(listing)
+        self.list_target(listing)
+        return self.targets[id]
+
+    def list_target(self, listing):
+        """Let each entry get a listing."""
         for entry in self.entries.values():
+            if not self.listing_delay:
+                entry.handle(TargetListed(listing))
+                continue
+            delay = self.random.uniform(0.0, self.listing_delay)
+            self.call_later(delay, self._deliver_listing, entry, listing)
+
+    def _deliver_listing(self, entry, listing):
+        if not entry.store_cut_off:
             entry.handle(TargetListed(listing))
-        return self.targets[id]
 
     def relist(self, id, gap):
         """Let the platform drop a target, and list it again after a time."""
@@ -384,7 +540,9 @@
         others = [
             entry
             for entry in self.entries.values()
-            if entry is not sender and entry.name in names
+            if entry is not sender
+            and entry.name in names
+            and not (entry.cut_off or sender.cut_off)
         ]
         for entry, datagram in itertools.product(others, sender.encode(command)):
             if self.random.random() >= self.loss:
@@ -392,7 +550,9 @@
 
     def _deliver_update(self, entry, datagram):
         if entry.name in self.entries:
-            entry.handle(entry.decode(datagram))
+            update = entry.decode(datagram)
+            entry.heard_at[update.owner] = self.now
+            entry.handle(update)
 
     # Between entries and targets
 
@@ -403,6 +563,9 @@
         self.call_later(delay, self._arrive, entry, command)
 
     def _arrive(self, entry, command):
+        if entry.paused:
+            entry.waiting.append((self._arrive, (entry, command)))
+            return
         attempt = command.attempt
         if attempt not in entry.live:
             return
@@ -416,6 +579,10 @@
         entry.handle(AttemptConnected(attempt))
         if attempt not in entry.live:
             return
+        if target.agent != command.target:
+            answer = TargetAnswer(421, True, wrong_instance=True)
+            entry.handle(AnswerHeadReceived(attempt, answer))
+            return
         arrival = Arrival(
             self.now,
             entry.name,
@@ -426,6 +593,9 @@
         target.arrivals.append(arrival)
         self.arrivals.append(arrival)
         target.attempts[attempt] = entry
+        for member in command.placement.members:
+            if member.target in self.targets:
+                self.targets[member.target].parts.append(self.now)
         if target.retry_after is not None:
             self.call_later(target.refusal_delay, self._refuse, entry, attempt, target)
         elif self._crashes_before_head(arrival, target):
@@ -470,7 +640,7 @@
 
     def _answer_order(self, entry, command, target):
         refused = target.retry_after is not None
-        answer = target.refuse() if refused else target.answer()
+        answer = target.refuse() if refused else target.answer(self.now)
         entry.handle(TargetAnswered(target.agent, answer, to_order=True))
         if type(command).__name__ == "ReserveMemory":
             if refused:
@@ -486,15 +656,15 @@
 
     def _answer_call(self, entry, attempt, target):
         if attempt in entry.live:
-            entry.handle(AnswerHeadReceived(attempt, target.answer()))
+            entry.handle(AnswerHeadReceived(attempt, target.answer(self.now)))
         if attempt in entry.live:
             del entry.live[attempt]
-            entry.handle(AnswerReceived(attempt, target.answer()))
+            entry.handle(AnswerReceived(attempt, target.answer(self.now)))
 
     def _start_stream(self, entry, attempt, target, first):
         if attempt not in entry.live or target.listing.id not in self.targets:
             return
-        entry.handle(AnswerHeadReceived(attempt, target.answer()))
+        entry.handle(AnswerHeadReceived(attempt, target.answer(self.now)))
         request = attempt.request
         if (
             self.crashing_part in self.parts[request]
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -166,7 +166,7 @@
         for number in range(3):
             view = TargetView(make_listing(f"t{number}"))
             self.board.targets[view.listing.id] = view
-        target_limits = TargetLimits(self.board, self.settings.target_limits)
+        target_limits = TargetLimits(self.board, self.settings.target_limits, "entry-1")
         self.work_tracker = WorkTracker(
             self.board, self.settings, "self", target_limits
         )
