Log and count targets that become cold or warm

Cause: operators could not see why a target gets few requests.

Change: a command records the change; the entry logs it and counts it in chicorycove_target_changes.

Conclusion: one line and one count for each change.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -31,6 +31,7 @@
     DirectCommand,
     LogChange,
     ProbeTarget,
+    RecordTargetState,
     RelayStream,
     ResyncStore,
     SendAttempt,
@@ -326,6 +327,9 @@
                 self._resync_store()
             case LogChange(change, subject, detail):
                 self._log.write(change, subject=subject, detail=detail)
+            case RecordTargetState(target, state, detail):
+                self._metrics.target_changed(state.value)
+                self._log.write(f"target {state.value}", subject=target, detail=detail)
 
     def _send_attempt(self, command: SendAttempt) -> None:
         exchange = self._exchanges[command.attempt.request]
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -44,6 +44,11 @@
 ATTEMPTS = Instrument(
     "chicorycove_attempts", "Attempts that an agent decided on", ("outcome",)
 )
+TARGET_CHANGES = Instrument(
+    "chicorycove_target_changes",
+    "Changes of what a direct entry finds a target to be",
+    ("state",),
+)
 FIRST_TOKEN = Instrument(
     "chicorycove_time_to_first_token",
     "From arrival to the first byte",
@@ -64,6 +69,7 @@
     RETRIES,
     DROPS,
     ATTEMPTS,
+    TARGET_CHANGES,
     FIRST_TOKEN,
     ANSWER_TIME,
 )
@@ -143,6 +149,10 @@
         """Count an agent's decision on an attempt."""
         self._count(ATTEMPTS, outcome)
 
+    def target_changed(self, state: str) -> None:
+        """Count a target that is found to be in another state than before."""
+        self._count(TARGET_CHANGES, state)
+
     def first_token(self, seconds: float, tokens: int) -> None:
         """Record a time to first token, by prompt length."""
         self._observe(FIRST_TOKEN, seconds, length_class(tokens))
