Predict a slow target's times by its observed pace

Cause: a target that has just started, or became slow, takes several times as long as its engine's profile predicts, and gets prompts as if it did not.

Change: TargetPace learns from this entry's own streams, from passes that only decode and from prefills that nothing delayed, and sets the pace of the target's view. The placer multiplies the predicted times by it. Stand-in engines can be slow.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -84,6 +84,15 @@
         return min(self.prefill_time, max(self.expected_prefill_end - now, 0.0))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassStart:
+    """The start of a time that shows how fast a target is, in seconds."""
+
+    at: float
+    predicted: float  # how long it takes by the engine's profile
+    work: frozenset[WorkItemKey]  # all work on the target at the start
+
+
 @dataclasses.dataclass(slots=True)
 class TargetView:
     """One target as this entry sees it; times are in seconds."""
@@ -93,6 +102,7 @@
     terms: TargetTerms = dataclasses.field(default_factory=TargetTerms)
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
+    pace: float = 1.0  # observed over predicted time, 1 if nothing is known
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
@@ -132,6 +142,7 @@
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     unreachable_targets: set[str] = dataclasses.field(default_factory=set)
     caller_blocked: bool = False  # the target's answer is not read meanwhile
+    pass_start: PassStart | None = None  # None if the pace cannot be observed
 
     @property
     def may_have_run(self) -> bool:
--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -130,6 +130,8 @@
 
     COLD = "cold"
     WARM = "warm"
+    SLOW = "slow"
+    NORMAL = "normal"
 
 
 @frozen
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -68,6 +68,7 @@
 from .target_health import TargetHealth
 from .target_limits import TargetLimits
 from .target_list import ListEvent, TargetList
+from .target_pace import PaceCheckDue, TargetPace
 from .work import WorkTracker
 
 AttemptFactory = t.Callable[[str, int], AttemptId]
@@ -104,6 +105,7 @@
         self._quarantine = RequestQuarantine(board, settings.quarantine, entry_name)
         self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
+        self._pace = TargetPace(board, settings.target_pace)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
         self._shutdown = ShutdownPolicy(board, settings)
@@ -394,6 +396,7 @@
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
+        self._pace.start_prefill(request, now)
         return []
 
     def _withdraw_attempt(
@@ -521,6 +524,7 @@
         if last_event_id is not None:
             request.last_event_id = last_event_id
         commands = self._quarantine.record_progress(request, pause, now)
+        commands += self._pace.record_events(request, event_count, now)
         work_items = self._work.record_events(request, event_count, now)
         return commands + ([UpdatePeers(work_items)] if work_items else [])
 
@@ -576,6 +580,7 @@
         if request is not None:
             request.caller_blocked = blocked
             request.last_progress_at = now
+            request.pass_start = None
         return []
 
     # Health
@@ -646,6 +651,8 @@
                     commands += self._refuse_quarantined()
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
+                case PaceCheckDue():
+                    commands += self._pace.check(item, now)
                 case ColdEndDue():
                     commands += self._target_limits.end_coldness(item, now)
                 case _:
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -102,6 +102,7 @@
     prefill_backlog: float  # remaining prefill time of all items
     held_tokens: int
     occupied_slots: int  # requests that have a slot or wait for one
+    pace: float  # observed over predicted time; the times above include it
 
 
 def expected_loss(
@@ -188,17 +189,19 @@
                 item.remaining_prefill_time(now) for item in prefill_items
             )
             held_tokens = sum(item.memory for item in target.work_items.values())
+            pace = target.pace
             loads.append(
                 _Load(
                     target,
                     (index / len(ordered) + placement_offset) % 1.0,
                     decoding_items,
                     prefill_items,
-                    decode_pass_time,
-                    prefill_backlog,
+                    decode_pass_time * pace,
+                    prefill_backlog * pace,
                     held_tokens,
                     len(decoding_items)
                     + sum(1 for item in prefill_items if item.generates_answer),
+                    pace,
                 )
             )
         return loads
@@ -220,12 +223,13 @@
         member_candidates = []
         primary_candidates = []
         for load in loads:
+            load_prefill_time = part_prefill_time * load.pace
             cost_to_others = self._cost_to_others(
-                engine, load, part_prefill_time, part_tokens, group_size > 1, now
+                engine, load, load_prefill_time, part_tokens, group_size > 1, now
             )
             cost_to_others += self._suspect_cost(load, now)
             time_to_first_event = self._predict_first_event(
-                engine, load, part_prefill_time, part_tokens, group_size > 1
+                engine, load, load_prefill_time, part_tokens, group_size > 1
             )
             member_candidates.append((cost_to_others, time_to_first_event, load))
             own_cost = self._request_cost(
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -9,6 +9,7 @@
 from .quarantine import QuarantineSettings
 from .store_relay import RelaySettings
 from .target_limits import TargetLimitSettings
+from .target_pace import TargetPaceSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -62,6 +63,7 @@
     budget: BudgetSettings = BudgetSettings()
     relay: RelaySettings = RelaySettings()
     target_limits: TargetLimitSettings = TargetLimitSettings()
+    target_pace: TargetPaceSettings = TargetPaceSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
     health: HealthSettings = HealthSettings(
--- a/standin/passes.py
+++ b/standin/passes.py
@@ -60,6 +60,7 @@
         self._scheduled: list[tuple[Job, float]] = []
         self._emitting: list[t.Hashable] = []
         self.pass_end_time: float | None = None
+        self.slowness = 1.0  # times the profile's duration that a pass takes
 
     @property
     def free_memory(self) -> int:
@@ -158,7 +159,7 @@
             if not self._decoding and tokens == job.remaining:
                 break  # the pass ends here, to report this prefill early
         idle = not self._scheduled and not self._emitting
-        self.pass_end_time = None if idle else now + duration
+        self.pass_end_time = None if idle else now + duration * self.slowness
 
     def _admit(self) -> None:
         while self._queue:
