--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -34,7 +34,7 @@
   tokens, or `over`.
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
-- `state`: `cold` or `warm`.
+- `state`: `cold`, `warm`, `slow` or `normal`.
 - `verdict`: {verdicts}.
 - `reason`: the word that stands in the caller's problem document too, one of
   `chicorycove.reason.Reason`. Each has its counter from its first use on.
