--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -36,6 +36,7 @@
   domain has been evacuated.
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
+- `state`: `cold`, `warm`, `slow` or `normal`.
 - `verdict`: {verdicts}.
 - `reason`: the word that stands in the caller's problem document too, one of
   `chicorycove.reason.Reason`. Each has its counter from its first use on.
@@ -59,6 +60,7 @@
     metrics.answered("class")
     metrics.dropped("chunk")
     metrics.decided("run")
+    metrics.target_changed("cold")
     metrics.first_token(1.0, 1000)
     metrics.answer_time(1.0, "class")
     metrics.evacuated("domain", 1)
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -19,6 +19,7 @@
 from ..reason import Reason
 from ..verdict import Verdict
 from .board import DirectBoard, DirectRequest, InboundRequest, WorkItem
+from .cold_targets import ColdEndDue
 from .collision import MIN_FREE_SLOTS, CollisionDetector
 from .command import (
     CancelAttempt,
@@ -67,7 +68,8 @@
 from .store_lag import StoreLagDetector
 from .target_health import TargetHealth
 from .target_limits import TargetLimits
-from .target_list import TargetList
+from .target_list import ListEvent, TargetList
+from .target_pace import PaceCheckDue, TargetPace
 from .work import WorkTracker
 
 AttemptFactory = t.Callable[[str, int], AttemptId]
@@ -98,13 +100,14 @@
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
         self._evacuation = Evacuation(board, settings.evacuation)
-        self._target_limits = TargetLimits(board, settings.target_limits)
+        self._target_limits = TargetLimits(board, settings.target_limits, entry_name)
         self._reservations = Reservations(
             board, settings.reservation, self._target_limits
         )
         self._quarantine = RequestQuarantine(board, settings.quarantine, entry_name)
         self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
+        self._pace = TargetPace(board, settings.target_pace)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
         self._shutdown = ShutdownPolicy(board, settings)
@@ -116,6 +119,7 @@
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return the commands that an event leads to."""
+        self._target_limits.observe(now)
         return self._target_limits.withhold_calls(self._handle(event, now), now)
 
     def _handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -153,13 +157,19 @@
                 return self._handle_probe_result(target, reachable, now)
             case DeploymentReceived(table):
                 self._board.table = table
-                return []
+                return self._target_limits.record_deployment(now)
             case TargetListed() | TargetUnlisted() | StoreLost() | StoreRegained():
                 if isinstance(event, TargetUnlisted):
                     self._target_health.remove(event.target)
-                return self._targets.handle(event, now)
-            case DomainEvacuated() | DomainReadmitted():
+                commands = self._record_list_event(event, now)
+                return commands + self._targets.handle(event, now)
+            case DomainEvacuated():
                 return self._evacuation.handle(event, now)
+            case DomainReadmitted(domain):
+                return [
+                    *self._evacuation.handle(event, now),
+                    *self._target_limits.readmit_domain(domain, now),
+                ]
             case StoreRevisionSeen(revision):
                 self._board.store_listed = True
                 self._store_lag.record_own_revision(revision)
@@ -172,6 +182,9 @@
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
                 commands = self._target_limits.record_reports(event.rate_limits, now)
                 commands += self._target_limits.record_notices(event.notices, now)
+                commands += self._target_limits.record_cold_reports(
+                    event.cold_targets, now
+                )
                 commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
@@ -201,6 +214,15 @@
         commands += self._target_limits.reports(now)
         return commands + self._quarantine.reports(now)
 
+    def _record_list_event(self, event: ListEvent, now: float) -> list[DirectCommand]:
+        """Record what limits requests to targets before the list changes."""
+        match event:
+            case TargetListed(listing):
+                return self._target_limits.record_listing(listing, now)
+            case StoreLost() | StoreRegained():
+                self._target_limits.record_store(isinstance(event, StoreLost))
+        return []
+
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
         request = self._board.requests.get(attempt_id.request)
@@ -386,10 +408,10 @@
     # Answers
 
     def _begin_sending(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
-        """Count an attempt as sent, or withdraw it.
+        """Count an attempt as sent, or withdraw it if it must not be sent.
 
-        Its target may have asked for a backoff, or the failure domain of one
-        of its targets may have been evacuated, while its connection opened.
+        What applies to its targets may have changed while its connection
+        opened.
         """
         request = self._current_request(attempt_id)
         if request is None:
@@ -397,12 +419,14 @@
         attempt = request.attempts[-1]
         if self._evacuation.affects(request):
             return self._withdraw_attempt(request, "evacuation", now)
-        if self._target_limits.is_backing_off(attempt.agent, now):
+        cause = self._target_limits.withdrawal_cause(attempt.agent, now)
+        if cause is not None:
             request.tried_targets.add(attempt.agent.target)
-            return self._withdraw_attempt(request, "backoff", now)
+            return self._withdraw_attempt(request, cause, now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
+        self._pace.start_prefill(request, now)
         return []
 
     def _withdraw_attempt(
@@ -529,6 +553,7 @@
         if last_event_id is not None:
             request.last_event_id = last_event_id
         commands = self._quarantine.record_progress(request, pause, now)
+        commands += self._pace.record_events(request, event_count, now)
         work_items = self._work.record_events(request, event_count, now)
         return commands + ([UpdatePeers(work_items)] if work_items else [])
 
@@ -584,6 +609,7 @@
         if request is not None:
             request.caller_blocked = blocked
             request.last_progress_at = now
+            request.pass_start = None
         return []
 
     # Health
@@ -654,6 +680,10 @@
                     commands += self._refuse_quarantined()
                 case LeaseRenewalDue():
                     commands += self._reservations.renew(item, now)
+                case PaceCheckDue():
+                    commands += self._pace.check(item, now)
+                case ColdEndDue():
+                    commands += self._target_limits.end_coldness(item, now)
                 case _:
                     commands += self._targets.remove_lapsed(item, now)
         return commands
