--- a/standin/passes.py
+++ b/standin/passes.py
@@ -60,6 +60,8 @@
         self._scheduled: list[tuple[Job, float]] = []
         self._emitting: list[t.Hashable] = []
         self.pass_end_time: float | None = None
+        # What the first admission of a job waited for: "slots" or "memory".
+        self.blocked_by: dict[t.Hashable, str] = {}
 
     @property
     def free_memory(self) -> int:
@@ -166,6 +168,10 @@
             admitted = (
                 len(self._prefilling) + len(self._prefilled) + len(self._decoding)
             )
-            if admitted >= self._profile.slots or job.memory > self.free_memory:
+            full = admitted >= self._profile.slots
+            if full or job.memory > self.free_memory:
+                cause = "slots" if full else "memory"
+                for waiting in self._queue:
+                    self.blocked_by.setdefault(waiting.id, cause)
                 return
             self._prefilling.append(self._queue.popleft())
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -109,7 +109,13 @@
 
 def new_arguments(fleet, rate, lag, changes):
     return argparse.Namespace(
-        fleet=fleet, rate=rate, lag=lag, limited=0, limit=1.0, set=list(changes)
+        fleet=fleet,
+        scenario="even",
+        rate=rate,
+        lag=lag,
+        limited=0,
+        limit=1.0,
+        set=list(changes),
     )
 
 
@@ -156,9 +162,8 @@
             return sum(x.in_time for x in short), sum(x.whole for x in short)
 
         burst = (sheet.Phase(6.0, (2.5, 0.5, 0.05)),)
-        for module in (placing, sheet):
-            patch = unittest.mock.patch.object(module, "PHASES", burst)
-            self.enterContext(patch)
+        patch = unittest.mock.patch.object(sheet, "PHASES", burst)
+        self.enterContext(patch)
         for rate in (1.0, 1.3):
             with self.subTest(rate=rate):
                 moved = count_short(self.simulate(1, "grown", rate, 0.005))
