Weigh what leaving the caller's failure domain costs

Cause: a target in another failure domain cost 0.005 whatever was sent, so that in an idle fleet the order of targets alone moved four of ten prompts to another domain, and nothing could take a link's price into account.

Change: direct/domain_cost.py computes what leaving costs a request: the bytes of its body and expected answer times a price (domain_cost.price_per_byte, default 0), a margin, the link's delay there and back, and for a group each member's part. Without a price, all of it is off. Calls leave their domain with a price only if the work there is less by more than one call. Requests carry the size of their body. chicorycove_sent_outside_domain counts attempts that leave, by cause. The weight of waiting is read once per sort of the members.

--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -34,6 +34,8 @@
   tokens, or `over`.
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
+- `cause`: `no_target`, if the entry's failure domain has no target that can be
+  used, or `cost`, if the target is better by more than leaving costs.
 - `verdict`: {verdicts}.
 - `reason`: the word that stands in the caller's problem document too, one of
   `chicorycove.reason.Reason`. Each has its counter from its first use on.
@@ -57,6 +59,7 @@
     metrics.answered("class")
     metrics.dropped("chunk")
     metrics.decided("run")
+    metrics.left_domain("cost")
     metrics.first_token(1.0, 1000)
     metrics.answer_time(1.0, "class")
     for reason in Reason:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -38,6 +38,7 @@
 )
 from .dialect import Dialect, Rejection
 from .dispatch import DirectDispatcher
+from .domain_cost import find_leaving_reason
 from .event import (
     CallerBackpressureChanged,
     DirectEvent,
@@ -71,6 +72,7 @@
         rng: random.Random,
         peers: PeerLink,
         resync_store: t.Callable[[], None],
+        failure_domain: str,
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
@@ -81,6 +83,7 @@
         self._random = rng
         self._peers = peers
         self._resync_store = resync_store
+        self._failure_domain = failure_domain
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
@@ -345,9 +348,24 @@
             after=command.last_event_id,
             left=round(command.deadline - self._loop.time(), 3),
         )
+        self._count_if_outside(command.target.target)
         attempt = exchange.start_attempt(command)
         self._tasks.spawn(attempt.open(self._settings.timeouts.connect_timeout))
 
+    def _count_if_outside(self, target: str) -> None:
+        """Count an attempt whose target is in another failure domain."""
+        view = self._board.targets.get(target)
+        if view is None:
+            return
+        reason = find_leaving_reason(
+            view,
+            self._board.targets.values(),
+            self._failure_domain,
+            self._loop.time(),
+        )
+        if reason is not None:
+            self._metrics.left_domain(reason.value)
+
     def _finish(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.finish()
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from .board import TargetView, WorkItem
+from .domain_cost import DomainCost
 from .engine import EngineProfile
 
 EXPECTED_ANSWER_EVENTS = 20  # events of an answer, without a better estimate
@@ -58,6 +59,7 @@
     max_gap: float
     value: float
     failure_domain: str
+    domain_cost: DomainCost | None = None  # None if links have no price
 
 
 @frozen
@@ -240,14 +242,18 @@
         primary = min(
             primary_candidates, key=lambda candidate: (candidate[0] > 0, candidate[1])
         )[1:]
+        if request.domain_cost is not None and group_size > 1:
+            member_candidates = self._add_link_costs(
+                request.domain_cost, group_size, primary[2], member_candidates
+            )
+        wait_cost, value = self._settings.wait_cost, request.value
         others = sorted(
             (
                 candidate
                 for candidate in member_candidates
                 if candidate[2] is not primary[2]
             ),
-            key=lambda candidate: candidate[0]
-            + candidate[1] * self._settings.wait_cost * request.value,
+            key=lambda candidate: candidate[0] + candidate[1] * wait_cost * value,
         )[: group_size - 1]
         held_tokens = max(min(needed_tokens, usable_memory - primary[2].held_tokens), 0)
         members = self._assign_memory(
@@ -267,6 +273,10 @@
             cost -= self._request_cost(
                 request, engine, primary[2], primary[1], group_size, now
             )
+        if request.domain_cost is not None:
+            time_to_first_event += request.domain_cost.caller_delays.get(
+                primary[2].target.listing.failure_domain, 0.0
+            )
         return Placement(
             target=primary[2].target.listing.id,
             members=members,
@@ -278,6 +288,31 @@
             prefill_time=part_prefill_time,
         )
 
+    def _add_link_costs(
+        self,
+        domain_cost: DomainCost,
+        group_size: int,
+        primary: _Load,
+        candidates: list[tuple[float, float, _Load]],
+    ) -> list[tuple[float, float, _Load]]:
+        """Add what members outside the primary's failure domain cost.
+
+        The load it answers: a long prompt's parts are most of what its group
+        sends between domains.
+        """
+        primary_domain = primary.target.listing.failure_domain
+        delays = domain_cost.delays.get(primary_domain, {})
+        member_cost = domain_cost.member_cost(group_size)
+        changed = []
+        for candidate in candidates:
+            cost, time_to_first_event, load = candidate
+            domain = load.target.listing.failure_domain
+            if domain != primary_domain:
+                delay = delays.get(domain, 0.0)
+                candidate = (cost + member_cost, time_to_first_event + delay, load)
+            changed.append(candidate)
+        return changed
+
     def _assign_memory(
         self, missing_tokens: int, usable_memory: int, loads: list[_Load]
     ) -> tuple[PlacementMember, ...] | None:
@@ -337,8 +372,20 @@
         group_size: int,
         now: float,
     ) -> float:
-        """Return the value that a request itself loses on a target."""
+        """Return the value that a request itself loses on a target.
+
+        Leaving the caller's failure domain costs the link's delay and price.
+        The load it answers: a domain with too few targets, beside others that
+        have free ones, or that are as full.
+        """
         settings = self._settings
+        failure_domain = load.target.listing.failure_domain
+        leaves_domain = failure_domain != request.failure_domain
+        leaving_cost = settings.other_domain_cost
+        domain_cost = request.domain_cost
+        if leaves_domain and domain_cost is not None:
+            leaving_cost += domain_cost.primary_cost
+            time_to_first_event += domain_cost.caller_delays.get(failure_domain, 0.0)
         value = request.value * settings.late_loss_share
         cost = expected_loss(
             value, time_to_first_event, request.objective_at - now, settings
@@ -359,8 +406,8 @@
                 * request.value
                 * (settings.spare_slots - spare_slots)
             )
-        if load.target.listing.failure_domain != request.failure_domain:
-            cost += settings.other_domain_cost
+        if leaves_domain:
+            cost += leaving_cost
         # Short prompts fill the order from one end and long ones from the
         # other, so that prefill delays few decoding requests.
         position = (
@@ -433,16 +480,21 @@
 
 
 def place_call(
-    targets: t.Iterable[TargetView], failure_domain: str, now: float
+    targets: t.Iterable[TargetView],
+    failure_domain: str,
+    now: float,
+    work_margin: int = 0,
 ) -> TargetView | None:
-    """Return the target for a plain call: least work, then same domain."""
-    return min(
-        targets,
-        key=lambda target: (
-            target.is_avoided(now),
-            len(target.work_items),
-            target.listing.failure_domain != failure_domain,
-            target.listing.id,
-        ),
-        default=None,
-    )
+    """Return the target for a plain call: least work, then same domain.
+
+    A target in another failure domain must have less work by more than a
+    margin.  The load it answers: calls that take about as long as one another,
+    on few targets in each domain, where one call less is no gain.
+    """
+
+    def order(target: TargetView) -> tuple[bool, int, bool, str]:
+        leaves_domain = target.listing.failure_domain != failure_domain
+        work = len(target.work_items) + (work_margin if leaves_domain else 0)
+        return target.is_avoided(now), work, leaves_domain, target.listing.id
+
+    return min(targets, key=order, default=None)
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -4,6 +4,7 @@
 
 from ..request import Prompt
 from .board import DirectBoard, DirectRequest, TargetView
+from .domain_cost import compute_domain_cost
 from .partition import FleetPartition
 from .placement import Placement, PlacementRequest, Placer, place_call
 from .settings import DirectSettings
@@ -55,7 +56,8 @@
                 now,
                 self._board.placement_offset,
             )
-        target = place_call(candidates, self._failure_domain, now)
+        work_margin = self._settings.domain_cost.work_margin
+        target = place_call(candidates, self._failure_domain, now, work_margin)
         if target is None:
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
@@ -67,6 +69,7 @@
         self, request: DirectRequest, work: Prompt
     ) -> PlacementRequest:
         inbound = request.inbound
+        service = self._board.find_service(inbound.service)
         return PlacementRequest(
             tokens=work.tokens,
             max_output_tokens=work.max_tokens,
@@ -76,4 +79,11 @@
             max_gap=inbound.route.max_gap,
             value=1.0 + work.tokens / self._settings.tokens_per_value,
             failure_domain=self._failure_domain,
+            domain_cost=compute_domain_cost(
+                self._settings.domain_cost,
+                service.link_delays if service else (),
+                self._failure_domain,
+                inbound.request.body_size,
+                work.max_tokens,
+            ),
         )
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,6 +5,7 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .cold_start import ColdStartSettings
+from .domain_cost import DomainCostSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
 from .store_relay import RelaySettings
@@ -57,6 +58,7 @@
     """Settings of a direct entry's decisions; times are in seconds."""
 
     placement: PlacementSettings = PlacementSettings()
+    domain_cost: DomainCostSettings = DomainCostSettings()
     timeouts: TimeoutSettings = TimeoutSettings()
     reservation: ReservationSettings = ReservationSettings()
     budget: BudgetSettings = BudgetSettings()
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -44,6 +44,11 @@
 ATTEMPTS = Instrument(
     "chicorycove_attempts", "Attempts that an agent decided on", ("outcome",)
 )
+LEFT_DOMAIN = Instrument(
+    "chicorycove_sent_outside_domain",
+    "Attempts sent to another failure domain",
+    ("cause",),
+)
 FIRST_TOKEN = Instrument(
     "chicorycove_time_to_first_token",
     "From arrival to the first byte",
@@ -64,6 +69,7 @@
     RETRIES,
     DROPS,
     ATTEMPTS,
+    LEFT_DOMAIN,
     FIRST_TOKEN,
     ANSWER_TIME,
 )
@@ -143,6 +149,10 @@
         """Count an agent's decision on an attempt."""
         self._count(ATTEMPTS, outcome)
 
+    def left_domain(self, cause: str) -> None:
+        """Count an attempt sent to another failure domain."""
+        self._count(LEFT_DOMAIN, cause)
+
     def first_token(self, seconds: float, tokens: int) -> None:
         """Record a time to first token, by prompt length."""
         self._observe(FIRST_TOKEN, seconds, length_class(tokens))
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -207,6 +207,7 @@
                 arrived=request.received_at,
                 deadline=request.received_at
                 + min(budget_ms / MS_PER_SECOND, route.timeout),
+                body_size=len(request.body),
             ),
             route,
             service,
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -185,6 +185,7 @@
             self._random,
             self._peers,
             lambda: self._follower.resync(),
+            self._boot.failure_domain,
         )
 
     async def _serve(self, handler: CallerHandler, **endpoint: t.Any) -> None:
