--- a/tests/test_direct_domain_cost.py
+++ b/tests/test_direct_domain_cost.py
@@ -236,6 +236,20 @@
         difference = far.time_to_first_event - near.time_to_first_event
         self.assertAlmostEqual(difference, 2 * LINKS[0].delay)
 
+    def test_slow_link_is_not_taken_for_a_small_gain(self):
+        # A link that is slower than the objective makes an idle target there
+        # worse than a busy one here.
+        settings = DomainCostSettings(price_per_byte=1e-12, margin=0.0)
+        chosen = {}
+        for delay in (0.0, 0.2):
+            fleet = Fleet({"a": 1, "b": 1})
+            fleet.load_domain("a", ENGINE.slots - 2)
+            links = (LinkDelay(domains=frozenset(DOMAINS), delay=delay),)
+            cost = compute_domain_cost(settings, links, "a", SHORT_BODY, 1_600)
+            request = dataclasses.replace(make_request("a"), domain_cost=cost)
+            chosen[delay] = fleet.domain_of(fleet.choose(request).target)
+        self.assertEqual(chosen, {0.0: "b", 0.2: "a"})
+
     def test_link_without_a_delay_in_the_deployment_counts_as_fast(self):
         cost = compute_domain_cost(PRICED, (), "a", SHORT_BODY, 1_600)
         self.assertEqual(cost.caller_delays, {})
