--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -50,6 +50,11 @@
     "Changes of what a direct entry finds a target to be",
     ("state",),
 )
+LEFT_DOMAIN = Instrument(
+    "chicorycove_sent_outside_domain",
+    "Attempts sent to another failure domain",
+    ("cause",),
+)
 FIRST_TOKEN = Instrument(
     "chicorycove_time_to_first_token",
     "From arrival to the first byte",
@@ -83,6 +88,7 @@
     DROPS,
     ATTEMPTS,
     TARGET_CHANGES,
+    LEFT_DOMAIN,
     FIRST_TOKEN,
     ANSWER_TIME,
     EVACUATED_DOMAINS,
@@ -180,6 +186,10 @@
         """Count a target that is found to be in another state than before."""
         self._count(TARGET_CHANGES, state)
 
+    def left_domain(self, cause: str) -> None:
+        """Count an attempt sent to another failure domain."""
+        self._count(LEFT_DOMAIN, cause)
+
     def first_token(self, seconds: float, tokens: int) -> None:
         """Record a time to first token, by prompt length."""
         self._observe(FIRST_TOKEN, seconds, length_class(tokens))
