Drop what follows a reply's end, and use a connection for one call

Cause: a server may send a reply twice. A copy that arrived in one read with its reply was parsed into it: the body and headers of the store's reply were doubled, and the reply of a connection that closes was reported as failed. Connections to the store were not reused, but only because httptools' should_keep_alive() is always false once a message is complete; the code and the page on operations said that they were.

Change: the client keeps the first complete reply and drops the rest. A connection carries one call, which is now the stated rule instead of a side effect; so a late copy has no later call to reach. No call's behaviour on the wire changes.

--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -1,4 +1,4 @@
-"""A small HTTP client that keeps one connection open."""
+"""A small HTTP client that makes one call at a time."""
 
 import asyncio
 import dataclasses
@@ -35,26 +35,53 @@
 
 
 class _ReplyParser:
-    """Parses one answer and collects its body."""
+    """Parses one answer and collects its body.
+
+    Bytes after its end, such as a second copy of the answer, are dropped.
+    """
 
     def __init__(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self.headers: Headers = []
-        self.body = bytearray()
         self.complete = False
+        self.status = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._body = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes of the answer.
+
+        :raises httptools.HttpParserError: if they are not part of an answer
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if not self.complete:
+                raise
+
+    def reply(self) -> Reply:
+        """Return the complete answer."""
+        return Reply(self.status, bytes(self._body), self._headers)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name, value))
+        if not self.complete:
+            self._headers.append((name, value))
 
     def on_body(self, body: bytes) -> None:
-        self.body += body
+        if not self.complete:
+            self._body += body
 
     def on_message_complete(self) -> None:
-        self.complete = True
+        if not self.complete:
+            self.complete = True
+            self.status = self._parser.get_status_code()
 
 
 class HttpClient:
-    """A client of one address that makes one call at a time."""
+    """A client of one address that makes one call at a time.
+
+    Each call has a connection of its own: on a connection in use again, a
+    late second copy of an answer would be read as the next call's answer.
+    """
 
     def __init__(self, address: str, max_reply_size: int = MAX_REPLY_SIZE) -> None:
         """Use the server at "ip:port"; the size of a reply is in bytes."""
@@ -81,26 +108,19 @@
                     sent = True
                     return await self._send_request(method, path, body)
             except (OSError, TimeoutError, EOFError) as error:
-                self.close()
                 raise CallFailed(error, sent) from None
             except httptools.HttpParserError as error:
-                self.close()
                 raise CallFailed(error, sent) from None
-            except asyncio.CancelledError:
-                self.close()  # otherwise the next call would read this answer
-                raise
+            finally:
+                self.close()
 
     def close(self) -> None:
-        """Close the connection; the next call opens another."""
+        """Close the connection of the call in progress."""
         if self._writer is not None:
             self._writer.transport.abort()
         self._reader = self._writer = None
 
     async def _connect(self) -> None:
-        if self._writer is not None and not self._writer.is_closing():
-            if not self._reader.at_eof():
-                return
-            self.close()
         async with asyncio.timeout(CONNECT_TIMEOUT):
             self._reader, self._writer = await asyncio.open_connection(
                 self._host, self._port, limit=READ_SIZE
@@ -123,12 +143,5 @@
             size += len(data)
             if size > self._max_reply_size:
                 raise OSError(f"the reply exceeds {self._max_reply_size} bytes")
-            reply_parser.parser.feed_data(data)
-        reply = Reply(
-            reply_parser.parser.get_status_code(),
-            bytes(reply_parser.body),
-            reply_parser.headers,
-        )
-        if not reply_parser.parser.should_keep_alive():
-            self.close()
-        return reply
+            reply_parser.feed(data)
+        return reply_parser.reply()
