Answer a request that is refused behind another one

Cause: a request that was malformed, too large or late in its head while an earlier request on its connection was in flight was counted as refused and never answered; the connection stayed open until its idle timeout.

Change: the refusal is sent after the answers to the requests before it, and the connection closes.

--- a/src/chicorycove/direct/caller_connection.py
+++ b/src/chicorycove/direct/caller_connection.py
@@ -69,6 +69,7 @@
         self._pending: collections.deque[HttpRequest] = collections.deque()
         self._current: HttpRequest | None = None
         self._refused = False
+        self._unsent_refusal: int | None = None  # status, sent after other answers
         self._reset()
         self.close_after_answer = False
         self.relay_source: TargetConnection | None = None  # paused while writes block
@@ -193,6 +194,10 @@
             if not self._transport.is_closing():
                 self._transport.resume_reading()
             self._handler.request_received(self, self._current)
+        elif self._unsent_refusal is not None:
+            status, self._unsent_refusal = self._unsent_refusal, None
+            self.close_after_answer = True
+            self.send_answer(status, [], b"")
 
     # Called by the handler
 
@@ -202,9 +207,9 @@
             return
         self._refused = True
         self._handler.request_rejected(self, status)
+        self._unsent_refusal = status
         if self._current is None:
-            self.close_after_answer = True
-            self.send_answer(status, [], b"")
+            self._handle_next()
 
     def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
--- a/tests/test_direct_late_answers.py
+++ b/tests/test_direct_late_answers.py
@@ -1,4 +1,4 @@
-"""Failure: a server sends an answer twice, on a connection that is in use again.
+"""Failure: a server sends an answer twice, on a connection in use again.
 
 No later call and no other caller may receive the second copy.
 """
