Give attempts at a target connections of their own; close dirty ones

Cause: agents sent attempts that may be repeated over pooled connections. A target that sent a second copy of an answer had it read as the answer to the next attempt on the connection: the caller received another caller's answer with status 200. The same held for control calls, the host list and the store's gateway.

Change: a pooled connection that holds unread bytes is closed instead of used again. Attempts, segments and resumed answers use a connection once, since a copy that arrives after the next request was sent cannot be told from that request's answer: targets of agents do not echo an attempt's id.

--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -85,10 +85,16 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self._pooled_client = new_client(POOL_SIZE, CONNECT_TIMEOUT)
+        # Attempts of different callers share no connection: a late second copy
+        # of an answer would be read as the answer to the next attempt.
+        self._attempt_client = new_client(
+            POOL_SIZE, CONNECT_TIMEOUT, reuse_connections=False
+        )
 
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled_client.aclose()
+        await self._attempt_client.aclose()
 
     @contextlib.asynccontextmanager
     async def stream(self, request: TargetRequest) -> t.AsyncIterator[Answer]:
@@ -98,11 +104,12 @@
         :raises TargetFailed: if the request failed after that
         """
         if request.idempotent:
-            async with self._send(self._pooled_client, request) as answer:
+            async with self._send(self._attempt_client, request) as answer:
                 yield answer
             return
         # If the target has just closed a pooled connection, it is unknown
-        # whether a request sent over it ran. A new connection avoids that.
+        # whether a request sent over it ran. A new connection avoids that,
+        # and a client of its own never waits for one.
         client = new_client(1, CONNECT_TIMEOUT)
         try:
             async with self._send(client, request) as answer:
--- a/src/chicorycove/httpclient.py
+++ b/src/chicorycove/httpclient.py
@@ -1,4 +1,4 @@
-"""HTTP client that reuses no aborted connection and retries no request."""
+"""HTTP client that mixes up no answers and retries no request."""
 
 import aiosonic
 from aiosonic.connection import Connection
@@ -34,17 +34,39 @@
         await super().__aexit__(exc_type, exc, tb)
 
     def reuse(self, urlparsed, verify) -> bool:
-        """Return whether the connection is open and to the same address."""
-        if self.reader is not None and self.reader.at_eof():
+        """Return whether the connection is open, idle and to this address."""
+        if self.reader is not None and (self.reader.at_eof() or self._has_unread()):
             return False
         return super().reuse(urlparsed, verify)
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes came after the last answer, such as its copy.
 
-def new_client(pool_size: int, connect_timeout: float) -> aiosonic.HTTPClient:
+        The next request on the connection would read them as its answer.
+        """
+        # StreamReader has no public way to look at its buffer.
+        return bool(self.reader._buffer)
+
+
+class _SingleUseConnection(_Connection):
+    """Connection that is closed after one request.
+
+    A copy of an answer that arrives after the next request was sent cannot be
+    told from that request's answer.
+    """
+
+    def keep_alive(self) -> None:
+        """Leave ``keep`` unset, so that the connection closes."""
+
+
+def new_client(
+    pool_size: int, connect_timeout: float, reuse_connections: bool = True
+) -> aiosonic.HTTPClient:
     """Return a client whose callers set a timeout for each request.
 
     :param pool_size: maximum number of connections
     :param connect_timeout: timeout to connect or get a connection, in seconds
+    :param reuse_connections: keep connections open for further requests
     """
     timeouts = Timeouts(
         sock_connect=connect_timeout,
@@ -55,6 +77,6 @@
     connector = TCPConnector(
         pool_configs={":default": PoolConfig(size=pool_size)},
         timeouts=timeouts,
-        connection_cls=_Connection,
+        connection_cls=_Connection if reuse_connections else _SingleUseConnection,
     )
     return aiosonic.HTTPClient(connector)
