Take no late copy of a store's answer for another call's

Cause: a copy of an answer of the store's gateway that arrives once the next call was sent on its connection was taken for that call's answer: a write that the store had not made counted as made, a read returned another key's value.

Change: the answer to a write must carry a revision that no earlier write of this process has (etcd gives each write its own), and a value must be stored under the key that was asked for. Otherwise the write's outcome is unknown, which its callers settle by reading, and a read is unavailable.

Tests: tests/test_late_answers.py, StoreAnswerTest; its three tests failed before. Not covered: a copy of a deletion's answer, which only expires keys.

--- a/src/chicorycove/backing/store.py
+++ b/src/chicorycove/backing/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import typing as t
 
 import aiosonic
@@ -25,6 +26,9 @@
 MAX_VALUE_SIZE = 1024 * 1024  # bytes
 WATCH_IDLE_TIMEOUT = 60.0  # seconds without a message after which a watch is broken
 POOL_SIZE = 64
+# Revisions of writes that are remembered. A copy of an answer arrives on the
+# connection that the answer came over, soon after it.
+REMEMBERED_REVISIONS = 1024
 
 # Status codes of gRPC for calls that certainly had no effect: 7, 8, 11 and 16
 # are permission denied, resource exhausted, out of range and unauthenticated.
@@ -103,6 +107,9 @@
         self._url = f"http://{address}/v3"
         self._timeout = timeout
         self._client = new_client(POOL_SIZE, timeout)
+        self._write_revisions: collections.deque[int] = collections.deque(
+            maxlen=REMEMBERED_REVISIONS
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -111,7 +118,7 @@
     async def get(self, key: str) -> ValueRead | StoreUnreachable:
         """Read a key; an absent one has version 0."""
         try:
-            return _decode_range(await self._read_range(key))
+            return _decode_range(await self._read_range(key), key)
         except StoreUnavailable:
             return StoreUnreachable()
 
@@ -128,7 +135,14 @@
         put = {"key": _encode_key(key), "value": base64.b64encode(value).decode()}
         if lease is not None:
             put["lease"] = str(lease)
-        return await self._commit(key, version, {"requestPut": put})
+        result = await self._commit(key, version, {"requestPut": put})
+        if isinstance(result, SwapSucceeded):
+            # Each write has a revision of its own; an answer with that of an
+            # earlier write is a late copy of that write's answer.
+            if result.version in self._write_revisions:
+                return OutcomeUnknown()
+            self._write_revisions.append(result.version)
+        return result
 
     async def delete(self, key: str, version: int) -> SwapResult:
         """Delete a key if it still has a version."""
@@ -179,7 +193,7 @@
         """
         while True:
             answer = await self._read_range(key)
-            found = _decode_range(answer)
+            found = _decode_range(answer, key)
             if found.version != version:
                 version = found.version
                 yield found
@@ -191,7 +205,9 @@
 
     async def _read_range(self, key: str) -> dict:
         try:
-            return await self._call("kv/range", {"key": _encode_key(key)})
+            answer = await self._call("kv/range", {"key": _encode_key(key)})
+            _decode_range(answer, key)
+            return answer
         except (_GatewayError, *CONNECTION_ERRORS) as error:
             raise StoreUnavailable(f'cannot read "{key}": {error!r}') from None
 
@@ -215,7 +231,10 @@
             return OutcomeUnknown()
         if answer.get("succeeded"):
             return SwapSucceeded(int(answer["header"]["revision"]))
-        found = _decode_range(answer["responses"][0]["response_range"])
+        try:
+            found = _decode_range(answer["responses"][0]["response_range"], key)
+        except ValueError:
+            return OutcomeUnknown()
         return SwapConflicted(found.value, found.version)
 
     async def _write(self, path: str, body: dict) -> dict:
@@ -275,8 +294,14 @@
     return base64.b64encode(key.encode()).decode()
 
 
-def _decode_range(answer: dict) -> ValueRead:
+def _decode_range(answer: dict, key: str) -> ValueRead:
+    """Return the value of a key in an answer.
+
+    :raises ValueError: if the answer is about another key, as a late copy is
+    """
     for record in answer.get("kvs", ()):
+        if record["key"] != _encode_key(key):
+            raise ValueError(f'expected key "{key}" (base64), got {record["key"]!r}')
         return _decode_value(record)
     return ValueRead(b"", 0)
 
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -1,15 +1,19 @@
 """Failure: a server sends an answer twice, on a connection in use again.
 
-No later call and no other caller may receive the second copy. On links
-between entries and agents, ``tests/test_attempt.py`` and ``tests/test_fuzz.py``
-repeat messages.
+No later call and no other caller may receive the second copy. Messages on
+links between entries and agents are repeated by ``tests/test_attempt.py`` and
+``tests/test_fuzz.py``.
 """
 
 import asyncio
+import base64
+import json
 import unittest
 
 from chicorycove.backend import TargetClient, TargetRequest
+from chicorycove.backing.store import EtcdStore
 from chicorycove.conversion import Address
+from chicorycove.event import OutcomeUnknown, StoreUnreachable, ValueRead
 from chicorycove.exceptions import TargetFailed
 from chicorycove.httpclient import new_client
 from chicorycove.listener import listen
@@ -56,7 +60,8 @@
 class AttemptConnectionTest(ScriptedTestCase):
     """Attempts at a target that repeats answers.
 
-    What prevents a mix-up: a connection carries one attempt (``TargetClient``).
+    What prevents a mix-up: a connection carries one attempt
+    (``backend.TargetClient``).
     """
 
     async def fetch(self, client, path, idempotent):
@@ -87,7 +92,7 @@
         answers = {}
 
         async def handle(request):
-            # A connection that carries a second attempt answers the first again.
+            # A connection that carries a second attempt answers the first.
             reply = answer(request.path.encode())
             request.send(answers.setdefault(request.connection, reply))
 
@@ -117,6 +122,49 @@
             self.assertEqual(await self.fetch(client, path, True), path.encode())
 
 
+class StoreAnswerTest(ScriptedTestCase):
+    """Copies that arrive once the next call is sent.
+
+    Only the answer itself can show that it is a copy: a revision belongs to
+    one write, and a value is found under the key that was asked for.
+    """
+
+    async def start_store(self, handle):
+        server = await self.start_server(handle)
+        store = EtcdStore(server.address, 5.0)
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def test_copy_of_a_write_is_not_the_next_write(self):
+        async def handle(request):
+            reply = {"succeeded": True, "header": {"revision": "7"}}
+            request.send(answer(json.dumps(reply).encode()))
+
+        store = await self.start_store(handle)
+        first = await store.swap("a", 0, b"x")
+        self.assertEqual(first.version, 7)
+        self.assertEqual(await store.swap("b", 0, b"x"), OutcomeUnknown())
+
+    async def test_copy_of_a_read_is_not_the_value_of_another_key(self):
+        async def handle(request):
+            request.send(answer(json.dumps(range_answer("a")).encode()))
+
+        store = await self.start_store(handle)
+        self.assertEqual(await store.get("a"), ValueRead(b"x", 3))
+        self.assertEqual(await store.get("b"), StoreUnreachable())
+
+    async def test_copy_of_a_conflict_is_not_the_conflict_of_another_key(self):
+        async def handle(request):
+            reply = {
+                "header": {"revision": "7"},
+                "responses": [{"response_range": range_answer("a")}],
+            }
+            request.send(answer(json.dumps(reply).encode()))
+
+        store = await self.start_store(handle)
+        self.assertEqual(await store.swap("b", 0, b"x"), OutcomeUnknown())
+
+
 class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Pipelined requests, of which one is answered before its body was read.
 
@@ -155,3 +203,12 @@
                     if line.startswith(b"x-path")
                 ]
         self.assertEqual(found, list(paths))
+
+
+def range_answer(key):
+    record = {
+        "key": base64.b64encode(key.encode()).decode(),
+        "value": base64.b64encode(b"x").decode(),
+        "mod_revision": "3",
+    }
+    return {"header": {"revision": "3"}, "kvs": [record]}
