Answer callers in the listen queue when a direct entry stops

Cause: at the end of a stop, the listening socket was closed with connections in its queue. The kernel reset them, and their callers could not tell whether their requests had run. A queue of one iteration of the event loop was lost, which is long under load.

Change: the queue is emptied immediately before the socket is closed, and what its callers and those with kept connections send within 2% of the grace period is answered as during the stop. A connection that the kernel completes between the last accept and the close is still reset.

Tests: tests/test_direct_stop.py. Found: not accepting the queue (as before) and closing what was accepted fail test_connections_in_the_listen_queue_are_answered. Mechanisms that held, and the mutation that the tests found: ShutdownPolicy.accepts() always true (AcceptTest); a signal handler that is removed after the first signal (SignalTest).

--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import signal
+import socket
 import sys
 import typing as t
 
@@ -43,6 +44,9 @@
 # must have the time to finish.
 MAX_STOP_ACCEPT_TIME = 2.8
 GRACE_SHARE = 0.94  # of the grace period, after which the process exits
+# Share of the grace period after that, in which callers that are connected
+# already still get an answer to what they send.
+LINGER_SHARE = 0.02
 PEER_CHECK_INTERVAL = 0.2  # seconds between checks of peers, and heartbeats
 
 
@@ -103,6 +107,7 @@
             {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
         )
         self._listed_peers: dict[str, str] = {}
+        self._callers_server: asyncio.Server | None = None
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -123,7 +128,9 @@
         ):
             self._tasks.append(asyncio.create_task(coroutine))
         await self._follower.wait_first_list(FIRST_LIST_TIMEOUT)
-        await self._serve(self._entry, sock=self._listeners.callers)
+        self._callers_server = await self._serve(
+            self._entry, sock=self._listeners.callers
+        )
         self._log.write("started", name=self._name, callers=boot.callers)
 
     async def stop(self) -> None:
@@ -137,6 +144,14 @@
             if self._loop.time() >= earliest_end and not self._entry.busy:
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
+        await self._stop_listening()
+        linger_until = self._loop.time() + self._boot.grace * LINGER_SHARE
+        while self._loop.time() < linger_until or (
+            self._entry.busy and self._loop.time() < latest_end
+        ):
+            await asyncio.sleep(
+                min(STOP_POLL_INTERVAL, self._boot.grace * LINGER_SHARE)
+            )
         await cancel_all(self._tasks)
         for server in self._servers:
             server.close()
@@ -187,12 +202,34 @@
             lambda: self._follower.resync(),
         )
 
-    async def _serve(self, handler: CallerHandler, **endpoint: t.Any) -> None:
+    async def _serve(self, handler: CallerHandler, **endpoint: t.Any) -> asyncio.Server:
         """Serve connections; the endpoint is passed to ``create_server``."""
         server = await self._loop.create_server(
             lambda: CallerConnection(handler), backlog=BACKLOG, **endpoint
         )
         self._servers.append(server)
+        return server
+
+    async def _stop_listening(self) -> None:
+        """Accept what is in the listen queue, and close it.
+
+        The kernel resets connections that are in the queue when it closes.
+        """
+        if self._callers_server is None or not self._callers_server.is_serving():
+            return
+        queued: list[socket.socket] = []
+        while True:
+            try:
+                connection, _ = self._listeners.callers.accept()
+            except OSError:  # the queue is empty, or descriptors are exhausted
+                break
+            queued.append(connection)
+        self._callers_server.close()
+        for connection in queued:
+            connection.setblocking(False)
+            await self._loop.connect_accepted_socket(
+                lambda: CallerConnection(self._entry), connection
+            )
 
     def _handle_peer_failure(
         self, event: str, error: Exception, should_log: bool
--- /dev/null
+++ b/tests/test_direct_stop.py
@@ -0,0 +1,223 @@
+"""Failure: a stop under load drops requests without an answer.
+
+Each request that reaches a stopping entry is answered or truthfully refused.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from unittest import mock
+
+from bench.deployment import free_port
+from chicorycove.platform.process import PlatformProcess
+from tests.platform_case import Caller, PlatformTestCase
+
+CALLERS = 5
+TIMEOUT = 20.0  # seconds
+
+
+def request_bytes(id, path="/order/x", body=b"y"):
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: desk.example\r\n"
+        f"Authorization: Bearer key-1\r\nChicorycove-Attempt-Id: {id}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class EndOfStopTest(PlatformTestCase):
+    grace = 1.0
+
+    async def stop_with(self, arrive):
+        """Stop, and block the event loop at the end while callers arrive."""
+        stop = asyncio.create_task(self.process.stop())
+        await asyncio.sleep(0.3)
+
+        def block():
+            arrive()
+            time.sleep(0.8)  # past the end of the accept time and the grace
+
+        asyncio.get_running_loop().call_soon(block)
+        await stop
+
+    async def stop_as_callers_arrive(self, arrive):
+        """Let callers arrive just before the listen queue is closed."""
+        stop_listening = PlatformProcess._stop_listening
+
+        def arrive_and_stop(process):
+            arrive()
+            return stop_listening(process)
+
+        with mock.patch.object(PlatformProcess, "_stop_listening", arrive_and_stop):
+            await self.process.stop()
+
+    async def connect(self):
+        caller = await self.open_caller()
+        self.assertEqual((await caller.request("/order/x", b"first")).status, 200)
+        return caller
+
+    async def test_connections_in_the_listen_queue_are_answered(self):
+        for stop in (self.stop_with, self.stop_as_callers_arrive):
+            with self.subTest(stop.__name__):
+                host, port = self.boot.callers.rsplit(":", 1)
+                sockets = []
+
+                def arrive():
+                    for number in range(CALLERS):
+                        caller = socket.create_connection((host, int(port)))
+                        caller.sendall(request_bytes(f"queued-{number}"))
+                        sockets.append(caller)
+
+                await stop(arrive)
+                for caller in sockets:
+                    caller.setblocking(False)
+                    reader, writer = await asyncio.open_connection(sock=caller)
+                    answer = await Caller(reader, writer).read()
+                    writer.close()
+                    self.assertEqual(answer.status, 503)
+                    self.assertIn("retry-after", answer.headers)
+                self.assertEqual(self.runs(), [])
+                with self.assertRaises(OSError):
+                    await self.open_caller()
+                self.process = await self.start_entry()
+
+    async def test_next_request_of_a_kept_connection_is_answered(self):
+        callers = [await self.connect() for _ in range(CALLERS)]
+
+        def arrive():
+            for caller in callers:
+                caller.send("/order/x", b"late")
+
+        await self.stop_with(arrive)
+        for caller in callers:
+            self.assertEqual((await caller.read()).status, 503)
+        self.assertEqual(len(self.runs()), CALLERS)
+
+    async def test_stream_that_runs_at_the_end_shows_as_incomplete(self):
+        for server in self.model_servers:
+            server.faults.pause = 0.05
+        stream = asyncio.create_task(self.request_stream(output=46 * 1000))
+        await self.wait_until(self.is_running)
+        await self.process.stop()
+        answer = await stream
+        self.assertFalse(answer.complete)
+        self.assertTrue(answer.events)
+
+    async def is_running(self):
+        return bool(self.runs())
+
+
+class AcceptTest(PlatformTestCase):
+    """What a stopping entry accepts can end before the process does.
+
+    ``direct.shutdown.ShutdownPolicy`` decides it for each request.
+    """
+
+    grace = 4.0
+
+    async def test_requests_of_the_last_milliseconds_are_answered(self):
+        for server in self.model_servers:
+            server.faults.pause = 0.01
+        stop = asyncio.create_task(self.process.stop())
+        tasks = []
+        while not stop.done():
+            for path in ("/order/x", "/ask/x"):
+                tasks.append(asyncio.create_task(self.send_once(path)))
+            await asyncio.sleep(0.01)
+        outcomes = await asyncio.gather(*tasks)
+        statuses = [answer.status for answer in outcomes if answer is not None]
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertGreater(statuses.count(200), 100)
+        self.assertTrue(all(each.complete for each in outcomes if each is not None))
+        self.assertEqual(len(self.runs()), statuses.count(200))
+
+    async def send_once(self, path):
+        """Return the answer, or None if the connection was refused."""
+        try:
+            caller = await Caller.open(self.boot.callers)
+        except ConnectionRefusedError:
+            return None
+        try:
+            return await caller.request(path, Chicorycove_Token_Counts="100,460")
+        finally:
+            caller.close()
+
+
+class SignalTest(PlatformTestCase):
+    """A process of its own, which gets more than one stop signal."""
+
+    async def start_process(self):
+        port = free_port()
+        while (following := free_port()) != port + 1:
+            port = following
+        callers = f"127.0.0.1:{free_port()}"
+        boot = {
+            "node": "entry-2",
+            "ip": "127.0.0.1",
+            "zone": "here",
+            "listen": {"front": callers, "ready": f"127.0.0.1:{free_port()}"},
+            "internalPortRange": [port, port + 1],
+            "platform": {"address": self._store_server.address},
+            "bounds": {
+                "graceS": 6,
+                "drainMs": 2000,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetExtra": 100,
+                "holdMaxMs": 20000,
+            },
+        }
+        file = tempfile.NamedTemporaryFile("w", suffix=".json")
+        self.addCleanup(file.close)
+        json.dump(boot, file)
+        file.flush()
+        path = os.pathsep.join(sys.path)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "chicorycove.platform",
+            env={**os.environ, "PYTHONPATH": path, "CHICORYCOVE_BOOT": file.name},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        self.addAsyncCleanup(self.end_process, process)
+        return process, callers, boot["listen"]["ready"]
+
+    async def end_process(self, process):
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+    async def test_second_signal_ends_no_request(self):
+        process, callers, readiness = await self.start_process()
+
+        async def is_ready():
+            try:
+                page = await self.get_page(readiness, "/chicorycove/ready")
+            except OSError:
+                return False
+            return page.status == 200
+
+        await self.wait_until(is_ready)
+        for server in self.model_servers:
+            server.faults.pause = 0.1
+        caller = await Caller.open(callers)
+        self.addCleanup(caller.close)
+        caller.send("/ask/x", Chicorycove_Token_Counts="100,920")
+
+        async def is_running():
+            return bool(self.runs())
+
+        await self.wait_until(is_running)
+        for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+            process.send_signal(number)
+            await asyncio.sleep(0.05)
+        answer = await caller.read()
+        self.assertTrue(answer.complete)
+        self.assertEqual(answer.events, list(range(1, 21)))
+        async with asyncio.timeout(TIMEOUT):
+            self.assertEqual(await process.wait(), 0)
