Fail what a stopping direct entry has no time to finish

Cause: requests still in flight at the end of the grace period, and requests read in part, had their connections closed without an answer.

Change: an event StopTimeExpired fails each with the verdict of its attempts: 502 if it may have run, 503 otherwise; an answer that has begun is aborted. A request read in part is refused with 503.

--- a/src/chicorycove/direct/caller_connection.py
+++ b/src/chicorycove/direct/caller_connection.py
@@ -89,6 +89,11 @@
         """Return whether no request is in flight."""
         return self._current is None
 
+    @property
+    def reading_request(self) -> bool:
+        """Return whether a request was read in part, and none is in flight."""
+        return self._started_at is not None and self._current is None
+
     @property
     def head_started_at(self) -> float | None:
         """Return the loop time at which an incomplete request head began."""
@@ -197,7 +202,8 @@
         elif self._unsent_refusal is not None:
             status, self._unsent_refusal = self._unsent_refusal, None
             self.close_after_answer = True
-            self.send_answer(status, [], b"")
+            headers = [(b"Retry-After", b"0")] if status == 503 else []
+            self.send_answer(status, headers, b"")
 
     # Called by the handler
 
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -44,6 +44,7 @@
     PeersUpdated,
     PeerUpdateReceived,
     RequestReceived,
+    StopTimeExpired,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
@@ -177,9 +178,18 @@
             case StopRequested():
                 self._board.stopping_at = now
                 return []
+            case StopTimeExpired():
+                return self._fail_unfinished()
             case Tick():
                 return self._handle_tick(now)
 
+    def _fail_unfinished(self) -> list[DirectCommand]:
+        commands: list[DirectCommand] = []
+        for request in list(self._board.requests.values()):
+            retry_after = None if request.may_have_run else 0.0
+            commands += self._completion.fail(request, Reason.STOPPING, retry_after)
+        return commands
+
     def report_to_peers(self, now: float) -> list[DirectCommand]:
         """Return the periodic report of what peers may not have received.
 
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -42,6 +42,7 @@
     CallerBackpressureChanged,
     DirectEvent,
     RequestReceived,
+    StopTimeExpired,
     StreamClosed,
 )
 from .exchange import Exchange
@@ -55,6 +56,7 @@
 
 MAX_WAKE_DELAY = 0.1  # seconds; longer delays are logged; a pass takes half of it
 IDLE_CHECK_INTERVAL = 0.5  # seconds between checks of all connections
+REFUSAL_REASONS = {413: Reason.BODY_TOO_LARGE, 503: Reason.STOPPING}
 
 
 class DirectEntry:
@@ -144,6 +146,13 @@
         for connection in list(self._held_requests):
             self._refuse_held_request(connection)
 
+    def fail_unfinished(self) -> None:
+        """Fail the requests that the process has no more time for."""
+        self.handle(StopTimeExpired())
+        for connection in list(self._connections):
+            if connection.reading_request:
+                connection.refuse(503)
+
     # Callers
 
     def connection_opened(self, connection: CallerConnection) -> None:
@@ -156,7 +165,7 @@
 
     def request_rejected(self, connection: CallerConnection, status: int) -> None:
         """Count and log a request that was refused before it was complete."""
-        reason = {413: Reason.BODY_TOO_LARGE}.get(status, Reason.BAD_REQUEST)
+        reason = REFUSAL_REASONS.get(status, Reason.BAD_REQUEST)
         self._metrics.refused(reason, Verdict.NOT_RUN)
         self._log.write(
             "incomplete request refused", status=status, reason=reason.value
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -239,6 +239,11 @@
     notices: tuple[TargetNotice, ...] = ()
 
 
+@frozen
+class StopTimeExpired:
+    """A stopping process has no more time for the requests in flight."""
+
+
 DirectEvent = t.Union[
     RequestReceived,
     AttemptConnected,
@@ -265,5 +270,6 @@
     PeersUpdated,
     PeerUpdateReceived,
     StopRequested,
+    StopTimeExpired,
     Tick,
 ]
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -152,6 +152,7 @@
             await asyncio.sleep(
                 min(STOP_POLL_INTERVAL, self._boot.grace * LINGER_SHARE)
             )
+        self._entry.fail_unfinished()
         await cancel_all(self._tasks)
         for server in self._servers:
             server.close()
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -98,6 +98,33 @@
             self.assertEqual((await caller.read()).status, 503)
         self.assertEqual(len(self.runs()), CALLERS)
 
+    async def test_partly_read_request_is_refused(self):
+        partial = (request_bytes("head")[:40], request_bytes("body", body=b"ab")[:-1])
+        callers = []
+        for data in partial:
+            caller = await self.open_caller()
+            caller.writer.write(data)
+            callers.append(caller)
+        await asyncio.sleep(0.05)
+        await self.process.stop()
+        for caller in callers:
+            answer = await caller.read()
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(self.runs(), [])
+
+    async def test_request_that_runs_at_the_end_is_not_called_unrun(self):
+        for server in self.shop_servers:
+            server.faults.hang = True
+        caller = await self.open_caller()
+        caller.send("/order/x", b"steel")
+        await self.wait_until(self.is_running)
+        await self.process.stop()
+        answer = await caller.read()
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn("retry-after", answer.headers)
+        self.assertEqual(len(self.runs()), 1)
+
     async def test_stream_that_runs_at_the_end_shows_as_incomplete(self):
         for server in self.model_servers:
             server.faults.pause = 0.05
