Answer callers that reach an entry with agents as it stops

Cause: uvicorn closes its listening socket with connections in the queue, which the kernel resets, and closes kept connections at once, also one whose next request is on its way. Callers saw a reset and could not tell whether their request had run.

Change: the queue is accepted immediately before the socket closes, and for 0.1 s after it what arrives is answered as during the stop: with 503, not_run.

A second and a third signal are now part of test_planned_stops_cut_no_request: what holds is that a signal only sets an event (daemon.run); a handler that is removed after its first signal fails the test.

--- a/src/chicorycove/listener.py
+++ b/src/chicorycove/listener.py
@@ -6,11 +6,15 @@
 import typing as t
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .conversion import Address
 
 KEEP_ALIVE_TIMEOUT = 75  # seconds that an idle connection is kept
 BACKLOG = 2048  # connections that may wait to be accepted
+# Seconds after the listening socket closes, in which connected callers
+# still get an answer to what they send.
+LINGER_TIME = 0.1
 STARTUP_POLL_INTERVAL = 0.002  # seconds between checks that the server has started
 
 
@@ -21,6 +25,33 @@
     def capture_signals(self) -> t.Iterator[None]:
         yield
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept what is in the listen queue, close it and shut down.
+
+        The kernel resets connections that are in the queue when it closes.
+        """
+        loop = asyncio.get_running_loop()
+        queued = [each for sock in sockets or () for each in _accept_all(sock)]
+        for server in self.servers:
+            server.close()
+        for connection in queued:
+            connection.setblocking(False)
+            await loop.connect_accepted_socket(self._create_protocol, connection)
+        await asyncio.sleep(LINGER_TIME)
+        await super().shutdown(sockets)
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        return HttpToolsProtocol(self.config, self.server_state, self.lifespan.state)
+
+
+def _accept_all(listening_socket: socket.socket) -> t.Iterator[socket.socket]:
+    while True:
+        try:
+            connection, _ = listening_socket.accept()
+        except OSError:  # the queue is empty, or descriptors are exhausted
+            return
+        yield connection
+
 
 class Listener:
     """Handle of an application that is being served."""
@@ -61,7 +92,7 @@
         ) from None
     config = uvicorn.Config(
         app,
-        http="httptools",
+        http=HttpToolsProtocol,
         ws="none",
         lifespan="off",
         access_log=False,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -188,7 +188,10 @@
                     for n in "ab"
                 ]
                 await asyncio.sleep(0.2)
-                self.deployment.signal(process_name, signal.SIGTERM)
+                # A second signal ends nothing early.
+                for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+                    self.deployment.signal(process_name, number)
+                    await asyncio.sleep(0.05)
                 answers = await asyncio.gather(*tasks)
                 exit_code = await asyncio.to_thread(
                     self.deployment.wait, process_name, TIMEOUT
