Refuse a half-read request when an entry with agents stops

Cause: a request whose head was incomplete had its connection closed without an answer. One whose body was incomplete kept the stop waiting for the rest, without a bound, until the platform killed the process.

Change: both are refused with a problem document, stopping and not_run, since applications run a request only once they have read it completely.

Tests: tests/test_stop.py, the two tests of partly read requests; before, the stop did not end within their 10 s.

--- a/src/chicorycove/listener.py
+++ b/src/chicorycove/listener.py
@@ -9,6 +9,9 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .conversion import Address
+from .problem import Problem
+from .reason import Reason
+from .verdict import Verdict
 
 KEEP_ALIVE_TIMEOUT = 75  # seconds that an idle connection is kept
 BACKLOG = 2048  # connections that may wait to be accepted
@@ -18,6 +21,48 @@
 STARTUP_POLL_INTERVAL = 0.002  # seconds between checks that the server has started
 
 
+class _Protocol(HttpToolsProtocol):
+    """Connection that refuses a request which a shutdown finds half read."""
+
+    _reading_head = False
+
+    def on_message_begin(self) -> None:
+        self._reading_head = True
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        self._reading_head = False
+        super().on_headers_complete()
+
+    def shutdown(self) -> None:
+        cycle = self.cycle
+        idle = cycle is None or cycle.response_complete
+        if idle and self._reading_head:
+            self._refuse()
+        elif not idle and cycle.more_body and not cycle.response_started:
+            # An application answers once it has read the whole body; a caller
+            # that never sends the rest would keep the process from its end.
+            if not self.pipeline:
+                self._refuse()
+            elif not self.transport.is_closing():
+                self.loop.call_later(LINGER_TIME, self.shutdown)
+        else:
+            super().shutdown()
+
+    def _refuse(self) -> None:
+        problem = Problem(Reason.STOPPING, Verdict.NOT_RUN, retry_after=1.0)
+        body = problem.body()
+        headers = [
+            *problem.headers,
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+        ]
+        lines = [b"HTTP/1.1 %d Service Unavailable" % problem.status]
+        lines += [b"%b: %b" % header for header in headers]
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """Server that leaves the process's signal handlers unchanged."""
 
@@ -41,7 +86,7 @@
         await super().shutdown(sockets)
 
     def _create_protocol(self) -> asyncio.Protocol:
-        return HttpToolsProtocol(self.config, self.server_state, self.lifespan.state)
+        return _Protocol(self.config, self.server_state, self.lifespan.state)
 
 
 def _accept_all(listening_socket: socket.socket) -> t.Iterator[socket.socket]:
@@ -92,7 +137,7 @@
         ) from None
     config = uvicorn.Config(
         app,
-        http=HttpToolsProtocol,
+        http=_Protocol,
         ws="none",
         lifespan="off",
         access_log=False,
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import socket
 import unittest
 from unittest import mock
@@ -98,6 +99,27 @@
             await self.close()
         self.assertEqual(await self.read(reader), (200, b"done"))
 
+    async def test_partly_read_request_is_refused_and_ends_the_stop(self):
+        callers = []
+        for data in (HEAD[:20], HEAD, HEAD + b"bod"):
+            reader, writer = await self.open()
+            writer.write(data)
+            callers.append(reader)
+        used_reader, used_writer = await self.open()
+        used_writer.write(HEAD + b"body")
+        await self.read(used_reader)
+        used_writer.write(HEAD[:20])
+        callers.append(used_reader)
+        await asyncio.sleep(0.05)
+        await self.close()
+        for reader in callers:
+            status, body = await self.read(reader)
+            problem = json.loads(body)
+            self.assertEqual(
+                (status, problem["reason"], problem["verdict"]),
+                (503, "stopping", "not_run"),
+            )
+
     async def test_requests_in_flight_and_behind_them_are_answered(self):
         self.may_answer.clear()
         reader, writer = await self.open()
@@ -111,3 +133,16 @@
         for _ in range(3):
             self.assertEqual(await self.read(reader), (200, b"done"))
         await close
+
+    async def test_partly_read_request_behind_another_is_refused(self):
+        self.may_answer.clear()
+        reader, writer = await self.open()
+        writer.write(HEAD + b"body" + HEAD + b"bod")
+        while not self.started_count:
+            await asyncio.sleep(0.01)
+        close = asyncio.create_task(self.close())
+        await asyncio.sleep(0.3)
+        self.may_answer.set()
+        self.assertEqual(await self.read(reader), (200, b"done"))
+        self.assertEqual((await self.read(reader))[0], 503)
+        await close
