Count whole events as a stream's progress, not comments

A stalled target that sent one now and then was taken for one that makes progress, so that its stream did not move to another target, and a stream of nothing but comments ended as complete.

Change: an event has data or an id. The rest is passed on to the caller as before and is no progress.

Mechanisms that held: single bytes (EventBuffer.feed returns whole events), a caller that reads slowly (CallerBackpressureChanged).

--- a/src/chicorycove/direct/eventstream.py
+++ b/src/chicorycove/direct/eventstream.py
@@ -4,11 +4,16 @@
 
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+EVENT_FIELDS = (b"data", ID_FIELD)  # "data" may stand without a colon
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EventBatch:
-    """Complete events, their count and the id of the last one."""
+    """Complete events, their count and the id of the last one.
+
+    Comments between events are part of the data and count as no event, so
+    that a target that sends nothing else makes no progress.
+    """
 
     data: bytes
     count: int
@@ -48,7 +53,8 @@
             complete = self._remove_relayed(complete)
         if not complete:
             return None
-        return EventBatch(complete, complete.count(SEPARATOR), find_last_id(complete))
+        count = sum(map(_is_event, complete.split(SEPARATOR)))
+        return EventBatch(complete, count, find_last_id(complete))
 
     def _remove_relayed(self, complete: bytes) -> bytes:
         events = complete.split(SEPARATOR)[:-1]
@@ -60,6 +66,13 @@
         return event_id is not None and event_id <= self._after_id
 
 
+def _is_event(text: bytes) -> bool:
+    """Return whether the text between two separators has data or an id."""
+    return text.startswith(EVENT_FIELDS) or any(
+        b"\n" + field in text for field in EVENT_FIELDS
+    )
+
+
 def find_last_id(data: bytes) -> int | None:
     """Return the last id among events, or None if it is no integer."""
     start = data.rfind(b"\n" + ID_FIELD)
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -123,13 +123,14 @@
 
     def relay(self, batch: EventBatch) -> None:
         """Send a batch of events to the caller."""
-        now = asyncio.get_running_loop().time()
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self._last_event_at)
-        self._last_event_at = now
-        self.event_count += batch.count
+        if batch.count:
+            now = asyncio.get_running_loop().time()
+            if self.first_event_at is None:
+                self.first_event_at = now
+            else:
+                self.longest_pause = max(self.longest_pause, now - self._last_event_at)
+            self._last_event_at = now
+            self.event_count += batch.count
         self.connection.send_chunk(batch.data)
 
     def finish(self) -> None:
@@ -299,12 +300,13 @@
             return
         if batch is None:
             return
-        self._relayed_events = True
         exchange = self._exchange
         exchange.relay(batch)
-        exchange.listener.handle(
-            EventsRelayed(self.attempt, batch.count, batch.last_id)
-        )
+        if batch.count:
+            self._relayed_events = True
+            exchange.listener.handle(
+                EventsRelayed(self.attempt, batch.count, batch.last_id)
+            )
 
     def _fail(self, reason: Reason) -> None:
         self._closed = True
