Abandon a late attempt only if its request can be sent again

Cause: an attempt whose progress check timed out was cancelled before a target was chosen for the next one. With none (the only target leaves, is at its rate limit, or cannot answer in time) the answer was aborted, although its target was alive and only slow.

Change: the dispatcher looks for a placement first; without one the attempt goes on, and the target is probed again.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -667,13 +667,30 @@
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
         """Retry an attempt that has timed out, if it may be repeated."""
-        if self._retry_policy.may_retry(request, now):
+        if self._retry_policy.may_retry(request, now) and self._can_place(request, now):
             return self._abandon_attempt(request, now)
         if not request.inbound.route.streamed:
             return []
         self._progress.check_later(request, now)
         return self._target_health.probe(request.attempts[-1].agent.target)
 
+    def _can_place(self, request: DirectRequest, now: float) -> bool:
+        """Return whether a late attempt's request can be sent again in time.
+
+        An attempt that is alive must not be abandoned for nothing.
+        """
+        target = request.attempts[-1].agent.target
+        was_tried = target in request.tried_targets
+        request.tried_targets.add(target)
+        placement = self._selector.choose(request, now)
+        if not was_tried:
+            request.tried_targets.discard(target)
+        return (
+            placement is not None
+            and placement.target not in request.unreachable_targets
+            and now + placement.time_to_first_event <= request.inbound.request.deadline
+        )
+
     def _abandon_attempt(
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
--- a/tests/test_direct_slow_streams.py
+++ b/tests/test_direct_slow_streams.py
@@ -1,8 +1,8 @@
 """Failure: a slow stream is cut, or a stalled one is kept for ever.
 
-Progress is a whole event. A stalled stream that may be resumed moves to another
-target once its progress check times out (``direct.progress``); any other ends
-at its deadline.
+Progress is a whole event. A stalled stream that may be resumed moves to
+another target once its progress check times out (``direct.progress``); any
+other ends at its deadline.
 """
 
 import asyncio
@@ -10,7 +10,9 @@
 import unittest
 
 from chicorycove.direct.eventstream import EventBuffer
+from chicorycove.lifecycle import Tick
 from standin import platform_server
+from tests.direct import SHORT, DirectWorld, command_names
 from tests.platform_case import PlatformTestCase
 from tests.scripted import ScriptedServer
 
@@ -42,6 +44,20 @@
         self.assertEqual([buffer.feed(part) for part in parts], [None] * len(parts))
         self.assertEqual(buffer.feed(last).count, 1)
 
+    def test_overdue_stream_goes_on_where_no_other_target_takes_it(self):
+        # It was aborted before the entry knew of another target.
+        world = DirectWorld(engines=1)
+        send = world.send("a", SHORT)
+        world.stream(send)
+        world.add_target("e0", "model", leaving=True)
+        while world.now < SHORT.timeout - 1.0:
+            world.now += 0.05
+            commands = command_names(world.handle(Tick()))
+            self.assertLessEqual(set(commands), {"ProbeTarget"})
+        world.now = SHORT.timeout
+        commands = command_names(world.handle(Tick()))
+        self.assertEqual(commands[-2:], ["CancelAttempt", "AbortAnswer"])
+
 
 class StalledStreamTest(PlatformTestCase):
     shop_count = 0
