Bound the integers of headers and of event ids

Cause: Python refuses to convert more than 4300 digits, and to make a float of an integer beyond 1e308. A caller's Chicorycove-Token-Counts or Last-Event-Id, or a target's event id, of that length raised where nothing expected it: the caller's request was never answered.

Change: integers of headers count as 10^15 at most; an event id of more than 18 digits is none, like any that is not a number.

Failed before: test_headers_of_callers_are_parsed_or_refused (ValueError).

--- a/src/chicorycove/direct/eventstream.py
+++ b/src/chicorycove/direct/eventstream.py
@@ -4,6 +4,7 @@
 
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+MAX_ID_DIGITS = 18  # Python converts no more than 4300 digits to an integer
 EVENT_FIELDS = (b"data", ID_FIELD)  # "data" may stand without a colon
 
 
@@ -84,4 +85,4 @@
         return None
     end = data.find(b"\n", start)
     text = data[start + len(ID_FIELD) : end if end >= 0 else len(data)].strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -59,6 +59,10 @@
 MAX_SHARED_PARTS = 64  # of a prompt; further ones are ignored
 MAX_PART_ID_LENGTH = 64  # characters
 MS_PER_SECOND = 1000.0
+# Python converts no more than 4300 digits to an integer, and no integer beyond
+# 1e308 to a float.
+MAX_DIGITS = 16
+MAX_INTEGER = 10**15
 
 
 class PlatformDialect:
@@ -290,7 +294,11 @@
 
 
 def _parse_integer(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    """Return the integer in a header, at most ``MAX_INTEGER``."""
+    if value is None or not value.isdigit():
+        return None
+    digits = value.lstrip(b"0") or b"0"
+    return min(int(digits[:MAX_DIGITS]), MAX_INTEGER)
 
 
 def _parse_number(value: bytes | None) -> float | None:
