Refuse datagrams of peers with absurd numbers

Cause: msgspec accepted NaN, infinite and negative times, counts and rates, and lists of any length. NaN and infinities reached the order of timers, the load of targets and their placement.

Change: fields have bounds, checked while a datagram is decoded: times within 1e9 s, counts from 0 to 2^53, lists up to 1,024 reports or 16,384 names. An infinite rate still means that a target has no limit. The format is unchanged.

--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -27,6 +27,20 @@
 MAX_WORK_ITEMS = 12
 MAX_RATE_LIMITS = 20
 MAX_NOTICES = 20
+# Bounds of what is received.  Arithmetic on times beyond them, on infinite
+# ones or on NaN would corrupt the order of timers and of targets.
+MAX_SECONDS = 1e9
+MAX_COUNT = 2**53  # the largest integer up to which floats are exact
+MAX_REPORTS = 1_024
+MAX_NAMES = 16_384  # of ended work items or of targets
+
+_Offset = t.Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+_Duration = t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+_Amount = t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COUNT)]
+_Rate = t.Annotated[float, msgspec.Meta(ge=0.0)]  # may be infinite
+_Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Reports = msgspec.Meta(max_length=MAX_REPORTS)
+_Names = msgspec.Meta(max_length=MAX_NAMES)
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
@@ -37,15 +51,15 @@
     """
 
     owner: str
-    work_items: list["WorkItemUpdate"]
-    ended: list[int]  # numbers of work items
-    unreachable: list[str]  # ids of targets
-    store_revision: int  # that the owner has followed the store up to
-    rate_limits: list["RateLimitUpdate"] = []
-    crashes: list["CrashUpdate"] = []
-    answered: list["AnsweredUpdate"] = []
-    quarantines: list["QuarantineUpdate"] = []
-    notices: list["NoticeUpdate"] = []
+    work_items: t.Annotated[list["WorkItemUpdate"], _Reports]
+    ended: t.Annotated[list[int], _Names]  # numbers of work items
+    unreachable: t.Annotated[list[str], _Names]  # ids of targets
+    store_revision: _Count  # that the owner has followed the store up to
+    rate_limits: t.Annotated[list["RateLimitUpdate"], _Reports] = []
+    crashes: t.Annotated[list["CrashUpdate"], _Reports] = []
+    answered: t.Annotated[list["AnsweredUpdate"], _Reports] = []
+    quarantines: t.Annotated[list["QuarantineUpdate"], _Reports] = []
+    notices: t.Annotated[list["NoticeUpdate"], _Reports] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -54,19 +68,19 @@
     Times are in seconds, instants relative to the time of sending.
     """
 
-    number: int
+    number: _Count
     target: str
-    tokens: int
-    prefill_time: float
-    memory: int
-    context_tokens: float
+    tokens: _Count
+    prefill_time: _Duration
+    memory: _Count
+    context_tokens: _Amount
     generates_answer: bool
-    events_left: int
-    max_gap: float
-    value: float
-    placed_ago: float
-    prefill_end_in: float
-    objective_in: float
+    events_left: _Count
+    max_gap: _Duration
+    value: _Amount
+    placed_ago: _Offset
+    prefill_end_in: _Offset
+    objective_in: _Offset
     preempting: bool
     decoding: bool
     missed_objective: bool
@@ -76,8 +90,8 @@
     """A target's rate limit in a datagram; times are in seconds."""
 
     target: str
-    rate: float  # requests per second, infinite for no limit
-    named_ago: float
+    rate: _Rate  # requests per second, infinite for no limit
+    named_ago: _Offset
     incarnation: str = ""  # empty if an entry of an earlier version reports it
 
 
@@ -87,24 +101,24 @@
     target: str
     incarnation: str
     traits: list[str]
-    seen_ago: float
+    seen_ago: _Offset
 
 
 class AnsweredUpdate(msgspec.Struct, array_like=True):
     """Answered traits in a datagram; times are in seconds."""
 
     traits: list[str]
-    answered_ago: float
+    answered_ago: _Offset
 
 
 class QuarantineUpdate(msgspec.Struct, array_like=True):
     """A quarantine in a datagram; times are in seconds."""
 
     traits: list[str]
-    began_ago: float
-    trial_in: float
-    trial_count: int
-    refused_ago: float
+    began_ago: _Offset
+    trial_in: _Offset
+    trial_count: _Count
+    refused_ago: _Offset
 
 
 class NoticeUpdate(msgspec.Struct, array_like=True):
@@ -112,18 +126,18 @@
 
     target: str
     incarnation: str
-    backoff_left: float
+    backoff_left: _Duration
     leaving: bool
 
 
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
-    revision: int
-    after: int
-    part: int
-    part_count: int
+    revision: _Count
+    after: _Count
+    part: _Count
+    part_count: _Count
     data: bytes
-    regained_ago: float | None
+    regained_ago: _Duration | None
 
 
 _encoder = msgspec.msgpack.Encoder()
