Refuse values of the store that would fail each request

Cause: a configuration with zero or negative slots, rates, chunks or times was taken into force, and divided by zero at each request. A listing with a port beyond 65535 made each attempt at it raise. An entry whose address is no "ip:port" ended the task that follows the store: the process went on without ever seeing a change again.

Change: such values are unreadable; they are logged with their cause, and what was in force before stays. A target's own slots, which nothing uses, stay unchecked.

--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -26,6 +26,16 @@
 MILLION = 1e6  # token pairs, of a cost per million pairs
 
 
+MAX_PORT = 65_535
+MAX_HOST_LABEL = 63  # characters, beyond which a name cannot be resolved
+
+# A value outside these bounds would fail each request that uses it.
+_Positive = t.Annotated[int, msgspec.Meta(ge=1)]
+_PositiveRate = t.Annotated[float, msgspec.Meta(gt=0.0)]
+_Amount = t.Annotated[float, msgspec.Meta(ge=0.0)]
+_Size = t.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class UndecodableValue(PlatformError):
     """A value in the store that cannot be decoded."""
 
@@ -33,33 +43,33 @@
 class _LinkDelay(msgspec.Struct):
     origin: str = msgspec.field(name="from")  # failure domain
     destination: str = msgspec.field(name="targetVersion")  # failure domain
-    delay_ms: float  # one way
+    delay_ms: _Amount  # one way
 
 
 class _Engine(msgspec.Struct):
-    slots: int  # requests admitted at the same time
-    kvCapacityTokens: int
-    stride: int  # decode steps in a pass
-    step_ms: float
-    per_seq_ms: float  # milliseconds of a step for each request that decodes
-    context_per_k: float  # milliseconds of a step for each 1000 tokens of context
-    read_per_s: float  # prefill tokens per second
-    pairs_per_m: float  # milliseconds of prefill for each million pairs of tokens
-    chunk: int  # prefill tokens in a step
-    hopMs: float = 0.0  # added to each step of a group
+    slots: _Positive  # requests admitted at the same time
+    kvCapacityTokens: _Positive
+    stride: _Positive  # decode steps in a pass
+    step_ms: _Amount
+    per_seq_ms: _Amount  # milliseconds of a step for each request that decodes
+    context_per_k: _Amount  # milliseconds of a step for each 1000 tokens of context
+    read_per_s: _PositiveRate  # prefill tokens per second
+    pairs_per_m: _Amount  # milliseconds of prefill for each million pairs of tokens
+    chunk: _Positive  # prefill tokens in a step
+    hopMs: _Amount = 0.0  # added to each step of a group
     delays: list[_LinkDelay] = []
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
-    coldStartS: float = 0.0  # seconds for which a started server is cold
-    coldPerS: float = 0.0  # requests per second that a cold server takes
+    coldStartS: _Amount = 0.0  # seconds for which a started server is cold
+    coldPerS: _Amount = 0.0  # requests per second that a cold server takes
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float  # relative share of the requests
+    weight: _Amount  # relative share of the requests
 
 
 class _Route(msgspec.Struct):
@@ -67,23 +77,23 @@
     host: str
     prefix: str
     kind: str  # "safe" (may run more than once), "unsafe" or "streaming"
-    timeoutMs: float
-    targetLatencyMs: float  # to the complete answer or the first event
+    timeoutMs: _Amount
+    targetLatencyMs: _Amount  # to the complete answer or the first event
     service: str | None = None
     trafficSplit: list[_Split] | None = None
     priority: int = 0  # 0 is served first
-    maxAttempts: int = 1
+    maxAttempts: _Size = 1
     public: bool = False  # needs no API key
     resumable: bool = False
-    gapTargetMs: float = 0.0  # longest time between events of a stream
+    gapTargetMs: _Amount = 0.0  # longest time between events of a stream
     allowedRegions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int
-    maxBodyBytes: int
-    headerTimeoutMs: float
-    idleTimeoutMs: float
+    maxHeaderBytes: _Size
+    maxBodyBytes: _Size
+    headerTimeoutMs: _Amount
+    idleTimeoutMs: _Amount
 
 
 class _Tenant(msgspec.Struct):
@@ -108,7 +118,7 @@
     state: str  # "ready" or "draining"
     slots: int = 1
     born: int = 0  # start of the server, in milliseconds since the epoch
-    coldRemainingMs: float | None = None
+    coldRemainingMs: _Amount | None = None
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -116,6 +126,19 @@
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is "host:port" and can be connected to."""
+    host, _, port = text.rpartition(":")
+    return (
+        bool(host)
+        and all(len(label) <= MAX_HOST_LABEL for label in host.split("."))
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= len(str(MAX_PORT))
+        and 0 < int(port) <= MAX_PORT
+    )
+
+
 def decode_deployment(data: bytes) -> Deployment:
     """Decode the operator's configuration.
 
@@ -152,8 +175,7 @@
         server = _server_decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise UndecodableValue(f"invalid server {id}: {error}") from None
-    host, _, port = server.address.rpartition(":")
-    if server.state not in _LEAVING_BY_STATE or not host or not port.isdigit():
+    if server.state not in _LEAVING_BY_STATE or not is_address(server.address):
         raise UndecodableValue(
             f"invalid server {id}: state {server.state!r}, "
             f"address {server.address!r}"
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -374,6 +374,10 @@
             entry = msgspec.json.decode(item.data, type=_Entry)
         except msgspec.MsgspecError as error:
             raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
+        if not decoding.is_address(entry.address):
+            raise decoding.UndecodableValue(
+                f'invalid entry {name}: expected "ip:port", got {entry.address!r}'
+            )
         if self._entries.get(name) != entry:
             self._entries[name] = entry
             self._log.write("peer listed", peer=name, address=entry.address)
