Follow the store on after an unexpected exception

Cause: an exception that was neither a PlatformError nor a ValueError ended the task that follows the store. The process was not told, and went on with the configuration and the targets that it had, for ever.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -130,6 +130,13 @@
                 self._first_list_tried.set()
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
                 delay = min(delay * 2, MAX_RETRY_DELAY)
+            except Exception as error:
+                # Without this task, the process would go on with what it knows
+                # and never see a change again.
+                self._log.write("store not followed", cause=repr(error))
+                self._forget_revision()
+                self._first_list_tried.set()
+                await asyncio.sleep(MAX_RETRY_DELAY)
 
     def resync(self) -> None:
         """Cancel the watch in flight and list the store instead."""
@@ -279,6 +286,8 @@
                 continue
             except PlatformError as error:
                 self._log.write("entry not registered", cause=str(error))
+            except Exception as error:  # others must not stop to see this entry
+                self._log.write("entry not registered", cause=repr(error))
             await asyncio.sleep(
                 LEASE_DURATION / RENEWALS_PER_LEASE * self._random.uniform(0.8, 1.0)
             )
@@ -324,12 +333,14 @@
             elif item.key.startswith(ENTRIES_PREFIX):
                 self._apply_entry(item.key.removeprefix(ENTRIES_PREFIX), item)
         except (decoding.UndecodableValue, ValueError) as error:
-            self._log.write(
-                "entry unreadable",
-                key=item.key,
-                revision=item.revision,
-                cause=str(error),
-            )
+            self._report_unreadable(item, str(error))
+        except Exception as error:  # one key must not keep the others from use
+            self._report_unreadable(item, repr(error))
+
+    def _report_unreadable(self, item: Item, cause: str) -> None:
+        self._log.write(
+            "entry unreadable", key=item.key, revision=item.revision, cause=cause
+        )
 
     def _apply_deployment(self, item: Item) -> None:
         deployment = decoding.decode_deployment(item.data)
