Handle every timer that is due, also after an exception at one

Cause: an exception in the handling of one timer of a direct entry lost those that were due with it, among them deadlines of other requests.

Change: the exception is logged as a change; the other timers are handled.

Test: TimerTest in tests/test_direct_malformed.py.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -628,22 +628,29 @@
     def _handle_tick(self, now: float) -> list[DirectCommand]:
         commands: list[DirectCommand] = []
         for item in self._board.timers.pop(now):
-            match item:
-                case _DeadlineDue(request_id):
-                    commands += self._expire_request(request_id)
-                case ProgressCheckDue(attempt_id):
-                    commands += self._check_progress(attempt_id, now)
-                case ReservationTimeoutDue(_, reservation_id):
-                    commands += self._handle_reservation_failure(reservation_id, now)
-                case CrashReviewDue():
-                    commands += self._quarantine.review_crashes(now)
-                    commands += self._refuse_quarantined()
-                case LeaseRenewalDue():
-                    commands += self._reservations.renew(item, now)
-                case _:
-                    commands += self._targets.remove_lapsed(item, now)
+            try:
+                commands += self._handle_timer(item, now)
+            except Exception as error:  # the other items are due as well
+                subject = type(item).__name__
+                commands.append(LogChange("timer not handled", subject, repr(error)))
         return commands
 
+    def _handle_timer(self, item: t.Any, now: float) -> list[DirectCommand]:
+        match item:
+            case _DeadlineDue(request_id):
+                return self._expire_request(request_id)
+            case ProgressCheckDue(attempt_id):
+                return self._check_progress(attempt_id, now)
+            case ReservationTimeoutDue(_, reservation_id):
+                return self._handle_reservation_failure(reservation_id, now)
+            case CrashReviewDue():
+                commands = self._quarantine.review_crashes(now)
+                return commands + self._refuse_quarantined()
+            case LeaseRenewalDue():
+                return self._reservations.renew(item, now)
+            case _:
+                return self._targets.remove_lapsed(item, now)
+
     def _expire_request(self, request_id: str) -> list[DirectCommand]:
         request = self._board.requests.get(request_id)
         if request is None:
