Survive unexpected exceptions in a direct entry's process

Cause: an exception ended the task that checks peers and sends heartbeats; a reload raised on settings that fail in another way than a SettingsError (a number that is no integer, a nested list as a name); exceptions in callbacks of the event loop went to standard error, not to the log.

Change: a periodic task logs an exception and goes on, a reload is refused with its cause, and the event loop logs what nothing else expected.

--- a/src/chicorycove/direct/linelog.py
+++ b/src/chicorycove/direct/linelog.py
@@ -1,6 +1,7 @@
 """A non-blocking log of JSON lines with a bounded buffer."""
 
 import asyncio
+import contextlib
 import os
 import time
 import typing as t
@@ -74,3 +75,12 @@
         self._scheduled = True
         loop.call_later(FLUSH_INTERVAL, self.flush)
         return True
+
+
+@contextlib.contextmanager
+def log_failure(log: LineLog, event: str) -> t.Iterator[None]:
+    """Log an exception with its cause instead of raising it."""
+    try:
+        yield
+    except Exception as error:
+        log.write(event, cause=repr(error))
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -15,7 +15,7 @@
 from ..direct.dispatch import DirectDispatcher
 from ..direct.entry import DirectEntry
 from ..direct.event import DirectEvent, PeersUpdated, StoreRevisionSeen
-from ..direct.linelog import LineLog
+from ..direct.linelog import LineLog, log_failure
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
 from ..direct.settings import DirectSettings, ReservationSettings, peer_timeout
@@ -170,6 +170,9 @@
         except SettingsError as error:
             self._log.write("reload refused", cause=str(error))
             return
+        except Exception as error:  # the file may hold anything
+            self._log.write("reload refused", cause=repr(error))
+            return
         changed_fields = [
             field.name
             for field in dataclasses.fields(Boot)
@@ -258,8 +261,9 @@
     async def _check_peers_periodically(self) -> None:
         """Remove unresponsive peers and send heartbeats, until cancelled."""
         while True:
-            self._check_peers()
-            self._follower.send_heartbeat()
+            with log_failure(self._log, "periodic task failed"):
+                self._check_peers()
+                self._follower.send_heartbeat()
             await asyncio.sleep(PEER_CHECK_INTERVAL)
 
     def _check_peers(self) -> None:
@@ -276,6 +280,22 @@
         return Page(200, self._metrics.page())
 
 
+def create_exception_handler(
+    log: LineLog,
+) -> t.Callable[[asyncio.AbstractEventLoop, dict[str, t.Any]], None]:
+    """Return a handler that logs exceptions which no other code expected.
+
+    The event loop closes the connection whose callback has raised one.
+    """
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, t.Any]) -> None:
+        error = context.get("exception")
+        cause = repr(error) if error is not None else None
+        log.write("unexpected exception", message=context["message"], cause=cause)
+
+    return handle
+
+
 def start(boot: Boot, listeners: Listeners) -> None:
     """Run the process until it has stopped."""
     asyncio.run(run(boot, listeners, LineLog(sys.stdout.fileno(), boot.name)))
@@ -286,6 +306,7 @@
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     process = PlatformProcess(boot, listeners, log)
+    loop.set_exception_handler(create_exception_handler(log))
     loop.add_signal_handler(signal.SIGHUP, process.reload)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
