End only the request whose handling raises in a direct entry

Cause: an unexpected exception while a request was handled left its caller without an answer until the time budget's end or longer: the HTTP parsers took it for malformed input and dropped its cause. It also ended the periodic tasks that time out connections and report to peers.

Change: the entry logs the event or command with the cause, cancels the request's attempts and answers it: 503 if it certainly has not run, 502 otherwise; a stream that has begun is aborted. A new reason, internal_error, counts them. Periodic tasks go on. An address that cannot be connected to at all counts as unreachable.

Tests: tests/test_direct_malformed.py, ProcessTest. Malformed answers of targets and malformed datagrams ended nothing before either: the parser's errors fail one attempt (TargetConnection.data_received), and msgspec's drop one datagram.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -8,9 +8,11 @@
 from ..lifecycle import (
     AnswerCompleted,
     AttemptFailed,
+    AttemptRefused,
     CallerDisconnected,
     FailRequest,
     FinishAnswer,
+    MemoryReserved,
     ReleaseMemory,
     ReserveMemory,
     StopRequested,
@@ -47,7 +49,7 @@
 )
 from .exchange import Exchange
 from .http import HttpRequest
-from .linelog import LineLog
+from .linelog import LineLog, log_failure
 from .peers import PeerLink
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
@@ -132,14 +134,69 @@
             connection.close()
 
     def handle(self, event: DirectEvent) -> None:
-        """Dispatch an event and execute the resulting commands."""
-        now = self._loop.time()
-        for command in self._dispatcher.handle(event, now):
-            self._execute(command)
+        """Dispatch an event and execute the resulting commands.
+
+        An unexpected exception ends at most the request of the event.
+        """
+        try:
+            commands = self._dispatcher.handle(event, self._loop.time())
+        except Exception as error:
+            self._report_failure("event not handled", event, error)
+            self._end_failed_request(_find_request(event))
+            commands = []
+        for command in commands:
+            self._try_execute(command)
         self._schedule_timer()
         if self._held_requests and self._board.table and self._board.store_listed:
             self._release_held_requests()
 
+    def _try_execute(self, command: DirectCommand) -> None:
+        try:
+            self._execute(command)
+        except Exception as error:
+            self._report_failure("command not executed", command, error)
+            self._end_failed_request(_find_request(command))
+
+    def _report_failure(
+        self, event: str, subject: DirectEvent | DirectCommand, error: Exception
+    ) -> None:
+        self._log.write(
+            event,
+            subject=type(subject).__name__,
+            request=_find_request(subject),
+            cause=repr(error),
+        )
+
+    def _end_failed_request(self, id: str | None) -> None:
+        """End a request that cannot be handled, without a further failure."""
+        exchange = self._exchanges.pop(id, None) if id is not None else None
+        if exchange is None:
+            return
+        request = self._board.requests.get(id)
+        # A request that has left the board had an answer or a failure already.
+        ran = request is None or request.may_have_run
+        verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+        try:
+            commands = self._dispatcher.handle(
+                CallerDisconnected(id), self._loop.time()
+            )
+            for command in commands:
+                self._execute(command)
+            exchange.close()
+        except Exception as error:
+            self._report_failure("request not removed", CallerDisconnected(id), error)
+            self._board.requests.pop(id, None)
+        if self._callers.get(exchange.connection) is exchange:
+            del self._callers[exchange.connection]
+        self._metrics.refused(Reason.INTERNAL_ERROR, verdict)
+        if exchange.relay_started:
+            exchange.connection.abort()
+            return
+        status = get_failure_status(Reason.INTERNAL_ERROR, verdict)
+        exchange.connection.send_answer(
+            status, self._dialect.entry_headers(id, None if ran else 0.0), b""
+        )
+
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
@@ -175,9 +232,14 @@
         self, connection: CallerConnection, request: HttpRequest
     ) -> None:
         """Admit a request, hold it for a deployment, or reject it."""
-        if self._board.table is None and self._hold(connection, request):
-            return
-        self._answer(connection, request)
+        try:
+            if self._board.table is None and self._hold(connection, request):
+                return
+            self._answer(connection, request)
+        except Exception as error:
+            self._log.write("request not read", cause=repr(error))
+            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
+            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
 
     def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         connection.close_after_answer = connection.close_after_answer or self.stopping
@@ -439,17 +501,21 @@
         """Close connections that exceed the header or the idle timeout."""
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
-            now = self._loop.time()
-            limits = self.limits
-            for connection in list(self._connections):
-                started_at = connection.head_started_at
-                if started_at is not None and now - started_at > limits.header_timeout:
-                    connection.refuse(408)
-                elif (
-                    connection.awaiting_request
-                    and now - connection.last_active_at > limits.idle_timeout
-                ):
-                    connection.close()
+            with log_failure(self._log, "periodic task failed"):
+                self._check_connections()
+
+    def _check_connections(self) -> None:
+        now = self._loop.time()
+        limits = self.limits
+        for connection in list(self._connections):
+            started_at = connection.head_started_at
+            if started_at is not None and now - started_at > limits.header_timeout:
+                connection.refuse(408)
+            elif (
+                connection.awaiting_request
+                and now - connection.last_active_at > limits.idle_timeout
+            ):
+                connection.close()
 
     async def _update_peers_periodically(self) -> None:
         """Send all work in flight to peers, in case datagrams were lost."""
@@ -457,8 +523,9 @@
             await self._sleep(
                 peer_update_interval(self._settings, len(self._board.peer_names))
             )
-            for command in self._dispatcher.report_to_peers(self._loop.time()):
-                self._execute(command)
+            with log_failure(self._log, "periodic task failed"):
+                for command in self._dispatcher.report_to_peers(self._loop.time()):
+                    self._execute(command)
 
     async def _sleep(self, seconds: float) -> None:
         """Sleep, and log if the process woke up much later than due."""
@@ -482,6 +549,13 @@
         )
         self.handle(AttemptFailed(attempt, reason, verdict))
 
+    def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
+        """Log an unexpected exception and end the attempt's request."""
+        self._log.write(
+            "attempt not handled", request=attempt.request, cause=repr(error)
+        )
+        self._end_failed_request(attempt.request)
+
     def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
         """Dispatch the end of a complete stream."""
         self.handle(
@@ -496,6 +570,20 @@
     return 504 if reason is Reason.DEADLINE_EXCEEDED else 502
 
 
+def _find_request(subject: DirectEvent | DirectCommand) -> str | None:
+    """Return the id of the request that an event or a command concerns."""
+    match subject:
+        case RequestReceived(inbound):
+            return inbound.request.id
+        case ReserveMemory() | ReleaseMemory() | MemoryReserved() | AttemptRefused():
+            return None  # the request goes on without that memory
+    attempt = getattr(subject, "attempt", None)
+    if isinstance(attempt, AttemptId):
+        return attempt.request
+    request = getattr(subject, "request", None)
+    return request if isinstance(request, str) else None
+
+
 class _FailureLogger:
     """Logs failed tasks to a ``LineLog`` through a logger's interface."""
 
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -1,6 +1,7 @@
 """A caller's request and its attempts over connections to targets."""
 
 import asyncio
+import functools
 import typing as t
 
 from ..identity import AttemptId
@@ -39,6 +40,9 @@
     ) -> None:
         """Handle an attempt that ended without a complete answer."""
 
+    def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
+        """Handle an unexpected exception in the handling of an attempt."""
+
     def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
         """Handle the end of a complete stream.
 
@@ -80,10 +84,16 @@
         work = self.inbound.request.work
         return work.shared_parts if isinstance(work, Prompt) else ()
 
+    @property
+    def relay_started(self) -> bool:
+        """Return whether the caller has the head of a stream."""
+        return self._relay_started
+
     @property
     def answer_status(self) -> int | None:
         """Return the status of the current answer, if it has begun."""
-        return self._current_attempt.status or None
+        attempt = self._current_attempt
+        return attempt.status or None if attempt is not None else None
 
     def log_fields(self) -> dict[str, t.Any]:
         """Return the log fields of the exchange; times are in seconds."""
@@ -159,6 +169,23 @@
             self._current_attempt = None
 
 
+def _report_exceptions(method: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
+    """Report an unexpected exception, which then ends only its request.
+
+    The HTTP parser would take it for a malformed answer, and drop its cause.
+    """
+
+    @functools.wraps(method)
+    def call(attempt: "TargetAttempt", *args: t.Any) -> t.Any:
+        try:
+            return method(attempt, *args)
+        except Exception as error:
+            attempt.report_exception(error)
+            return False
+
+    return call
+
+
 class TargetAttempt:
     """One attempt: its connection to a target and the answer received."""
 
@@ -186,7 +213,8 @@
         try:
             async with asyncio.timeout(timeout):
                 await loop.create_connection(lambda: self.connection, host, int(port))
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two: an address that cannot be one.
             if not self._closed:
                 self._closed = True
                 self._exchange.listener.attempt_failed(
@@ -210,8 +238,13 @@
         else:
             self.connection.abort()
 
+    def report_exception(self, error: Exception) -> None:
+        """Report an unexpected exception in the handling of this attempt."""
+        self._exchange.listener.attempt_raised(self.attempt, error)
+
     # AnswerListener
 
+    @_report_exceptions
     def connection_opened(self) -> None:
         if self._closed:
             return
@@ -227,6 +260,7 @@
         )
         self._awaits_head = True
 
+    @_report_exceptions
     def head_received(self, status: int, headers: Headers) -> bool:
         dialect = self._exchange.dialect
         if not dialect.is_answer_to(headers, self._exchange.inbound):
@@ -243,6 +277,7 @@
         )
         return True
 
+    @_report_exceptions
     def body_received(self, data: bytes) -> None:
         if self._closed:
             return
@@ -255,6 +290,7 @@
         else:
             self.answer_too_large()
 
+    @_report_exceptions
     def answer_completed(self, self_delimited: bool) -> None:
         if self._closed:
             return
--- a/src/chicorycove/problem.py
+++ b/src/chicorycove/problem.py
@@ -30,6 +30,7 @@
     Reason.LINK_LOST: 502,
     Reason.STREAM_BROKEN: 502,
     Reason.ANSWER_TOO_LARGE: 502,
+    Reason.INTERNAL_ERROR: 502,
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.CLAIM_UNSETTLED: 504,
 }
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -58,6 +58,7 @@
     STREAM_BROKEN = "stream_broken"
     ANSWER_TOO_LARGE = "answer_too_large"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL_ERROR = "internal_error"  # an unexpected exception in this process
     CALLER_GONE = "caller_gone"
     CLAIM_UNSETTLED = "claim_unsettled"
     RESULT_NOT_KEPT = "result_not_kept"
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -4,20 +4,30 @@
 logged. The cases in the lists are those that once broke something.
 """
 
+import asyncio
 import json
 import math
 import random
+import socket
 import unittest
+from unittest import mock
 
 import msgspec
 
 from chicorycove.direct import peers
+from chicorycove.direct.dispatch import DirectDispatcher
+from chicorycove.direct.entry import DirectEntry
 from chicorycove.direct.http import HttpRequest
 from chicorycove.direct.route import RoutingTable
 from chicorycove.direct.store_relay import RelayUpdate
+from chicorycove.lifecycle import Tick
 from chicorycove.platform import decoding
+from chicorycove.platform.follower import Follower
 from chicorycove.platform.headers import PlatformDialect
-from tests.platform_case import KEY, config
+from standin import platform_server
+from tests.direct import ORDER, DirectWorld, only_command
+from tests.platform_case import KEY, PlatformTestCase, config
+from tests.scripted import ScriptedServer, answer
 
 SEED = 20_261_204
 LARGE_NUMBER = "9" * 3_000
@@ -37,6 +47,31 @@
     {"Authorization": "\xff\xfe"},
     {"Host": ":::"},
 ]
+# What a target answers with.
+TARGET_ANSWERS = [
+    b"\x00" * 100,
+    b"HTTP/1.1 999999 X\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nx",
+    answer(b"", ["Server-Limit: nan", "Chicorycove-Cold-Ms: -1"], 503),
+    answer(b"", ["Retry-After: 1e308", "Server-Limit: 1e308"], 503),
+    answer(b"", ["Server-Limit: 0", "Chicorycove-Not-Executed: 1"], 503),
+    answer(b"", ["At-Server: \xff", "Server-Leaving: maybe"], 503),
+    answer(b"id: " + LARGER_NUMBER.encode() + b"\ndata: x\n\n"),
+    answer(b"id: -1\ndata: x\n\nid: x\n\n\n\n"),
+]
+# Values of keys in the store.
+STORE_VALUES = [
+    ("chicorycove/entries/x", b'{"address": "nowhere"}'),
+    ("chicorycove/entries/x", b'{"address": "a:99999999"}'),
+    ("chicorycove/entries/x", b'{"address": "a:\xc2\xb2"}'),
+    ("chicorycove/entries/x", b'{"address": ":1"}'),
+    ("op/evacuate/", b"\xff"),
+    ("op/evacuate/\u2603", b""),
+    ("op/other", b"\xff"),
+    ("servers/", b"[" * 100_000),
+]
 SERVER = {"service": "shop", "address": "127.0.0.1:1", "zone": "here", "state": "ready"}
 # Fields of a server's value that make it unusable.
 SERVER_FIELDS = [
@@ -277,3 +312,185 @@
             request = HttpRequest(b"POST", path, headers, b"", 0.0)
             dialect.parse_request(request, table, rng.random())
             dialect.parse_time_limit(request)
+
+
+class TimerTest(unittest.TestCase):
+    def test_exception_at_one_timer_keeps_no_other_from_being_handled(self):
+        world = DirectWorld()
+        for name in "ab":
+            world.send(name, ORDER)
+        world.now = ORDER.timeout
+        expire = DirectDispatcher._expire_request
+
+        def fail_once(dispatcher, request):
+            if request == "a":
+                raise KeyError("unforeseen")
+            return expire(dispatcher, request)
+
+        with mock.patch.object(DirectDispatcher, "_expire_request", fail_once):
+            commands = world.handle(Tick())
+        self.assertEqual(only_command(commands, "FailRequest").request, "b")
+        self.assertEqual(
+            only_command(commands, "LogChange").detail, "KeyError('unforeseen')"
+        )
+
+
+class ProcessTest(PlatformTestCase):
+    async def assert_serving(self):
+        self.assertEqual((await self.request("/order/x", b"y")).body, b"y")
+        self.assertTrue((await self.request_stream()).complete)
+
+    async def logged(self, event):
+        lines = await self.log_lines()
+        return [line for line in lines if line["event"] == event]
+
+    async def test_malformed_headers_end_only_their_request(self):
+        for headers in CALLER_HEADERS:
+            with self.subTest(str(headers)[:80]):
+                fields = {"Chicorycove_Token_Counts": "1000,460", **headers}
+                stream = await self.request("/ask/x", **fields)
+                self.assertIn(stream.status, (200, 400, 401, 404, 503))
+        await self.assert_serving()
+
+    async def test_malformed_answers_end_only_their_request(self):
+        async def handle(request):
+            request.send(TARGET_ANSWERS[request.number % len(TARGET_ANSWERS)])
+            request.writer.close()
+
+        for server in (*self.model_servers, *self.shop_servers):
+            self.store.remove(f"servers/{server.id}")
+        listeners = []
+        for service in ("shop", "model"):
+            target = await ScriptedServer.start(handle)
+            self.addAsyncCleanup(target.close)
+            server = platform_server.PlatformServer(service)
+            server.address = target.address
+            self.register_server(server)
+            listeners.append(server)
+        await asyncio.sleep(0.5)
+        for number in range(3 * len(TARGET_ANSWERS)):
+            path = ("/order/x", "/say/x")[number % 2]
+            async with asyncio.timeout(5.0):
+                found = await self.request(
+                    path,
+                    Chicorycove_Token_Counts="1000,46",
+                    Chicorycove_Time_Budget_Ms="1000",
+                )
+            self.assertIn(found.status, (200, 502, 503, 504))
+        for server in listeners:
+            self.store.remove(f"servers/{server.id}")
+        for server in (*self.model_servers, *self.shop_servers):
+            server.id += "-again"
+            self.register_server(server)
+        await asyncio.sleep(0.6)
+        await self.assert_serving()
+
+    async def test_malformed_store_values_do_not_end_the_watch(self):
+        for number, (key, value) in enumerate(STORE_VALUES):
+            with self.subTest(key=key, value=value[:40]):
+                self.store.put(key, value)
+                await asyncio.sleep(0.4)
+                keys = (f"key-{number}",)
+                self.write_config(config(number + 2, keys=keys))
+                await asyncio.sleep(0.5)
+                found = await self.request("/order/x", b"y", key=keys[0])
+                self.assertEqual(found.status, 200)
+        lines = await self.logged("entry unreadable")
+        self.assertTrue(all(line["cause"] for line in lines))
+
+    async def test_exception_while_following_the_store_is_survived(self):
+        with mock.patch.object(
+            Follower, "_report_entries", side_effect=KeyError("unforeseen")
+        ):
+            self.write_config(config(2, keys=("key-2",)))
+            await asyncio.sleep(0.6)
+        self.write_config(config(3, keys=("key-3",)))
+        await asyncio.sleep(1.0)
+        self.assertEqual((await self.request("/order/x", key="key-3")).status, 200)
+        causes = {line["cause"] for line in await self.logged("store not followed")}
+        self.assertEqual(causes, {"KeyError('unforeseen')"})
+
+    async def test_exception_at_one_key_keeps_no_other_from_use(self):
+        with mock.patch.object(
+            decoding, "decode_listing", side_effect=KeyError("unforeseen")
+        ):
+            self.register_server(self.shop_servers[0])
+            self.write_config(config(2, keys=("key-2",)))
+            await asyncio.sleep(0.6)
+        self.assertEqual((await self.request("/order/x", key="key-2")).status, 200)
+        causes = {line["cause"] for line in await self.logged("entry unreadable")}
+        self.assertEqual(causes, {"KeyError('unforeseen')"})
+
+    async def test_datagrams_do_not_end_the_updates(self):
+        encoder = msgspec.msgpack.Encoder()
+        rng = random.Random(SEED)
+        datagrams = [encoder.encode(each) for each in DATAGRAMS]
+        datagrams += [rng.randbytes(rng.randint(0, 60)) for _ in range(200)]
+        datagrams += [b"\xc1" + each for each in datagrams[-200:]]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            for data in datagrams:
+                if len(data) < 60_000:
+                    peer.sendto(data, (self.boot.ip, self.boot.peer_port))
+                    await asyncio.sleep(0)
+        await asyncio.sleep(0.2)
+        await self.assert_serving()
+        self.assertTrue(await self.logged("datagram unreadable"))
+
+    async def test_exception_while_a_request_is_handled_ends_only_it(self):
+        other = asyncio.create_task(self.request_stream())
+        caller = await self.open_caller()
+        for where in (
+            "chicorycove.platform.headers.PlatformDialect.parse_request",
+            "chicorycove.direct.selection.TargetSelector.choose",
+            "chicorycove.direct.exchange.Exchange.start_attempt",
+            "chicorycove.platform.headers.PlatformDialect.build_request",
+            "chicorycove.platform.headers.PlatformDialect.parse_answer_head",
+            "chicorycove.direct.exchange.Exchange.deliver",
+        ):
+            with self.subTest(where):
+                count = len(self.runs())
+                with mock.patch(where, side_effect=KeyError("unforeseen")):
+                    async with asyncio.timeout(2.0):
+                        found = await caller.request("/order/x", b"y")
+                ran = len(self.runs()) - count
+                self.assertIn(found.status, (502,) if ran else (502, 503))
+                lines = await self.log_lines()
+                causes = [
+                    line for line in lines if "unforeseen" in str(line.get("cause"))
+                ]
+                self.assertTrue(causes)
+                self.assertEqual(
+                    (await caller.request("/order/x", b"next")).body, b"next"
+                )
+        self.assertTrue((await other).complete)
+        await self.assert_serving()
+
+    async def test_exception_in_a_periodic_task_does_not_end_it(self):
+        with (
+            mock.patch.object(
+                DirectEntry, "limits", mock.PropertyMock(side_effect=KeyError("a"))
+            ),
+            mock.patch(
+                "chicorycove.direct.dispatch.DirectDispatcher.report_to_peers",
+                side_effect=KeyError("b"),
+            ),
+            mock.patch(
+                "chicorycove.direct.peers.PeerLink.prune", side_effect=KeyError("c")
+            ),
+        ):
+            await asyncio.sleep(0.8)
+        causes = {line["cause"] for line in await self.logged("periodic task failed")}
+        self.assertEqual(causes, {"KeyError('a')", "KeyError('b')", "KeyError('c')"})
+        caller = await self.open_caller()
+        caller.writer.write(b"POST /order/x HTTP/1.1\r\n")
+        self.assertEqual((await caller.read()).status, 408)  # by a periodic task
+        await self.assert_serving()
+
+    async def test_reload_of_malformed_settings_is_refused(self):
+        for error in (KeyError("unforeseen"), ValueError("x"), RecursionError()):
+            with mock.patch(
+                "chicorycove.platform.process.load_boot", side_effect=error
+            ):
+                self.process.reload()
+        self.assertEqual(len(await self.logged("reload refused")), 3)
+        await self.assert_serving()
