Keep connections of malformed answers open in their test

A connection that the target closed ended the attempt by itself, so that the test did not find TargetConnection.data_received without its call of _fail().

--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -355,7 +355,6 @@
     async def test_malformed_answers_end_only_their_request(self):
         async def handle(request):
             request.send(TARGET_ANSWERS[request.number % len(TARGET_ANSWERS)])
-            request.writer.close()
 
         for server in (*self.model_servers, *self.shop_servers):
             self.store.remove(f"servers/{server.id}")
@@ -368,6 +367,7 @@
             self.register_server(server)
             listeners.append(server)
         await asyncio.sleep(0.5)
+        statuses = []
         for number in range(3 * len(TARGET_ANSWERS)):
             path = ("/order/x", "/say/x")[number % 2]
             async with asyncio.timeout(5.0):
@@ -376,7 +376,11 @@
                     Chicorycove_Token_Counts="1000,46",
                     Chicorycove_Time_Budget_Ms="1000",
                 )
-            self.assertIn(found.status, (200, 502, 503, 504))
+            statuses.append(found.status)
+        self.assertLessEqual(set(statuses), {200, 502, 503, 504})
+        # An answer that does not parse ends its attempt at once. Only an
+        # interim one, 101, has the request wait for its deadline.
+        self.assertLessEqual(statuses.count(504), 6)
         for server in listeners:
             self.store.remove(f"servers/{server.id}")
         for server in (*self.model_servers, *self.shop_servers):
