Keep an entry's link after a malformed frame of its agent

Cause: an exception at one frame (no kind, no attempt's id, an unknown reason, a dispatcher that raises) ended the link's task. The entry never connected to that target again.

Change: the frame is dropped and logged with its cause; if the link itself fails, it is logged and connected again.

--- a/src/chicorycove/link.py
+++ b/src/chicorycove/link.py
@@ -7,7 +7,7 @@
 from .event import AgentAttached, AgentDetached, EntryEvent, LoadReported
 from .frame import read_agent_frame, read_load
 from .identity import AgentId, AttemptId
-from .log import LOGGER
+from .log import LOGGER, log_failure
 from .outbox import Outbox
 from .stream import CONNECTION_ERRORS, READ_LIMIT, MessageStream
 from .utils import cancel_all
@@ -82,8 +82,11 @@
                 await self._attach(stream)
             except (*CONNECTION_ERRORS, TimeoutError) as error:
                 LOGGER.debug("link to %s is down: %r", self._address, error)
+            except Exception:  # without this task, the link stays down for ever
+                LOGGER.error("link to %s failed", self._address, exc_info=True)
             finally:
-                self._on_disconnected()
+                with log_failure(f"end of the link to {self._address} not handled"):
+                    self._on_disconnected()
             await asyncio.sleep(delay)
             delay = min(2 * delay, MAX_RECONNECT_DELAY)
 
@@ -113,7 +116,8 @@
             async with asyncio.timeout(read_timeout):
                 batch = await stream.read()
             for frame in batch.frames:
-                self._handle_frame(frame, outbox)
+                with log_failure(f"frame of the agent at {self._address} dropped"):
+                    self._handle_frame(frame, outbox)
 
     async def _write_frames(self, stream: AgentStream, outbox: Outbox) -> None:
         while frames := await outbox.next_batch():
--- a/src/chicorycove/log.py
+++ b/src/chicorycove/log.py
@@ -1,7 +1,9 @@
 """Configures structured logs; lines on a request carry its id."""
 
+import contextlib
 import logging
 import sys
+import typing as t
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -27,6 +29,15 @@
     LOGGER.propagate = False
 
 
+@contextlib.contextmanager
+def log_failure(message: str) -> t.Iterator[None]:
+    """Log an unexpected exception with its cause instead of raising it."""
+    try:
+        yield
+    except Exception:
+        LOGGER.error(message, exc_info=True)
+
+
 def for_request(request: str) -> logging.LoggerAdapter:
     """Return a logger that adds a request's id to each line."""
     return logging.LoggerAdapter(LOGGER, {"request": request})
