Close an agent's link that fails, and drop its malformed frames alone

Cause: an exception at one frame ended an agent's session without closing the connection: the entry took the link for open until its heartbeats were missed, and all its attempts there were resumed. An empty first message did the same.

Change: a frame that cannot be handled is dropped and logged with its cause; a connection whose first message is no hello is closed.

Tests: tests/test_malformed.py, AgentLinkTest.

--- a/src/chicorycove/session.py
+++ b/src/chicorycove/session.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from .answer import AnswerBuffer
+from .log import LOGGER, log_failure
 from .outbox import Outbox
 from .settings import AgentSettings
 from .stream import CONNECTION_ERRORS, READ_LIMIT, MessageStream
@@ -108,24 +109,34 @@
         task.add_done_callback(self._tasks.discard)
         max_size = self._settings.max_body + BATCH_OVERHEAD
         stream = MessageStream(reader, writer, wire.EntryBatch, max_size)
-        with contextlib.suppress(*CONNECTION_ERRORS, asyncio.CancelledError):
-            await self._receive(stream)
-        stream.close()
+        try:
+            with contextlib.suppress(*CONNECTION_ERRORS, asyncio.CancelledError):
+                await self._receive(stream)
+        except Exception:
+            LOGGER.error("link of an entry closed", exc_info=True)
+        finally:
+            stream.close()
 
     async def _receive(self, stream: EntryStream) -> None:
         hello_batch = await stream.read()
+        if not hello_batch.frames or not hello_batch.frames[0].hello.owner:
+            raise OSError("expected a hello with an owner first")
         session = self._receiver.attach(hello_batch.frames[0].hello.owner)
         for frame in hello_batch.frames[1:]:
-            self._receiver.receive(frame, session.owner)
+            self._handle_frame(frame, session.owner)
         writer_task = asyncio.create_task(self._write(stream, session))
         try:
             while True:
                 for frame in (await stream.read()).frames:
-                    self._receiver.receive(frame, session.owner)
+                    self._handle_frame(frame, session.owner)
         finally:
             self._receiver.detach(session)
             writer_task.cancel()
 
+    def _handle_frame(self, frame: wire.EntryFrame, owner: str) -> None:
+        with log_failure(f"frame of {owner} dropped"):
+            self._receiver.receive(frame, owner)
+
     async def _write(self, stream: EntryStream, session: Session) -> None:
         with contextlib.suppress(*CONNECTION_ERRORS):
             async for batch in session.batches():
