Go on after malformed messages between peers over TCP

Cause: a message without a kind left its connection open, and an exception in a peer's tick ended its membership and its dissemination for ever.

Change: the connection closes with a warning that names the cause; a tick that fails is logged and followed by the next.

--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -18,7 +18,7 @@
 from .change import Change, State
 from .conversion import Address
 from .dissemination import SPREAD_TIMEOUT, EntryPeer
-from .log import LOGGER
+from .log import LOGGER, log_failure
 from .membership import Member, Membership, Role, SendMessage
 from .registry import Laggard, ProcessStatus, SpreadReport
 from .settings import PeerSettings, Settings
@@ -86,7 +86,8 @@
         except Exception as error:  # any sender may send any bytes
             LOGGER.warning("malformed datagram from a peer: %s", error)
             return
-        self._receive(message)
+        with log_failure("datagram from a peer dropped"):
+            self._receive(message)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -97,7 +98,12 @@
         stream = MessageStream(reader, writer, pb.PeerMessage, MAX_MESSAGE_SIZE)
         with contextlib.suppress(*CONNECTION_ERRORS, asyncio.CancelledError):
             while True:
-                self._receive(codec.decode(await stream.read()))
+                message = await stream.read()
+                try:
+                    self._receive(codec.decode(message))
+                except Exception as error:  # any sender may send any bytes
+                    LOGGER.warning("malformed message from a peer: %s", error)
+                    break
         stream.close()
 
     async def _send_by_tcp(self, address: str, wire: pb.PeerMessage) -> None:
@@ -186,7 +192,8 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            self._carry_out(self._peer.tick(time.monotonic()))
+            with log_failure("tick of the peer failed"):
+                self._carry_out(self._peer.tick(time.monotonic()))
             await asyncio.sleep(TICK_PERIOD)
 
     def _receive(self, message: CatalogueMessage) -> None:
