Take malformed answers of the store for failed calls

Cause: an answer of another form than expected raised KeyError, TypeError or AttributeError from calls whose callers expect only the store's errors: a claim waited for ever, the task that follows the catalogue ended.

Change: a malformed answer to a read or a watch is StoreUnavailable, to a write an unknown outcome.

--- a/src/chicorycove/backing/store.py
+++ b/src/chicorycove/backing/store.py
@@ -37,6 +37,9 @@
 NOT_CARRIED_OUT = {INVALID_ARGUMENT, NOT_FOUND, 7, 8, 11, 16}
 NO_LEADER = "no leader"
 
+# Raised by access to an answer that has another form than expected.
+MALFORMED = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+
 CONNECTION_ERRORS = (AiosonicError, OSError, EOFError, ValueError, asyncio.TimeoutError)
 NOT_SENT = (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError)
 
@@ -158,7 +161,10 @@
         """
         seconds = max(1, round(ttl))
         answer = await self._write("lease/grant", {"TTL": str(seconds), "ID": "0"})
-        return int(answer["ID"])
+        try:
+            return int(answer["ID"])
+        except MALFORMED as error:
+            raise StoreUnknown(f"lease/grant: malformed answer: {error!r}") from None
 
     async def keep_alive(self, lease: int) -> float:
         """Renew a lease and return its time to live, in seconds.
@@ -170,7 +176,12 @@
             answer = await self._write("lease/keepalive", {"ID": str(lease)})
         except StoreUnknown as error:
             raise StoreUnavailable(str(error)) from None
-        ttl = float(answer["result"].get("TTL", 0))
+        try:
+            ttl = float(answer["result"].get("TTL", 0))
+        except MALFORMED as error:
+            raise StoreUnavailable(
+                f"lease/keepalive: malformed answer: {error!r}"
+            ) from None
         if ttl <= 0:
             raise LeaseLost(f"lease {lease} has expired")
         return ttl
@@ -197,7 +208,10 @@
             if found.version != version:
                 version = found.version
                 yield found
-            start = int(answer["header"]["revision"]) + 1
+            try:
+                start = int(answer["header"]["revision"]) + 1
+            except MALFORMED as error:
+                raise StoreUnavailable(f'cannot watch "{key}": {error!r}') from None
             async for found in self._watch_events(key, start):
                 version = found.version
                 yield found
@@ -208,7 +222,7 @@
             answer = await self._call("kv/range", {"key": _encode_key(key)})
             _decode_range(answer, key)
             return answer
-        except (_GatewayError, *CONNECTION_ERRORS) as error:
+        except (_GatewayError, *MALFORMED, *CONNECTION_ERRORS) as error:
             raise StoreUnavailable(f'cannot read "{key}": {error!r}') from None
 
     async def _commit(self, key: str, version: int, operation: dict) -> SwapResult:
@@ -229,11 +243,11 @@
             return StoreUnreachable()
         except StoreUnknown:
             return OutcomeUnknown()
-        if answer.get("succeeded"):
-            return SwapSucceeded(int(answer["header"]["revision"]))
         try:
+            if answer.get("succeeded"):
+                return SwapSucceeded(int(answer["header"]["revision"]))
             found = _decode_range(answer["responses"][0]["response_range"], key)
-        except ValueError:
+        except MALFORMED:
             return OutcomeUnknown()
         return SwapConflicted(found.value, found.version)
 
@@ -284,7 +298,7 @@
                     return
                 for event in result.get("events", ()):
                     yield _decode_event(event)
-        except (KeyError, *CONNECTION_ERRORS) as error:
+        except (*MALFORMED, *CONNECTION_ERRORS) as error:
             raise StoreUnavailable(f'watch of "{key}" ended: {error!r}') from None
         finally:
             await response.aclose()
