Let no unexpected exception end an agent's work

Cause: a malformed report of an engine's memory ended the task that reads it; an exception in one run kept its slot and left its caller waiting for its deadline; one in a tick ended all ticks.

Change: a malformed report is a failed call, a run that raises ends as failed and may_have_run, and periodic tasks log an exception and go on.

--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -39,7 +39,7 @@
 from .identity import AgentId, AttemptId
 from .ledger import Ledger, LedgerSettings
 from .lifecycle import StopRequested, Tick
-from .log import LOGGER, for_request
+from .log import LOGGER, for_request, log_failure
 from .metric import Metrics
 from .reason import Reason
 from .session import Session
@@ -273,6 +273,10 @@
             self._executor.count_failure()
             reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
             self._end_answer(attempt, _failed_frame(attempt, reason, verdict))
+        except Exception:  # it must neither keep its slot nor its caller waiting
+            for_request(attempt.request).error("run failed", exc_info=True)
+            reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
+            self._end_answer(attempt, _failed_frame(attempt, reason, verdict))
         finally:
             self._run_tasks.pop(attempt, None)
         self._handle(RunFinished(attempt))
@@ -395,12 +399,14 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK)
-            self._handle(Tick())
+            with log_failure("tick failed"):
+                self._handle(Tick())
 
     async def _report_load(self) -> None:
         while True:
             await asyncio.sleep(self._settings.load_interval)
-            self._broadcast_load()
+            with log_failure("load not reported"):
+                self._broadcast_load()
 
     def _broadcast_load(self) -> None:
         message = frame.load_frame(self._controller.load)
@@ -409,10 +415,11 @@
 
     async def _poll_engine_memory(self) -> None:
         while True:
-            try:
-                self._handle(await self._client.read_memory())
-            except TargetError as error:
-                LOGGER.debug("engine memory not read: %s", error)
+            with log_failure("engine memory not handled"):
+                try:
+                    self._handle(await self._client.read_memory())
+                except TargetError as error:
+                    LOGGER.debug("engine memory not read: %s", error)
             await asyncio.sleep(ENGINE_POLL_INTERVAL)
 
 
--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -158,12 +158,19 @@
         :raises TargetFailed: if the engine does not answer with success
         """
         load = await self.get("/engine/load")
-        attempts = {
-            AttemptId.parse(name): tokens for name, tokens in load["attempts"].items()
-        }
-        return EngineMemoryReported(
-            load["memory_total"], load["memory_used"], attempts, load["as_of"]
-        )
+        try:
+            attempts = {
+                AttemptId.parse(name): int(tokens)
+                for name, tokens in load["attempts"].items()
+            }
+            return EngineMemoryReported(
+                int(load["memory_total"]),
+                int(load["memory_used"]),
+                attempts,
+                float(load["as_of"]),
+            )
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise TargetFailed(f"engine load is malformed: {error!r}") from None
 
     @contextlib.asynccontextmanager
     async def _send(
@@ -197,4 +204,7 @@
             raise TargetFailed(f"{request.path}: {error!r}") from None
         if answer.head.status >= 400:
             raise TargetFailed(f"{request.path}: status {answer.head.status}")
-        return msgspec.json.decode(body) if body else None
+        try:
+            return msgspec.json.decode(body) if body else None
+        except msgspec.DecodeError as error:
+            raise TargetFailed(f"{request.path}: {error}") from None
--- a/src/chicorycove/executor.py
+++ b/src/chicorycove/executor.py
@@ -9,7 +9,7 @@
 from .clock import Clock
 from .exceptions import TargetError, TargetFailed
 from .identity import AgentId
-from .log import LOGGER
+from .log import LOGGER, log_failure
 from .order import (
     EngineModel,
     EngineState,
@@ -81,8 +81,9 @@
     async def run(self) -> None:
         """Poll the engine and execute orders until cancelled."""
         while True:
-            await self._poll_engine()
-            self._handle(TargetIdle() if self._target.idle else Tick())
+            with log_failure("orders not handled"):
+                await self._poll_engine()
+                self._handle(TargetIdle() if self._target.idle else Tick())
             converged = self._state.converged
             await asyncio.sleep(READ_INTERVAL if converged else STEP_READ_INTERVAL)
 
