Let no unexpected exception end an entry's periodic tasks

Cause: an exception ended the tasks that tick the dispatcher, poll the host list, hold the planner's lease, plan and follow the store. The process went on without them.

Change: each logs it with its cause and goes on.

Not covered: each of these loops by a test of its own.

--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -54,7 +54,7 @@
     Tick,
 )
 from .linkset import LinkOwner, LinkSet
-from .log import LOGGER, for_request
+from .log import LOGGER, for_request, log_failure
 from .metric import Metrics
 from .problem import Problem
 from .prompt import extract_segments
@@ -453,12 +453,14 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK)
-            self._feed(Tick())
+            with log_failure("tick failed"):
+                self._feed(Tick())
 
     async def _poll_hosts(self) -> None:
         while True:
-            try:
-                self._links.set_hosts(tuple(await self._hosts.poll()))
-            except PlatformError as error:
-                LOGGER.warning("host list not read: %s", error)
+            with log_failure("host list not handled"):
+                try:
+                    self._links.set_hosts(tuple(await self._hosts.poll()))
+                except PlatformError as error:
+                    LOGGER.warning("host list not read: %s", error)
             await asyncio.sleep(self._hosts_interval)
--- a/src/chicorycove/orchestrator.py
+++ b/src/chicorycove/orchestrator.py
@@ -35,7 +35,7 @@
     Tick,
 )
 from .link import Link
-from .log import LOGGER
+from .log import LOGGER, log_failure
 from .plan import AgentReport, ObservedTarget, Plan, PlannedMove
 from .planner import Planner
 from .routing import matches
@@ -140,8 +140,9 @@
 
     async def _keep_lease(self) -> None:
         while True:
-            if self._has_versioned_models or isinstance(self._state, Leading):
-                await self._step(Tick())
+            with log_failure("step of the planner's lease failed"):
+                if self._has_versioned_models or isinstance(self._state, Leading):
+                    await self._step(Tick())
             await asyncio.sleep(LEASE_TICK_INTERVAL)
 
     @property
@@ -184,11 +185,12 @@
 
     async def _keep_planning(self) -> None:
         while True:
-            fence = self.fence
-            if fence is None:
-                await self._stop_planning()
-            else:
-                await self._plan(fence)
+            with log_failure("planning failed"):
+                fence = self.fence
+                if fence is None:
+                    await self._stop_planning()
+                else:
+                    await self._plan(fence)
             await asyncio.sleep(self._settings.plan_interval)
 
     async def _stop_planning(self) -> None:
--- a/src/chicorycove/registry.py
+++ b/src/chicorycove/registry.py
@@ -29,6 +29,7 @@
     ValueRead,
 )
 from .exceptions import PlatformError, StoreUnavailable, UnknownChangeError
+from .log import log_failure
 
 log = logging.getLogger(__name__)
 
@@ -230,7 +231,8 @@
         """Follow the store while this process has to watch it."""
         while True:
             if self.spreader is None or self.spreader.watches():
-                await self._follow_once()
+                with log_failure("store not followed"):
+                    await self._follow_once()
             await asyncio.sleep(WATCH_DELAY)
 
     async def _follow_once(self) -> None:
