--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -46,6 +46,7 @@
     PeersUpdated,
     PeerUpdateReceived,
     RequestReceived,
+    StopTimeExpired,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
@@ -197,6 +198,8 @@
             case StopRequested():
                 self._board.stopping_at = now
                 return []
+            case StopTimeExpired():
+                return self._fail_unfinished()
             case Tick():
                 return self._handle_tick(now)
 
@@ -204,6 +207,13 @@
         """Yield the evacuated failure domains, and what still runs there."""
         return self._evacuation.statuses()
 
+    def _fail_unfinished(self) -> list[DirectCommand]:
+        commands: list[DirectCommand] = []
+        for request in list(self._board.requests.values()):
+            retry_after = None if request.may_have_run else 0.0
+            commands += self._completion.fail(request, Reason.STOPPING, retry_after)
+        return commands
+
     def report_to_peers(self, now: float) -> list[DirectCommand]:
         """Return the periodic report of what peers may not have received.
 
@@ -677,28 +687,35 @@
     def _handle_tick(self, now: float) -> list[DirectCommand]:
         commands: list[DirectCommand] = []
         for item in self._board.timers.pop(now):
-            match item:
-                case _DeadlineDue(request_id):
-                    commands += self._expire_request(request_id)
-                case _WorkRepeatDue(attempt_id):
-                    commands += self._repeat_work_update(attempt_id)
-                case ProgressCheckDue(attempt_id):
-                    commands += self._check_progress(attempt_id, now)
-                case ReservationTimeoutDue(_, reservation_id):
-                    commands += self._handle_reservation_failure(reservation_id, now)
-                case CrashReviewDue():
-                    commands += self._quarantine.review_crashes(now)
-                    commands += self._refuse_quarantined()
-                case LeaseRenewalDue():
-                    commands += self._reservations.renew(item, now)
-                case PaceCheckDue():
-                    commands += self._pace.check(item, now)
-                case ColdEndDue():
-                    commands += self._target_limits.end_coldness(item, now)
-                case _:
-                    commands += self._targets.remove_lapsed(item, now)
+            try:
+                commands += self._handle_timer(item, now)
+            except Exception as error:  # the other items are due as well
+                subject = type(item).__name__
+                commands.append(LogChange("timer not handled", subject, repr(error)))
         return commands
 
+    def _handle_timer(self, item: t.Any, now: float) -> list[DirectCommand]:
+        match item:
+            case _DeadlineDue(request_id):
+                return self._expire_request(request_id)
+            case _WorkRepeatDue(attempt_id):
+                return self._repeat_work_update(attempt_id)
+            case ProgressCheckDue(attempt_id):
+                return self._check_progress(attempt_id, now)
+            case ReservationTimeoutDue(_, reservation_id):
+                return self._handle_reservation_failure(reservation_id, now)
+            case CrashReviewDue():
+                commands = self._quarantine.review_crashes(now)
+                return commands + self._refuse_quarantined()
+            case LeaseRenewalDue():
+                return self._reservations.renew(item, now)
+            case PaceCheckDue():
+                return self._pace.check(item, now)
+            case ColdEndDue():
+                return self._target_limits.end_coldness(item, now)
+            case _:
+                return self._targets.remove_lapsed(item, now)
+
     def _expire_request(self, request_id: str) -> list[DirectCommand]:
         request = self._board.requests.get(request_id)
         if request is None:
@@ -735,13 +752,30 @@
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
         """Retry an attempt that has timed out, if it may be repeated."""
-        if self._retry_policy.may_retry(request, now):
+        if self._retry_policy.may_retry(request, now) and self._can_place(request, now):
             return self._abandon_attempt(request, now)
         if not request.inbound.route.streamed:
             return []
         self._progress.check_later(request, now)
         return self._target_health.probe(request.attempts[-1].agent.target)
 
+    def _can_place(self, request: DirectRequest, now: float) -> bool:
+        """Return whether a late attempt's request can be sent again in time.
+
+        An attempt that is alive must not be abandoned for nothing.
+        """
+        target = request.attempts[-1].agent.target
+        was_tried = target in request.tried_targets
+        request.tried_targets.add(target)
+        placement = self._selector.choose(request, now)
+        if not was_tried:
+            request.tried_targets.discard(target)
+        return (
+            placement is not None
+            and placement.target not in request.unreachable_targets
+            and now + placement.time_to_first_event <= request.inbound.request.deadline
+        )
+
     def _abandon_attempt(
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -250,6 +250,11 @@
     cold_targets: tuple[ColdReport, ...] = ()
 
 
+@frozen
+class StopTimeExpired:
+    """A stopping process has no more time for the requests in flight."""
+
+
 DirectEvent = t.Union[
     RequestReceived,
     AttemptConnected,
@@ -276,5 +281,6 @@
     PeersUpdated,
     PeerUpdateReceived,
     StopRequested,
+    StopTimeExpired,
     Tick,
 ]
