--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -22,12 +22,18 @@
     slots: int
     leaving: bool = False
     started_at: int = 0  # start of the incarnation, in ms since the epoch
+    region: str = ""
+    cold_time_left: float | None = None  # seconds; None if the listing lacks it
 
     @property
     def agent(self) -> AgentId:
         """Return the id of the target's incarnation."""
         return AgentId(self.id, str(self.started_at))
 
+    def is_in(self, regions: frozenset[str] | None) -> bool:
+        """Return whether the target is in one of the regions; None for any."""
+        return regions is None or self.region in regions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InboundRequest:
@@ -39,6 +45,7 @@
     priority: int = 0  # 0 is served first
     resumed_after: int | None = None  # id of the last event that the caller has
     fingerprint: str = ""  # the same in each repeat of the request
+    allowed_regions: frozenset[str] | None = None  # None for any region
 
 
 class WorkItemKey(t.NamedTuple):
@@ -81,6 +88,15 @@
         return min(self.prefill_time, max(self.expected_prefill_end - now, 0.0))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassStart:
+    """The start of a time that shows how fast a target is, in seconds."""
+
+    at: float
+    predicted: float  # how long it takes by the engine's profile
+    work: frozenset[WorkItemKey]  # all work on the target at the start
+
+
 @dataclasses.dataclass(slots=True)
 class TargetView:
     """One target as this entry sees it; times are in seconds."""
@@ -90,11 +106,16 @@
     terms: TargetTerms = dataclasses.field(default_factory=TargetTerms)
     ejected_until: float = 0.0
     suspected_until: float = 0.0  # a target is suspected after a failed connection
+    pace: float = 1.0  # observed over predicted time, 1 if nothing is known
     remove_at: float | None = None  # time to remove a lapsed target, if it is one
 
     @property
     def available(self) -> bool:
-        """Return whether the target may get new work."""
+        """Return whether the target is not leaving.
+
+        Whether its failure domain is evacuated is on the board: a target that
+        lapses meanwhile is not leaving, and keeps its grace period.
+        """
         return not self.listing.leaving and not self.terms.leaving_announced
 
     def is_excluded(self, now: float) -> bool:
@@ -128,7 +149,10 @@
     last_progress_at: float = 0.0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     unreachable_targets: set[str] = dataclasses.field(default_factory=set)
+    # Failure domains of the newest attempt's targets, listed or not.
+    attempt_domains: frozenset[str] = frozenset()
     caller_blocked: bool = False  # the target's answer is not read meanwhile
+    pass_start: PassStart | None = None  # None if the pace cannot be observed
 
     @property
     def may_have_run(self) -> bool:
@@ -143,6 +167,8 @@
     table: RoutingTable | None = None
     targets: dict[str, TargetView] = dataclasses.field(default_factory=dict)
     targets_version: int = 0  # incremented by each change of the targets
+    # Evacuated failure domains, and the times in seconds from which they are.
+    evacuated_since: dict[str, float] = dataclasses.field(default_factory=dict)
     unlisted_terms: UnlistedTerms = dataclasses.field(default_factory=UnlistedTerms)
     requests: dict[str, DirectRequest] = dataclasses.field(default_factory=dict)
     timers: Timers = dataclasses.field(default_factory=Timers)
@@ -150,6 +176,8 @@
     peer_names: frozenset[str] = frozenset()  # entries that share this entry's targets
     # Part of these, including this one, whose updates arrive.
     responsive_share: float = 1.0
+    # Part of these, including this one, whose work is known.
+    visible_share: float = 1.0
     store_listed: bool = False  # its content has been read since the start
     entry_names_complete: bool = True  # False until the store has listed them
     # Shift of the order of targets, in [0, 1).  By it, entries that miss one
@@ -176,8 +204,22 @@
         view = self.targets.get(agent.target)
         return view if view is not None and view.listing.agent == agent else None
 
-    def available_targets(self, service: str) -> t.Iterator[TargetView]:
-        """Yield the targets of a service that are not leaving."""
+    def is_evacuated(self, view: TargetView) -> bool:
+        """Return whether a target's failure domain is evacuated."""
+        return view.listing.failure_domain in self.evacuated_since
+
+    def available_targets(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> t.Iterator[TargetView]:
+        """Yield the targets of a service that may get new work.
+
+        Those that leave, are evacuated or are in other regions may not.
+        """
         for view in self.targets.values():
-            if view.listing.service == service and view.available:
+            if (
+                view.listing.service == service
+                and view.available
+                and not self.is_evacuated(view)
+                and view.listing.is_in(regions)
+            ):
                 yield view
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -19,6 +19,7 @@
 from ..reason import Reason
 from ..verdict import Verdict
 from .board import DirectBoard, DirectRequest, InboundRequest, WorkItem
+from .cold_targets import ColdEndDue
 from .collision import MIN_FREE_SLOTS, CollisionDetector
 from .command import (
     CancelAttempt,
@@ -31,6 +32,7 @@
     UpdatePeers,
 )
 from .completion import RequestCompletion
+from .evacuation import Evacuation, EvacuationStatus
 from .event import (
     AnswerHeadReceived,
     AnswerReceived,
@@ -38,10 +40,13 @@
     CallerBackpressureChanged,
     DeploymentReceived,
     DirectEvent,
+    DomainEvacuated,
+    DomainReadmitted,
     EventsRelayed,
     PeersUpdated,
     PeerUpdateReceived,
     RequestReceived,
+    StopTimeExpired,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
@@ -64,7 +69,8 @@
 from .store_lag import StoreLagDetector
 from .target_health import TargetHealth
 from .target_limits import TargetLimits
-from .target_list import TargetList
+from .target_list import ListEvent, TargetList
+from .target_pace import PaceCheckDue, TargetPace
 from .work import WorkTracker
 
 AttemptFactory = t.Callable[[str, int], AttemptId]
@@ -77,6 +83,11 @@
     request_id: str
 
 
+@frozen
+class _WorkRepeatDue:
+    attempt: AttemptId
+
+
 class DirectDispatcher:
     """Decides what a direct entry does; times are in seconds."""
 
@@ -94,13 +105,15 @@
         self._retry_policy = DirectRetryPolicy(board, settings)
         self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
-        self._target_limits = TargetLimits(board, settings.target_limits)
+        self._evacuation = Evacuation(board, settings.evacuation)
+        self._target_limits = TargetLimits(board, settings.target_limits, entry_name)
         self._reservations = Reservations(
             board, settings.reservation, self._target_limits
         )
         self._quarantine = RequestQuarantine(board, settings.quarantine, entry_name)
         self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._completion = RequestCompletion(board, self._reservations, self._work)
+        self._pace = TargetPace(board, settings.target_pace)
         self._progress = ProgressMonitor(board, settings.timeouts, self._work)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
         self._shutdown = ShutdownPolicy(board, settings)
@@ -112,6 +125,7 @@
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
         """Return the commands that an event leads to."""
+        self._target_limits.observe(now)
         return self._target_limits.withhold_calls(self._handle(event, now), now)
 
     def _handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -149,11 +163,19 @@
                 return self._handle_probe_result(target, reachable, now)
             case DeploymentReceived(table):
                 self._board.table = table
-                return []
+                return self._target_limits.record_deployment(now)
             case TargetListed() | TargetUnlisted() | StoreLost() | StoreRegained():
                 if isinstance(event, TargetUnlisted):
                     self._target_health.remove(event.target)
-                return self._targets.handle(event, now)
+                commands = self._record_list_event(event, now)
+                return commands + self._targets.handle(event, now)
+            case DomainEvacuated():
+                return self._evacuation.handle(event, now)
+            case DomainReadmitted(domain):
+                return [
+                    *self._evacuation.handle(event, now),
+                    *self._target_limits.readmit_domain(domain, now),
+                ]
             case StoreRevisionSeen(revision):
                 self._board.store_listed = True
                 self._store_lag.record_own_revision(revision)
@@ -166,6 +188,9 @@
             case PeerUpdateReceived(owner, work_items, store_revision=revision):
                 commands = self._target_limits.record_reports(event.rate_limits, now)
                 commands += self._target_limits.record_notices(event.notices, now)
+                commands += self._target_limits.record_cold_reports(
+                    event.cold_targets, now
+                )
                 commands += self._record_crash_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
@@ -173,9 +198,22 @@
             case StopRequested():
                 self._board.stopping_at = now
                 return []
+            case StopTimeExpired():
+                return self._fail_unfinished()
             case Tick():
                 return self._handle_tick(now)
 
+    def evacuations(self) -> t.Iterator[EvacuationStatus]:
+        """Yield the evacuated failure domains, and what still runs there."""
+        return self._evacuation.statuses()
+
+    def _fail_unfinished(self) -> list[DirectCommand]:
+        commands: list[DirectCommand] = []
+        for request in list(self._board.requests.values()):
+            retry_after = None if request.may_have_run else 0.0
+            commands += self._completion.fail(request, Reason.STOPPING, retry_after)
+        return commands
+
     def report_to_peers(self, now: float) -> list[DirectCommand]:
         """Return the periodic report of what peers may not have received.
 
@@ -187,10 +225,21 @@
             for item in request.work_items
             if item.generates_answer or not item.decoding
         )
-        commands: list[DirectCommand] = [UpdatePeers(work_items)]
+        commands: list[DirectCommand] = [
+            UpdatePeers(work_items, self._work.take_ended())
+        ]
         commands += self._target_limits.reports(now)
         return commands + self._quarantine.reports(now)
 
+    def _record_list_event(self, event: ListEvent, now: float) -> list[DirectCommand]:
+        """Record what limits requests to targets before the list changes."""
+        match event:
+            case TargetListed(listing):
+                return self._target_limits.record_listing(listing, now)
+            case StoreLost() | StoreRegained():
+                self._target_limits.record_store(isinstance(event, StoreLost))
+        return []
+
     def _current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
         """Return the request whose newest attempt this is, if any."""
         request = self._board.requests.get(attempt_id.request)
@@ -250,7 +299,13 @@
 
     def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
         """Fail a request that no target may get now."""
-        retry_after = self._target_limits.retry_after(request.inbound.service, now)
+        inbound = request.inbound
+        retry_after = self._evacuation.retry_after(request, now)
+        if retry_after is not None:
+            return self._completion.fail(request, Reason.SERVICE_EVACUATED, retry_after)
+        retry_after = self._target_limits.retry_after(
+            inbound.service, now, inbound.allowed_regions
+        )
         if retry_after is not None:
             return self._completion.fail(request, Reason.TARGET_LIMIT, retry_after)
         retry_after = self._settings.retry_after_no_target
@@ -264,9 +319,15 @@
         view = self._board.targets[placement.target]
         attempt_id = self._make_attempt(caller_request.id, len(request.attempts) + 1)
         request.attempts.append(AttemptState(attempt_id, view.listing.agent))
+        request.attempt_domains = frozenset(
+            self._board.targets[target].listing.failure_domain
+            for target in placement.targets
+        )
         request.expects_slot = placement.free_slots > 0
         request.newest_answer_began = False
         update = UpdatePeers(self._work.add(request, placement, now))
+        repeat_at = now + self._settings.work_repeat_delay
+        self._board.timers.add(repeat_at, _WorkRepeatDue(attempt_id))
         if any(member.held_tokens for member in placement.members):
             return [update, *self._reservations.start(attempt_id, placement, now)]
         return [self._send_attempt(request, placement, now), update]
@@ -296,6 +357,8 @@
         request = self._board.requests.get(reservation_id.request)
         if placement is None or request is None:
             return []
+        if self._evacuation.affects(request):
+            return self._withdraw_attempt(request, "evacuation", now)
         for target in placement.targets:
             view = self._board.targets.get(target)
             if view is None or view.is_excluded(now):
@@ -364,28 +427,36 @@
     # Answers
 
     def _begin_sending(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
-        """Count an attempt as sent, or withdraw it if its target backs off."""
+        """Count an attempt as sent, or withdraw it if it must not be sent.
+
+        What applies to its targets may have changed while its connection
+        opened.
+        """
         request = self._current_request(attempt_id)
         if request is None:
             return []
         attempt = request.attempts[-1]
-        if self._target_limits.is_backing_off(attempt.agent, now):
-            return self._withdraw_attempt(request, now)
+        if self._evacuation.affects(request):
+            return self._withdraw_attempt(request, "evacuation", now)
+        cause = self._target_limits.withdrawal_cause(attempt.agent, now)
+        if cause is not None:
+            request.tried_targets.add(attempt.agent.target)
+            return self._withdraw_attempt(request, cause, now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
+        self._pace.start_prefill(request, now)
         return []
 
     def _withdraw_attempt(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, cause: str, now: float
     ) -> list[DirectCommand]:
         """Send a request elsewhere before its target has got it."""
         attempt = request.attempts[-1]
         advance(attempt, AttemptStep.REFUSE)
-        request.tried_targets.add(attempt.agent.target)
         return [
             CancelAttempt(attempt.id),
-            LogChange("attempt withdrawn", attempt.agent.target, "backoff"),
+            LogChange("attempt withdrawn", attempt.agent.target, cause),
             *self._completion.release_work(request),
             *self._place(request, now),
         ]
@@ -501,6 +572,7 @@
         if last_event_id is not None:
             request.last_event_id = last_event_id
         commands = self._quarantine.record_progress(request, pause, now)
+        commands += self._pace.record_events(request, event_count, now)
         work_items = self._work.record_events(request, event_count, now)
         return commands + ([UpdatePeers(work_items)] if work_items else [])
 
@@ -556,6 +628,7 @@
         if request is not None:
             request.caller_blocked = blocked
             request.last_progress_at = now
+            request.pass_start = None
         return []
 
     # Health
@@ -614,28 +687,54 @@
     def _handle_tick(self, now: float) -> list[DirectCommand]:
         commands: list[DirectCommand] = []
         for item in self._board.timers.pop(now):
-            match item:
-                case _DeadlineDue(request_id):
-                    commands += self._expire_request(request_id)
-                case ProgressCheckDue(attempt_id):
-                    commands += self._check_progress(attempt_id, now)
-                case ReservationTimeoutDue(_, reservation_id):
-                    commands += self._handle_reservation_failure(reservation_id, now)
-                case CrashReviewDue():
-                    commands += self._quarantine.review_crashes(now)
-                    commands += self._refuse_quarantined()
-                case LeaseRenewalDue():
-                    commands += self._reservations.renew(item, now)
-                case _:
-                    commands += self._targets.remove_lapsed(item, now)
+            try:
+                commands += self._handle_timer(item, now)
+            except Exception as error:  # the other items are due as well
+                subject = type(item).__name__
+                commands.append(LogChange("timer not handled", subject, repr(error)))
         return commands
 
+    def _handle_timer(self, item: t.Any, now: float) -> list[DirectCommand]:
+        match item:
+            case _DeadlineDue(request_id):
+                return self._expire_request(request_id)
+            case _WorkRepeatDue(attempt_id):
+                return self._repeat_work_update(attempt_id)
+            case ProgressCheckDue(attempt_id):
+                return self._check_progress(attempt_id, now)
+            case ReservationTimeoutDue(_, reservation_id):
+                return self._handle_reservation_failure(reservation_id, now)
+            case CrashReviewDue():
+                commands = self._quarantine.review_crashes(now)
+                return commands + self._refuse_quarantined()
+            case LeaseRenewalDue():
+                return self._reservations.renew(item, now)
+            case PaceCheckDue():
+                return self._pace.check(item, now)
+            case ColdEndDue():
+                return self._target_limits.end_coldness(item, now)
+            case _:
+                return self._targets.remove_lapsed(item, now)
+
     def _expire_request(self, request_id: str) -> list[DirectCommand]:
         request = self._board.requests.get(request_id)
         if request is None:
             return []
         return self._completion.fail(request, Reason.DEADLINE_EXCEEDED, None)
 
+    def _repeat_work_update(self, attempt_id: AttemptId) -> list[DirectCommand]:
+        """Report a prompt to peers again, unless it has been prefilled.
+
+        The load it answers: peers that miss the first report, as datagrams may
+        be lost, place prompts on the same target.
+        """
+        request = self._current_request(attempt_id)
+        if request is None or not request.work_items:
+            return []
+        if request.work_items[0].decoding or not request.work_items[0].tokens:
+            return []
+        return [UpdatePeers(tuple(request.work_items))]
+
     def _check_progress(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
         """Probe the target of an overdue attempt, or retry a timed-out one."""
         request = self._current_request(attempt_id)
@@ -653,13 +752,30 @@
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
         """Retry an attempt that has timed out, if it may be repeated."""
-        if self._retry_policy.may_retry(request, now):
+        if self._retry_policy.may_retry(request, now) and self._can_place(request, now):
             return self._abandon_attempt(request, now)
         if not request.inbound.route.streamed:
             return []
         self._progress.check_later(request, now)
         return self._target_health.probe(request.attempts[-1].agent.target)
 
+    def _can_place(self, request: DirectRequest, now: float) -> bool:
+        """Return whether a late attempt's request can be sent again in time.
+
+        An attempt that is alive must not be abandoned for nothing.
+        """
+        target = request.attempts[-1].agent.target
+        was_tried = target in request.tried_targets
+        request.tried_targets.add(target)
+        placement = self._selector.choose(request, now)
+        if not was_tried:
+            request.tried_targets.discard(target)
+        return (
+            placement is not None
+            and placement.target not in request.unreachable_targets
+            and now + placement.time_to_first_event <= request.inbound.request.deadline
+        )
+
     def _abandon_attempt(
         self, request: DirectRequest, now: float
     ) -> list[DirectCommand]:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -8,9 +8,11 @@
 from ..lifecycle import (
     AnswerCompleted,
     AttemptFailed,
+    AttemptRefused,
     CallerDisconnected,
     FailRequest,
     FinishAnswer,
+    MemoryReserved,
     ReleaseMemory,
     ReserveMemory,
     StopRequested,
@@ -31,6 +33,7 @@
     DirectCommand,
     LogChange,
     ProbeTarget,
+    RecordTargetState,
     RelayStream,
     ResyncStore,
     SendAttempt,
@@ -38,15 +41,17 @@
 )
 from .dialect import Dialect, Rejection
 from .dispatch import DirectDispatcher
+from .domain_cost import find_leaving_reason
 from .event import (
     CallerBackpressureChanged,
     DirectEvent,
     RequestReceived,
+    StopTimeExpired,
     StreamClosed,
 )
 from .exchange import Exchange
 from .http import HttpRequest
-from .linelog import LineLog
+from .linelog import LineLog, log_failure
 from .peers import PeerLink
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
@@ -55,6 +60,7 @@
 
 MAX_WAKE_DELAY = 0.1  # seconds; longer delays are logged; a pass takes half of it
 IDLE_CHECK_INTERVAL = 0.5  # seconds between checks of all connections
+REFUSAL_REASONS = {413: Reason.BODY_TOO_LARGE, 503: Reason.STOPPING}
 
 
 class DirectEntry:
@@ -71,6 +77,7 @@
         rng: random.Random,
         peers: PeerLink,
         resync_store: t.Callable[[], None],
+        failure_domain: str,
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
@@ -81,6 +88,7 @@
         self._random = rng
         self._peers = peers
         self._resync_store = resync_store
+        self._failure_domain = failure_domain
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
@@ -130,20 +138,88 @@
             connection.close()
 
     def handle(self, event: DirectEvent) -> None:
-        """Dispatch an event and execute the resulting commands."""
-        now = self._loop.time()
-        for command in self._dispatcher.handle(event, now):
-            self._execute(command)
+        """Dispatch an event and execute the resulting commands.
+
+        An unexpected exception ends at most the request of the event.
+        """
+        try:
+            commands = self._dispatcher.handle(event, self._loop.time())
+        except Exception as error:
+            self._report_failure("event not handled", event, error)
+            self._end_failed_request(_find_request(event))
+            commands = []
+        for command in commands:
+            self._try_execute(command)
         self._schedule_timer()
         if self._held_requests and self._board.table and self._board.store_listed:
             self._release_held_requests()
 
+    def update_metrics(self) -> None:
+        """Set the metrics of the present state."""
+        self._metrics.readmit_domains()
+        for status in self._dispatcher.evacuations():
+            self._metrics.evacuated(status.failure_domain, status.running_count)
+
+    def _try_execute(self, command: DirectCommand) -> None:
+        try:
+            self._execute(command)
+        except Exception as error:
+            self._report_failure("command not executed", command, error)
+            self._end_failed_request(_find_request(command))
+
+    def _report_failure(
+        self, event: str, subject: DirectEvent | DirectCommand, error: Exception
+    ) -> None:
+        self._log.write(
+            event,
+            subject=type(subject).__name__,
+            request=_find_request(subject),
+            cause=repr(error),
+        )
+
+    def _end_failed_request(self, id: str | None) -> None:
+        """End a request that cannot be handled, without a further failure."""
+        exchange = self._exchanges.pop(id, None) if id is not None else None
+        if exchange is None:
+            return
+        request = self._board.requests.get(id)
+        # A request that has left the board had an answer or a failure already.
+        ran = request is None or request.may_have_run
+        verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+        try:
+            commands = self._dispatcher.handle(
+                CallerDisconnected(id), self._loop.time()
+            )
+            for command in commands:
+                self._execute(command)
+            exchange.close()
+        except Exception as error:
+            self._report_failure("request not removed", CallerDisconnected(id), error)
+            self._board.requests.pop(id, None)
+        if self._callers.get(exchange.connection) is exchange:
+            del self._callers[exchange.connection]
+        self._metrics.refused(Reason.INTERNAL_ERROR, verdict)
+        if exchange.relay_started:
+            exchange.connection.abort()
+            return
+        status = get_failure_status(Reason.INTERNAL_ERROR, verdict)
+        exchange.connection.send_answer(
+            status, self._dialect.entry_headers(id, None if ran else 0.0), b""
+        )
+
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
         for connection in list(self._held_requests):
             self._refuse_held_request(connection)
 
+    def fail_unfinished(self) -> None:
+        """Fail the requests that the process has no more time for."""
+        self.handle(StopTimeExpired())
+        for connection in list(self._connections):
+            if connection.reading_request:
+                connection.refuse(503)
+
     # Callers
 
     def connection_opened(self, connection: CallerConnection) -> None:
@@ -156,7 +232,7 @@
 
     def request_rejected(self, connection: CallerConnection, status: int) -> None:
         """Count and log a request that was refused before it was complete."""
-        reason = {413: Reason.BODY_TOO_LARGE}.get(status, Reason.BAD_REQUEST)
+        reason = REFUSAL_REASONS.get(status, Reason.BAD_REQUEST)
         self._metrics.refused(reason, Verdict.NOT_RUN)
         self._log.write(
             "incomplete request refused", status=status, reason=reason.value
@@ -166,9 +242,14 @@
         self, connection: CallerConnection, request: HttpRequest
     ) -> None:
         """Admit a request, hold it for a deployment, or reject it."""
-        if self._board.table is None and self._hold(connection, request):
-            return
-        self._answer(connection, request)
+        try:
+            if self._board.table is None and self._hold(connection, request):
+                return
+            self._answer(connection, request)
+        except Exception as error:
+            self._log.write("request not read", cause=repr(error))
+            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
+            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
 
     def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         connection.close_after_answer = connection.close_after_answer or self.stopping
@@ -326,6 +407,9 @@
                 self._resync_store()
             case LogChange(change, subject, detail):
                 self._log.write(change, subject=subject, detail=detail)
+            case RecordTargetState(target, state, detail):
+                self._metrics.target_changed(state.value)
+                self._log.write(f"target {state.value}", subject=target, detail=detail)
 
     def _send_attempt(self, command: SendAttempt) -> None:
         exchange = self._exchanges[command.attempt.request]
@@ -345,9 +429,24 @@
             after=command.last_event_id,
             left=round(command.deadline - self._loop.time(), 3),
         )
+        self._count_if_outside(command.target.target)
         attempt = exchange.start_attempt(command)
         self._tasks.spawn(attempt.open(self._settings.timeouts.connect_timeout))
 
+    def _count_if_outside(self, target: str) -> None:
+        """Count an attempt whose target is in another failure domain."""
+        view = self._board.targets.get(target)
+        if view is None:
+            return
+        reason = find_leaving_reason(
+            view,
+            self._board.targets.values(),
+            self._failure_domain,
+            self._loop.time(),
+        )
+        if reason is not None:
+            self._metrics.left_domain(reason.value)
+
     def _finish(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.finish()
@@ -430,17 +529,21 @@
         """Close connections that exceed the header or the idle timeout."""
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
-            now = self._loop.time()
-            limits = self.limits
-            for connection in list(self._connections):
-                started_at = connection.head_started_at
-                if started_at is not None and now - started_at > limits.header_timeout:
-                    connection.refuse(408)
-                elif (
-                    connection.awaiting_request
-                    and now - connection.last_active_at > limits.idle_timeout
-                ):
-                    connection.close()
+            with log_failure(self._log, "periodic task failed"):
+                self._check_connections()
+
+    def _check_connections(self) -> None:
+        now = self._loop.time()
+        limits = self.limits
+        for connection in list(self._connections):
+            started_at = connection.head_started_at
+            if started_at is not None and now - started_at > limits.header_timeout:
+                connection.refuse(408)
+            elif (
+                connection.awaiting_request
+                and now - connection.last_active_at > limits.idle_timeout
+            ):
+                connection.close()
 
     async def _update_peers_periodically(self) -> None:
         """Send all work in flight to peers, in case datagrams were lost."""
@@ -448,8 +551,9 @@
             await self._sleep(
                 peer_update_interval(self._settings, len(self._board.peer_names))
             )
-            for command in self._dispatcher.report_to_peers(self._loop.time()):
-                self._execute(command)
+            with log_failure(self._log, "periodic task failed"):
+                for command in self._dispatcher.report_to_peers(self._loop.time()):
+                    self._execute(command)
 
     async def _sleep(self, seconds: float) -> None:
         """Sleep, and log if the process woke up much later than due."""
@@ -473,6 +577,13 @@
         )
         self.handle(AttemptFailed(attempt, reason, verdict))
 
+    def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
+        """Log an unexpected exception and end the attempt's request."""
+        self._log.write(
+            "attempt not handled", request=attempt.request, cause=repr(error)
+        )
+        self._end_failed_request(attempt.request)
+
     def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
         """Dispatch the end of a complete stream."""
         self.handle(
@@ -487,6 +598,20 @@
     return 504 if reason is Reason.DEADLINE_EXCEEDED else 502
 
 
+def _find_request(subject: DirectEvent | DirectCommand) -> str | None:
+    """Return the id of the request that an event or a command concerns."""
+    match subject:
+        case RequestReceived(inbound):
+            return inbound.request.id
+        case ReserveMemory() | ReleaseMemory() | MemoryReserved() | AttemptRefused():
+            return None  # the request goes on without that memory
+    attempt = getattr(subject, "attempt", None)
+    if isinstance(attempt, AttemptId):
+        return attempt.request
+    request = getattr(subject, "request", None)
+    return request if isinstance(request, str) else None
+
+
 class _FailureLogger:
     """Logs failed tasks to a ``LineLog`` through a logger's interface."""
 
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -32,6 +32,7 @@
     rate_limit_invalid: bool = False  # the value for it cannot be read
     retry_after: float | None = None  # seconds for which this entry is to back off
     leaving: bool = False  # the target is about to end
+    cold_time_left: float | None = None  # seconds for which the target is cold
     invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
 
     @property
@@ -135,6 +136,20 @@
     target: str
 
 
+@frozen
+class DomainEvacuated:
+    """The operator asks that a failure domain's targets get nothing new."""
+
+    failure_domain: str
+
+
+@frozen
+class DomainReadmitted:
+    """The operator has ended the evacuation of a failure domain."""
+
+    failure_domain: str
+
+
 @frozen
 class StoreLost:
     """The platform's store does not answer."""
@@ -152,6 +167,8 @@
     entry_names: frozenset[str]
     unresponsive: frozenset[str] = frozenset()  # entries without recent updates
     complete: bool = True  # the store has listed the entries since the start
+    # Entries that may not have reported all of their work to this one yet.
+    partly_reported: frozenset[str] = frozenset()
 
 
 @frozen
@@ -180,6 +197,14 @@
     leaving: bool
 
 
+@frozen
+class ColdReport:
+    """An answer of a target has said that the target is cold."""
+
+    target: AgentId
+    cold_until: float  # time in seconds
+
+
 @frozen
 class CrashReport:
     """A target has crashed while it ran some requests."""
@@ -222,6 +247,12 @@
     answered: tuple[TraitsAnswered, ...] = ()
     quarantines: tuple[QuarantineReport, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
+    cold_targets: tuple[ColdReport, ...] = ()
+
+
+@frozen
+class StopTimeExpired:
+    """A stopping process has no more time for the requests in flight."""
 
 
 DirectEvent = t.Union[
@@ -242,11 +273,14 @@
     DeploymentReceived,
     TargetListed,
     TargetUnlisted,
+    DomainEvacuated,
+    DomainReadmitted,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
     PeersUpdated,
     PeerUpdateReceived,
     StopRequested,
+    StopTimeExpired,
     Tick,
 ]
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -11,6 +11,7 @@
 from .board import WorkItem, WorkItemKey
 from .command import UpdatePeers
 from .event import (
+    ColdReport,
     CrashReport,
     PeerUpdateReceived,
     QuarantineReport,
@@ -27,6 +28,21 @@
 MAX_WORK_ITEMS = 12
 MAX_RATE_LIMITS = 20
 MAX_NOTICES = 20
+MAX_COLD_TARGETS = 20
+# Bounds of what is received.  Arithmetic on times beyond them, on infinite
+# ones or on NaN would corrupt the order of timers and of targets.
+MAX_SECONDS = 1e9
+MAX_COUNT = 2**53  # the largest integer up to which floats are exact
+MAX_REPORTS = 1_024
+MAX_NAMES = 16_384  # of ended work items or of targets
+
+_Offset = t.Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+_Duration = t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+_Amount = t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COUNT)]
+_Rate = t.Annotated[float, msgspec.Meta(ge=0.0)]  # may be infinite
+_Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Reports = msgspec.Meta(max_length=MAX_REPORTS)
+_Names = msgspec.Meta(max_length=MAX_NAMES)
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
@@ -37,15 +53,16 @@
     """
 
     owner: str
-    work_items: list["WorkItemUpdate"]
-    ended: list[int]  # numbers of work items
-    unreachable: list[str]  # ids of targets
-    store_revision: int  # that the owner has followed the store up to
-    rate_limits: list["RateLimitUpdate"] = []
-    crashes: list["CrashUpdate"] = []
-    answered: list["AnsweredUpdate"] = []
-    quarantines: list["QuarantineUpdate"] = []
-    notices: list["NoticeUpdate"] = []
+    work_items: t.Annotated[list["WorkItemUpdate"], _Reports]
+    ended: t.Annotated[list[int], _Names]  # numbers of work items
+    unreachable: t.Annotated[list[str], _Names]  # ids of targets
+    store_revision: _Count  # that the owner has followed the store up to
+    rate_limits: t.Annotated[list["RateLimitUpdate"], _Reports] = []
+    crashes: t.Annotated[list["CrashUpdate"], _Reports] = []
+    answered: t.Annotated[list["AnsweredUpdate"], _Reports] = []
+    quarantines: t.Annotated[list["QuarantineUpdate"], _Reports] = []
+    notices: t.Annotated[list["NoticeUpdate"], _Reports] = []
+    cold_targets: t.Annotated[list["ColdUpdate"], _Reports] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -54,19 +71,19 @@
     Times are in seconds, instants relative to the time of sending.
     """
 
-    number: int
+    number: _Count
     target: str
-    tokens: int
-    prefill_time: float
-    memory: int
-    context_tokens: float
+    tokens: _Count
+    prefill_time: _Duration
+    memory: _Count
+    context_tokens: _Amount
     generates_answer: bool
-    events_left: int
-    max_gap: float
-    value: float
-    placed_ago: float
-    prefill_end_in: float
-    objective_in: float
+    events_left: _Count
+    max_gap: _Duration
+    value: _Amount
+    placed_ago: _Offset
+    prefill_end_in: _Offset
+    objective_in: _Offset
     preempting: bool
     decoding: bool
     missed_objective: bool
@@ -76,8 +93,8 @@
     """A target's rate limit in a datagram; times are in seconds."""
 
     target: str
-    rate: float  # requests per second, infinite for no limit
-    named_ago: float
+    rate: _Rate  # requests per second, infinite for no limit
+    named_ago: _Offset
     incarnation: str = ""  # empty if an entry of an earlier version reports it
 
 
@@ -87,24 +104,24 @@
     target: str
     incarnation: str
     traits: list[str]
-    seen_ago: float
+    seen_ago: _Offset
 
 
 class AnsweredUpdate(msgspec.Struct, array_like=True):
     """Answered traits in a datagram; times are in seconds."""
 
     traits: list[str]
-    answered_ago: float
+    answered_ago: _Offset
 
 
 class QuarantineUpdate(msgspec.Struct, array_like=True):
     """A quarantine in a datagram; times are in seconds."""
 
     traits: list[str]
-    began_ago: float
-    trial_in: float
-    trial_count: int
-    refused_ago: float
+    began_ago: _Offset
+    trial_in: _Offset
+    trial_count: _Count
+    refused_ago: _Offset
 
 
 class NoticeUpdate(msgspec.Struct, array_like=True):
@@ -112,18 +129,26 @@
 
     target: str
     incarnation: str
-    backoff_left: float
+    backoff_left: _Duration
     leaving: bool
 
 
+class ColdUpdate(msgspec.Struct, array_like=True):
+    """A cold target in a datagram; times are in seconds."""
+
+    target: str
+    incarnation: str
+    cold_time_left: _Offset
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
-    revision: int
-    after: int
-    part: int
-    part_count: int
+    revision: _Count
+    after: _Count
+    part: _Count
+    part_count: _Count
     data: bytes
-    regained_ago: float | None
+    regained_ago: _Duration | None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -148,6 +173,9 @@
     for start in range(0, len(update.notices), MAX_NOTICES):
         notices = update.notices[start : start + MAX_NOTICES]
         updates.append(_encode_notices(owner, notices, revision, now))
+    for start in range(0, len(update.cold_targets), MAX_COLD_TARGETS):
+        reports = update.cold_targets[start : start + MAX_COLD_TARGETS]
+        updates.append(_encode_cold_targets(owner, reports, revision, now))
     updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
@@ -161,10 +189,11 @@
     """
     update = _decoder.decode(data)
     owner = update.owner
-    # Entries of earlier versions only understand that a limited or excluded
-    # target is unreachable.
+    # Entries of earlier versions only understand that a limited, excluded or
+    # cold target is unreachable.
     known_targets = {limit.target for limit in update.rate_limits}
     known_targets.update(notice.target for notice in update.notices)
+    known_targets.update(report.target for report in update.cold_targets)
     return PeerUpdateReceived(
         owner,
         tuple(_decode_item(owner, item, now) for item in update.work_items),
@@ -207,6 +236,13 @@
             )
             for notice in update.notices
         ),
+        tuple(
+            ColdReport(
+                AgentId(report.target, report.incarnation),
+                now + report.cold_time_left,
+            )
+            for report in update.cold_targets
+        ),
     )
 
 
@@ -243,6 +279,23 @@
     return PeerUpdate(owner, [], [], unreachable, revision, notices=updates)
 
 
+def _encode_cold_targets(
+    owner: str, reports: t.Sequence[ColdReport], revision: int, now: float
+) -> PeerUpdate:
+    # Entries of an earlier version know no cold targets, but avoid unreachable
+    # ones.
+    unreachable = [report.target.target for report in reports]
+    updates = [
+        ColdUpdate(
+            report.target.target,
+            report.target.incarnation,
+            max(report.cold_until - now, 0.0),
+        )
+        for report in reports
+    ]
+    return PeerUpdate(owner, [], [], unreachable, revision, cold_targets=updates)
+
+
 def _encode_quarantine(
     owner: str, update: UpdatePeers, revision: int, now: float
 ) -> t.Iterator[PeerUpdate]:
@@ -375,6 +428,8 @@
         self._clock = asyncio.get_running_loop().time
         self._addresses: dict[str, Address] = {}
         self._last_received_at: dict[str, float] = {}
+        # Time of the first update since an address was unresponsive.
+        self._responsive_since: dict[Address, float] = {}
         self.store_revision = 0  # sent with each update
 
     @property
@@ -398,6 +453,7 @@
             return
         self._last_received_at[update.owner] = self._clock()
         self._addresses.setdefault(update.owner, address)
+        self._responsive_since.setdefault(address, self._clock())
         self._on_update(update)
 
     def error_received(self, error: Exception) -> None:
@@ -431,12 +487,23 @@
             for name, received_at in self._last_received_at.items()
             if received_at >= limit
         }
+        for address in self._responsive_since.keys() - recent_addresses:
+            del self._responsive_since[address]
         return frozenset(
             name
             for name, address in self._addresses.items()
             if address not in recent_addresses
         )
 
+    def newly_responsive(self, interval: float) -> frozenset[str]:
+        """Return the peers whose first update came within some seconds."""
+        limit = self._clock() - interval
+        return frozenset(
+            name
+            for name, address in self._addresses.items()
+            if self._responsive_since.get(address, -math.inf) > limit
+        )
+
     def send_update(self, names: t.Container[str], update: UpdatePeers) -> None:
         """Send an update to the named peers that are known."""
         if self._transport is None or not self._addresses:
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from .board import TargetView, WorkItem
+from .domain_cost import DomainCost
 from .engine import EngineProfile
 
 EXPECTED_ANSWER_EVENTS = 20  # events of an answer, without a better estimate
@@ -31,6 +32,9 @@
     excess_loss_rate: float = 0.2
     min_limit: float = 0.05  # limits that are shorter or past count as this
     wait_cost: float = 0.01  # share of the value per second to the first event
+    # The same if no prompt needs a group to be in time: short prompts then use
+    # idle targets, which are not kept free for groups.
+    wait_cost_without_groups: float = 0.1
     decode_delay_cost: float = 0.15  # cost per decoding request and second of prefill
     # Share of the value of a waiting request, per second that it is delayed.
     # It holds for peer updates without delay and with 20 ms of delay.
@@ -38,6 +42,9 @@
     pack_cost: float = 0.1  # cost of the last target in order over the first
     spare_slots: int = 3  # slots of a target left to other entries
     spare_slot_cost: float = 0.04  # share of the value for each of these that is used
+    # Share of the entries whose work must be known for the slots of a target
+    # to be used up to the spare ones.
+    min_visible_share: float = 0.9
     other_domain_cost: float = 0.005  # cost of a target in another failure domain
     group_member_cost: float = 0.02  # cost of each further target of a group
     suspect_cost: float = 50.0  # cost of a target that is avoided
@@ -58,6 +65,9 @@
     max_gap: float
     value: float
     failure_domain: str
+    domain_cost: DomainCost | None = None  # None if links have no price
+    groups_needed: bool = True  # whether some prompts need groups to be in time
+    visible_share: float = 1.0  # part of the entries whose work is known
 
 
 @frozen
@@ -102,6 +112,7 @@
     prefill_backlog: float  # remaining prefill time of all items
     held_tokens: int
     occupied_slots: int  # requests that have a slot or wait for one
+    pace: float  # observed over predicted time; the times above include it
 
 
 def expected_loss(
@@ -188,17 +199,19 @@
                 item.remaining_prefill_time(now) for item in prefill_items
             )
             held_tokens = sum(item.memory for item in target.work_items.values())
+            pace = target.pace
             loads.append(
                 _Load(
                     target,
                     (index / len(ordered) + placement_offset) % 1.0,
                     decoding_items,
                     prefill_items,
-                    decode_pass_time,
-                    prefill_backlog,
+                    decode_pass_time * pace,
+                    prefill_backlog * pace,
                     held_tokens,
                     len(decoding_items)
                     + sum(1 for item in prefill_items if item.generates_answer),
+                    pace,
                 )
             )
         return loads
@@ -220,12 +233,13 @@
         member_candidates = []
         primary_candidates = []
         for load in loads:
+            load_prefill_time = part_prefill_time * load.pace
             cost_to_others = self._cost_to_others(
-                engine, load, part_prefill_time, part_tokens, group_size > 1, now
+                engine, load, load_prefill_time, part_tokens, group_size > 1, now
             )
             cost_to_others += self._suspect_cost(load, now)
             time_to_first_event = self._predict_first_event(
-                engine, load, part_prefill_time, part_tokens, group_size > 1
+                engine, load, load_prefill_time, part_tokens, group_size > 1
             )
             member_candidates.append((cost_to_others, time_to_first_event, load))
             own_cost = self._request_cost(
@@ -240,14 +254,18 @@
         primary = min(
             primary_candidates, key=lambda candidate: (candidate[0] > 0, candidate[1])
         )[1:]
+        if request.domain_cost is not None and group_size > 1:
+            member_candidates = self._add_link_costs(
+                request.domain_cost, group_size, primary[2], member_candidates
+            )
+        wait_cost, value = self._wait_cost(request), request.value
         others = sorted(
             (
                 candidate
                 for candidate in member_candidates
                 if candidate[2] is not primary[2]
             ),
-            key=lambda candidate: candidate[0]
-            + candidate[1] * self._settings.wait_cost * request.value,
+            key=lambda candidate: candidate[0] + candidate[1] * wait_cost * value,
         )[: group_size - 1]
         held_tokens = max(min(needed_tokens, usable_memory - primary[2].held_tokens), 0)
         members = self._assign_memory(
@@ -267,6 +285,10 @@
             cost -= self._request_cost(
                 request, engine, primary[2], primary[1], group_size, now
             )
+        if request.domain_cost is not None:
+            time_to_first_event += request.domain_cost.caller_delays.get(
+                primary[2].target.listing.failure_domain, 0.0
+            )
         return Placement(
             target=primary[2].target.listing.id,
             members=members,
@@ -278,6 +300,31 @@
             prefill_time=part_prefill_time,
         )
 
+    def _add_link_costs(
+        self,
+        domain_cost: DomainCost,
+        group_size: int,
+        primary: _Load,
+        candidates: list[tuple[float, float, _Load]],
+    ) -> list[tuple[float, float, _Load]]:
+        """Add what members outside the primary's failure domain cost.
+
+        The load it answers: a long prompt's parts are most of what its group
+        sends between domains.
+        """
+        primary_domain = primary.target.listing.failure_domain
+        delays = domain_cost.delays.get(primary_domain, {})
+        member_cost = domain_cost.member_cost(group_size)
+        changed = []
+        for candidate in candidates:
+            cost, time_to_first_event, load = candidate
+            domain = load.target.listing.failure_domain
+            if domain != primary_domain:
+                delay = delays.get(domain, 0.0)
+                candidate = (cost + member_cost, time_to_first_event + delay, load)
+            changed.append(candidate)
+        return changed
+
     def _assign_memory(
         self, missing_tokens: int, usable_memory: int, loads: list[_Load]
     ) -> tuple[PlacementMember, ...] | None:
@@ -337,8 +384,20 @@
         group_size: int,
         now: float,
     ) -> float:
-        """Return the value that a request itself loses on a target."""
+        """Return the value that a request itself loses on a target.
+
+        Leaving the caller's failure domain costs the link's delay and price.
+        The load it answers: a domain with too few targets, beside others that
+        have free ones, or that are as full.
+        """
         settings = self._settings
+        failure_domain = load.target.listing.failure_domain
+        leaves_domain = failure_domain != request.failure_domain
+        leaving_cost = settings.other_domain_cost
+        domain_cost = request.domain_cost
+        if leaves_domain and domain_cost is not None:
+            leaving_cost += domain_cost.primary_cost
+            time_to_first_event += domain_cost.caller_delays.get(failure_domain, 0.0)
         value = request.value * settings.late_loss_share
         cost = expected_loss(
             value, time_to_first_event, request.objective_at - now, settings
@@ -350,17 +409,15 @@
         cost += expected_loss(value, pause, request.max_gap, settings)
         if now + time_to_first_event > request.deadline:
             cost += request.value
-        cost += settings.wait_cost * request.value * time_to_first_event
-        spare_slots = engine.slots - load.occupied_slots
-        if spare_slots < settings.spare_slots:
+        cost += self._wait_cost(request) * request.value * time_to_first_event
+        missing_slots = self._spare_slots(request, engine) - (
+            engine.slots - load.occupied_slots
+        )
+        if missing_slots > 0:
             # Another entry may choose this target at the same time.
-            cost += (
-                settings.spare_slot_cost
-                * request.value
-                * (settings.spare_slots - spare_slots)
-            )
-        if load.target.listing.failure_domain != request.failure_domain:
-            cost += settings.other_domain_cost
+            cost += settings.spare_slot_cost * request.value * missing_slots
+        if leaves_domain:
+            cost += leaving_cost
         # Short prompts fill the order from one end and long ones from the
         # other, so that prefill delays few decoding requests.
         position = (
@@ -370,6 +427,26 @@
         )
         return cost + settings.pack_cost * position
 
+    def _wait_cost(self, request: PlacementRequest) -> float:
+        if request.groups_needed:
+            return self._settings.wait_cost
+        return self._settings.wait_cost_without_groups
+
+    def _spare_slots(self, request: PlacementRequest, engine: EngineProfile) -> float:
+        """Return the slots of each target that are left to other entries.
+
+        The load it answers: entries that restart together, or are cut off,
+        place what waits for them without knowing of one another's work.  The
+        fewer they see, the more evenly they use all targets.
+        """
+        settings = self._settings
+        if request.visible_share >= settings.min_visible_share:
+            return settings.spare_slots
+        hidden_share = 1.0 - request.visible_share
+        return settings.spare_slots + hidden_share * max(
+            engine.slots - settings.spare_slots, 0
+        )
+
     def _predict_pass_time(
         self, request: PlacementRequest, engine: EngineProfile, load: _Load
     ) -> float:
@@ -432,17 +509,33 @@
         return 0.0
 
 
+def needs_groups(
+    engine: EngineProfile, longest_objective: float, settings: PlacementSettings
+) -> bool:
+    """Return whether a prompt as large as an engine needs a group in time.
+
+    The objective, in seconds, is the longest of the routes to its service.
+    """
+    tokens = int(engine.memory * settings.max_memory_share)
+    return engine.prefill_time(tokens) > longest_objective
+
+
 def place_call(
-    targets: t.Iterable[TargetView], failure_domain: str, now: float
+    targets: t.Iterable[TargetView],
+    failure_domain: str,
+    now: float,
+    work_margin: int = 0,
 ) -> TargetView | None:
-    """Return the target for a plain call: least work, then same domain."""
-    return min(
-        targets,
-        key=lambda target: (
-            target.is_avoided(now),
-            len(target.work_items),
-            target.listing.failure_domain != failure_domain,
-            target.listing.id,
-        ),
-        default=None,
-    )
+    """Return the target for a plain call: least work, then same domain.
+
+    A target in another failure domain must have less work by more than a
+    margin.  The load it answers: calls that take about as long as one another,
+    on few targets in each domain, where one call less is no gain.
+    """
+
+    def order(target: TargetView) -> tuple[bool, int, bool, str]:
+        leaves_domain = target.listing.failure_domain != failure_domain
+        work = len(target.work_items) + (work_margin if leaves_domain else 0)
+        return target.is_avoided(now), work, leaves_domain, target.listing.id
+
+    return min(targets, key=order, default=None)
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -4,8 +4,16 @@
 
 from ..request import Prompt
 from .board import DirectBoard, DirectRequest, TargetView
+from .domain_cost import compute_domain_cost
 from .partition import FleetPartition
-from .placement import Placement, PlacementRequest, Placer, place_call
+from .placement import (
+    Placement,
+    PlacementRequest,
+    Placer,
+    needs_groups,
+    place_call,
+)
+from .route import Service
 from .settings import DirectSettings
 from .target_limits import TargetLimits
 
@@ -32,12 +40,14 @@
         """Return the best placement of a request, if any target can run it.
 
         Targets that it was tried on are considered only if there is no other,
-        and targets at their rate limit not at all.
+        and targets at their rate limit or in other regions than those allowed
+        not at all.
         """
         service_name = request.inbound.service
-        targets = self._allowed(self._partition.targets(service_name), now)
+        regions = request.inbound.allowed_regions
+        targets = self._allowed(self._partition.targets(service_name), regions, now)
         targets = targets or self._allowed(
-            self._board.available_targets(service_name), now
+            self._board.available_targets(service_name), regions, now
         )
         candidates = [
             target
@@ -55,18 +65,29 @@
                 now,
                 self._board.placement_offset,
             )
-        target = place_call(candidates, self._failure_domain, now)
+        work_margin = self._settings.domain_cost.work_margin
+        target = place_call(candidates, self._failure_domain, now, work_margin)
         if target is None:
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
 
-    def _allowed(self, targets: t.Iterable[TargetView], now: float) -> list[TargetView]:
-        return [view for view in targets if self._target_limits.allows(view, now)]
+    def _allowed(
+        self,
+        targets: t.Iterable[TargetView],
+        regions: frozenset[str] | None,
+        now: float,
+    ) -> list[TargetView]:
+        return [
+            view
+            for view in targets
+            if view.listing.is_in(regions) and self._target_limits.allows(view, now)
+        ]
 
     def _placement_request(
         self, request: DirectRequest, work: Prompt
     ) -> PlacementRequest:
         inbound = request.inbound
+        service = self._board.find_service(inbound.service)
         return PlacementRequest(
             tokens=work.tokens,
             max_output_tokens=work.max_tokens,
@@ -76,4 +97,20 @@
             max_gap=inbound.route.max_gap,
             value=1.0 + work.tokens / self._settings.tokens_per_value,
             failure_domain=self._failure_domain,
+            groups_needed=self._needs_groups(service),
+            visible_share=self._board.visible_share,
+            domain_cost=compute_domain_cost(
+                self._settings.domain_cost,
+                service.link_delays if service else (),
+                self._failure_domain,
+                inbound.request.body_size,
+                work.max_tokens,
+            ),
         )
+
+    def _needs_groups(self, service: Service | None) -> bool:
+        table = self._board.table
+        if service is None or service.engine is None or table is None:
+            return True
+        objective = table.longest_objective(service.name)
+        return needs_groups(service.engine, objective, self._settings.placement)
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -5,10 +5,13 @@
 from ..health import HealthSettings
 from .budget import BudgetSettings
 from .cold_start import ColdStartSettings
+from .domain_cost import DomainCostSettings
+from .evacuation import EvacuationSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
 from .store_relay import RelaySettings
 from .target_limits import TargetLimitSettings
+from .target_pace import TargetPaceSettings
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -57,13 +60,16 @@
     """Settings of a direct entry's decisions; times are in seconds."""
 
     placement: PlacementSettings = PlacementSettings()
+    domain_cost: DomainCostSettings = DomainCostSettings()
     timeouts: TimeoutSettings = TimeoutSettings()
     reservation: ReservationSettings = ReservationSettings()
     budget: BudgetSettings = BudgetSettings()
     relay: RelaySettings = RelaySettings()
     target_limits: TargetLimitSettings = TargetLimitSettings()
+    target_pace: TargetPaceSettings = TargetPaceSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
+    evacuation: EvacuationSettings = EvacuationSettings()
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
@@ -73,6 +79,9 @@
     min_peer_update_interval: float = 0.25  # shortest time between full updates
     # Time that each peer adds to the interval, so that updates do not flood.
     peer_update_interval_per_peer: float = 0.02
+    # Time after which new work is reported to peers once more: the next full
+    # update comes long after a prompt has been prefilled.
+    work_repeat_delay: float = 0.04
     # Time that a peer may be ahead: three pauses of a watch.
     store_lag_tolerance: float = 1.0
     missed_peer_updates: float = 3.2  # updates missed until a peer's work is dropped
--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -4,6 +4,8 @@
 what a field holds where its name may mislead.
 """
 
+import typing as t
+
 import msgspec
 
 from ..direct.board import TargetListing
@@ -11,6 +13,7 @@
 from ..direct.route import (
     CallerLimits,
     Deployment,
+    LinkDelay,
     Route,
     Service,
     Share,
@@ -23,31 +26,50 @@
 MILLION = 1e6  # token pairs, of a cost per million pairs
 
 
+MAX_PORT = 65_535
+MAX_HOST_LABEL = 63  # characters, beyond which a name cannot be resolved
+
+# A value outside these bounds would fail each request that uses it.
+_Positive = t.Annotated[int, msgspec.Meta(ge=1)]
+_PositiveRate = t.Annotated[float, msgspec.Meta(gt=0.0)]
+_Amount = t.Annotated[float, msgspec.Meta(ge=0.0)]
+_Size = t.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class UndecodableValue(PlatformError):
     """A value in the store that cannot be decoded."""
 
 
+class _LinkDelay(msgspec.Struct):
+    origin: str = msgspec.field(name="from")  # failure domain
+    destination: str = msgspec.field(name="targetVersion")  # failure domain
+    delay_ms: _Amount  # one way
+
+
 class _Engine(msgspec.Struct):
-    slots: int  # requests admitted at the same time
-    kvCapacityTokens: int
-    stride: int  # decode steps in a pass
-    step_ms: float
-    per_seq_ms: float  # milliseconds of a step for each request that decodes
-    context_per_k: float  # milliseconds of a step for each 1000 tokens of context
-    read_per_s: float  # prefill tokens per second
-    pairs_per_m: float  # milliseconds of prefill for each million pairs of tokens
-    chunk: int  # prefill tokens in a step
-    hopMs: float = 0.0  # added to each step of a group
+    slots: _Positive  # requests admitted at the same time
+    kvCapacityTokens: _Positive
+    stride: _Positive  # decode steps in a pass
+    step_ms: _Amount
+    per_seq_ms: _Amount  # milliseconds of a step for each request that decodes
+    context_per_k: _Amount  # milliseconds of a step for each 1000 tokens of context
+    read_per_s: _PositiveRate  # prefill tokens per second
+    pairs_per_m: _Amount  # milliseconds of prefill for each million pairs of tokens
+    chunk: _Positive  # prefill tokens in a step
+    hopMs: _Amount = 0.0  # added to each step of a group
+    delays: list[_LinkDelay] = []
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    coldStartS: _Amount = 0.0  # seconds for which a started server is cold
+    coldPerS: _Amount = 0.0  # requests per second that a cold server takes
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float  # relative share of the requests
+    weight: _Amount  # relative share of the requests
 
 
 class _Route(msgspec.Struct):
@@ -55,28 +77,30 @@
     host: str
     prefix: str
     kind: str  # "safe" (may run more than once), "unsafe" or "streaming"
-    timeoutMs: float
-    targetLatencyMs: float  # to the complete answer or the first event
+    timeoutMs: _Amount
+    targetLatencyMs: _Amount  # to the complete answer or the first event
     service: str | None = None
     trafficSplit: list[_Split] | None = None
     priority: int = 0  # 0 is served first
-    maxAttempts: int = 1
+    maxAttempts: _Size = 1
     public: bool = False  # needs no API key
     resumable: bool = False
-    gapTargetMs: float = 0.0  # longest time between events of a stream
+    gapTargetMs: _Amount = 0.0  # longest time between events of a stream
+    allowedRegions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int
-    maxBodyBytes: int
-    headerTimeoutMs: float
-    idleTimeoutMs: float
+    maxHeaderBytes: _Size
+    maxBodyBytes: _Size
+    headerTimeoutMs: _Amount
+    idleTimeoutMs: _Amount
 
 
 class _Tenant(msgspec.Struct):
     name: str  # name of the workspace
     apiKeys: list[str]
     priority: int | None = None  # overrides the route's
+    allowedRegions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -94,6 +118,7 @@
     state: str  # "ready" or "draining"
     slots: int = 1
     born: int = 0  # start of the server, in milliseconds since the epoch
+    coldRemainingMs: _Amount | None = None
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -101,6 +126,19 @@
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is "host:port" and can be connected to."""
+    host, _, port = text.rpartition(":")
+    return (
+        bool(host)
+        and all(len(label) <= MAX_HOST_LABEL for label in host.split("."))
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= len(str(MAX_PORT))
+        and 0 < int(port) <= MAX_PORT
+    )
+
+
 def decode_deployment(data: bytes) -> Deployment:
     """Decode the operator's configuration.
 
@@ -119,6 +157,7 @@
                 name=tenant.name,
                 keys=tuple(tenant.apiKeys),
                 priority=tenant.priority,
+                allowed_regions=_to_regions(tenant.allowedRegions),
             )
             for tenant in config.tenants or ()
         ),
@@ -127,8 +166,8 @@
     )
 
 
-def decode_listing(id: str, data: bytes) -> TargetListing:
-    """Decode a server's value in the store.
+def decode_listing(id: str, data: bytes, regions: t.Mapping[str, str]) -> TargetListing:
+    """Decode a server's value in the store; regions by failure domain.
 
     :raises UndecodableValue: if it is not a server that can be used
     """
@@ -136,8 +175,7 @@
         server = _server_decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise UndecodableValue(f"invalid server {id}: {error}") from None
-    host, _, port = server.address.rpartition(":")
-    if server.state not in _LEAVING_BY_STATE or not host or not port.isdigit():
+    if server.state not in _LEAVING_BY_STATE or not is_address(server.address):
         raise UndecodableValue(
             f"invalid server {id}: state {server.state!r}, "
             f"address {server.address!r}"
@@ -150,6 +188,8 @@
         slots=server.slots,
         leaving=_LEAVING_BY_STATE[server.state],
         started_at=server.born,
+        region=regions.get(server.zone, ""),
+        cold_time_left=_to_seconds(server.coldRemainingMs),
     )
 
 
@@ -175,12 +215,14 @@
         max_attempts=route.maxAttempts,
         priority=route.priority,
         public=route.public,
+        allowed_regions=_to_regions(route.allowedRegions),
     )
 
 
 def _to_service(service: _Service) -> Service:
     engine = service.engine
     profile = None
+    link_delays: tuple[LinkDelay, ...] = ()
     if engine is not None:
         profile = EngineProfile(
             slots=engine.slots,
@@ -194,7 +236,28 @@
             steps_per_pass=engine.stride,
             group_step_delay=engine.hopMs / MS_PER_SECOND,
         )
-    return Service(name=service.name, engine=profile)
+        link_delays = tuple(
+            LinkDelay(
+                domains=frozenset((link.origin, link.destination)),
+                delay=link.delay_ms / MS_PER_SECOND,
+            )
+            for link in engine.delays
+        )
+    return Service(
+        name=service.name,
+        engine=profile,
+        cold_duration=service.coldStartS,
+        cold_rate=service.coldPerS,
+        link_delays=link_delays,
+    )
+
+
+def _to_regions(names: list[str] | None) -> frozenset[str] | None:
+    return frozenset(names) if names is not None else None
+
+
+def _to_seconds(milliseconds: float | None) -> float | None:
+    return milliseconds / MS_PER_SECOND if milliseconds is not None else None
 
 
 def _to_limits(limits: _Limits) -> CallerLimits:
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates the platform's HTTP headers and orders to the project's terms."""
 
+import dataclasses
 import math
 
 import msgspec
@@ -36,6 +37,7 @@
 RATE_LIMIT = b"server-limit"  # requests per second from all entries together
 RETRY_AFTER = b"retry-after"  # seconds for which this entry is to back off
 LEAVING = b"server-leaving"  # "1": the target is about to end
+COLD_TIME_LEFT = b"chicorycove-cold-ms"  # how much longer the target is cold
 
 # Removed from a caller's request and, where a target needs them, set anew.
 REPLACED_HEADERS = frozenset(
@@ -57,6 +59,10 @@
 MAX_SHARED_PARTS = 64  # of a prompt; further ones are ignored
 MAX_PART_ID_LENGTH = 64  # characters
 MS_PER_SECOND = 1000.0
+# Python converts no more than 4300 digits to an integer, and no integer beyond
+# 1e308 to a float.
+MAX_DIGITS = 16
+MAX_INTEGER = 10**15
 
 
 class PlatformDialect:
@@ -78,6 +84,7 @@
             return Rejection(404, Reason.UNKNOWN_PATH, id)
         workspace = ""
         priority = route.priority
+        allowed_regions = route.allowed_regions
         if table.deployment.authenticated and not route.public:
             workspace_keys = table.find_workspace(
                 _parse_bearer_key(request.header(b"authorization"))
@@ -87,7 +94,11 @@
             workspace = workspace_keys.name
             if workspace_keys.priority is not None:
                 priority = workspace_keys.priority
-        return self._build_inbound(id, request, route, workspace, priority, draw)
+            allowed_regions = _intersect(
+                allowed_regions, workspace_keys.allowed_regions
+            )
+        inbound = self._build_inbound(id, request, route, workspace, priority, draw)
+        return dataclasses.replace(inbound, allowed_regions=allowed_regions)
 
     def parse_time_limit(self, request: HttpRequest) -> float | None:
         """Return the seconds for which a caller waits, if it names them."""
@@ -136,6 +147,7 @@
         retry_after = None
         if status == UNAVAILABLE:
             retry_after = _find_positive_number(headers, RETRY_AFTER, invalid_headers)
+        cold_ms = _find_positive_number(headers, COLD_TIME_LEFT, invalid_headers)
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
@@ -145,6 +157,7 @@
             rate_limit_invalid=rate_limit_invalid,
             retry_after=retry_after,
             leaving=_find_flag(headers, LEAVING, invalid_headers),
+            cold_time_left=cold_ms / MS_PER_SECOND if cold_ms is not None else None,
             invalid_headers=tuple(invalid_headers),
         )
 
@@ -198,6 +211,7 @@
                 arrived=request.received_at,
                 deadline=request.received_at
                 + min(budget_ms / MS_PER_SECOND, route.timeout),
+                body_size=len(request.body),
             ),
             route,
             service,
@@ -261,6 +275,15 @@
     return value == "1"
 
 
+def _intersect(
+    first: frozenset[str] | None, second: frozenset[str] | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow; None allows any."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
+
 def _decode_text(value: bytes | None) -> str:
     return value.decode("latin-1").strip() if value is not None else ""
 
@@ -272,7 +295,11 @@
 
 
 def _parse_integer(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    """Return the integer in a header, at most ``MAX_INTEGER``."""
+    if value is None or not value.isdigit():
+        return None
+    digits = value.lstrip(b"0") or b"0"
+    return min(int(digits[:MAX_DIGITS]), MAX_INTEGER)
 
 
 def _parse_number(value: bytes | None) -> float | None:
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import signal
+import socket
 import sys
 import typing as t
 
@@ -12,12 +13,18 @@
 from ..direct.budget import BudgetSettings
 from ..direct.caller_connection import CallerConnection, CallerHandler
 from ..direct.dispatch import DirectDispatcher
+from ..direct.domain_cost import DomainCostSettings
 from ..direct.entry import DirectEntry
 from ..direct.event import DirectEvent, PeersUpdated, StoreRevisionSeen
-from ..direct.linelog import LineLog
+from ..direct.linelog import LineLog, log_failure
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
-from ..direct.settings import DirectSettings, ReservationSettings, peer_timeout
+from ..direct.settings import (
+    DirectSettings,
+    ReservationSettings,
+    peer_timeout,
+    peer_update_interval,
+)
 from ..direct.store_relay import StoreRelay
 from ..exceptions import SettingsError
 from ..identity import AttemptId
@@ -42,7 +49,14 @@
 # requests that arrive within 3 s of a stop are aborted, but one accepted later
 # must have the time to finish.
 MAX_STOP_ACCEPT_TIME = 2.8
+# Part of the platform's rules under which traffic between failure domains is a
+# matter of its own, and its price in units of a request's value per byte.
+PRICED_LINKS = "places"
+LINK_PRICE = 1e-6
 GRACE_SHARE = 0.94  # of the grace period, after which the process exits
+# Share of the grace period after that, in which callers that are connected
+# already still get an answer to what they send.
+LINGER_SHARE = 0.02
 PEER_CHECK_INTERVAL = 0.2  # seconds between checks of peers, and heartbeats
 
 
@@ -57,6 +71,9 @@
         reservation=ReservationSettings(
             lease_duration=min(MAX_LEASE_DURATION, boot.hold_most)
         ),
+        domain_cost=DomainCostSettings(
+            price_per_byte=LINK_PRICE if PRICED_LINKS in boot.features else 0.0
+        ),
         lapse_grace=boot.drain * LAPSE_GRACE_SHARE,
         stop_accept_time=min(boot.grace * STOP_ACCEPT_SHARE, MAX_STOP_ACCEPT_TIME),
         stop_finish_time=boot.grace * GRACE_SHARE,
@@ -96,12 +113,14 @@
             self._handle_entries_changed,
             StoreRelay(self._name, self._settings.relay),
             boot.failure_domain,
+            boot.regions,
             self._peers.send_relay,
         )
         self._pages = PageHandler(
             {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
         )
         self._listed_peers: dict[str, str] = {}
+        self._callers_server: asyncio.Server | None = None
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -122,7 +141,9 @@
         ):
             self._tasks.append(asyncio.create_task(coroutine))
         await self._follower.wait_first_list(FIRST_LIST_TIMEOUT)
-        await self._serve(self._entry, sock=self._listeners.callers)
+        self._callers_server = await self._serve(
+            self._entry, sock=self._listeners.callers
+        )
         self._log.write("started", name=self._name, callers=boot.callers)
 
     async def stop(self) -> None:
@@ -136,6 +157,15 @@
             if self._loop.time() >= earliest_end and not self._entry.busy:
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
+        await self._stop_listening()
+        linger_until = self._loop.time() + self._boot.grace * LINGER_SHARE
+        while self._loop.time() < linger_until or (
+            self._entry.busy and self._loop.time() < latest_end
+        ):
+            await asyncio.sleep(
+                min(STOP_POLL_INTERVAL, self._boot.grace * LINGER_SHARE)
+            )
+        self._entry.fail_unfinished()
         await cancel_all(self._tasks)
         for server in self._servers:
             server.close()
@@ -153,6 +183,9 @@
         except SettingsError as error:
             self._log.write("reload refused", cause=str(error))
             return
+        except Exception as error:  # the file may hold anything
+            self._log.write("reload refused", cause=repr(error))
+            return
         changed_fields = [
             field.name
             for field in dataclasses.fields(Boot)
@@ -184,14 +217,37 @@
             self._random,
             self._peers,
             lambda: self._follower.resync(),
+            self._boot.failure_domain,
         )
 
-    async def _serve(self, handler: CallerHandler, **endpoint: t.Any) -> None:
+    async def _serve(self, handler: CallerHandler, **endpoint: t.Any) -> asyncio.Server:
         """Serve connections; the endpoint is passed to ``create_server``."""
         server = await self._loop.create_server(
             lambda: CallerConnection(handler), backlog=BACKLOG, **endpoint
         )
         self._servers.append(server)
+        return server
+
+    async def _stop_listening(self) -> None:
+        """Accept what is in the listen queue, and close it.
+
+        The kernel resets connections that are in the queue when it closes.
+        """
+        if self._callers_server is None or not self._callers_server.is_serving():
+            return
+        queued: list[socket.socket] = []
+        while True:
+            try:
+                connection, _ = self._listeners.callers.accept()
+            except OSError:  # the queue is empty, or descriptors are exhausted
+                break
+            queued.append(connection)
+        self._callers_server.close()
+        for connection in queued:
+            connection.setblocking(False)
+            await self._loop.connect_accepted_socket(
+                lambda: CallerConnection(self._entry), connection
+            )
 
     def _handle_peer_failure(
         self, event: str, error: Exception, should_log: bool
@@ -219,8 +275,9 @@
     async def _check_peers_periodically(self) -> None:
         """Remove unresponsive peers and send heartbeats, until cancelled."""
         while True:
-            self._check_peers()
-            self._follower.send_heartbeat()
+            with log_failure(self._log, "periodic task failed"):
+                self._check_peers()
+                self._follower.send_heartbeat()
             await asyncio.sleep(PEER_CHECK_INTERVAL)
 
     def _check_peers(self) -> None:
@@ -228,15 +285,36 @@
         self._peers.prune(self._listed_peers.keys(), timeout)
         names = frozenset({self._name, *self._peers.names})
         unresponsive = self._peers.unresponsive(timeout)
-        self._entry.handle(PeersUpdated(names, unresponsive, self._entries_listed))
+        interval = peer_update_interval(self._settings, len(self._board.peer_names))
+        newly_responsive = self._peers.newly_responsive(interval)
+        self._entry.handle(
+            PeersUpdated(names, unresponsive, self._entries_listed, newly_responsive)
+        )
 
     def _ready_page(self) -> Page:
         return Page(200 if self._entry.ready else 503)
 
     def _metrics_page(self) -> Page:
+        self._entry.update_metrics()
         return Page(200, self._metrics.page())
 
 
+def create_exception_handler(
+    log: LineLog,
+) -> t.Callable[[asyncio.AbstractEventLoop, dict[str, t.Any]], None]:
+    """Return a handler that logs exceptions which no other code expected.
+
+    The event loop closes the connection whose callback has raised one.
+    """
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, t.Any]) -> None:
+        error = context.get("exception")
+        cause = repr(error) if error is not None else None
+        log.write("unexpected exception", message=context["message"], cause=cause)
+
+    return handle
+
+
 def start(boot: Boot, listeners: Listeners) -> None:
     """Run the process until it has stopped."""
     asyncio.run(run(boot, listeners, LineLog(sys.stdout.fileno(), boot.name)))
@@ -247,6 +325,7 @@
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     process = PlatformProcess(boot, listeners, log)
+    loop.set_exception_handler(create_exception_handler(log))
     loop.add_signal_handler(signal.SIGHUP, process.reload)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
--- a/src/chicorycove/reason.py
+++ b/src/chicorycove/reason.py
@@ -35,6 +35,7 @@
     LIMIT_TOKENS = "limit_tokens"
     LIMIT_MEMORY = "limit_memory"
     NO_TARGET = "no_target"
+    SERVICE_EVACUATED = "service_evacuated"  # all its targets are evacuated
     REQUEST_QUARANTINED = "request_quarantined"  # such requests crash targets
     TARGET_LIMIT = "target_limit"  # no target takes more requests now
     NOT_READY = "not_ready"
@@ -58,6 +59,7 @@
     STREAM_BROKEN = "stream_broken"
     ANSWER_TOO_LARGE = "answer_too_large"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL_ERROR = "internal_error"  # an unexpected exception in this process
     CALLER_GONE = "caller_gone"
     CLAIM_UNSETTLED = "claim_unsettled"
     RESULT_NOT_KEPT = "result_not_kept"
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -1,5 +1,6 @@
 """A direct entry's dispatcher with simulated targets and callers."""
 
+import dataclasses
 import itertools
 
 from bench.sheet import ENGINE
@@ -81,10 +82,27 @@
     authenticated=True,
 )
 
+COLD_RATE = 28.0  # requests per second
+COLD_DURATION = 3.0  # seconds
+COLD_DEPLOYMENT = dataclasses.replace(
+    DEPLOYMENT,
+    services=tuple(
+        dataclasses.replace(service, cold_duration=COLD_DURATION, cold_rate=COLD_RATE)
+        for service in DEPLOYMENT.services
+    ),
+)
+
 OK = TargetAnswer(status=200, not_run=False)
 SERVER_ERROR = TargetAnswer(status=500, not_run=False)
 TARGET_FULL = TargetAnswer(status=503, not_run=True)
 
+REGIONS = {"here": "north", "there": "south", "beyond": "south"}
+
+
+def domain_of(id, domains):
+    """Return the failure domain of a target among some."""
+    return domains[sum(id.encode()) % len(domains)]
+
 
 def make_inbound(
     id,
@@ -95,6 +113,7 @@
     time_limit=None,
     parts=(),
     fingerprint=None,
+    regions=None,
 ):
     """Return a caller's request."""
     service = route.shares[0].service
@@ -115,13 +134,23 @@
         route,
         service,
         fingerprint=fingerprint or f"only-{id}",
+        allowed_regions=regions,
     )
 
 
 class DirectWorld:
     """A dispatcher on a virtual clock."""
 
-    def __init__(self, engines=4, shops=2, settings=None, deployment=DEPLOYMENT):
+    def __init__(
+        self,
+        engines=4,
+        shops=2,
+        settings=None,
+        deployment=DEPLOYMENT,
+        domains=("here",),
+    ):
+        """Start an entry in the first of some failure domains."""
+        self.domains = domains
         self.board = DirectBoard()
         numbers = itertools.count(1)
         self.dispatcher = DirectDispatcher(
@@ -139,12 +168,23 @@
         for number in range(shops):
             self.add_target(f"s{number}", "shop")
 
-    def add_target(self, id, service, leaving=False, started_at=1):
+    def add_target(self, id, service, leaving=False, started_at=1, cold_time_left=None):
         number = sum(id.encode())
         address = f"10.0.0.{number % 250}:{8000 + number}"
+        domain = domain_of(id, self.domains)
         self.handle(
             TargetListed(
-                TargetListing(id, service, address, "here", 8, leaving, started_at)
+                TargetListing(
+                    id,
+                    service,
+                    address,
+                    domain,
+                    8,
+                    leaving,
+                    started_at,
+                    REGIONS[domain],
+                    cold_time_left,
+                )
             )
         )
 
