Use no reserved memory whose lease ended during a pause

Change: the confirmation of a lapsed lease counts for nothing, so that the reservation times out and another group is tried; when a connection opens, a request whose leases have lapsed is withdrawn before it is sent.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -384,14 +384,16 @@
             return []
         attempt = request.attempts[-1]
         if self._target_limits.is_backing_off(attempt.agent, now):
-            return self._withdraw_attempt(request, now)
+            return self._withdraw_attempt(request, "backoff", now)
+        if self._reservations.have_lapsed(attempt_id.request, now):
+            return self._withdraw_attempt(request, "reserved memory lapsed", now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
         return []
 
     def _withdraw_attempt(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, cause: str, now: float
     ) -> list[DirectCommand]:
         """Send a request elsewhere before its target has got it."""
         attempt = request.attempts[-1]
@@ -399,7 +401,7 @@
         request.tried_targets.add(attempt.agent.target)
         return [
             CancelAttempt(attempt.id),
-            LogChange("attempt withdrawn", attempt.agent.target, "backoff"),
+            LogChange("attempt withdrawn", attempt.agent.target, cause),
             *self._completion.release_work(request),
             *self._place(request, now),
         ]
--- a/src/chicorycove/direct/reservation.py
+++ b/src/chicorycove/direct/reservation.py
@@ -85,16 +85,29 @@
         return [self._reserve(group, reservation, now) for reservation in reservations]
 
     def confirm(self, reservation_id: AttemptId, now: float) -> Placement | None:
-        """Record a reservation; return the placement once it has them all."""
+        """Record a reservation; return the placement once it has them all.
+
+        After a pause of the process, the confirmation of a lease that has
+        ended since counts for nothing: the reservation times out.
+        """
         group = self._groups.get(reservation_id.request)
         if group is None or reservation_id not in group.pending:
             return None
+        if self.have_lapsed(reservation_id.request, now):
+            return None
         group.pending.discard(reservation_id)
         if group.pending:
             return None
         self._schedule_renewal(reservation_id.request, group, now)
         return group.placement
 
+    def have_lapsed(self, request_id: str, now: float) -> bool:
+        """Return whether a lease of a request's reservations has ended."""
+        group = self._groups.get(request_id)
+        return group is not None and any(
+            now >= leased_until for leased_until in group.leased_until.values()
+        )
+
     def is_pending(self, reservation_id: AttemptId) -> bool:
         """Return whether the answer to a reservation order is outstanding."""
         group = self._groups.get(reservation_id.request)
