Let time go on while the host is suspended

Cause: time.monotonic(), and with it the event loop's clock, stands still while a host is suspended. Leases at the store and at targets end meanwhile; after the host resumed, a process took its own for valid: the planner's lease, claims, reserved memory, backoffs and the right to serve without contact.

No host was suspended.

--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -16,6 +16,7 @@
     ReportSpread,
 )
 from .change import Change, State
+from .clock import monotonic_time
 from .conversion import Address
 from .dissemination import SPREAD_TIMEOUT, EntryPeer
 from .log import LOGGER, log_failure
@@ -193,12 +194,12 @@
     async def _run_ticks(self) -> None:
         while True:
             with log_failure("tick of the peer failed"):
-                self._carry_out(self._peer.tick(time.monotonic()))
+                self._carry_out(self._peer.tick(monotonic_time()))
             await asyncio.sleep(TICK_PERIOD)
 
     def _receive(self, message: CatalogueMessage) -> None:
         if self._peer is not None:
-            self._carry_out(self._peer.receive(message, time.monotonic()))
+            self._carry_out(self._peer.receive(message, monotonic_time()))
 
     def _carry_out(self, commands: t.Iterable[CatalogueCommand]) -> None:
         for command in commands:
@@ -219,11 +220,11 @@
 
     def _create_peer(self, local_member: Member) -> AgentPeer:
         return AgentPeer(
-            local_member, _seed_members(self._settings.seeds), time.monotonic()
+            local_member, _seed_members(self._settings.seeds), monotonic_time()
         )
 
     def _leave(self) -> None:
-        self._carry_out(self._peer.leave(time.monotonic()))
+        self._carry_out(self._peer.leave(monotonic_time()))
 
 
 class EntryNode(_PeerNode):
@@ -237,7 +238,7 @@
         """Spread a change, and return once it is in force or timed out."""
         future = asyncio.get_running_loop().create_future()
         self._spread_waiters[state.revision] = future
-        now = time.monotonic()
+        now = monotonic_time()
         self._carry_out(self._peer.spread_accepted((change,), state, now))
         try:
             spread = await asyncio.wait_for(future, SPREAD_TIMEOUT + 2 * TICK_PERIOD)
@@ -272,29 +273,29 @@
 
     def may_accept(self) -> bool:
         """Return whether this entry may accept changes."""
-        return self._peer.membership.in_majority(time.monotonic())
+        return self._peer.membership.in_majority(monotonic_time())
 
     def may_serve(self) -> bool:
         """Return whether this entry cannot have missed an accepted change."""
-        return self._peer.membership.may_serve(time.monotonic())
+        return self._peer.membership.may_serve(monotonic_time())
 
     def watches(self) -> bool:
         """Return whether this process should watch the store."""
-        return self._peer.membership.watches(time.monotonic())
+        return self._peer.membership.watches(monotonic_time())
 
     def store_read(self, changes: tuple[Change, ...], state: State) -> None:
         """Record that the store was read, and spread what is new."""
-        now = time.monotonic()
+        now = monotonic_time()
         self._peer.membership.store_read(now)
         self._carry_out(self._peer.spread_stored(changes, state, now))
 
     def _create_peer(self, local_member: Member) -> EntryPeer:
         seed = random.SystemRandom().getrandbits(64)
         seeds = tuple(s for s in self._settings.seeds if s != self.address)
-        return EntryPeer(Membership(local_member, (), seed, time.monotonic(), seeds))
+        return EntryPeer(Membership(local_member, (), seed, monotonic_time(), seeds))
 
     def _leave(self) -> None:
-        self._carry_out(self._peer.membership.leave(time.monotonic()))
+        self._carry_out(self._peer.membership.leave(monotonic_time()))
 
     def _handle_spread(self, spread: ReportSpread) -> None:
         future = self._spread_waiters.pop(spread.revision, None)
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -9,6 +9,7 @@
 import sys
 import typing as t
 
+from ..clock import monotonic_time
 from ..direct.board import DirectBoard
 from ..direct.budget import BudgetSettings
 from ..direct.caller_connection import CallerConnection, CallerHandler
@@ -296,9 +297,19 @@
     return handle
 
 
+class EventLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time goes on while the host is suspended."""
+
+    def time(self) -> float:
+        """Return the time in seconds since the host started."""
+        return monotonic_time()
+
+
 def start(boot: Boot, listeners: Listeners) -> None:
     """Run the process until it has stopped."""
-    asyncio.run(run(boot, listeners, LineLog(sys.stdout.fileno(), boot.name)))
+    log = LineLog(sys.stdout.fileno(), boot.name)
+    with asyncio.Runner(loop_factory=EventLoop) as runner:
+        runner.run(run(boot, listeners, log))
 
 
 async def run(boot: Boot, listeners: Listeners, log: LineLog) -> None:
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -6,10 +6,14 @@
 backoff, ``tests/test_direct_backoff.py``.
 """
 
+import time
 import unittest
+from unittest import mock
 
+from chicorycove.clock import Clock
 from chicorycove.direct.event import AttemptConnected
 from chicorycove.lifecycle import MemoryReserved, Tick
+from chicorycove.platform.process import EventLoop
 from tests.direct import LONG, DirectWorld, command_names, only_command
 
 PAUSE = 3.5  # seconds, more than the lease of reserved memory
@@ -43,3 +47,19 @@
         commands = self.world.handle(AttemptConnected(send.attempt))
         self.assertIn("CancelAttempt", command_names(commands))
         self.assertFalse(self.world.board.requests["r"].may_have_run)
+
+
+class ClockTest(unittest.TestCase):
+    def test_clock_goes_on_while_the_host_is_suspended(self):
+        clock = Clock()
+        before = clock.now()
+        boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
+        with mock.patch("time.clock_gettime", return_value=boot_time + 100.0):
+            self.assertGreaterEqual(clock.now() - before, 99.0)
+
+    def test_event_loop_goes_on_while_the_host_is_suspended(self):
+        loop = EventLoop()
+        self.addCleanup(loop.close)
+        before = loop.time()
+        with mock.patch("time.clock_gettime", return_value=before + 100.0):
+            self.assertGreaterEqual(loop.time() - before, 99.0)
