--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -442,6 +442,8 @@
         if cause is not None:
             request.tried_targets.add(attempt.agent.target)
             return self._withdraw_attempt(request, cause, now)
+        if self._reservations.have_lapsed(attempt_id.request, now):
+            return self._withdraw_attempt(request, "reserved memory lapsed", now)
         advance(attempt, AttemptStep.START)
         request.sent_count += 1
         request.run_count += 1
