Let targets of the simulated fleet reset calls

Cause: the fleet had no target that fails a share of its calls, and no entry whose own links fail, so that shared evidence of failing targets could not be tried. Change: a target has the shares of calls that it resets and that it answers with status 500; an entry may have all its calls reset. Without these shares no random number is drawn, so that the other tests see the same fleet. Conclusion: the test of failing targets can be written on it.

--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -55,6 +55,7 @@
 EVENT_GAP = 0.05  # seconds
 EVENT_COUNT = 10
 CRASH_DELAY = 0.06  # seconds from the start of a run that crashes a target
+RESET_DELAY = 0.02  # seconds until a failing target or link resets a connection
 RESTART_TIME = 3.0  # seconds from a crash until its replacement is listed
 LEASE_LEFT = 4.0  # seconds until an entry without the store is unlisted
 UNLIST_DELAY = 1.0  # seconds from a crash until the target is no longer listed
@@ -96,6 +97,8 @@
         self.attempts = {}  # attempt: its entry
         self.parts = []  # times at which parts of groups arrived
         self.cold_since = self.cold_until = 0.0
+        self.reset_share = 0.0  # of the calls, whose connections it resets
+        self.error_share = 0.0  # of the calls, which it answers with status 500
 
     @property
     def agent(self):
@@ -190,6 +193,7 @@
         self.paused = False
         self.waiting = []  # calls that the paused process does later
         self.cut_off = False  # neither sends nor receives datagrams
+        self.resets_calls = False  # its own links to targets fail
         self.store_cut_off = False  # gets no listings of targets and entries
         self.registered_at = 0.0
         self.unregistered_at = math.inf  # its lease in the store ends then
@@ -281,7 +285,7 @@
                 self.fleet.call_later(LINK_DELAY, self.fleet.order, self, command)
             case "ProbeTarget":
                 self.fleet.call_later(LINK_DELAY, self.probe, command.target)
-            case "LogChange":
+            case "LogChange" | "RecordEjection":
                 self.fleet.log.append((self.fleet.now, self.name, command))
             case "FinishAnswer" | "DeliverAnswer" | "FailRequest" | "AbortAnswer":
                 self.fleet.end_request(command)
@@ -643,6 +647,8 @@
             self.call_later(target.refusal_delay, self._refuse, entry, attempt, target)
         elif self._crashes_before_head(arrival, target):
             self.call_later(CRASH_DELAY, self.crash, target)
+        elif target.service == "shop" and self._resets_call(entry, target):
+            self.call_later(RESET_DELAY, self._break, entry, attempt)
         elif target.service == "shop":
             self.call_later(PREFILL_TIME, self._answer_call, entry, attempt, target)
         else:
@@ -697,12 +703,22 @@
             self.crash_before_head or target.service == "shop"
         )
 
+    def _resets_call(self, entry, target):
+        return entry.resets_calls or self._draw(target.reset_share)
+
+    def _draw(self, share):
+        """Return whether something with a probability happens."""
+        return share > 0.0 and self.random.random() < share
+
     def _answer_call(self, entry, attempt, target):
+        answer = target.answer(self.now)
+        if self._draw(target.error_share):
+            answer = dataclasses.replace(answer, status=500)
         if attempt in entry.live:
-            entry.handle(AnswerHeadReceived(attempt, target.answer(self.now)))
+            entry.handle(AnswerHeadReceived(attempt, answer))
         if attempt in entry.live:
             del entry.live[attempt]
-            entry.handle(AnswerReceived(attempt, target.answer(self.now)))
+            entry.handle(AnswerReceived(attempt, answer))
 
     def _start_stream(self, entry, attempt, target, first):
         if attempt not in entry.live or target.listing.id not in self.targets:
