Carry reports of failing targets in peers' datagrams

Cause: an entry ejects a target after three failures that it saw itself, which takes half a minute where it calls a target about every 10 s. Change: an update may have reports of failures: the target's incarnation, the weight of the failures in a row, the times of the first and the newest; weight 0 is a success. They are one more field at the end of the array, sent to the entries of the own cell only. Nothing sends them yet.

--- a/src/chicorycove/direct/command.py
+++ b/src/chicorycove/direct/command.py
@@ -11,6 +11,7 @@
 from .event import (
     ColdReport,
     CrashReport,
+    FailureReport,
     QuarantineReport,
     RateLimitReport,
     TargetNotice,
@@ -85,7 +86,8 @@
 class UpdatePeers:
     """Send peers an update on work and what this entry knows of targets.
 
-    What follows the unreachable targets is sent to the entries of all cells.
+    What follows the unreachable targets is sent to the entries of all cells,
+    except for failures: entries of other cells use other targets.
     """
 
     work_items: tuple[WorkItem, ...] = ()
@@ -97,6 +99,7 @@
     quarantines: tuple[QuarantineReport, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
     cold_targets: tuple[ColdReport, ...] = ()
+    failures: tuple[FailureReport, ...] = ()
 
     @property
     def for_all_cells(self) -> bool:
@@ -143,6 +146,22 @@
     detail: str = ""
 
 
+class EjectionEvidence(enum.Enum):
+    """By whose evidence a target is ejected."""
+
+    OWN = "own"
+    PEERS = "peers"  # that of peers was needed
+
+
+@frozen
+class RecordEjection:
+    """Log and count the ejection of a target."""
+
+    target: str
+    evidence: EjectionEvidence
+    detail: str = ""
+
+
 DirectCommand = t.Union[
     SendAttempt,
     ReserveMemory,
@@ -158,4 +177,5 @@
     ResyncStore,
     LogChange,
     RecordTargetState,
+    RecordEjection,
 ]
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -203,6 +203,19 @@
     cold_until: float  # time in seconds
 
 
+@frozen
+class FailureReport:
+    """An entry has seen failures of a target, or a success after them.
+
+    Times are in seconds.
+    """
+
+    target: AgentId
+    weight: float  # of the failures; 0 for a success
+    began_at: float  # time of the first failure of the row
+    seen_at: float  # time of the newest failure, or of the success
+
+
 @frozen
 class CrashReport:
     """A target has crashed while it ran some requests."""
@@ -246,6 +259,7 @@
     quarantines: tuple[QuarantineReport, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
     cold_targets: tuple[ColdReport, ...] = ()
+    failures: tuple[FailureReport, ...] = ()
 
 
 DirectEvent = t.Union[
--- a/src/chicorycove/direct/peers.py
+++ b/src/chicorycove/direct/peers.py
@@ -13,6 +13,7 @@
 from .event import (
     ColdReport,
     CrashReport,
+    FailureReport,
     PeerUpdateReceived,
     QuarantineReport,
     RateLimitReport,
@@ -29,6 +30,7 @@
 MAX_RATE_LIMITS = 20
 MAX_NOTICES = 20
 MAX_COLD_TARGETS = 20
+MAX_FAILURES = 20
 
 
 class PeerUpdate(msgspec.Struct, array_like=True):
@@ -49,6 +51,7 @@
     quarantines: list["QuarantineUpdate"] = []
     notices: list["NoticeUpdate"] = []
     cold_targets: list["ColdUpdate"] = []
+    failures: list["FailureUpdate"] = []
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -127,6 +130,16 @@
     cold_time_left: float
 
 
+class FailureUpdate(msgspec.Struct, array_like=True):
+    """Failures of a target in a datagram; times are in seconds."""
+
+    target: str
+    incarnation: str
+    weight: float
+    began_ago: float
+    seen_ago: float
+
+
 class _RelayDatagram(msgspec.Struct, array_like=True):
     owner: str
     revision: int
@@ -162,6 +175,9 @@
     for start in range(0, len(update.cold_targets), MAX_COLD_TARGETS):
         reports = update.cold_targets[start : start + MAX_COLD_TARGETS]
         updates.append(_encode_cold_targets(owner, reports, revision, now))
+    for start in range(0, len(update.failures), MAX_FAILURES):
+        failures = update.failures[start : start + MAX_FAILURES]
+        updates.append(_encode_failures(owner, failures, revision, now))
     updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
@@ -229,6 +245,15 @@
             )
             for report in update.cold_targets
         ),
+        tuple(
+            FailureReport(
+                AgentId(report.target, report.incarnation),
+                report.weight,
+                now - report.began_ago,
+                now - report.seen_ago,
+            )
+            for report in update.failures
+        ),
     )
 
 
@@ -282,6 +307,24 @@
     return PeerUpdate(owner, [], [], unreachable, revision, cold_targets=updates)
 
 
+def _encode_failures(
+    owner: str, reports: t.Sequence[FailureReport], revision: int, now: float
+) -> PeerUpdate:
+    # A failing target is not unreachable to entries of an earlier version: one
+    # failure is too little for that.
+    updates = [
+        FailureUpdate(
+            report.target.target,
+            report.target.incarnation,
+            report.weight,
+            now - report.began_at,
+            now - report.seen_at,
+        )
+        for report in reports
+    ]
+    return PeerUpdate(owner, [], [], [], revision, failures=updates)
+
+
 def _encode_quarantine(
     owner: str, update: UpdatePeers, revision: int, now: float
 ) -> t.Iterator[PeerUpdate]:
