Eject targets that fail for the entries of a cell together

Change: entries report failures and the first success after them, and add up those since the last success that anyone saw. A peer alone contributes at most one failure less than an ejection needs; reports count for 5 s, belong to an incarnation, and are repeated for 1.5 s. After an ejection, the first reported failure ejects again. Answers with an error and attempts given up as late weigh half, for the own row of failures too, so that errors of the application (14% of calls) eject nothing. The floor is counted in the cell. Ejections are logged and counted by whose evidence they are. A calm fleet sends no report. Conclusion: a failing target is left after three failures of all entries together.

--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -37,6 +37,7 @@
 - `kind`: what was dropped, such as `chunk`, `end` or `head`.
 - `outcome`: `run`, `prefill`, or the reason for which the agent refused.
 - `state`: `cold`, `warm`, `slow` or `normal`.
+- `evidence`: `own`, or `peers` if failures that peers reported were needed.
 - `cause`: `no_target`, if the entry's failure domain has no target that can be
   used, or `cost`, if the target is better by more than leaving costs.
 - `verdict`: {verdicts}.
@@ -63,6 +64,7 @@
     metrics.dropped("chunk")
     metrics.decided("run")
     metrics.target_changed("cold")
+    metrics.target_ejected("own")
     metrics.left_domain("cost")
     metrics.first_token(1.0, 1000)
     metrics.answer_time(1.0, "class")
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -66,7 +66,7 @@
 from .settings import DirectSettings
 from .shutdown import ShutdownPolicy
 from .store_lag import StoreLagDetector
-from .target_health import TargetHealth
+from .target_health import FailureKind, TargetHealth
 from .target_limits import TargetLimits
 from .target_list import ListEvent, TargetList
 from .target_pace import PaceCheckDue, TargetPace
@@ -97,7 +97,6 @@
         self._settings = settings
         self._make_attempt = make_attempt
         self._retry_policy = DirectRetryPolicy(board, settings)
-        self._target_health = TargetHealth(board, settings)
         self._targets = TargetList(board, settings)
         self._evacuation = Evacuation(board, settings.evacuation)
         self._target_limits = TargetLimits(board, settings.target_limits, entry_name)
@@ -113,6 +112,7 @@
         self._shutdown = ShutdownPolicy(board, settings)
         self._collisions = CollisionDetector(board)
         self._partition = FleetPartition(board, settings.max_targets, entry_name)
+        self._target_health = TargetHealth(board, settings, self._partition)
         self._selector = TargetSelector(
             board, settings, self._partition, self._target_limits, failure_domain
         )
@@ -186,6 +186,7 @@
                     event.cold_targets, now
                 )
                 commands += self._record_crash_reports(event, now)
+                commands += self._target_health.record_reports(event, now)
                 commands += self._work.handle(event, now)
                 commands += self._move_collided(work_items, now)
                 return commands + self._check_store_lag(owner, revision, now)
@@ -212,12 +213,14 @@
         )
         commands: list[DirectCommand] = [UpdatePeers(work_items)]
         commands += self._target_limits.reports(now)
+        commands += self._target_health.reports(now)
         return commands + self._quarantine.reports(now)
 
     def _record_list_event(self, event: ListEvent, now: float) -> list[DirectCommand]:
         """Record what limits requests to targets before the list changes."""
         match event:
             case TargetListed(listing):
+                self._target_health.record_listing(listing)
                 return self._target_limits.record_listing(listing, now)
             case StoreLost() | StoreRegained():
                 self._target_limits.record_store(isinstance(event, StoreLost))
@@ -490,19 +493,18 @@
         if answer.not_run or answer.wrong_instance:
             return self._handle_refusal(request, answer, now)
         attempt = request.attempts[-1]
-        commands: list[DirectCommand] = []
         if answer.status >= 500:
-            self._record_failure(request, now)
+            commands = self._record_failure(request, FailureKind.ERROR, now)
             if self._retry_policy.may_retry(request, now):
                 advance(attempt, AttemptStep.FAIL)
                 request.tried_targets.add(attempt.agent.target)
-                return self._retry_or_fail(
+                return commands + self._retry_or_fail(
                     request, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
                 )
         else:
-            self._target_health.record_success(attempt.agent.target)
+            commands = self._target_health.record_success(attempt.agent, now)
             if not request.inbound.route.streamed:
-                commands = self._quarantine.record_answer(request, now)
+                commands += self._quarantine.record_answer(request, now)
         advance(attempt, AttemptStep.END)
         if request.answer_started:
             return commands + self._completion.abort(request, Reason.TARGET_FAILED)
@@ -519,7 +521,7 @@
         if request is None:
             return []
         commands = self._quarantine.record_answer(request, now)
-        return commands + self._finish_request(request)
+        return commands + self._finish_request(request, now)
 
     def _close_stream(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
         """Finish a request, and probe a target that may have crashed."""
@@ -530,13 +532,18 @@
         if self._quarantine.is_answer_new(request):
             self._quarantine.record_break(request, now)
             commands = self._target_health.probe(request.attempts[-1].agent.target)
-        return commands + self._finish_request(request)
+        return commands + self._finish_request(request, now)
 
-    def _finish_request(self, request: DirectRequest) -> list[DirectCommand]:
+    def _finish_request(
+        self, request: DirectRequest, now: float
+    ) -> list[DirectCommand]:
         attempt = request.attempts[-1]
         advance(attempt, AttemptStep.END)
-        self._target_health.record_success(attempt.agent.target)
-        return [FinishAnswer(attempt.id.request), *self._completion.remove(request)]
+        return [
+            *self._target_health.record_success(attempt.agent, now),
+            FinishAnswer(attempt.id.request),
+            *self._completion.remove(request),
+        ]
 
     def _record_events(
         self,
@@ -575,7 +582,7 @@
             commands += self._target_health.suspect(target, now)
         else:
             advance(attempt, AttemptStep.FAIL)
-            self._record_failure(request, now)
+            commands += self._record_failure(request, FailureKind.BROKEN, now)
             self._quarantine.record_break(request, now)
             commands += self._target_health.probe(target)
         return commands + self._retry_or_fail(request, reason, verdict, now)
@@ -614,9 +621,11 @@
 
     # Health
 
-    def _record_failure(self, request: DirectRequest, now: float) -> None:
-        target = request.attempts[-1].agent.target
-        self._target_health.record_failure(target, request.inbound.service, now)
+    def _record_failure(
+        self, request: DirectRequest, kind: FailureKind, now: float
+    ) -> list[DirectCommand]:
+        agent = request.attempts[-1].agent
+        return self._target_health.record_failure(agent, kind, now)
 
     def _handle_probe_result(
         self, target: str, reachable: bool, now: float
@@ -723,12 +732,12 @@
     ) -> list[DirectCommand]:
         attempt = request.attempts[-1]
         advance(attempt, AttemptStep.FAIL)
-        self._record_failure(request, now)
+        commands = self._record_failure(request, FailureKind.LATE, now)
         request.tried_targets.add(attempt.agent.target)
         retry = self._retry_or_fail(
             request, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
         )
-        return [CancelAttempt(attempt.id), *retry]
+        return [CancelAttempt(attempt.id), *commands, *retry]
 
 
 def _describe_refusal(answer: TargetAnswer) -> str:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -31,6 +31,7 @@
     DirectCommand,
     LogChange,
     ProbeTarget,
+    RecordEjection,
     RecordTargetState,
     RelayStream,
     ResyncStore,
@@ -339,6 +340,14 @@
             case RecordTargetState(target, state, detail):
                 self._metrics.target_changed(state.value)
                 self._log.write(f"target {state.value}", subject=target, detail=detail)
+            case RecordEjection(target, evidence, detail):
+                self._metrics.target_ejected(evidence.value)
+                self._log.write(
+                    "target ejected",
+                    subject=target,
+                    evidence=evidence.value,
+                    detail=detail,
+                )
 
     def _send_attempt(self, command: SendAttempt) -> None:
         exchange = self._exchanges[command.attempt.request]
--- a/src/chicorycove/direct/settings.py
+++ b/src/chicorycove/direct/settings.py
@@ -7,6 +7,7 @@
 from .cold_start import ColdStartSettings
 from .domain_cost import DomainCostSettings
 from .evacuation import EvacuationSettings
+from .failure_evidence import FailureEvidenceSettings
 from .placement import PlacementSettings
 from .quarantine import QuarantineSettings
 from .store_relay import RelaySettings
@@ -73,6 +74,7 @@
     health: HealthSettings = HealthSettings(
         failures=3, ejection_base=2.0, ejection_cap=8.0
     )
+    failure_evidence: FailureEvidenceSettings = FailureEvidenceSettings()
     # Time until a target that lapsed while the store was unavailable is
     # removed.
     lapse_grace: float = 1.8
--- a/src/chicorycove/health.py
+++ b/src/chicorycove/health.py
@@ -66,11 +66,23 @@
         record.failures += 1
         if record.failures < self._settings.failures:
             return False
+        return self.eject(target, pool, now)
+
+    def eject(self, target: str, pool: t.Collection[str], now: float) -> bool:
+        """Eject a target if the floor allows it; return whether it does."""
+        state = self._board.targets.get(target)
+        if state is None or state.ejected_until > now:
+            return False
         if not self._may_eject(pool, now):
             return False
-        self._eject(state, record, now)
+        self._eject(state, self._records.setdefault(target, _Record()), now)
         return True
 
+    def is_on_trial(self, target: str) -> bool:
+        """Return whether a target was ejected and has not answered since."""
+        record = self._records.get(target)
+        return record is not None and record.ejections > 0
+
     def forget(self, target: str) -> None:
         """Remove the record of a target that no longer exists."""
         self._records.pop(target, None)
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -50,6 +50,11 @@
     "Changes of what a direct entry finds a target to be",
     ("state",),
 )
+EJECTIONS = Instrument(
+    "chicorycove_target_ejections",
+    "Ejections of failing targets by a direct entry, by whose evidence",
+    ("evidence",),
+)
 LEFT_DOMAIN = Instrument(
     "chicorycove_sent_outside_domain",
     "Attempts sent to another failure domain",
@@ -88,6 +93,7 @@
     DROPS,
     ATTEMPTS,
     TARGET_CHANGES,
+    EJECTIONS,
     LEFT_DOMAIN,
     FIRST_TOKEN,
     ANSWER_TIME,
@@ -186,6 +192,10 @@
         """Count a target that is found to be in another state than before."""
         self._count(TARGET_CHANGES, state)
 
+    def target_ejected(self, evidence: str) -> None:
+        """Count the ejection of a target, by whose evidence it was."""
+        self._count(EJECTIONS, evidence)
+
     def left_domain(self, cause: str) -> None:
         """Count an attempt sent to another failure domain."""
         self._count(LEFT_DOMAIN, cause)
