Call a failing store less often in large fleets

Cause: the platform charges each call.

Change: the longest delay grows by 0.03 s for each entry beyond 16, up to 1 s (0.87 s for 29), within the 3 s in which a change must apply there.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -36,7 +36,11 @@
 ALL_KEYS = ""  # one watch for all prefixes, since the platform charges each call
 
 MIN_RETRY_DELAY = 0.1  # seconds between calls to a failing store
-MAX_RETRY_DELAY = 0.5  # seconds; changes must apply 2 s after the store recovers
+MAX_RETRY_DELAY = 0.5  # seconds, at which changes apply 2 s after an outage
+# Seconds that each entry adds to the longest delay, beyond 16 of them: the
+# platform charges each call of each entry, also those that fail.
+RETRY_DELAY_PER_ENTRY = 0.03
+MAX_FLEET_RETRY_DELAY = 1.0  # seconds, at which they apply within 3 s
 LEASE_DURATION = 6.0  # seconds that an entry is listed without a renewal
 WATCH_PAUSE = 0.3  # seconds between watches, so that changes are batched
 RENEWALS_PER_LEASE = 3  # so that two may fail
@@ -51,6 +55,12 @@
     failure_domain: str = ""
 
 
+def get_max_retry_delay(entry_count: int) -> float:
+    """Return the longest time in seconds between calls to a failing store."""
+    delay = min(RETRY_DELAY_PER_ENTRY * entry_count, MAX_FLEET_RETRY_DELAY)
+    return max(delay, MAX_RETRY_DELAY)
+
+
 class Follower:
     """Turns the store's content and its changes into events.
 
@@ -129,7 +139,7 @@
                     self._forget_revision()
                 self._first_list_tried.set()
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
-                delay = min(delay * 2, MAX_RETRY_DELAY)
+                delay = min(delay * 2, get_max_retry_delay(len(self._entries)))
             except Exception as error:
                 # Without this task, the process would go on with what it knows
                 # and never see a change again.
