--- a/tests/test_direct_evacuation.py
+++ b/tests/test_direct_evacuation.py
@@ -432,7 +432,7 @@
         withdrawn = [
             command
             for _, _, command in fleet.log
-            if command.change == "attempt withdrawn"
+            if getattr(command, "change", None) == "attempt withdrawn"
         ]
         self.assertTrue(withdrawn)
         self.assertEqual({command.detail for command in withdrawn}, {"evacuation"})
