Read late answers sooner in the memory test

Cause: callers waited 1 s before they read; the kernel closes connections that take nothing for 2.5 s, so that a loaded machine could fail the test.

Change: they wait until all requests are served, and 0.5 s.

Conclusion: the margin to the kernel's time-out is larger.

--- a/tests/test_platform_slow_readers.py
+++ b/tests/test_platform_slow_readers.py
@@ -384,7 +384,10 @@
         address = f"127.0.0.1:{entry.caller_port}"
         rest, _ = read_memory(entry.pid)
         callers = await self.ask(address, [*LARGE_ANSWERS, *SMALL_ANSWERS])
-        await asyncio.sleep(1.0)
+        async with asyncio.timeout(10.0):
+            while self.server.served < len(callers):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
         answers = await asyncio.gather(
             *(caller.read() for caller in callers), return_exceptions=True
         )
