Keep ejections of the simulated fleet in a list of their own

Cause: tests read all entries of the fleet's log as changes; one of evacuations met an ejection there and failed with an AttributeError. Change: ejections have their own list. Conclusion: the tests of evacuations pass again.

--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -285,7 +285,9 @@
                 self.fleet.call_later(LINK_DELAY, self.fleet.order, self, command)
             case "ProbeTarget":
                 self.fleet.call_later(LINK_DELAY, self.probe, command.target)
-            case "LogChange" | "RecordEjection":
+            case "RecordEjection":
+                self.fleet.ejection_log.append((self.fleet.now, self.name, command))
+            case "LogChange":
                 self.fleet.log.append((self.fleet.now, self.name, command))
             case "FinishAnswer" | "DeliverAnswer" | "FailRequest" | "AbortAnswer":
                 self.fleet.end_request(command)
@@ -366,6 +368,7 @@
         self.deployment = deployment
         self.watch_peers = watch_peers
         self.log = []
+        self.ejection_log = []
         self.targets = {}
         self.event_count = EVENT_COUNT
         self.crashing_part = None
--- a/tests/test_direct_failing_target.py
+++ b/tests/test_direct_failing_target.py
@@ -38,9 +38,8 @@
         """Return the time, entry and command of each ejection."""
         return [
             (time, entry, command)
-            for time, entry, command in self.log
-            if type(command).__name__ == "RecordEjection"
-            and target in (None, command.target)
+            for time, entry, command in self.ejection_log
+            if target in (None, command.target)
         ]
 
 
