Let a placement record what it compared

Cause: an operator who asks why a prompt would go to a target needs the costs by which the placer compared the targets. A log line has only the cost of the one that was chosen.

Change: Placer.place takes a trace, which gets each target's cost by part and the best group of each size.

--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -11,6 +11,7 @@
 from .board import TargetView, WorkItem
 from .domain_cost import DomainCost
 from .engine import EngineProfile
+from .placement_trace import CostParts, GroupEstimate, PlacementTrace
 
 EXPECTED_ANSWER_EVENTS = 20  # events of an answer, without a better estimate
 EVENTS_PER_FREED_SLOT = 2  # events that pass until one more slot is free
@@ -136,11 +137,13 @@
         targets: t.Iterable[TargetView],
         now: float,
         placement_offset: float = 0.0,
+        trace: PlacementTrace | None = None,
     ) -> Placement | None:
         """Return the cheapest placement, if any target can hold the prompt.
 
         Entries that miss one another's updates shift the order of targets by
-        different offsets, so that each prefers other targets.
+        different offsets, so that each prefers other targets.  A trace records
+        what was compared.
         """
         loads = self._build_loads(engine, targets, now, placement_offset)
         if not loads:
@@ -160,6 +163,7 @@
                 total_prefill_time,
                 needed_tokens,
                 now,
+                trace,
             )
             if placement and (best is None or placement.cost < best.cost):
                 best = placement
@@ -217,6 +221,7 @@
         total_prefill_time: float,
         needed_tokens: int,
         now: float,
+        trace: PlacementTrace | None = None,
     ) -> Placement | None:
         """Return the cheapest placement on a group of some size, if any."""
         part_prefill_time = total_prefill_time / group_size
@@ -226,21 +231,30 @@
         primary_candidates = []
         for load in loads:
             load_prefill_time = part_prefill_time * load.pace
-            cost_to_others = self._cost_to_others(
+            prefill_cost = self._cost_to_others(
                 engine, load, load_prefill_time, part_tokens, group_size > 1, now
             )
-            cost_to_others += self._suspect_cost(load, now)
+            suspect_cost = self._suspect_cost(load, now)
+            cost_to_others = prefill_cost + suspect_cost
             time_to_first_event = self._predict_first_event(
                 engine, load, load_prefill_time, part_tokens, group_size > 1
             )
             member_candidates.append((cost_to_others, time_to_first_event, load))
             own_cost = self._request_cost(
-                request, engine, load, time_to_first_event, group_size, now
+                request, engine, load, time_to_first_event, group_size, now, trace
             )
+            cost = cost_to_others + own_cost
             missing_tokens = max(load.held_tokens + needed_tokens - usable_memory, 0)
-            primary_candidates.append(
-                (missing_tokens, cost_to_others + own_cost, time_to_first_event, load)
-            )
+            primary_candidates.append((missing_tokens, cost, time_to_first_event, load))
+            if trace is not None:
+                trace.add_target(
+                    group_size,
+                    load.target.listing.id,
+                    cost,
+                    prefill_cost,
+                    suspect_cost,
+                    missing_tokens,
+                )
         # A target that can hold all tokens is better than one that needs
         # reservations at others.
         primary = min(
@@ -266,10 +280,17 @@
             [candidate[2] for candidate in others],
         )
         if members is None:
+            if trace is not None:
+                group = [primary[2], *(candidate[2] for candidate in others)]
+                ids = tuple(load.target.listing.id for load in group)
+                trace.groups.append(
+                    GroupEstimate(size=group_size, targets=ids, fits=False)
+                )
             return None
         time_to_first_event = max([primary[1], *(candidate[1] for candidate in others)])
-        cost = primary[0] + sum(candidate[0] for candidate in others)
-        cost += (group_size - 1) * self._settings.group_member_cost
+        members_cost = sum(candidate[0] for candidate in others)
+        size_cost = (group_size - 1) * self._settings.group_member_cost
+        cost = undelayed_cost = primary[0] + members_cost + size_cost
         if time_to_first_event > primary[1]:
             cost += self._request_cost(
                 request, engine, primary[2], time_to_first_event, group_size, now
@@ -281,7 +302,7 @@
             time_to_first_event += request.domain_cost.caller_delays.get(
                 primary[2].target.listing.failure_domain, 0.0
             )
-        return Placement(
+        placement = Placement(
             target=primary[2].target.listing.id,
             members=members,
             held_tokens=held_tokens,
@@ -291,6 +312,20 @@
             free_slots=engine.slots - primary[2].occupied_slots,
             prefill_time=part_prefill_time,
         )
+        if trace is not None:
+            trace.groups.append(
+                GroupEstimate(
+                    size=group_size,
+                    targets=placement.targets,
+                    fits=True,
+                    time_to_first_event=time_to_first_event,
+                    cost=cost,
+                    members_cost=members_cost,
+                    size_cost=size_cost,
+                    members_delay_cost=cost - undelayed_cost,
+                )
+            )
+        return placement
 
     def _add_link_costs(
         self,
@@ -375,6 +410,7 @@
         time_to_first_event: float,
         group_size: int,
         now: float,
+        trace: PlacementTrace | None = None,
     ) -> float:
         """Return the value that a request itself loses on a target.
 
@@ -391,27 +427,29 @@
             leaving_cost += domain_cost.primary_cost
             time_to_first_event += domain_cost.caller_delays.get(failure_domain, 0.0)
         value = request.value * settings.late_loss_share
-        cost = expected_loss(
+        late_cost = expected_loss(
             value, time_to_first_event, request.objective_at - now, settings
         )
         # What waits for prefill may prefill between its first events.
         pause = self._predict_pass_time(request, engine, load) + load.prefill_backlog
         if group_size > 1:
             pause += engine.steps_per_pass * engine.group_step_delay
-        cost += expected_loss(value, pause, request.max_gap, settings)
+        pause_cost = expected_loss(value, pause, request.max_gap, settings)
+        deadline_cost = 0.0
         if now + time_to_first_event > request.deadline:
-            cost += request.value
-        cost += settings.wait_cost * request.value * time_to_first_event
+            deadline_cost = request.value
+        wait_cost = settings.wait_cost * request.value * time_to_first_event
+        slot_cost = 0.0
         spare_slots = engine.slots - load.occupied_slots
         if spare_slots < settings.spare_slots:
             # Another entry may choose this target at the same time.
-            cost += (
+            slot_cost = (
                 settings.spare_slot_cost
                 * request.value
                 * (settings.spare_slots - spare_slots)
             )
-        if leaves_domain:
-            cost += leaving_cost
+        if not leaves_domain:
+            leaving_cost = 0.0
         # Short prompts fill the order from one end and long ones from the
         # other, so that prefill delays few decoding requests.
         position = (
@@ -419,7 +457,24 @@
             if request.tokens < settings.group_min_tokens
             else 1 - load.position
         )
-        return cost + settings.pack_cost * position
+        order_cost = settings.pack_cost * position
+        cost = late_cost + pause_cost + deadline_cost + wait_cost
+        cost += slot_cost
+        cost += leaving_cost
+        if trace is not None:
+            trace.add_own_costs(
+                CostParts(
+                    late_start=late_cost,
+                    pauses=pause_cost,
+                    past_deadline=deadline_cost,
+                    waiting=wait_cost,
+                    few_free_slots=slot_cost,
+                    other_domain=leaving_cost,
+                    order=order_cost,
+                ),
+                time_to_first_event,
+            )
+        return cost + order_cost
 
     def _predict_pass_time(
         self, request: PlacementRequest, engine: EngineProfile, load: _Load
@@ -483,6 +538,24 @@
         return 0.0
 
 
+class CallRank(t.NamedTuple):
+    """What calls' targets are compared by, the most important first."""
+
+    avoided: bool
+    work: int  # requests there, and the margin of a target in another domain
+    leaves_domain: bool
+    target: str
+
+
+def rank_for_call(
+    target: TargetView, failure_domain: str, now: float, work_margin: int
+) -> CallRank:
+    """Return the rank of a target for a plain call; the least is best."""
+    leaves_domain = target.listing.failure_domain != failure_domain
+    work = len(target.work_items) + (work_margin if leaves_domain else 0)
+    return CallRank(target.is_avoided(now), work, leaves_domain, target.listing.id)
+
+
 def place_call(
     targets: t.Iterable[TargetView],
     failure_domain: str,
@@ -495,10 +568,8 @@
     margin.  The load it answers: calls that take about as long as one another,
     on few targets in each domain, where one call less is no gain.
     """
-
-    def order(target: TargetView) -> tuple[bool, int, bool, str]:
-        leaves_domain = target.listing.failure_domain != failure_domain
-        work = len(target.work_items) + (work_margin if leaves_domain else 0)
-        return target.is_avoided(now), work, leaves_domain, target.listing.id
-
-    return min(targets, key=order, default=None)
+    return min(
+        targets,
+        key=lambda target: rank_for_call(target, failure_domain, now, work_margin),
+        default=None,
+    )
