Let a dispatcher explain what it would do with a request

Cause: a decision changed state while it was made (a token bucket's refill, a quarantine's trial, the times at which refused callers are told to return), so that nobody could ask for one without effect.

Change: DirectDispatcher._decide returns a placement or a refusal. With a trace, the same code records nothing: each of these states is now computed first and stored after. A pause of the process, which an event ends, is seen without one. The board names why a target is excluded where it excluded it before.

In 100 drawn states the explanation names what the dispatcher then does. Storing a refill, a trial, a refusal or a return time while explaining, or ignoring a pause, each fails a test.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -1,6 +1,7 @@
 """The state of a direct entry: targets, the work on them, and requests."""
 
 import dataclasses
+import enum
 import typing as t
 
 from ..attempt import AttemptState
@@ -48,6 +49,27 @@
     allowed_regions: frozenset[str] | None = None  # None for any region
 
 
+class Exclusion(enum.Enum):
+    """Why a request may not be sent to a target."""
+
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    REGION = "region"  # it is in none of the allowed regions
+    BACKOFF = "backoff"  # it asked this entry to send nothing
+    RATE_LIMIT = "rate_limit"  # the rate that it names is used up
+    COLD_RATE = "cold_rate"  # the rate that it takes while cold is used up
+    COLD_SHARE = "cold_share"  # this entry's share of that rate is used up
+    OTHER_CELL = "other_cell"  # entries of another cell use it
+
+
+class Avoidance(enum.Enum):
+    """Why other targets are preferred to a target."""
+
+    SUSPECTED = "suspected"  # a connection to it failed
+    EJECTED = "ejected"
+    PEER_BACKOFF = "peer_backoff"  # it asked another entry to send nothing
+
+
 class WorkItemKey(t.NamedTuple):
     """Identifies a work item by its owner, an entry, and a number there."""
 
@@ -128,6 +150,14 @@
             self.suspected_until, self.ejected_until, self.terms.peer_backoff_until
         )
 
+    def avoidances(self) -> tuple[tuple[Avoidance, float], ...]:
+        """Return the times until which the target is avoided, by cause."""
+        return (
+            (Avoidance.SUSPECTED, self.suspected_until),
+            (Avoidance.EJECTED, self.ejected_until),
+            (Avoidance.PEER_BACKOFF, self.terms.peer_backoff_until),
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class DirectRequest:
@@ -214,10 +244,21 @@
         Those that leave, are evacuated or are in other regions may not.
         """
         for view in self.targets.values():
-            if (
-                view.listing.service == service
-                and view.available
-                and not self.is_evacuated(view)
-                and view.listing.is_in(regions)
-            ):
-                yield view
+            if view.listing.service == service:
+                if self.find_exclusion(view, regions) is None:
+                    yield view
+
+    def find_exclusion(
+        self, view: TargetView, regions: frozenset[str] | None = None
+    ) -> Exclusion | None:
+        """Return why a target may not get new work in some regions, if so.
+
+        What the target itself has said that it takes is not considered.
+        """
+        if not view.available:
+            return Exclusion.LEAVING
+        if self.is_evacuated(view):
+            return Exclusion.EVACUATED
+        if not view.listing.is_in(regions):
+            return Exclusion.REGION
+        return None
--- a/src/chicorycove/direct/cold_targets.py
+++ b/src/chicorycove/direct/cold_targets.py
@@ -71,14 +71,12 @@
 
     def observe(self, now: float) -> None:
         """Note that an event is handled, to detect pauses of the process."""
-        last_event_at = self._last_event_at
-        self._last_event_at = now
         if not self._board.entry_names_complete:
             self._settled_at = now + self._settings.settle_time
-        if last_event_at is None or now <= last_event_at + self._settings.pause_time:
-            return
-        self._resumed_at = now
-        self._settled_at = now + self._settings.settle_time
+        if self._has_paused(now):
+            self._resumed_at = now
+            self._settled_at = now + self._settings.settle_time
+        self._last_event_at = now
 
     def record_store(self, lost: bool) -> None:
         """Record that the store has become unavailable or available."""
@@ -180,24 +178,36 @@
             return now
         return max(placements[-share] + self._settings.placement_window, now)
 
-    def refill(self, limit: RateLimit, rate: float, now: float) -> None:
-        """Refill the bucket of a cold target; rate in requests per second.
+    def compute_balance(self, limit: RateLimit, rate: float, now: float) -> float:
+        """Return the balance of a cold target; rate in requests per second.
 
         It is empty after a pause: what peers placed meanwhile is not known.
         """
-        if limit.refilled_at < self._resumed_at:
-            limit.balance = min(limit.balance, 0.0)
-            limit.refilled_at = self._resumed_at
+        balance, refilled_at = limit.balance, limit.refilled_at
+        resumed_at = now if self._has_paused(now) else self._resumed_at
+        if refilled_at < resumed_at:
+            balance = min(balance, 0.0)
+            refilled_at = resumed_at
         size = max(1.0, rate * self._settings.burst_time)
-        elapsed = max(now - limit.refilled_at, 0.0)
-        limit.balance = min(limit.balance + elapsed * rate, size)
-        limit.refilled_at = now
+        elapsed = max(now - refilled_at, 0.0)
+        return min(balance + elapsed * rate, size)
 
     def resumed_just_before(self, now: float) -> bool:
         """Return whether what was placed before a pause may arrive now."""
         settings = self._settings
         return now < self._resumed_at + settings.placement_window - 1.0
 
+    def _has_paused(self, now: float) -> bool:
+        """Return whether the process paused until just now.
+
+        An event that is handled ends the pause; an explanation does not.
+        """
+        last_event_at = self._last_event_at
+        return (
+            last_event_at is not None
+            and now > last_event_at + self._settings.pause_time
+        )
+
     def _extend(self, terms: TargetTerms, cold_until: float, now: float) -> None:
         latest = now + self._settings.max_cold_time
         terms.cold_until = max(terms.cold_until, min(cold_until, latest))
@@ -272,6 +282,8 @@
         """
         if not self._board.entry_names_complete or now < self._settled_at:
             return False
+        if self._has_paused(now):
+            return False
         return not self._store_lost or self._board.responsive_share > 0.5
 
 
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -56,6 +56,7 @@
     TargetProbed,
     TargetUnlisted,
 )
+from .explanation import Explanation, Refusal, SelectionTrace
 from .partition import FleetPartition
 from .placement import Placement
 from .progress import ProgressCheckDue, ProgressMonitor, ProgressStatus
@@ -114,7 +115,12 @@
         self._collisions = CollisionDetector(board)
         self._partition = FleetPartition(board, settings.max_targets, entry_name)
         self._selector = TargetSelector(
-            board, settings, self._partition, self._target_limits, failure_domain
+            board,
+            settings,
+            self._partition,
+            self._target_limits,
+            failure_domain,
+            entry_name,
         )
 
     def handle(self, event: DirectEvent, now: float) -> list[DirectCommand]:
@@ -199,6 +205,35 @@
         """Yield the evacuated failure domains, and what still runs there."""
         return self._evacuation.statuses()
 
+    def explain(
+        self, inbound: InboundRequest, now: float, store_heard_at: float | None = None
+    ) -> Explanation:
+        """Return what a request would lead to if it were received now.
+
+        Nothing changes by it: decisions after it are the same as without.
+        """
+        request = DirectRequest(inbound, last_event_id=inbound.resumed_after)
+        trace = SelectionTrace()
+        if self._shutdown.accepts(inbound, now):
+            decision = self._decide(request, now, trace)
+        else:
+            decision = Refusal(reason=Reason.STOPPING, retry_after=0.0)
+        peer_count = max(len(self._board.peer_names), 1)
+        return Explanation(
+            route=inbound.route.name,
+            service=inbound.service,
+            workspace=inbound.request.workspace,
+            refusal=decision if isinstance(decision, Refusal) else None,
+            placement=decision if isinstance(decision, Placement) else None,
+            groups=tuple(trace.placement.groups),
+            targets=tuple(self._selector.explain_targets(request, trace, now)),
+            store_revision=self._store_lag.revision,
+            store_heard_ago=None if store_heard_at is None else now - store_heard_at,
+            evacuated_domains=tuple(sorted(self._board.evacuated_since)),
+            entry_count=peer_count,
+            heard_entry_count=round(peer_count * self._board.responsive_share),
+        )
+
     def report_to_peers(self, now: float) -> list[DirectCommand]:
         """Return the periodic report of what peers may not have received.
 
@@ -260,39 +295,49 @@
         return self._place(request, now)
 
     def _place(self, request: DirectRequest, now: float) -> list[DirectCommand]:
-        caller_request = request.inbound.request
+        match self._decide(request, now):
+            case Refusal(reason=reason, retry_after=retry_after):
+                return self._completion.fail(request, reason, retry_after)
+            case Placement() as placement:
+                return self._start_attempt(request, placement, now)
+
+    def _decide(
+        self, request: DirectRequest, now: float, trace: SelectionTrace | None = None
+    ) -> Placement | Refusal:
+        """Return where a request goes now, or why it is refused.
+
+        With a trace, for an explanation, no state changes.
+        """
+        record = trace is None
         if self._retry_policy.is_too_late(request, now):
-            return self._completion.fail(request, Reason.DEADLINE_PAST, None)
-        retry_after = self._quarantine.retry_after(request, now)
+            return Refusal(reason=Reason.DEADLINE_PAST)
+        retry_after = self._quarantine.retry_after(request, now, record)
         if retry_after is not None:
-            return self._completion.fail(
-                request, Reason.REQUEST_QUARANTINED, retry_after
-            )
-        placement = self._selector.choose(request, now)
+            return Refusal(reason=Reason.REQUEST_QUARANTINED, retry_after=retry_after)
+        placement = self._selector.choose(request, now, trace)
         if placement is None or placement.target in request.unreachable_targets:
-            return self._fail_unplaced(request, now)
-        if now + placement.time_to_first_event > caller_request.deadline:
-            retry_after = placement.time_to_first_event - (
-                caller_request.deadline - now
-            )
-            return self._completion.fail(
-                request, Reason.DEADLINE_INFEASIBLE, retry_after
-            )
-        return self._start_attempt(request, placement, now)
-
-    def _fail_unplaced(self, request: DirectRequest, now: float) -> list[DirectCommand]:
-        """Fail a request that no target may get now."""
+            return self._refuse_unplaced(request, now, record)
+        deadline = request.inbound.request.deadline
+        if now + placement.time_to_first_event > deadline:
+            retry_after = placement.time_to_first_event - (deadline - now)
+            return Refusal(reason=Reason.DEADLINE_INFEASIBLE, retry_after=retry_after)
+        return placement
+
+    def _refuse_unplaced(
+        self, request: DirectRequest, now: float, record: bool
+    ) -> Refusal:
+        """Return the refusal of a request that no target may get now."""
         inbound = request.inbound
-        retry_after = self._evacuation.retry_after(request, now)
+        retry_after = self._evacuation.retry_after(request, now, record)
         if retry_after is not None:
-            return self._completion.fail(request, Reason.SERVICE_EVACUATED, retry_after)
+            return Refusal(reason=Reason.SERVICE_EVACUATED, retry_after=retry_after)
         retry_after = self._target_limits.retry_after(
-            inbound.service, now, inbound.allowed_regions
+            inbound.service, now, inbound.allowed_regions, record
         )
         if retry_after is not None:
-            return self._completion.fail(request, Reason.TARGET_LIMIT, retry_after)
+            return Refusal(reason=Reason.TARGET_LIMIT, retry_after=retry_after)
         retry_after = self._settings.retry_after_no_target
-        return self._completion.fail(request, Reason.NO_TARGET, retry_after)
+        return Refusal(reason=Reason.NO_TARGET, retry_after=retry_after)
 
     def _start_attempt(
         self, request: DirectRequest, placement: Placement, now: float
--- a/src/chicorycove/direct/evacuation.py
+++ b/src/chicorycove/direct/evacuation.py
@@ -70,11 +70,14 @@
         """Return whether any target of the newest attempt is evacuated."""
         return not request.attempt_domains.isdisjoint(self._board.evacuated_since)
 
-    def retry_after(self, request: DirectRequest, now: float) -> float | None:
+    def retry_after(
+        self, request: DirectRequest, now: float, record: bool = True
+    ) -> float | None:
         """Return the seconds until a refused caller should return.
 
         Return None unless every target that the request could be sent to
-        otherwise is evacuated.
+        otherwise is evacuated.  An explanation does not record that another
+        caller was refused, which spreads the times.
         """
         inbound = request.inbound
         domains = {
@@ -88,8 +91,10 @@
             return None
         settings = self._settings
         elapsed = now - max(self._board.evacuated_since[domain] for domain in domains)
-        self._refusal_count += 1
-        spread = 1.0 + self._refusal_count * _SPREAD % 1.0
+        refusal_count = self._refusal_count + 1
+        if record:
+            self._refusal_count = refusal_count
+        spread = 1.0 + refusal_count * _SPREAD % 1.0
         return spread * min(
             max(elapsed, settings.min_retry_after), settings.max_retry_after
         )
--- a/src/chicorycove/direct/placement.py
+++ b/src/chicorycove/direct/placement.py
@@ -551,9 +551,7 @@
     target: TargetView, failure_domain: str, now: float, work_margin: int
 ) -> CallRank:
     """Return the rank of a target for a plain call; the least is best."""
-    leaves_domain = target.listing.failure_domain != failure_domain
-    work = len(target.work_items) + (work_margin if leaves_domain else 0)
-    return CallRank(target.is_avoided(now), work, leaves_domain, target.listing.id)
+    return CallRank(*_order_for_call(target, failure_domain, now, work_margin))
 
 
 def place_call(
@@ -568,8 +566,17 @@
     margin.  The load it answers: calls that take about as long as one another,
     on few targets in each domain, where one call less is no gain.
     """
-    return min(
-        targets,
-        key=lambda target: rank_for_call(target, failure_domain, now, work_margin),
-        default=None,
-    )
+
+    def order(target: TargetView) -> tuple[bool, int, bool, str]:
+        return _order_for_call(target, failure_domain, now, work_margin)
+
+    return min(targets, key=order, default=None)
+
+
+def _order_for_call(
+    target: TargetView, failure_domain: str, now: float, work_margin: int
+) -> tuple[bool, int, bool, str]:
+    """Return the fields of a rank, as a tuple because it is made faster."""
+    leaves_domain = target.listing.failure_domain != failure_domain
+    work = len(target.work_items) + (work_margin if leaves_domain else 0)
+    return target.is_avoided(now), work, leaves_domain, target.listing.id
--- a/src/chicorycove/direct/quarantine.py
+++ b/src/chicorycove/direct/quarantine.py
@@ -213,19 +213,27 @@
             commands.append(UpdatePeers(quarantines=(_to_report(quarantine),)))
         return commands
 
-    def retry_after(self, request: DirectRequest, now: float) -> float | None:
+    def retry_after(
+        self, request: DirectRequest, now: float, record: bool = True
+    ) -> float | None:
         """Return the seconds until a refused request may be tried again.
 
-        Return None if the request is not refused, or is a trial.
+        Return None if the request is not refused, or is a trial.  An
+        explanation records neither the refusal nor the trial.
         """
         if not self._quarantines:
             return None
-        self._remove_idle(now)
+        if record:
+            self._remove_idle(now)
         traits = get_traits(request.inbound)
-        for quarantine in self._quarantines:
+        for quarantine in self._find_active(now):
             if quarantine.traits <= traits:
-                quarantine.last_refused_at = now
-                if not self._start_trial(quarantine, now):
+                is_trial = self._may_start_trial(quarantine, now)
+                if record:
+                    quarantine.last_refused_at = now
+                    if is_trial:
+                        self._start_trial(quarantine, now)
+                if not is_trial:
                     return self._time_to_end(quarantine, now)
         return None
 
@@ -246,18 +254,20 @@
         first_trial_at = quarantine.since + self._settings.first_trial_delay
         return request.inbound.request.arrived >= first_trial_at
 
-    def _start_trial(self, quarantine: _Quarantine, now: float) -> bool:
-        """Let a request through if it is this entry's turn."""
+    def _may_start_trial(self, quarantine: _Quarantine, now: float) -> bool:
+        """Return whether it is this entry's turn to let a request through."""
         settings = self._settings
         stagger = self._board.entry_rank(self._name) * settings.trial_stagger
         if quarantine.trial_count >= settings.max_trials:
             return False
-        if now < quarantine.next_trial_at + stagger:
-            return False
+        return now >= quarantine.next_trial_at + stagger
+
+    def _start_trial(self, quarantine: _Quarantine, now: float) -> None:
+        """Count a request that is let through."""
+        settings = self._settings
         quarantine.trial_count += 1
         delay_factor = settings.trial_delay_factor**quarantine.trial_count
         quarantine.next_trial_at = now + settings.first_trial_delay * delay_factor
-        return True
 
     def _time_to_end(self, quarantine: _Quarantine, now: float) -> float:
         """Return the time in which a quarantine may end."""
@@ -314,8 +324,12 @@
         return commands
 
     def _remove_idle(self, now: float) -> None:
+        self._quarantines = self._find_active(now)
+
+    def _find_active(self, now: float) -> list[_Quarantine]:
+        """Return the quarantines that no idle time has ended."""
         oldest = now - self._settings.idle_time
-        self._quarantines = [
+        return [
             quarantine
             for quarantine in self._quarantines
             if quarantine.last_refused_at > oldest
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -3,10 +3,17 @@
 import typing as t
 
 from ..request import Prompt
-from .board import DirectBoard, DirectRequest, TargetView
+from .board import DirectBoard, DirectRequest, Exclusion, TargetView
 from .domain_cost import compute_domain_cost
+from .explanation import SelectionTrace, TargetExplanation, explain_target
 from .partition import FleetPartition
-from .placement import Placement, PlacementRequest, Placer, place_call
+from .placement import (
+    Placement,
+    PlacementRequest,
+    Placer,
+    place_call,
+    rank_for_call,
+)
 from .settings import DirectSettings
 from .target_limits import TargetLimits
 
@@ -21,32 +28,41 @@
         partition: FleetPartition,
         target_limits: TargetLimits,
         failure_domain: str,
+        entry_name: str,
     ) -> None:
         self._board = board
         self._settings = settings
         self._partition = partition
         self._target_limits = target_limits
         self._failure_domain = failure_domain
+        self._entry_name = entry_name
         self._placer = Placer(settings.placement)
 
-    def choose(self, request: DirectRequest, now: float) -> Placement | None:
+    def choose(
+        self, request: DirectRequest, now: float, trace: SelectionTrace | None = None
+    ) -> Placement | None:
         """Return the best placement of a request, if any target can run it.
 
         Targets that it was tried on are considered only if there is no other,
         and targets at their rate limit or in other regions than those allowed
-        not at all.
+        not at all.  With a trace, for an explanation, no state changes.
         """
         service_name = request.inbound.service
         regions = request.inbound.allowed_regions
-        targets = self._allowed(self._partition.targets(service_name), regions, now)
+        record = trace is None
+        targets = self._allowed(
+            self._partition.targets(service_name), regions, now, record
+        )
         targets = targets or self._allowed(
-            self._board.available_targets(service_name), regions, now
+            self._board.available_targets(service_name), regions, now, record
         )
         candidates = [
             target
             for target in targets
             if target.listing.id not in request.tried_targets
         ] or targets
+        if trace is not None:
+            trace.candidates = frozenset(view.listing.id for view in candidates)
         service = self._board.find_service(service_name)
         work = request.inbound.request.work
         if isinstance(work, Prompt) and service and service.engine:
@@ -57,23 +73,60 @@
                 candidates,
                 now,
                 self._board.placement_offset,
+                trace.placement if trace is not None else None,
             )
         work_margin = self._settings.domain_cost.work_margin
         target = place_call(candidates, self._failure_domain, now, work_margin)
+        if trace is not None:
+            for view in candidates:
+                trace.call_ranks[view.listing.id] = rank_for_call(
+                    view, self._failure_domain, now, work_margin
+                )
         if target is None:
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
 
+    def explain_targets(
+        self, request: DirectRequest, trace: SelectionTrace, now: float
+    ) -> t.Iterator[TargetExplanation]:
+        """Yield how the targets of a request's service were compared."""
+        estimates = trace.find_estimates()
+        for id, view in sorted(self._board.targets.items()):
+            if view.listing.service != request.inbound.service:
+                continue
+            excluded = excluded_for = None
+            if id not in trace.candidates:
+                excluded = self._board.find_exclusion(
+                    view, request.inbound.allowed_regions
+                )
+                if excluded is None:
+                    excluded = self._target_limits.find_exclusion(view, now, False)
+                    if excluded is not None:
+                        excluded_for = self._target_limits.time_to_turn(view, now)
+                    elif trace.candidates:
+                        excluded = Exclusion.OTHER_CELL
+            yield explain_target(
+                view,
+                excluded,
+                excluded_for,
+                estimates.get(id),
+                trace.call_ranks.get(id),
+                self._entry_name,
+                now,
+            )
+
     def _allowed(
         self,
         targets: t.Iterable[TargetView],
         regions: frozenset[str] | None,
         now: float,
+        record: bool,
     ) -> list[TargetView]:
         return [
             view
             for view in targets
-            if view.listing.is_in(regions) and self._target_limits.allows(view, now)
+            if view.listing.is_in(regions)
+            and self._target_limits.find_exclusion(view, now, record) is None
         ]
 
     def _placement_request(
--- a/src/chicorycove/direct/target_limits.py
+++ b/src/chicorycove/direct/target_limits.py
@@ -11,7 +11,7 @@
 
 from ..identity import AgentId
 from ..lifecycle import ReleaseMemory, ReserveMemory
-from .board import DirectBoard, TargetListing, TargetView
+from .board import DirectBoard, Exclusion, TargetListing, TargetView
 from .cold_targets import ColdEndDue, ColdTargets, ColdTargetSettings
 from .command import DirectCommand, LogChange, ProbeTarget, UpdatePeers
 from .event import ColdReport, RateLimitReport, TargetAnswer, TargetNotice
@@ -199,23 +199,40 @@
         if own:
             self._cold_targets.count_own(view, now)
         if self._is_limited(view, now):
-            self._refill(view, now)
-            view.terms.rate_limit.balance -= 1
+            view.terms.rate_limit.balance = self._compute_balance(view, now) - 1
+            view.terms.rate_limit.refilled_at = now
 
-    def allows(self, view: TargetView, now: float) -> bool:
-        """Return whether a request may be placed on a target now."""
+    def find_exclusion(
+        self, view: TargetView, now: float, record: bool = True
+    ) -> Exclusion | None:
+        """Return why no request may be placed on a target now, if so.
+
+        An explanation does not record the refill of the target's bucket.
+        """
         if view.is_excluded(now):
-            return False
+            return Exclusion.BACKOFF if view.available else Exclusion.LEAVING
         if not self._is_limited(view, now):
-            return True
-        self._refill(view, now)
-        if view.terms.rate_limit.balance < 1:
-            return False
+            return None
+        balance = self._compute_balance(view, now)
+        if record:
+            view.terms.rate_limit.balance = balance
+            view.terms.rate_limit.refilled_at = now
         cold_rate = self._cold_targets.rate(view, now)
-        return (
-            cold_rate == math.inf
-            or self._cold_targets.next_own_turn(view, cold_rate, now) <= now
-        )
+        if balance < 1:
+            is_cold = self._rate(view, now) == cold_rate * self._board.responsive_share
+            return Exclusion.COLD_RATE if is_cold else Exclusion.RATE_LIMIT
+        if (
+            cold_rate < math.inf
+            and self._cold_targets.next_own_turn(view, cold_rate, now) > now
+        ):
+            return Exclusion.COLD_SHARE
+        return None
+
+    def time_to_turn(self, view: TargetView, now: float) -> float | None:
+        """Return the seconds until an excluded target takes a request."""
+        if not view.available:
+            return None
+        return self._next_turn(view, now) - now
 
     def withdrawal_cause(self, agent: AgentId, now: float) -> str | None:
         """Return why a placed request must not be sent now, if so."""
@@ -271,17 +288,22 @@
         return True
 
     def retry_after(
-        self, service: str, now: float, regions: frozenset[str] | None = None
+        self,
+        service: str,
+        now: float,
+        regions: frozenset[str] | None = None,
+        record: bool = True,
     ) -> float | None:
         """Return the seconds until a refused caller should return.
 
-        Callers are told different times, at the rate that such targets take.
+        Callers are told different times, at the rate that such targets take;
+        an explanation does not record that another caller was told one.
         Return None if the service has no target that excludes requests now.
         """
         views = [
             view
             for view in self._board.available_targets(service, regions)
-            if not self.allows(view, now)
+            if self.find_exclusion(view, now, record) is not None
         ]
         if not views:
             return None
@@ -290,9 +312,10 @@
         last_return = first_return + self._settings.return_time
         if not first_return <= next_return <= last_return:
             next_return = first_return
-        interval = 1 / sum(self._return_rate(view, now) for view in views)
-        interval *= max(len(self._board.peer_names), 1)
-        self._next_returns[service] = next_return + interval
+        if record:
+            interval = 1 / sum(self._return_rate(view, now) for view in views)
+            interval *= max(len(self._board.peer_names), 1)
+            self._next_returns[service] = next_return + interval
         return next_return - now
 
     def _apply(
@@ -316,10 +339,11 @@
             limit.rate = report.rate
             limit.named_at = report.named_at
         else:
-            self._refill_bucket(limit, self._named_rate(limit), now)
+            balance = self._compute_named_balance(limit, self._named_rate(limit), now)
             limit.rate = report.rate
             limit.named_at = report.named_at
-            limit.balance = min(max(limit.balance, -1.0), 1.0)
+            limit.balance = min(max(balance, -1.0), 1.0)
+            limit.refilled_at = now
         detail = f"{report.rate:g} requests/s" if report.rate < math.inf else "none"
         return [LogChange("target limit changed", report.target, detail)]
 
@@ -380,8 +404,12 @@
         """Return when a target takes a request again."""
         if not self._is_limited(view, now):
             return view.terms.backoff_until
-        limit = view.terms.rate_limit
-        turn = now + max(1 - limit.balance, 0.0) / self._rate(view, now)
+        # The bucket is not refilled during a backoff.
+        if view.is_excluded(now):
+            balance = view.terms.rate_limit.balance
+        else:
+            balance = self._compute_balance(view, now)
+        turn = now + max(1 - balance, 0.0) / self._rate(view, now)
         cold_rate = self._cold_targets.rate(view, now)
         if cold_rate < math.inf:
             turn = max(turn, self._cold_targets.next_own_turn(view, cold_rate, now))
@@ -411,18 +439,20 @@
         rate = max(limit.rate, self._settings.min_rate)
         return rate * self._board.responsive_share
 
-    def _refill(self, view: TargetView, now: float) -> None:
+    def _compute_balance(self, view: TargetView, now: float) -> float:
+        """Return the requests that a limited target's bucket holds now."""
         rate = self._rate(view, now)
+        limit = view.terms.rate_limit
         if self._cold_targets.rate(view, now) < math.inf:
-            self._cold_targets.refill(view.terms.rate_limit, rate, now)
-        else:
-            self._refill_bucket(view.terms.rate_limit, rate, now)
+            return self._cold_targets.compute_balance(limit, rate, now)
+        return self._compute_named_balance(limit, rate, now)
 
-    def _refill_bucket(self, limit: RateLimit, rate: float, now: float) -> None:
+    def _compute_named_balance(
+        self, limit: RateLimit, rate: float, now: float
+    ) -> float:
         size = 1 + rate * self._settings.burst_time
         elapsed = max(now - limit.refilled_at, 0.0)
-        limit.balance = min(limit.balance + elapsed * rate, size)
-        limit.refilled_at = now
+        return min(limit.balance + elapsed * rate, size)
 
 
 def _to_notice(agent: AgentId, terms: TargetTerms) -> TargetNotice:
