Add chicorycove explain

Cause: an operator could learn why a request was placed or refused only after the fact, from the log, and not why the other targets were not chosen.

Change: an entry on the platform answers GET /explain on the address of its metrics with what its dispatcher would do with a request, and the command prints that. The query becomes a caller's request, which the dialect parses as it parses any other. A caller's key is taken from a header: a key in a URL would end up in histories and logs. The address of the readiness page does not serve it, since an explanation names targets and takes the time of a decision.

The entry with agents is left out: its router draws samples of targets, and admission, claims and quotas change state on the way to it.

--- a/src/chicorycove/cli.py
+++ b/src/chicorycove/cli.py
@@ -21,7 +21,7 @@
 import jsonc
 from aiosonic.timeout import Timeouts
 
-from . import history, operation
+from . import explain, history, operation
 from .administration import PREFIX
 from .catalogue import KINDS
 from .exceptions import CatalogueError
@@ -84,6 +84,7 @@
     operation.add_commands(
         commands, operation.CliFunctions(_call, _change, _print_table)
     )
+    explain.add_command(commands, _fetch_page, _print_table)
     return parser
 
 
@@ -255,6 +256,27 @@
     raise _CommandError(code, answer.get("detail", f"status {status}"))
 
 
+async def _fetch_page(url: str, headers: dict[str, str]) -> Json:
+    """Return the JSON of an entry's page."""
+    address = urllib.parse.urlsplit(url).netloc
+    timeouts = Timeouts(request_timeout=TIMEOUT)
+    try:
+        async with aiosonic.HTTPClient() as client:
+            response = await client.request(
+                url, "GET", headers=headers, timeouts=timeouts
+            )
+            content = await response.content()
+            if response.status_code == 200:
+                return json.loads(content)
+    except Exception as error:
+        cause = str(error) or type(error).__name__
+        raise _CommandError(UNAVAILABLE, f"{address}: {cause}") from None
+    status = response.status_code
+    code = REFUSED if status == 400 else EXIT_CODES.get(status, FAILED)
+    detail = content.decode(errors="replace").strip()
+    raise _CommandError(code, detail or f"{address}: status {status}")
+
+
 def _quote(text: str) -> str:
     return urllib.parse.quote(text, safe="")
 
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -47,6 +47,7 @@
     StreamClosed,
 )
 from .exchange import Exchange
+from .explanation import Explanation
 from .http import HttpRequest
 from .linelog import LineLog
 from .peers import PeerLink
@@ -148,6 +149,12 @@
         for status in self._dispatcher.evacuations():
             self._metrics.evacuated(status.failure_domain, status.running_count)
 
+    def explain(
+        self, inbound: InboundRequest, store_heard_at: float | None
+    ) -> Explanation:
+        """Return what a request would lead to now, without sending it."""
+        return self._dispatcher.explain(inbound, self._loop.time(), store_heard_at)
+
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
--- a/src/chicorycove/direct/pages.py
+++ b/src/chicorycove/direct/pages.py
@@ -16,9 +16,12 @@
 
 
 class PageHandler:
-    """Answers GET requests by calling the function of their path."""
+    """Answers GET requests by calling the function of their path.
 
-    def __init__(self, pages: t.Mapping[str, t.Callable[[], Page]]) -> None:
+    The function gets the request, for its query and headers.
+    """
+
+    def __init__(self, pages: t.Mapping[str, t.Callable[[HttpRequest], Page]]) -> None:
         self._pages = pages
         self._connections: set[CallerConnection] = set()
 
@@ -33,7 +36,7 @@
         """Send the page of a request's path, or 404."""
         path = request.url.split(b"?", 1)[0].decode("latin-1")
         render = self._pages.get(path)
-        page = render() if render and request.method == b"GET" else Page(404)
+        page = render(request) if render and request.method == b"GET" else Page(404)
         connection.send_answer(
             page.status, [(b"Content-Type", page.content_type)], page.body
         )
--- a/src/chicorycove/direct/route.py
+++ b/src/chicorycove/direct/route.py
@@ -128,3 +128,14 @@
         if remaining < 0:
             return share.service
     return shares[-1].service
+
+
+def find_draw(shares: t.Sequence[Share], service: str) -> float | None:
+    """Return a draw that selects a service, or None if none does."""
+    total = sum(share.weight for share in shares)
+    preceding = 0.0
+    for share in shares:
+        if share.service == service and share.weight > 0:
+            return (preceding + share.weight / 2) / total
+        preceding += share.weight
+    return None
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -85,6 +85,7 @@
         self._entries: dict[str, _Entry] = {}
         self._entries_reported = True
         self._store_lost = False
+        self._heard_at: float | None = None
         self._regained_at = float("-inf")
         self._following = False  # relayed changes are applied as they arrive
         # A failed call may have lost changes, which only a list returns.
@@ -94,6 +95,11 @@
         self._watch_task: asyncio.Task | None = None
         self._clock = asyncio.get_running_loop().time
 
+    @property
+    def heard_at(self) -> float | None:
+        """Return when the store, or a watcher of it, was last heard."""
+        return self._heard_at
+
     async def wait_first_list(self, timeout: float) -> None:
         """Wait for the first attempt to list the store; timeout in seconds."""
         try:
@@ -399,6 +405,7 @@
             self._handle(StoreLost())
 
     def _mark_store_regained(self) -> None:
+        self._heard_at = self._clock()
         if self._store_lost:
             self._store_lost = False
             self._regained_at = self._clock()
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -11,9 +11,11 @@
 from ..direct.board import DirectBoard
 from ..direct.budget import BudgetSettings
 from ..direct.caller_connection import CallerConnection, CallerHandler
+from ..direct.dialect import Rejection
 from ..direct.dispatch import DirectDispatcher
 from ..direct.entry import DirectEntry
 from ..direct.event import DirectEvent, PeersUpdated, StoreRevisionSeen
+from ..direct.http import HttpRequest
 from ..direct.linelog import LineLog
 from ..direct.pages import Page, PageHandler
 from ..direct.peers import PeerLink
@@ -24,6 +26,12 @@
 from ..metric import Metrics
 from ..utils import cancel_all
 from .boot import Boot, load_boot
+from .explain import (
+    InvalidQuery,
+    encode_explanation,
+    explain_rejection,
+    parse_query,
+)
 from .follower import Follower
 from .headers import PlatformDialect
 from .listeners import BACKLOG, Listeners
@@ -31,6 +39,7 @@
 
 READY_PATH = "/chicorycove/ready"
 METRICS_PATH = "/metrics"
+EXPLAIN_PATH = "/explain"
 # Seconds that callers' connections wait for the first list of the store. The
 # list takes 0.4 s on a third of a core; callers disconnect after a second.
 FIRST_LIST_TIMEOUT = 0.6
@@ -99,9 +108,11 @@
             boot.regions,
             self._peers.send_relay,
         )
-        self._pages = PageHandler(
-            {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
-        )
+        pages = {READY_PATH: self._ready_page, METRICS_PATH: self._metrics_page}
+        self._pages = PageHandler(pages)
+        # An explanation names targets and costs as much time as a decision, so
+        # the address of the readiness page does not serve it.
+        self._internal_pages = PageHandler({**pages, EXPLAIN_PATH: self._explain_page})
         self._listed_peers: dict[str, str] = {}
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
@@ -113,7 +124,7 @@
             lambda: self._peers, local_addr=(boot.ip, boot.peer_port)
         )
         await self._serve(self._pages, sock=self._listeners.readiness)
-        await self._serve(self._pages, host=boot.ip, port=boot.metrics_port)
+        await self._serve(self._internal_pages, host=boot.ip, port=boot.metrics_port)
         self._entry.start()
         address = f"{boot.ip}:{boot.peer_port}"
         for coroutine in (
@@ -142,6 +153,7 @@
             server.close()
         await self._entry.close()
         self._pages.close()
+        self._internal_pages.close()
         self._peers.close()
         self._store.close()
         self._log.write("stopped", took=round(self._loop.time() - stop_started_at, 3))
@@ -232,13 +244,25 @@
         unresponsive = self._peers.unresponsive(timeout)
         self._entry.handle(PeersUpdated(names, unresponsive, self._entries_listed))
 
-    def _ready_page(self) -> Page:
+    def _ready_page(self, request: HttpRequest) -> Page:
         return Page(200 if self._entry.ready else 503)
 
-    def _metrics_page(self) -> Page:
+    def _metrics_page(self, request: HttpRequest) -> Page:
         self._entry.update_metrics()
         return Page(200, self._metrics.page())
 
+    def _explain_page(self, request: HttpRequest) -> Page:
+        try:
+            parsed = parse_query(request, self._board.table)
+        except InvalidQuery as error:
+            return Page(400, f"{error}\n".encode())
+        if isinstance(parsed, Rejection):
+            explanation = explain_rejection(parsed)
+        else:
+            explanation = self._entry.explain(parsed, self._follower.heard_at)
+        body = encode_explanation(explanation)
+        return Page(200, body, b"application/json")
+
 
 def start(boot: Boot, listeners: Listeners) -> None:
     """Run the process until it has stopped."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -24,6 +24,7 @@
     "exchange",
     "expiry",
     "executor",
+    "explain",
     "front",
     "httpclient",
     "link",
