--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -52,6 +52,7 @@
     StreamClosed,
 )
 from .exchange import Exchange
+from .explanation import Explanation
 from .http import Headers, HttpRequest
 from .linelog import LineLog, log_failure
 from .peers import PeerLink
@@ -212,6 +213,12 @@
             status, self._dialect.entry_headers(id, None if ran else 0.0), b""
         )
 
+    def explain(
+        self, inbound: InboundRequest, store_heard_at: float | None
+    ) -> Explanation:
+        """Return what a request would lead to now, without sending it."""
+        return self._dispatcher.explain(inbound, self._loop.time(), store_heard_at)
+
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
