Split the placement of prompts by subject

The placement's data stay in placement.py; the search for the best group is placer.py, its costs and predictions placement_cost.py, the load of targets target_load.py, and the choice for plain calls call_placement.py. The placer and the selector call methods of the trace, which builds its data classes.

Decisions are the same: tests change only imports.

--- a/src/chicorycove/direct/explanation.py
+++ b/src/chicorycove/direct/explanation.py
@@ -1,10 +1,11 @@
 """What an entry would do with a request, and why."""
 
 import dataclasses
+import typing as t
 
 from ..reason import Reason
 from .board import Avoidance, Exclusion, TargetView
-from .placement import CallRank, Placement
+from .placement import Placement
 from .placement_trace import CostParts, GroupEstimate, PlacementTrace, TargetEstimate
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +78,15 @@
     heard_entry_count: int = 0
 
 
+class CallRank(t.NamedTuple):
+    """What calls' targets are compared by, the most important first."""
+
+    avoided: bool
+    work: int  # requests there, and the margin of a target in another domain
+    leaves_domain: bool
+    target: str
+
+
 class SelectionTrace:
     """What the selection of a target or group has compared."""
 
@@ -85,6 +95,11 @@
         self.placement = PlacementTrace()
         self.call_ranks: dict[str, CallRank] = {}
 
+    def add_call_rank(self, rank: tuple[bool, int, bool, str]) -> None:
+        """Record the fields by which a plain call's target was compared."""
+        call_rank = CallRank(*rank)
+        self.call_ranks[call_rank.target] = call_rank
+
     def find_estimates(self) -> dict[str, TargetEstimate]:
         """Return the targets' estimates for the best group's size."""
         fitting = [group for group in self.placement.groups if group.fits]
--- a/src/chicorycove/direct/placement_trace.py
+++ b/src/chicorycove/direct/placement_trace.py
@@ -67,12 +67,13 @@
         self._own_costs = CostParts()
         self._time_to_first_event = 0.0
 
-    def add_own_costs(self, costs: CostParts, time_to_first_event: float) -> None:
+    def add_own_costs(self, time_to_first_event: float, **costs: float) -> None:
         """Record what a request loses on the target that is added next.
 
-        The time includes the delay of the link to the target.
+        The costs are named as in :class:`CostParts`.  The time includes the
+        delay of the link to the target.
         """
-        self._own_costs = costs
+        self._own_costs = CostParts(**costs)
         self._time_to_first_event = time_to_first_event
 
     def add_target(
@@ -96,3 +97,32 @@
                 missing_tokens=missing_tokens,
             )
         )
+
+    def add_misfit(self, size: int, targets: tuple[str, ...]) -> None:
+        """Record a group whose members lack the memory for the prompt."""
+        self.groups.append(GroupEstimate(size=size, targets=targets, fits=False))
+
+    def add_group(
+        self,
+        size: int,
+        targets: tuple[str, ...],
+        time_to_first_event: float,
+        cost: float,
+        *,
+        members_cost: float,
+        size_cost: float,
+        members_delay_cost: float,
+    ) -> None:
+        """Record the best group of one size, which has the memory it needs."""
+        self.groups.append(
+            GroupEstimate(
+                size=size,
+                targets=targets,
+                fits=True,
+                time_to_first_event=time_to_first_event,
+                cost=cost,
+                members_cost=members_cost,
+                size_cost=size_cost,
+                members_delay_cost=members_delay_cost,
+            )
+        )
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -4,17 +4,12 @@
 
 from ..request import Prompt
 from .board import DirectBoard, DirectRequest, Exclusion, TargetView
+from .call_placement import order_for_call, place_call
 from .domain_cost import compute_domain_cost
 from .explanation import SelectionTrace, TargetExplanation, explain_target
 from .partition import FleetPartition
-from .placement import (
-    Placement,
-    PlacementRequest,
-    Placer,
-    needs_groups,
-    place_call,
-    rank_for_call,
-)
+from .placement import Placement, PlacementRequest, needs_groups
+from .placer import Placer
 from .route import Service
 from .settings import DirectSettings
 from .target_limits import TargetLimits
@@ -81,8 +76,8 @@
         target = place_call(candidates, self._failure_domain, now, work_margin)
         if trace is not None:
             for view in candidates:
-                trace.call_ranks[view.listing.id] = rank_for_call(
-                    view, self._failure_domain, now, work_margin
+                trace.add_call_rank(
+                    order_for_call(view, self._failure_domain, now, work_margin)
                 )
         if target is None:
             return None
--- a/tests/test_direct_domain_cost.py
+++ b/tests/test_direct_domain_cost.py
@@ -5,6 +5,7 @@
 import unittest
 
 from chicorycove.direct.board import TargetListing, TargetView, WorkItem, WorkItemKey
+from chicorycove.direct.call_placement import place_call
 from chicorycove.direct.domain_cost import (
     DomainCostSettings,
     LeavingReason,
@@ -13,12 +14,8 @@
 )
 from chicorycove.direct.event import RequestReceived, TargetListed
 from chicorycove.direct.http import HttpRequest
-from chicorycove.direct.placement import (
-    PlacementRequest,
-    PlacementSettings,
-    Placer,
-    place_call,
-)
+from chicorycove.direct.placement import PlacementRequest, PlacementSettings
+from chicorycove.direct.placer import Placer
 from chicorycove.direct.route import LinkDelay, RoutingTable
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.platform.headers import PlatformDialect
--- a/tests/test_direct_explain.py
+++ b/tests/test_direct_explain.py
@@ -23,8 +23,9 @@
     TargetAnswer,
     TargetAnswered,
 )
-from chicorycove.direct.placement import PlacementRequest, PlacementSettings, Placer
+from chicorycove.direct.placement import PlacementRequest, PlacementSettings
 from chicorycove.direct.placement_trace import PlacementTrace
+from chicorycove.direct.placer import Placer
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.lifecycle import StopRequested, Tick
 
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -3,13 +3,10 @@
 import unittest
 
 from chicorycove.direct.board import TargetListing, TargetView, WorkItem, WorkItemKey
-from chicorycove.direct.placement import (
-    PlacementRequest,
-    PlacementSettings,
-    Placer,
-    expected_loss,
-    place_call,
-)
+from chicorycove.direct.call_placement import place_call
+from chicorycove.direct.placement import PlacementRequest, PlacementSettings
+from chicorycove.direct.placement_cost import expected_loss
+from chicorycove.direct.placer import Placer
 
 from .direct import ENGINE
 
--- a/tests/test_direct_target_pace.py
+++ b/tests/test_direct_target_pace.py
@@ -12,7 +12,8 @@
     EventsRelayed,
     PeerUpdateReceived,
 )
-from chicorycove.direct.placement import PlacementRequest, PlacementSettings, Placer
+from chicorycove.direct.placement import PlacementRequest, PlacementSettings
+from chicorycove.direct.placer import Placer
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.direct.target_pace import TargetPaceSettings
 from chicorycove.lifecycle import Tick
--- a/tests/test_direct_visibility.py
+++ b/tests/test_direct_visibility.py
@@ -10,9 +10,9 @@
 from chicorycove.direct.placement import (
     PlacementRequest,
     PlacementSettings,
-    Placer,
     needs_groups,
 )
+from chicorycove.direct.placer import Placer
 from chicorycove.direct.route import Deployment, Route, RoutingTable, Service, Share
 from chicorycove.lifecycle import Tick
 
