Split the dispatcher of a direct entry by subject

dispatch.py had 870 lines on all that happens to a request.

The dispatcher composes one class a subject: admission (where a request goes, or why not), sending, group, move, answer, failure, timeout and termination. A test of failing timers patches RequestTermination.expire, the former DirectDispatcher._expire_request; what it asserts is unchanged.

Commands and their order are the same.

--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from ..attempt import AttemptState
-from ..identity import AgentId
+from ..identity import AgentId, AttemptId
 from ..request import Request
 from ..timers import Timers
 from .route import Route, RoutingTable, Service
@@ -221,6 +221,17 @@
         """Return the number of entries, this one included; None if unknown."""
         return max(len(self.entry_names), 1) if self.entry_names_complete else None
 
+    def current_request(self, attempt_id: AttemptId) -> DirectRequest | None:
+        """Return the request whose newest attempt this is, if any."""
+        request = self.requests.get(attempt_id.request)
+        if (
+            request is None
+            or not request.attempts
+            or request.attempts[-1].id != attempt_id
+        ):
+            return None
+        return request
+
     def entry_rank(self, name: str) -> int:
         """Return how many entries precede one by name."""
         return sum(1 for other in self.entry_names if other < name)
--- a/src/chicorycove/direct/call_placement.py
+++ b/src/chicorycove/direct/call_placement.py
@@ -27,9 +27,9 @@
 def order_for_call(
     target: TargetView, failure_domain: str, now: float, work_margin: int
 ) -> tuple[bool, int, bool, str]:
-    """Return what targets are compared by, as a tuple because it is made faster.
+    """Return what targets are compared by; the least is best.
 
-    The least is best.
+    It is a plain tuple because that is made faster than a named one.
     """
     leaves_domain = target.listing.failure_domain != failure_domain
     work = len(target.work_items) + (work_margin if leaves_domain else 0)
--- a/src/chicorycove/direct/explanation.py
+++ b/src/chicorycove/direct/explanation.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from ..reason import Reason
+from .admission import Refusal
 from .board import Avoidance, Exclusion, TargetView
 from .placement import Placement
 from .placement_trace import CostParts, GroupEstimate, PlacementTrace, TargetEstimate
@@ -11,15 +11,6 @@
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
-@frozen
-class Refusal:
-    """An answer that a request would get without being sent."""
-
-    reason: Reason
-    retry_after: float | None = None  # seconds; None if the answer names no time
-    status: int = 503
-
-
 @frozen
 class AvoidanceTime:
     """Why and for how long a target is avoided."""
--- /dev/null
+++ b/src/chicorycove/direct/failure.py
@@ -0,0 +1,108 @@
+"""Handles failed attempts."""
+
+from ..attempt import AttemptStep, advance, is_live
+from ..identity import AttemptId
+from ..reason import Reason
+from ..verdict import Verdict
+from .board import DirectBoard, DirectRequest
+from .command import CancelAttempt, DirectCommand
+from .completion import RequestCompletion
+from .quarantine import RequestQuarantine
+from .retry import DirectRetryPolicy
+from .sending import AttemptSender
+from .settings import DirectSettings
+from .target_health import FailureKind, TargetHealth
+
+
+class FailureHandler:
+    """Retries or fails requests after failed attempts."""
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        settings: DirectSettings,
+        retry_policy: DirectRetryPolicy,
+        quarantine: RequestQuarantine,
+        target_health: TargetHealth,
+        completion: RequestCompletion,
+        sender: AttemptSender,
+    ) -> None:
+        self._board = board
+        self._settings = settings
+        self._retry_policy = retry_policy
+        self._quarantine = quarantine
+        self._target_health = target_health
+        self._completion = completion
+        self._sender = sender
+
+    def fail_attempt(
+        self, attempt_id: AttemptId, reason: Reason, verdict: Verdict, now: float
+    ) -> list[DirectCommand]:
+        """Retry or fail a request whose connection to its target failed."""
+        request = self._board.current_request(attempt_id)
+        if request is None:
+            return []
+        attempt = request.attempts[-1]
+        target = attempt.agent.target
+        request.tried_targets.add(target)
+        commands: list[DirectCommand] = []
+        if verdict is Verdict.NOT_RUN:
+            advance(attempt, AttemptStep.REFUSE)
+            request.unreachable_targets.add(target)
+            commands += self._target_health.suspect(target, now)
+        else:
+            advance(attempt, AttemptStep.FAIL)
+            commands += self.record_failure(request, FailureKind.BROKEN, now)
+            self._quarantine.record_break(request, now)
+            commands += self._target_health.probe(target)
+        return commands + self.retry_or_fail(request, reason, verdict, now)
+
+    def handle_probe_result(
+        self, target: str, reachable: bool, now: float
+    ) -> list[DirectCommand]:
+        """Retry repeatable requests of a target that cannot be reached."""
+        commands = self._quarantine.record_probe(target, reachable, now)
+        if reachable:
+            return commands
+        commands += self._target_health.suspect(target, now)
+        for request in list(self._board.requests.values()):
+            attempt = request.attempts[-1] if request.attempts else None
+            if attempt is None or not is_live(attempt):
+                continue
+            if attempt.agent.target == target and request.inbound.route.repeatable:
+                commands.append(CancelAttempt(attempt.id))
+                commands += self._fail_lost_attempt(request, now)
+        return commands
+
+    def retry_or_fail(
+        self, request: DirectRequest, reason: Reason, verdict: Verdict, now: float
+    ) -> list[DirectCommand]:
+        """Place a request again after a failed attempt, or fail it."""
+        commands = self._completion.release_work(request)
+        if verdict is not Verdict.NOT_RUN and not self._retry_policy.may_retry(
+            request, now
+        ):
+            return commands + self._completion.fail(request, reason, None)
+        if not self._retry_policy.consume(request, now):
+            retry_after = self._settings.retry_after_budget
+            return commands + self._completion.fail(
+                request, Reason.RETRY_BUDGET, retry_after
+            )
+        return commands + self._sender.place(request, now)
+
+    def record_failure(
+        self, request: DirectRequest, kind: FailureKind, now: float
+    ) -> list[DirectCommand]:
+        """Record a failure of the newest attempt's target."""
+        agent = request.attempts[-1].agent
+        return self._target_health.record_failure(agent, kind, now)
+
+    def _fail_lost_attempt(
+        self, request: DirectRequest, now: float
+    ) -> list[DirectCommand]:
+        """Retry after the target of a live attempt has died."""
+        attempt = request.attempts[-1]
+        advance(attempt, AttemptStep.FAIL)
+        request.tried_targets.add(attempt.agent.target)
+        request.run_count -= 1  # a dead target runs nothing
+        return self.retry_or_fail(request, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, now)
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -3,10 +3,9 @@
 import typing as t
 
 from ..request import Prompt
-from .board import DirectBoard, DirectRequest, Exclusion, TargetView
+from .board import DirectBoard, DirectRequest, TargetView
 from .call_placement import order_for_call, place_call
 from .domain_cost import compute_domain_cost
-from .explanation import SelectionTrace, TargetExplanation, explain_target
 from .partition import FleetPartition
 from .placement import Placement, PlacementRequest, needs_groups
 from .placer import Placer
@@ -14,6 +13,9 @@
 from .settings import DirectSettings
 from .target_limits import TargetLimits
 
+if t.TYPE_CHECKING:
+    from .explanation import SelectionTrace
+
 
 class TargetSelector:
     """Selects among an entry's targets; times are in seconds."""
@@ -25,18 +27,16 @@
         partition: FleetPartition,
         target_limits: TargetLimits,
         failure_domain: str,
-        entry_name: str,
     ) -> None:
         self._board = board
         self._settings = settings
         self._partition = partition
         self._target_limits = target_limits
         self._failure_domain = failure_domain
-        self._entry_name = entry_name
         self._placer = Placer(settings.placement)
 
     def choose(
-        self, request: DirectRequest, now: float, trace: SelectionTrace | None = None
+        self, request: DirectRequest, now: float, trace: "SelectionTrace | None" = None
     ) -> Placement | None:
         """Return the best placement of a request, if any target can run it.
 
@@ -83,35 +83,6 @@
             return None
         return Placement(target=target.listing.id, candidates=len(candidates))
 
-    def explain_targets(
-        self, request: DirectRequest, trace: SelectionTrace, now: float
-    ) -> t.Iterator[TargetExplanation]:
-        """Yield how the targets of a request's service were compared."""
-        estimates = trace.find_estimates()
-        for id, view in sorted(self._board.targets.items()):
-            if view.listing.service != request.inbound.service:
-                continue
-            excluded = excluded_for = None
-            if id not in trace.candidates:
-                excluded = self._board.find_exclusion(
-                    view, request.inbound.allowed_regions
-                )
-                if excluded is None:
-                    excluded = self._target_limits.find_exclusion(view, now, False)
-                    if excluded is not None:
-                        excluded_for = self._target_limits.time_to_turn(view, now)
-                    elif trace.candidates:
-                        excluded = Exclusion.OTHER_CELL
-            yield explain_target(
-                view,
-                excluded,
-                excluded_for,
-                estimates.get(id),
-                trace.call_ranks.get(id),
-                self._entry_name,
-                now,
-            )
-
     def _allowed(
         self,
         targets: t.Iterable[TargetView],
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -15,11 +15,11 @@
 import msgspec
 
 from chicorycove.direct import peers
-from chicorycove.direct.dispatch import DirectDispatcher
 from chicorycove.direct.entry import DirectEntry
 from chicorycove.direct.http import HttpRequest
 from chicorycove.direct.route import RoutingTable
 from chicorycove.direct.store_relay import RelayUpdate
+from chicorycove.direct.termination import RequestTermination
 from chicorycove.lifecycle import Tick
 from chicorycove.platform import decoding
 from chicorycove.platform.follower import Follower
@@ -320,14 +320,14 @@
         for name in "ab":
             world.send(name, ORDER)
         world.now = ORDER.timeout
-        expire = DirectDispatcher._expire_request
+        expire = RequestTermination.expire
 
-        def fail_once(dispatcher, request):
+        def fail_once(termination, request):
             if request == "a":
                 raise KeyError("unforeseen")
-            return expire(dispatcher, request)
+            return expire(termination, request)
 
-        with mock.patch.object(DirectDispatcher, "_expire_request", fail_once):
+        with mock.patch.object(RequestTermination, "expire", fail_once):
             commands = world.handle(Tick())
         self.assertEqual(only_command(commands, "FailRequest").request, "b")
         self.assertEqual(
