Split the peers' datagram format from their UDP link

Change: peer_datagram.py holds the format, its encoding and decoding, and imports no asyncio, so that test_layout.py now holds it to being pure. peer_link.py holds PeerLink.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -59,7 +59,7 @@
     TargetListed,
     TargetProbed,
 )
-from chicorycove.direct.peers import decode, encode
+from chicorycove.direct.peer_datagram import decode, encode
 from chicorycove.direct.route import (
     Deployment,
     LinkDelay,
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -55,7 +55,7 @@
 from .explanation import Explanation
 from .http import Headers, HttpRequest
 from .linelog import LineLog, log_failure
-from .peers import PeerLink
+from .peer_link import PeerLink
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
 from .target_calls import TargetCalls
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -22,7 +22,7 @@
 from ..direct.http import HttpRequest
 from ..direct.linelog import LineLog, log_failure
 from ..direct.pages import Page, PageHandler
-from ..direct.peers import PeerLink
+from ..direct.peer_link import PeerLink
 from ..direct.settings import (
     DirectSettings,
     ReservationSettings,
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.board import DirectBoard, TargetListing
 from chicorycove.direct.dispatch import DirectDispatcher
 from chicorycove.direct.event import (
@@ -293,10 +293,10 @@
                 self.fleet.end_request(command)
 
     def encode(self, update):
-        return peers.encode(self.name, update, 0, self.fleet.now)
+        return peer_datagram.encode(self.name, update, 0, self.fleet.now)
 
     def decode(self, datagram):
-        return peers.decode(datagram, self.fleet.now)
+        return peer_datagram.decode(datagram, self.fleet.now)
 
     def probe(self, target):
         if target in self.fleet.targets:
--- a/tests/test_direct_backoff.py
+++ b/tests/test_direct_backoff.py
@@ -3,7 +3,7 @@
 import unittest
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import (
     AnswerHeadReceived,
@@ -221,19 +221,25 @@
     notice = TargetNotice(AgentId("t", "7"), 103.0, True)
 
     def test_notice_is_decoded_by_another_clock(self):
-        (data,) = peers.encode("e", UpdatePeers(notices=(self.notice,)), 7, 100.0)
-        received = peers.decode(data, 5000.0)
+        (data,) = peer_datagram.encode(
+            "e", UpdatePeers(notices=(self.notice,)), 7, 100.0
+        )
+        received = peer_datagram.decode(data, 5000.0)
         self.assertEqual(
             received.notices, (TargetNotice(AgentId("t", "7"), 5003.0, True),)
         )
         self.assertEqual(received.unreachable, ())
 
     def test_older_version_is_told_that_the_target_is_unreachable(self):
-        (data,) = peers.encode("e", UpdatePeers(notices=(self.notice,)), 7, 100.0)
-        self.assertEqual(peers.decode(cut_datagram(data), 0.0).unreachable, ("t",))
+        (data,) = peer_datagram.encode(
+            "e", UpdatePeers(notices=(self.notice,)), 7, 100.0
+        )
+        self.assertEqual(
+            peer_datagram.decode(cut_datagram(data), 0.0).unreachable, ("t",)
+        )
 
     def test_many_notices_are_split(self):
         update = UpdatePeers(notices=(self.notice,) * 45)
-        datagrams = peers.encode("e", update, 7, 100.0)
+        datagrams = peer_datagram.encode("e", update, 7, 100.0)
         self.assertEqual(len(datagrams), 3)
         self.assertLess(max(map(len, datagrams)), 1400)
--- a/tests/test_direct_cold_target.py
+++ b/tests/test_direct_cold_target.py
@@ -5,7 +5,7 @@
 import unittest
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import (
     AnswerHeadReceived,
@@ -246,22 +246,26 @@
     report = ColdReport(AgentId("t", "7"), 103.0)
 
     def encode(self):
-        return peers.encode("e", UpdatePeers(cold_targets=(self.report,)), 7, 100.0)
+        return peer_datagram.encode(
+            "e", UpdatePeers(cold_targets=(self.report,)), 7, 100.0
+        )
 
     def test_report_is_decoded_by_another_clock(self):
         (data,) = self.encode()
-        received = peers.decode(data, 5000.0)
+        received = peer_datagram.decode(data, 5000.0)
         report = ColdReport(AgentId("t", "7"), 5003.0)
         self.assertEqual(received.cold_targets, (report,))
         self.assertEqual(received.unreachable, ())
 
     def test_older_version_avoids_the_target(self):
         (data,) = self.encode()
-        self.assertEqual(peers.decode(cut_datagram(data), 0.0).unreachable, ("t",))
+        self.assertEqual(
+            peer_datagram.decode(cut_datagram(data), 0.0).unreachable, ("t",)
+        )
 
     def test_many_reports_are_split(self):
         update = UpdatePeers(cold_targets=(self.report,) * 45)
-        datagrams = peers.encode("e", update, 7, 100.0)
+        datagrams = peer_datagram.encode("e", update, 7, 100.0)
         self.assertEqual(len(datagrams), 3)
         self.assertLess(max(map(len, datagrams)), 1400)
 
--- a/tests/test_direct_failing_target.py
+++ b/tests/test_direct_failing_target.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import EjectionEvidence, RecordEjection, UpdatePeers
 from chicorycove.direct.entry import DirectEntry
 from chicorycove.direct.event import FailureReport, PeersUpdated, PeerUpdateReceived
@@ -416,19 +416,25 @@
         self.report = FailureReport(AgentId("i-0123456789", "7"), 1.5, 98.0, 99.5)
 
     def test_report_arrives_as_sent(self):
-        (data,) = peers.encode("e", UpdatePeers(failures=(self.report,)), 7, 100.0)
-        received = peers.decode(data, 100.0)
+        (data,) = peer_datagram.encode(
+            "e", UpdatePeers(failures=(self.report,)), 7, 100.0
+        )
+        received = peer_datagram.decode(data, 100.0)
         self.assertEqual(received.failures, (self.report,))
         self.assertEqual(received.unreachable, ())
 
     def test_earlier_versions_ignore_the_report(self):
-        (data,) = peers.encode("e", UpdatePeers(failures=(self.report,)), 7, 100.0)
-        received = peers.decode(cut_datagram(data), 100.0)
+        (data,) = peer_datagram.encode(
+            "e", UpdatePeers(failures=(self.report,)), 7, 100.0
+        )
+        received = peer_datagram.decode(cut_datagram(data), 100.0)
         self.assertEqual(received, PeerUpdateReceived("e", store_revision=7))
 
     def test_datagrams_of_many_reports_fit_a_frame(self):
         update = UpdatePeers(failures=(self.report,) * 45)
-        datagrams = peers.encode("front-kitakyushu-1.01234567", update, 10**9, 100.0)
+        datagrams = peer_datagram.encode(
+            "front-kitakyushu-1.01234567", update, 10**9, 100.0
+        )
         self.assertEqual(len(datagrams), 3)
         self.assertTrue(all(len(data) < 1400 for data in datagrams))
 
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.dispatch import DirectDispatcher
 from chicorycove.direct.entry import DirectEntry
 from chicorycove.direct.http import HttpRequest
@@ -134,12 +134,12 @@
         "decoding": False,
         "missed_objective": False,
     }
-    return peers.WorkItemUpdate(**{**values, **fields})
+    return peer_datagram.WorkItemUpdate(**{**values, **fields})
 
 
 def peer_update(**fields):
     values = {"owner": "p", "work_items": [], "ended": [], "unreachable": []}
-    return peers.PeerUpdate(**{**values, "store_revision": 1, **fields})
+    return peer_datagram.PeerUpdate(**{**values, "store_revision": 1, **fields})
 
 
 # Datagrams that msgspec accepts by their types.
@@ -166,19 +166,19 @@
     peer_update(store_revision=-1),
     peer_update(store_revision=2**63),
     *(
-        peer_update(rate_limits=[peers.RateLimitUpdate("t", rate, ago, "1")])
+        peer_update(rate_limits=[peer_datagram.RateLimitUpdate("t", rate, ago, "1")])
         for rate, ago in ((NAN, 0.0), (-1.0, 0.0), (1.0, NAN), (1.0, -INF), (1.0, INF))
     ),
     *(
-        peer_update(crashes=[peers.CrashUpdate("t", "1", ["a"], ago)])
+        peer_update(crashes=[peer_datagram.CrashUpdate("t", "1", ["a"], ago)])
         for ago in (NAN, INF, -INF)
     ),
     *(
-        peer_update(answered=[peers.AnsweredUpdate(["a"], ago)])
+        peer_update(answered=[peer_datagram.AnsweredUpdate(["a"], ago)])
         for ago in (NAN, INF, -INF)
     ),
     *(
-        peer_update(quarantines=[peers.QuarantineUpdate(["a"], *times)])
+        peer_update(quarantines=[peer_datagram.QuarantineUpdate(["a"], *times)])
         for times in (
             (NAN, 1.0, 1, 1.0),
             (1.0, INF, 1, 1.0),
@@ -188,7 +188,7 @@
         )
     ),
     *(
-        peer_update(notices=[peers.NoticeUpdate("t", "1", left, False)])
+        peer_update(notices=[peer_datagram.NoticeUpdate("t", "1", left, False)])
         for left in (NAN, INF, -INF, 1e300)
     ),
     peer_update(work_items=[work_item()] * 10_000),
@@ -203,16 +203,16 @@
         for update in DATAGRAMS:
             with self.subTest(str(update)[:200]):
                 with self.assertRaises(msgspec.MsgspecError):
-                    peers.decode(encoder.encode(update), 100.0)
+                    peer_datagram.decode(encoder.encode(update), 100.0)
 
     def test_mutated_datagrams_are_refused_or_finite(self):
         rng = random.Random(SEED)
         encoder = msgspec.msgpack.Encoder()
         update = peer_update(
             work_items=[work_item()],
-            rate_limits=[peers.RateLimitUpdate("t", 5.0, 1.0, "1")],
-            notices=[peers.NoticeUpdate("t", "1", 1.0, False)],
-            quarantines=[peers.QuarantineUpdate(["a"], 1.0, 1.0, 1, 1.0)],
+            rate_limits=[peer_datagram.RateLimitUpdate("t", 5.0, 1.0, "1")],
+            notices=[peer_datagram.NoticeUpdate("t", "1", 1.0, False)],
+            quarantines=[peer_datagram.QuarantineUpdate(["a"], 1.0, 1.0, 1, 1.0)],
         )
         data = encoder.encode(update)
         accepted = 0
@@ -221,7 +221,7 @@
             for _ in range(rng.randint(1, 3)):
                 mutated[rng.randrange(len(mutated))] = rng.randrange(256)
             try:
-                decoded = peers.decode(bytes(mutated), 100.0)
+                decoded = peer_datagram.decode(bytes(mutated), 100.0)
             except msgspec.MsgspecError:
                 continue
             accepted += 1
@@ -235,12 +235,12 @@
         update = RelayUpdate(
             owner="p", revision=5, after=4, part=0, part_count=1, data=b"data"
         )
-        data = peers.encode_relay(update)
+        data = peer_datagram.encode_relay(update)
         for _ in range(5_000):
             mutated = bytearray(data)
             mutated[rng.randrange(1, len(mutated))] = rng.randrange(256)
             try:
-                decoded = peers.decode_relay(bytes(mutated))
+                decoded = peer_datagram.decode_relay(bytes(mutated))
             except msgspec.MsgspecError:
                 continue
             self.assertLessEqual(0, min(decoded.part, decoded.part_count))
@@ -479,7 +479,7 @@
                 side_effect=KeyError("b"),
             ),
             mock.patch(
-                "chicorycove.direct.peers.PeerLink.prune", side_effect=KeyError("c")
+                "chicorycove.direct.peer_link.PeerLink.prune", side_effect=KeyError("c")
             ),
         ):
             await asyncio.sleep(0.8)
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -8,7 +8,7 @@
 import msgspec
 from hypothesis import given, settings, strategies as st
 
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram, peer_link
 from chicorycove.direct.board import WorkItem, WorkItemKey
 from chicorycove.direct.budget import BudgetSettings, SharedRetryBudget
 from chicorycove.direct.command import UpdatePeers
@@ -186,8 +186,8 @@
             preempting=True,
         )
         update = UpdatePeers((sent,), (WorkItemKey("entry-1", 3),), ("x",))
-        (data,) = peers.encode("entry-1", update, 7, 100.0)
-        update = peers.decode(data, 5000.0)
+        (data,) = peer_datagram.encode("entry-1", update, 7, 100.0)
+        update = peer_datagram.decode(data, 5000.0)
         (received,) = update.work_items
         self.assertEqual((received.key, received.target), (sent.key, "t"))
         self.assertAlmostEqual(received.expected_prefill_end, 5000.5)
@@ -201,7 +201,7 @@
         work_items = tuple(
             WorkItem(WorkItemKey("e", n), "i-0123456789") for n in range(40)
         )
-        for data in peers.encode(
+        for data in peer_datagram.encode(
             "front-kitakyushu-1.01234567", UpdatePeers(work_items), 10**9, 0.0
         ):
             self.assertLess(len(data), 1400)
@@ -209,7 +209,7 @@
     def test_foreign_datagrams_are_rejected(self):
         for data in (b"", b"hello", b"\x93\x01\x02\x03", b"\xff" * 2000):
             with self.assertRaises(msgspec.MsgspecError):
-                peers.decode(data, 0.0)
+                peer_datagram.decode(data, 0.0)
 
 
 class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -218,7 +218,7 @@
         self.failures = []
         loop = asyncio.get_running_loop()
         with unittest.mock.patch.object(loop, "time", lambda: self.now):
-            self.link = peers.PeerLink(
+            self.link = peer_link.PeerLink(
                 "entry-1.aa",
                 lambda update: None,
                 lambda update: None,
@@ -226,7 +226,7 @@
             )
 
     def receive(self, name, host):
-        (data,) = peers.encode(name, UpdatePeers(), 1, self.now)
+        (data,) = peer_datagram.encode(name, UpdatePeers(), 1, self.now)
         self.link.datagram_received(data, (host, 7000))
 
     async def test_unlisted_unresponsive_peer_is_removed(self):
--- a/tests/test_direct_quarantine.py
+++ b/tests/test_direct_quarantine.py
@@ -3,7 +3,7 @@
 import unittest
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import (
     AnswerHeadReceived,
@@ -282,8 +282,8 @@
             quarantines=(QuarantineReport(("a",), 97.0, 120.0, 1, 99.5),),
         )
         crashes, answered, quarantines = (), (), ()
-        for data in peers.encode("entry-1", update, 7, 100.0):
-            received = peers.decode(data, 5000.0)
+        for data in peer_datagram.encode("entry-1", update, 7, 100.0):
+            received = peer_datagram.decode(data, 5000.0)
             crashes += received.crashes
             answered += received.answered
             quarantines += received.quarantines
@@ -295,6 +295,6 @@
 
     def test_entry_of_an_older_version_reads_the_rest(self):
         update = UpdatePeers(crashes=(CrashReport(AgentId("t", "7"), ("a",), 99.0),))
-        (data,) = peers.encode("entry-1", update, 7, 100.0)
-        received = peers.decode(cut_datagram(data), 100.0)
+        (data,) = peer_datagram.encode("entry-1", update, 7, 100.0)
+        received = peer_datagram.decode(cut_datagram(data), 100.0)
         self.assertEqual((received.store_revision, received.crashes), (7, ()))
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chicorycove import Reason, Verdict
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.direct.event import (
     AnswerHeadReceived,
@@ -260,34 +260,36 @@
     report = RateLimitReport("t1", 1.5, 99.0, "7")
 
     def encode(self, *reports):
-        return peers.encode("entry-1", UpdatePeers(rate_limits=reports), 7, 100.0)
+        return peer_datagram.encode(
+            "entry-1", UpdatePeers(rate_limits=reports), 7, 100.0
+        )
 
     def test_limit_is_decoded_by_another_clock(self):
         (data,) = self.encode(self.report)
-        update = peers.decode(data, 5000.0)
+        update = peer_datagram.decode(data, 5000.0)
         self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 4999.0, "7"),))
         self.assertEqual(update.unreachable, ())
 
     def test_end_of_a_limit_is_decoded(self):
         (data,) = self.encode(RateLimitReport("t1", math.inf, 99.0))
-        (report,) = peers.decode(data, 100.0).rate_limits
+        (report,) = peer_datagram.decode(data, 100.0).rate_limits
         self.assertEqual(report.rate, math.inf)
 
     def test_entry_of_an_older_version_avoids_limited_targets(self):
         (data,) = self.encode(self.report, RateLimitReport("t2", math.inf, 99.0))
-        update = peers.decode(cut_datagram(data), 100.0)
+        update = peer_datagram.decode(cut_datagram(data), 100.0)
         self.assertEqual(update.unreachable, ("t1",))
 
     def test_datagram_of_an_older_version_is_decoded(self):
-        (data,) = peers.encode("e", UpdatePeers(unreachable=("t",)), 7, 100.0)
-        update = peers.decode(cut_datagram(data), 100.0)
+        (data,) = peer_datagram.encode("e", UpdatePeers(unreachable=("t",)), 7, 100.0)
+        update = peer_datagram.decode(cut_datagram(data), 100.0)
         self.assertEqual((update.unreachable, update.rate_limits), (("t",), ()))
 
     def test_limit_in_a_datagram_without_an_incarnation_is_decoded(self):
         (data,) = self.encode(self.report)
         fields = msgspec.msgpack.decode(data)
         fields[5] = [limit[:3] for limit in fields[5]]
-        update = peers.decode(msgspec.msgpack.encode(fields), 100.0)
+        update = peer_datagram.decode(msgspec.msgpack.encode(fields), 100.0)
         self.assertEqual(update.rate_limits, (RateLimitReport("t1", 1.5, 99.0),))
 
     def test_datagrams_of_many_limits_fit_a_frame(self):
@@ -297,5 +299,5 @@
         decoded = []
         for data in self.encode(*reports):
             self.assertLess(len(data), 1400)
-            decoded += peers.decode(data, 100.0).rate_limits
+            decoded += peer_datagram.decode(data, 100.0).rate_limits
         self.assertEqual(len(decoded), 96)
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -10,7 +10,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.client import CallFailed
 from chicorycove.direct.store_relay import (
     MAX_PART_SIZE,
@@ -109,7 +109,7 @@
     def _send(self, updates):
         for name in self.relay.recipients(self.world.entries):
             for update in updates:
-                self.world.datagrams.append((name, peers.encode_relay(update)))
+                self.world.datagrams.append((name, peer_datagram.encode_relay(update)))
 
 
 class RelayMachine(RuleBasedStateMachine):
@@ -198,7 +198,7 @@
     def _receive(self, name, data):
         entry = self.entries[name]
         if not entry.frozen:
-            entry.relay.receive(peers.decode_relay(data), self.now)
+            entry.relay.receive(peer_datagram.decode_relay(data), self.now)
 
     @invariant()
     def each_copy_is_the_store_at_a_revision(self):
@@ -323,11 +323,11 @@
     def test_datagram_fits_a_frame(self):
         relay = StoreRelay("front-kitakyushu-13.01234567", RelaySettings())
         for update in relay.create_updates(10**9, 10**9 + 1, bytes(3_000), 1.5):
-            data = peers.encode_relay(update)
+            data = peer_datagram.encode_relay(update)
             self.assertLess(len(data), 1400)
-            self.assertEqual(peers.decode_relay(data), update)
+            self.assertEqual(peer_datagram.decode_relay(data), update)
         with self.assertRaises(msgspec.MsgspecError):
-            peers.decode_relay(peers.RELAY_MARK + b"hello")
+            peer_datagram.decode_relay(peer_datagram.RELAY_MARK + b"hello")
 
 
 class FollowerTest(PlatformTestCase):
@@ -390,7 +390,7 @@
         await self.wait_for_version(2, 2.0)
         await asyncio.sleep(0.5)
         self.assertTrue(recorder.received)
-        marks = {data[:1] == peers.RELAY_MARK for data in recorder.received}
+        marks = {data[:1] == peer_datagram.RELAY_MARK for data in recorder.received}
         self.assertEqual(marks, {False})
 
     async def test_store_is_listed_after_a_failed_call_and_silent_watchers(self):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -53,7 +53,7 @@
     "http",
     "linelog",
     "pages",
-    "peers",
+    "peer_link",
     "target_calls",
     "target_connection",
 }
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from chicorycove.direct import peers
+from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
 from chicorycove.exceptions import StoreUnavailable
 from chicorycove.platform.listeners import open_listeners
@@ -56,7 +56,7 @@
             asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
         )
         self.addCleanup(transport.close)
-        (update,) = peers.encode("entry-2", UpdatePeers(), 1_000, loop.time())
+        (update,) = peer_datagram.encode("entry-2", UpdatePeers(), 1_000, loop.time())
         for _ in range(8):
             transport.sendto(update, ("127.0.0.1", self.boot.peer_port))
             await asyncio.sleep(0.2)
