Move the held requests of a direct entry to a module of their own

Change: held_request.HeldRequestQueue holds them, hands them on and ends them by cold_start's decisions. The logger of failed tasks moves to linelog.py, whose lines it writes.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -25,7 +25,6 @@
 from .board import DirectBoard, InboundRequest
 from .caller_buffers import CallerBuffers
 from .caller_connection import CallerConnection
-from .cold_start import HeldRequests
 from .command import (
     AbortAnswer,
     CancelAttempt,
@@ -53,8 +52,9 @@
 )
 from .exchange import Exchange
 from .explanation import Explanation
+from .held_request import HeldRequestQueue
 from .http import Headers, HttpRequest
-from .linelog import LineLog, log_failure
+from .linelog import LineLog, create_failure_logger, log_failure
 from .peer_link import PeerLink
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
@@ -100,11 +100,7 @@
         self._cancelled_connections = CancelledConnections()
         self._exchanges: dict[str, Exchange] = {}
         self._callers: dict[CallerConnection, Exchange] = {}
-        self._held = HeldRequests[CallerConnection](
-            settings.cold_start, self._loop.time()
-        )
-        self._held_requests: dict[CallerConnection, HttpRequest] = {}
-        self._releasing = False
+        self._held = HeldRequestQueue(settings.cold_start, dialect, log, self._answer)
         self._connections: set[CallerConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
@@ -155,8 +151,8 @@
         for command in commands:
             self._try_execute(command)
         self._schedule_timer()
-        if self._held_requests and self._board.table and self._board.store_listed:
-            self._release_held_requests()
+        if self._held and self._board.table and self._board.store_listed:
+            self._held.release()
 
     def update_metrics(self) -> None:
         """Set the metrics of the present state."""
@@ -222,8 +218,7 @@
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
-        for connection in list(self._held_requests):
-            self._refuse_held_request(connection)
+        self._held.refuse_all()
 
     def fail_unfinished(self) -> None:
         """Fail the requests that the process has no more time for."""
@@ -258,8 +253,9 @@
     ) -> None:
         """Admit a request, hold it for a deployment, or reject it."""
         try:
-            if self._board.table is None and self._hold(connection, request):
-                return
+            if self._board.table is None and not self.stopping:
+                if self._held.hold(connection, request):
+                    return
             self._answer(connection, request)
         except Exception as error:
             self._log.write("request not read", cause=repr(error))
@@ -289,9 +285,7 @@
         )
         retry_after = None
         if rejection.reason is Reason.NOT_READY and not self.stopping:
-            retry_after = self._held.retry_after(
-                self._random.random(), self._loop.time()
-            )
+            retry_after = self._held.retry_after(self._random.random())
         elif rejection.status == 503:
             retry_after = 0.0
         headers = self._dialect.entry_headers(rejection.request, retry_after)
@@ -328,8 +322,7 @@
 
     def caller_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the request of a caller that closed its connection."""
-        if self._held.remove(connection):
-            del self._held_requests[connection]
+        if self._held.remove(connection) is not None:
             return
         exchange = self._callers.get(connection)
         if exchange is None:
@@ -373,7 +366,7 @@
         exchange = self._callers.get(connection)
         self._log_fullest(connection, exchange, size)
         answerable = 2 * connection.unsent_size < size
-        if exchange is None and connection not in self._held_requests:
+        if exchange is None and connection not in self._held:
             if answerable and connection.has_incomplete_request:
                 headers = self._buffers_full_headers("")
                 connection.refuse(503, Reason.BUFFERS_FULL, headers)
@@ -412,8 +405,7 @@
 
     def _refuse_fullest_held(self, connection: CallerConnection) -> None:
         """Refuse a request that was held for a deployment."""
-        self._held.remove(connection)
-        request = self._held_requests.pop(connection)
+        request = self._held.remove(connection)
         parsed = self._dialect.parse_request(request, None, 0.0)
         self._metrics.refused(Reason.BUFFERS_FULL, Verdict.NOT_RUN)
         headers = self._buffers_full_headers(parsed.request)
@@ -423,49 +415,6 @@
         retry_after = self._settings.caller_buffers.retry_after
         return self._dialect.entry_headers(request, retry_after)
 
-    # Requests held before the first deployment
-
-    def _hold(self, connection: CallerConnection, request: HttpRequest) -> bool:
-        """Hold a request; return whether there was time and room for it."""
-        if self.stopping:
-            return False
-        now = self._loop.time()
-        time_limit = self._dialect.parse_time_limit(request)
-        hold_until = self._held.hold(
-            connection, len(request.body), request.received_at, time_limit, now
-        )
-        if hold_until is None:
-            return False
-        self._held_requests[connection] = request
-        self._log.write("request held", left=round(hold_until - now, 3))
-        self._loop.call_at(hold_until, self._expire_held_request, connection, request)
-        return True
-
-    def _expire_held_request(
-        self, connection: CallerConnection, request: HttpRequest
-    ) -> None:
-        if self._held_requests.get(connection) is request:
-            self._refuse_held_request(connection)
-
-    def _refuse_held_request(self, connection: CallerConnection) -> None:
-        self._held.remove(connection)
-        self._answer(connection, self._held_requests.pop(connection))
-
-    def _release_held_requests(self) -> None:
-        """Admit held requests one after another, by their deadlines."""
-        if not self._releasing:
-            self._releasing = True
-            self._release_next_request()
-
-    def _release_next_request(self) -> None:
-        connection = self._held.take_next()
-        if connection is None:
-            self._releasing = False
-            return
-        interval = self._settings.cold_start.release_interval
-        self._loop.call_later(interval, self._release_next_request)
-        self._answer(connection, self._held_requests.pop(connection))
-
     # Commands
 
     def _execute(self, command: DirectCommand) -> None:
@@ -717,18 +666,3 @@
         return attempt.request
     request = getattr(subject, "request", None)
     return request if isinstance(request, str) else None
-
-
-class _FailureLogger:
-    """Logs failed tasks to a ``LineLog`` through a logger's interface."""
-
-    def __init__(self, log: LineLog) -> None:
-        self._log = log
-
-    def error(self, message: str, exc_info: BaseException) -> None:
-        self._log.write(message, cause=repr(exc_info))
-
-
-def create_failure_logger(log: LineLog) -> t.Any:
-    """Return a logger for ``utils.Tasks`` that writes to a ``LineLog``."""
-    return _FailureLogger(log)
--- a/src/chicorycove/direct/linelog.py
+++ b/src/chicorycove/direct/linelog.py
@@ -84,3 +84,18 @@
         yield
     except Exception as error:
         log.write(event, cause=repr(error))
+
+
+class _FailureLogger:
+    """Logs failed tasks to a ``LineLog`` through a logger's interface."""
+
+    def __init__(self, log: LineLog) -> None:
+        self._log = log
+
+    def error(self, message: str, exc_info: BaseException) -> None:
+        self._log.write(message, cause=repr(exc_info))
+
+
+def create_failure_logger(log: LineLog) -> t.Any:
+    """Return a logger for ``utils.Tasks`` that writes to a ``LineLog``."""
+    return _FailureLogger(log)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -50,6 +50,7 @@
     "client",
     "entry",
     "exchange",
+    "held_request",
     "http",
     "linelog",
     "pages",
