Move the ends of full buffers to a module of their own

Change: buffer_limiter.BufferLimiter counts what connections hold and ends the fullest. It and the entry find exchanges by their request and by their caller in one exchange.ExchangeTable, in place of two maps. An exchange whose handling failed leaves both at once; nothing looks it up by its caller in between.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -23,6 +23,7 @@
 from ..utils import Tasks
 from ..verdict import Verdict
 from .board import DirectBoard, InboundRequest
+from .buffer_limiter import BufferLimiter
 from .caller_buffers import CallerBuffers
 from .caller_connection import CallerConnection
 from .command import (
@@ -43,17 +44,16 @@
 from .dispatch import DirectDispatcher
 from .domain_cost import find_leaving_reason
 from .event import (
-    BufferBoundExceeded,
     CallerBackpressureChanged,
     DirectEvent,
     RequestReceived,
     StopTimeExpired,
     StreamClosed,
 )
-from .exchange import Exchange
+from .exchange import Exchange, ExchangeTable
 from .explanation import Explanation
 from .held_request import HeldRequestQueue
-from .http import Headers, HttpRequest
+from .http import HttpRequest
 from .linelog import LineLog, create_failure_logger, log_failure
 from .peer_link import PeerLink
 from .route import CallerLimits
@@ -98,9 +98,19 @@
             settings.caller_buffers.max_size
         )
         self._cancelled_connections = CancelledConnections()
-        self._exchanges: dict[str, Exchange] = {}
-        self._callers: dict[CallerConnection, Exchange] = {}
+        self._exchanges = ExchangeTable()
         self._held = HeldRequestQueue(settings.cold_start, dialect, log, self._answer)
+        self._buffer_limiter = BufferLimiter(
+            self._buffers,
+            settings.caller_buffers,
+            self._exchanges,
+            self._held,
+            dialect,
+            metrics,
+            log,
+            self.handle,
+            self.caller_disconnected,
+        )
         self._connections: set[CallerConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
@@ -156,7 +166,7 @@
 
     def update_metrics(self) -> None:
         """Set the metrics of the present state."""
-        self._buffers.recount(self._held_size)
+        self._buffers.recount(self._buffer_limiter.held_size)
         self._metrics.held(self._buffers.total)
         self._metrics.readmit_domains()
         for status in self._dispatcher.evacuations():
@@ -181,9 +191,10 @@
 
     def _end_failed_request(self, id: str | None) -> None:
         """End a request that cannot be handled, without a further failure."""
-        exchange = self._exchanges.pop(id, None) if id is not None else None
+        exchange = self._exchanges.get(id)
         if exchange is None:
             return
+        self._exchanges.remove(exchange)
         request = self._board.requests.get(id)
         # A request that has left the board had an answer or a failure already.
         ran = request is None or request.may_have_run
@@ -198,8 +209,6 @@
         except Exception as error:
             self._report_failure("request not removed", CallerDisconnected(id), error)
             self._board.requests.pop(id, None)
-        if self._callers.get(exchange.connection) is exchange:
-            del self._callers[exchange.connection]
         self._metrics.refused(Reason.INTERNAL_ERROR, verdict)
         if exchange.relay_started:
             exchange.connection.abort()
@@ -309,14 +318,13 @@
             inbound,
             self._cancelled_connections,
         )
-        self._exchanges[id] = exchange
-        self._callers[connection] = exchange
+        self._exchanges.add(exchange)
         self._metrics.arrived(inbound.route.name)
         self.handle(RequestReceived(inbound))
 
     def backpressure_changed(self, connection: CallerConnection, blocked: bool) -> None:
         """Dispatch a change of a caller's backpressure."""
-        exchange = self._callers.get(connection)
+        exchange = self._exchanges.find_current(connection)
         if exchange is not None:
             self.handle(CallerBackpressureChanged(exchange.inbound.request.id, blocked))
 
@@ -324,7 +332,7 @@
         """Cancel the request of a caller that closed its connection."""
         if self._held.remove(connection) is not None:
             return
-        exchange = self._callers.get(connection)
+        exchange = self._exchanges.find_current(connection)
         if exchange is None:
             return
         id = exchange.inbound.request.id
@@ -333,87 +341,11 @@
         self.handle(CallerDisconnected(id))
         self._remove_exchange(exchange)
 
-    # Bytes held for callers
-
     def buffers_changed(self, connection: CallerConnection) -> None:
         """Count what is held for a connection, and keep to the bound."""
-        self._buffers.update(connection, self._held_size(connection))
+        self._buffer_limiter.count(connection)
         if self._buffers.recount_due:
-            self._reduce_buffers()
-
-    def _held_size(self, connection: CallerConnection) -> int:
-        size = connection.request_size + connection.unsent_size
-        exchange = self._callers.get(connection)
-        if exchange is not None:
-            size += exchange.answer_size + exchange.unsent_size
-        return size
-
-    def _reduce_buffers(self) -> None:
-        """End the connections that hold most until the bound is kept."""
-        self._buffers.recount(self._held_size)
-        while self._buffers.exceeded:
-            connection, size = self._buffers.find_fullest()
-            self._end_fullest(connection, size)
-            remaining = self._held_size(connection)
-            if remaining >= size:
-                self.caller_disconnected(connection)
-                connection.abort()
-                remaining = 0
-            self._buffers.update(connection, remaining)
-
-    def _end_fullest(self, connection: CallerConnection, size: int) -> None:
-        """End a caller's connection, with a refusal if it can be read soon."""
-        exchange = self._callers.get(connection)
-        self._log_fullest(connection, exchange, size)
-        answerable = 2 * connection.unsent_size < size
-        if exchange is None and connection not in self._held:
-            if answerable and connection.has_incomplete_request:
-                headers = self._buffers_full_headers("")
-                connection.refuse(503, Reason.BUFFERS_FULL, headers)
-            else:
-                connection.abort()
-            return
-        for _ in range(connection.drop_following()):
-            self._metrics.refused(Reason.BUFFERS_FULL, Verdict.NOT_RUN)
-        if exchange is not None:
-            request = exchange.inbound.request.id
-            self.handle(BufferBoundExceeded(request, answerable))
-        else:
-            self._refuse_fullest_held(connection)
-
-    def _log_fullest(
-        self, connection: CallerConnection, exchange: Exchange | None, size: int
-    ) -> None:
-        """Log and count the end of the connection that holds most."""
-        sizes = {"request": connection.request_size, "unsent": connection.unsent_size}
-        if exchange is not None:
-            sizes["request"] += exchange.unsent_size
-            sizes["answer"] = exchange.answer_size
-        content = max(sizes, key=sizes.get)
-        self._metrics.buffer_ended(content)
-        request = exchange.inbound.request if exchange is not None else None
-        self._log.write(
-            "buffer bound exceeded",
-            caller=connection.address,
-            request=request.id if request else None,
-            workspace=request.workspace if request else None,
-            held=size,
-            content=content,
-            total=self._buffers.total,
-            bound=self._buffers.max_size,
-        )
-
-    def _refuse_fullest_held(self, connection: CallerConnection) -> None:
-        """Refuse a request that was held for a deployment."""
-        request = self._held.remove(connection)
-        parsed = self._dialect.parse_request(request, None, 0.0)
-        self._metrics.refused(Reason.BUFFERS_FULL, Verdict.NOT_RUN)
-        headers = self._buffers_full_headers(parsed.request)
-        connection.send_answer(503, headers, b"")
-
-    def _buffers_full_headers(self, request: str) -> Headers:
-        retry_after = self._settings.caller_buffers.retry_after
-        return self._dialect.entry_headers(request, retry_after)
+            self._buffer_limiter.reduce()
 
     # Commands
 
@@ -559,10 +491,8 @@
 
     def _remove_exchange(self, exchange: Exchange) -> None:
         exchange.close()
-        self._exchanges.pop(exchange.inbound.request.id, None)
-        if self._callers.get(exchange.connection) is exchange:
-            del self._callers[exchange.connection]
-        self._buffers.update(exchange.connection, self._held_size(exchange.connection))
+        self._exchanges.remove(exchange)
+        self._buffer_limiter.count(exchange.connection)
 
     # Time
 
@@ -590,7 +520,7 @@
     def _check_connections(self) -> None:
         now = self._loop.time()
         limits = self.limits
-        self._reduce_buffers()
+        self._buffer_limiter.reduce()
         for connection in list(self._connections):
             started_at = connection.head_started_at
             if started_at is not None and now - started_at > limits.header_timeout:
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -1,4 +1,4 @@
-"""A caller's request and its attempts over connections to targets."""
+"""Callers' requests and their attempts over connections to targets."""
 
 import asyncio
 import functools
@@ -184,6 +184,42 @@
             self._current_attempt = None
 
 
+class ExchangeTable:
+    """Exchanges in progress, by their request and by their caller."""
+
+    def __init__(self) -> None:
+        self._by_request: dict[str, Exchange] = {}
+        self._by_connection: dict[CallerConnection, Exchange] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_request)
+
+    def __contains__(self, request: str) -> bool:
+        return request in self._by_request
+
+    def __getitem__(self, request: str) -> Exchange:
+        return self._by_request[request]
+
+    def get(self, request: str | None) -> Exchange | None:
+        """Return the exchange of a request, if it is in progress."""
+        return self._by_request.get(request)
+
+    def find_current(self, connection: CallerConnection) -> Exchange | None:
+        """Return the exchange that a caller's connection waits for."""
+        return self._by_connection.get(connection)
+
+    def add(self, exchange: Exchange) -> None:
+        """Add an exchange."""
+        self._by_request[exchange.inbound.request.id] = exchange
+        self._by_connection[exchange.connection] = exchange
+
+    def remove(self, exchange: Exchange) -> None:
+        """Remove an exchange that has ended."""
+        self._by_request.pop(exchange.inbound.request.id, None)
+        if self._by_connection.get(exchange.connection) is exchange:
+            del self._by_connection[exchange.connection]
+
+
 def _report_exceptions(method: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
     """Report an unexpected exception, which then ends only its request.
 
