Move the admission of callers' requests to a module of its own

Change: admission.Admission turns a request into an exchange, has it held, or rejects it. The entry stays the handler of callers' connections and passes complete requests on.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -22,6 +22,7 @@
 from ..reason import Reason
 from ..utils import Tasks
 from ..verdict import Verdict
+from .admission import Admission
 from .board import DirectBoard, InboundRequest
 from .buffer_limiter import BufferLimiter
 from .caller_buffers import CallerBuffers
@@ -40,7 +41,7 @@
     SendAttempt,
     UpdatePeers,
 )
-from .dialect import Dialect, Rejection
+from .dialect import Dialect
 from .dispatch import DirectDispatcher
 from .domain_cost import find_leaving_reason
 from .event import (
@@ -59,7 +60,6 @@
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
 from .target_calls import TargetCalls
-from .target_connection import CancelledConnections
 
 MAX_WAKE_DELAY = 0.1  # seconds; longer delays are logged; a pass takes half of it
 IDLE_CHECK_INTERVAL = 0.5  # seconds between checks of all connections
@@ -87,7 +87,6 @@
         self._settings = settings
         self._metrics = metrics
         self._log = log
-        self._random = rng
         self._peers = peers
         self._resync_store = resync_store
         self._failure_domain = failure_domain
@@ -97,9 +96,16 @@
         self._buffers = CallerBuffers[CallerConnection](
             settings.caller_buffers.max_size
         )
-        self._cancelled_connections = CancelledConnections()
         self._exchanges = ExchangeTable()
-        self._held = HeldRequestQueue(settings.cold_start, dialect, log, self._answer)
+        self._held = HeldRequestQueue(
+            settings.cold_start,
+            dialect,
+            log,
+            lambda connection, request: self._admission.answer(connection, request),
+        )
+        self._admission = Admission(
+            self, board, dialect, metrics, log, rng, self._exchanges, self._held
+        )
         self._buffer_limiter = BufferLimiter(
             self._buffers,
             settings.caller_buffers,
@@ -261,66 +267,7 @@
         self, connection: CallerConnection, request: HttpRequest
     ) -> None:
         """Admit a request, hold it for a deployment, or reject it."""
-        try:
-            if self._board.table is None and not self.stopping:
-                if self._held.hold(connection, request):
-                    return
-            self._answer(connection, request)
-        except Exception as error:
-            self._log.write("request not read", cause=repr(error))
-            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
-            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
-
-    def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
-        connection.close_after_answer = connection.close_after_answer or self.stopping
-        parsed = self._dialect.parse_request(
-            request, self._board.table, self._random.random()
-        )
-        match parsed:
-            case Rejection():
-                self._reject(connection, parsed)
-            case InboundRequest():
-                self._admit(connection, request, parsed)
-
-    def _reject(self, connection: CallerConnection, rejection: Rejection) -> None:
-        self._metrics.refused(rejection.reason, Verdict.NOT_RUN)
-        table = self._board.table
-        self._log.write(
-            "request refused",
-            request=rejection.request,
-            status=rejection.status,
-            reason=rejection.reason.value,
-            version=table.deployment.version if table else None,
-        )
-        retry_after = None
-        if rejection.reason is Reason.NOT_READY and not self.stopping:
-            retry_after = self._held.retry_after(self._random.random())
-        elif rejection.status == 503:
-            retry_after = 0.0
-        headers = self._dialect.entry_headers(rejection.request, retry_after)
-        connection.send_answer(rejection.status, headers, b"")
-
-    def _admit(
-        self,
-        connection: CallerConnection,
-        request: HttpRequest,
-        inbound: InboundRequest,
-    ) -> None:
-        id = inbound.request.id
-        if id in self._exchanges:
-            self._reject(connection, Rejection(400, Reason.BAD_REQUEST, id))
-            return
-        exchange = Exchange(
-            self,
-            self._dialect,
-            connection,
-            request,
-            inbound,
-            self._cancelled_connections,
-        )
-        self._exchanges.add(exchange)
-        self._metrics.arrived(inbound.route.name)
-        self.handle(RequestReceived(inbound))
+        self._admission.receive(connection, request)
 
     def backpressure_changed(self, connection: CallerConnection, blocked: bool) -> None:
         """Dispatch a change of a caller's backpressure."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -46,6 +46,7 @@
 
 # The same for an entry that connects to its targets directly.
 DIRECT_ADAPTERS = {
+    "admission",
     "buffer_limiter",
     "caller_connection",
     "client",
