--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -43,7 +43,6 @@
 )
 from .dialect import Dialect
 from .dispatch import DirectDispatcher
-from .domain_cost import find_leaving_reason
 from .event import (
     CallerBackpressureChanged,
     DirectEvent,
@@ -57,6 +56,7 @@
 from .http import HttpRequest
 from .linelog import LineLog, create_failure_logger, log_failure
 from .peer_link import PeerLink
+from .request_log import RequestLog
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
 from .target_calls import TargetCalls
@@ -89,13 +89,13 @@
         self._log = log
         self._peers = peers
         self._resync_store = resync_store
-        self._failure_domain = failure_domain
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
         self._buffers = CallerBuffers[CallerConnection](
             settings.caller_buffers.max_size
         )
+        self._request_log = RequestLog(board, failure_domain, metrics, log)
         self._exchanges = ExchangeTable()
         self._held = HeldRequestQueue(
             settings.cold_start,
@@ -283,8 +283,7 @@
         if exchange is None:
             return
         id = exchange.inbound.request.id
-        self._metrics.refused(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN)
-        self._log.write("caller gone", request=id, **exchange.log_fields())
+        self._request_log.record_disconnect(exchange)
         self.handle(CallerDisconnected(id))
         self._remove_exchange(exchange)
 
@@ -307,7 +306,7 @@
             case RelayStream(request):
                 exchange = self._exchanges[request]
                 if exchange.start_relay():
-                    self._record_first_token(exchange)
+                    self._request_log.record_first_token(exchange)
             case FinishAnswer(request):
                 self._finish(request)
             case DeliverAnswer(request):
@@ -346,93 +345,33 @@
 
     def _send_attempt(self, command: SendAttempt) -> None:
         exchange = self._exchanges[command.attempt.request]
-        placement = command.placement
-        self._log.write(
-            "attempt sent",
-            request=command.attempt.request,
-            attempt=command.attempt.number,
-            target=command.target.target,
-            parts=exchange.shared_parts,
-            fingerprint=exchange.inbound.fingerprint,
-            members=[member.target for member in placement.members],
-            part=round(placement.prefill_time, 4),
-            predicted=round(placement.time_to_first_event, 4),
-            cost=round(placement.cost, 4),
-            candidates=placement.candidates,
-            after=command.last_event_id,
-            left=round(command.deadline - self._loop.time(), 3),
-        )
-        self._count_if_outside(command.target.target)
+        self._request_log.record_attempt(exchange, command)
         attempt = exchange.start_attempt(command)
         self._tasks.spawn(attempt.open(self._settings.timeouts.connect_timeout))
 
-    def _count_if_outside(self, target: str) -> None:
-        """Count an attempt whose target is in another failure domain."""
-        view = self._board.targets.get(target)
-        if view is None:
-            return
-        reason = find_leaving_reason(
-            view,
-            self._board.targets.values(),
-            self._failure_domain,
-            self._loop.time(),
-        )
-        if reason is not None:
-            self._metrics.left_domain(reason.value)
-
     def _finish(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.finish()
-        self._record_answer(exchange)
+        self._request_log.record_answer(exchange)
+        self._remove_exchange(exchange)
 
     def _deliver(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.deliver()
-        self._record_answer(exchange)
-
-    def _record_answer(self, exchange: Exchange) -> None:
-        route = exchange.inbound.route.name
-        duration = self._loop.time() - exchange.inbound.request.arrived
-        self._metrics.answered(route)
-        self._metrics.answer_time(duration, route)
-        self._log.write(
-            "request answered",
-            request=exchange.inbound.request.id,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_answer(exchange)
         self._remove_exchange(exchange)
 
-    def _record_first_token(self, exchange: Exchange) -> None:
-        request = exchange.inbound.request
-        wait_time = self._loop.time() - request.arrived
-        self._metrics.first_token(wait_time, request.prefill)
-
     def _fail(self, command: FailRequest) -> None:
         exchange = self._exchanges[command.request]
         status = get_failure_status(command.reason, command.verdict)
-        self._metrics.refused(command.reason, command.verdict)
-        self._log.write(
-            "request failed",
-            request=command.request,
-            reason=command.reason.value,
-            verdict=command.verdict.value,
-            status=status,
-            retry_after=command.retry_after,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_failure(exchange, command, status)
         headers = self._dialect.entry_headers(command.request, command.retry_after)
         exchange.connection.send_answer(status, headers, b"")
         self._remove_exchange(exchange)
 
     def _abort(self, request: str, reason: Reason) -> None:
         exchange = self._exchanges[request]
-        self._metrics.refused(reason, Verdict.MAY_HAVE_RUN)
-        self._log.write(
-            "answer aborted",
-            request=request,
-            reason=reason.value,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_abort(exchange, reason)
         exchange.connection.abort()
         self._remove_exchange(exchange)
 
@@ -500,14 +439,8 @@
         self, attempt: AttemptId, reason: Reason, verdict: Verdict
     ) -> None:
         """Log and dispatch the failure of an attempt."""
-        self._log.write(
-            "attempt failed",
-            request=attempt.request,
-            attempt=attempt.number,
-            reason=reason.value,
-            verdict=verdict.value,
-            status=self._exchanges[attempt.request].answer_status,
-        )
+        exchange = self._exchanges[attempt.request]
+        self._request_log.record_attempt_failure(exchange, attempt, reason, verdict)
         self.handle(AttemptFailed(attempt, reason, verdict))
 
     def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -57,6 +57,7 @@
     "linelog",
     "pages",
     "peer_link",
+    "request_log",
     "target_calls",
     "target_connection",
 }
