--- a/src/chicorycove/direct/admission.py
+++ b/src/chicorycove/direct/caller_admission.py
@@ -16,7 +16,7 @@
 from .target_connection import CancelledConnections
 
 
-class Admission:
+class CallerAdmission:
     """Turns callers' requests into exchanges, or rejects them."""
 
     def __init__(
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -22,7 +22,7 @@
 from ..reason import Reason
 from ..utils import Tasks
 from ..verdict import Verdict
-from .admission import Admission
+from .caller_admission import CallerAdmission
 from .board import DirectBoard, InboundRequest
 from .buffer_limiter import BufferLimiter
 from .caller_buffers import CallerBuffers
@@ -103,7 +103,7 @@
             log,
             lambda connection, request: self._admission.answer(connection, request),
         )
-        self._admission = Admission(
+        self._admission = CallerAdmission(
             self, board, dialect, metrics, log, rng, self._exchanges, self._held
         )
         self._buffer_limiter = BufferLimiter(
