--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -23,9 +23,10 @@
 from ..utils import Tasks
 from ..verdict import Verdict
 from .board import DirectBoard, InboundRequest
+from .buffer_limiter import BufferLimiter
+from .caller_admission import CallerAdmission
 from .caller_buffers import CallerBuffers
 from .caller_connection import CallerConnection
-from .cold_start import HeldRequests
 from .command import (
     AbortAnswer,
     CancelAttempt,
@@ -40,26 +41,27 @@
     SendAttempt,
     UpdatePeers,
 )
-from .dialect import Dialect, Rejection
+from .dialect import Dialect
 from .dispatch import DirectDispatcher
-from .domain_cost import find_leaving_reason
 from .event import (
-    BufferBoundExceeded,
     CallerBackpressureChanged,
     DirectEvent,
     RequestReceived,
     StopTimeExpired,
     StreamClosed,
 )
-from .exchange import Exchange
-from .explanation import Explanation
-from .http import Headers, HttpRequest
-from .linelog import LineLog, log_failure
-from .peers import PeerLink
+from .exchange import Exchange, ExchangeTable
+from .held_request import HeldRequestQueue
+from .http import HttpRequest
+from .linelog import LineLog, create_failure_logger, log_failure
+from .peer_link import PeerLink
+from .request_log import RequestLog
 from .route import CallerLimits
 from .settings import DirectSettings, peer_update_interval
 from .target_calls import TargetCalls
-from .target_connection import CancelledConnections
+
+if t.TYPE_CHECKING:
+    from .explanation import Explanation
 
 MAX_WAKE_DELAY = 0.1  # seconds; longer delays are logged; a pass takes half of it
 IDLE_CHECK_INTERVAL = 0.5  # seconds between checks of all connections
@@ -87,24 +89,36 @@
         self._settings = settings
         self._metrics = metrics
         self._log = log
-        self._random = rng
         self._peers = peers
         self._resync_store = resync_store
-        self._failure_domain = failure_domain
         self._loop = asyncio.get_running_loop()
         self._tasks = Tasks(create_failure_logger(log))
         self._target_calls = TargetCalls(board, dialect, settings, log, self.handle)
         self._buffers = CallerBuffers[CallerConnection](
             settings.caller_buffers.max_size
         )
-        self._cancelled_connections = CancelledConnections()
-        self._exchanges: dict[str, Exchange] = {}
-        self._callers: dict[CallerConnection, Exchange] = {}
-        self._held = HeldRequests[CallerConnection](
-            settings.cold_start, self._loop.time()
+        self._request_log = RequestLog(board, failure_domain, metrics, log)
+        self._exchanges = ExchangeTable()
+        self._held = HeldRequestQueue(
+            settings.cold_start,
+            dialect,
+            log,
+            lambda connection, request: self._admission.answer(connection, request),
+        )
+        self._admission = CallerAdmission(
+            self, board, dialect, metrics, log, rng, self._exchanges, self._held
+        )
+        self._buffer_limiter = BufferLimiter(
+            self._buffers,
+            settings.caller_buffers,
+            self._exchanges,
+            self._held,
+            dialect,
+            metrics,
+            log,
+            self.handle,
+            self.caller_disconnected,
         )
-        self._held_requests: dict[CallerConnection, HttpRequest] = {}
-        self._releasing = False
         self._connections: set[CallerConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
@@ -155,12 +169,12 @@
         for command in commands:
             self._try_execute(command)
         self._schedule_timer()
-        if self._held_requests and self._board.table and self._board.store_listed:
-            self._release_held_requests()
+        if self._held and self._board.table and self._board.store_listed:
+            self._held.release()
 
     def update_metrics(self) -> None:
         """Set the metrics of the present state."""
-        self._buffers.recount(self._held_size)
+        self._buffers.recount(self._buffer_limiter.held_size)
         self._metrics.held(self._buffers.total)
         self._metrics.readmit_domains()
         for status in self._dispatcher.evacuations():
@@ -185,9 +199,10 @@
 
     def _end_failed_request(self, id: str | None) -> None:
         """End a request that cannot be handled, without a further failure."""
-        exchange = self._exchanges.pop(id, None) if id is not None else None
+        exchange = self._exchanges.get(id)
         if exchange is None:
             return
+        self._exchanges.remove(exchange)
         request = self._board.requests.get(id)
         # A request that has left the board had an answer or a failure already.
         ran = request is None or request.may_have_run
@@ -202,8 +217,6 @@
         except Exception as error:
             self._report_failure("request not removed", CallerDisconnected(id), error)
             self._board.requests.pop(id, None)
-        if self._callers.get(exchange.connection) is exchange:
-            del self._callers[exchange.connection]
         self._metrics.refused(Reason.INTERNAL_ERROR, verdict)
         if exchange.relay_started:
             exchange.connection.abort()
@@ -215,15 +228,14 @@
 
     def explain(
         self, inbound: InboundRequest, store_heard_at: float | None
-    ) -> Explanation:
+    ) -> "Explanation":
         """Return what a request would lead to now, without sending it."""
         return self._dispatcher.explain(inbound, self._loop.time(), store_heard_at)
 
     def stop(self) -> None:
         """Begin to stop: accept requests for a while, then finish the rest."""
         self.handle(StopRequested())
-        for connection in list(self._held_requests):
-            self._refuse_held_request(connection)
+        self._held.refuse_all()
 
     def fail_unfinished(self) -> None:
         """Fail the requests that the process has no more time for."""
@@ -257,214 +269,31 @@
         self, connection: CallerConnection, request: HttpRequest
     ) -> None:
         """Admit a request, hold it for a deployment, or reject it."""
-        try:
-            if self._board.table is None and self._hold(connection, request):
-                return
-            self._answer(connection, request)
-        except Exception as error:
-            self._log.write("request not read", cause=repr(error))
-            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
-            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
-
-    def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
-        connection.close_after_answer = connection.close_after_answer or self.stopping
-        parsed = self._dialect.parse_request(
-            request, self._board.table, self._random.random()
-        )
-        match parsed:
-            case Rejection():
-                self._reject(connection, parsed)
-            case InboundRequest():
-                self._admit(connection, request, parsed)
-
-    def _reject(self, connection: CallerConnection, rejection: Rejection) -> None:
-        self._metrics.refused(rejection.reason, Verdict.NOT_RUN)
-        table = self._board.table
-        self._log.write(
-            "request refused",
-            request=rejection.request,
-            status=rejection.status,
-            reason=rejection.reason.value,
-            version=table.deployment.version if table else None,
-        )
-        retry_after = None
-        if rejection.reason is Reason.NOT_READY and not self.stopping:
-            retry_after = self._held.retry_after(
-                self._random.random(), self._loop.time()
-            )
-        elif rejection.status == 503:
-            retry_after = 0.0
-        headers = self._dialect.entry_headers(rejection.request, retry_after)
-        connection.send_answer(rejection.status, headers, b"")
-
-    def _admit(
-        self,
-        connection: CallerConnection,
-        request: HttpRequest,
-        inbound: InboundRequest,
-    ) -> None:
-        id = inbound.request.id
-        if id in self._exchanges:
-            self._reject(connection, Rejection(400, Reason.BAD_REQUEST, id))
-            return
-        exchange = Exchange(
-            self,
-            self._dialect,
-            connection,
-            request,
-            inbound,
-            self._cancelled_connections,
-        )
-        self._exchanges[id] = exchange
-        self._callers[connection] = exchange
-        self._metrics.arrived(inbound.route.name)
-        self.handle(RequestReceived(inbound))
+        self._admission.receive(connection, request)
 
     def backpressure_changed(self, connection: CallerConnection, blocked: bool) -> None:
         """Dispatch a change of a caller's backpressure."""
-        exchange = self._callers.get(connection)
+        exchange = self._exchanges.find_current(connection)
         if exchange is not None:
             self.handle(CallerBackpressureChanged(exchange.inbound.request.id, blocked))
 
     def caller_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the request of a caller that closed its connection."""
-        if self._held.remove(connection):
-            del self._held_requests[connection]
+        if self._held.remove(connection) is not None:
             return
-        exchange = self._callers.get(connection)
+        exchange = self._exchanges.find_current(connection)
         if exchange is None:
             return
         id = exchange.inbound.request.id
-        self._metrics.refused(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN)
-        self._log.write("caller gone", request=id, **exchange.log_fields())
+        self._request_log.record_disconnect(exchange)
         self.handle(CallerDisconnected(id))
         self._remove_exchange(exchange)
 
-    # Bytes held for callers
-
     def buffers_changed(self, connection: CallerConnection) -> None:
         """Count what is held for a connection, and keep to the bound."""
-        self._buffers.update(connection, self._held_size(connection))
+        self._buffer_limiter.count(connection)
         if self._buffers.recount_due:
-            self._reduce_buffers()
-
-    def _held_size(self, connection: CallerConnection) -> int:
-        size = connection.request_size + connection.unsent_size
-        exchange = self._callers.get(connection)
-        if exchange is not None:
-            size += exchange.answer_size + exchange.unsent_size
-        return size
-
-    def _reduce_buffers(self) -> None:
-        """End the connections that hold most until the bound is kept."""
-        self._buffers.recount(self._held_size)
-        while self._buffers.exceeded:
-            connection, size = self._buffers.find_fullest()
-            self._end_fullest(connection, size)
-            remaining = self._held_size(connection)
-            if remaining >= size:
-                self.caller_disconnected(connection)
-                connection.abort()
-                remaining = 0
-            self._buffers.update(connection, remaining)
-
-    def _end_fullest(self, connection: CallerConnection, size: int) -> None:
-        """End a caller's connection, with a refusal if it can be read soon."""
-        exchange = self._callers.get(connection)
-        self._log_fullest(connection, exchange, size)
-        answerable = 2 * connection.unsent_size < size
-        if exchange is None and connection not in self._held_requests:
-            if answerable and connection.has_incomplete_request:
-                headers = self._buffers_full_headers("")
-                connection.refuse(503, Reason.BUFFERS_FULL, headers)
-            else:
-                connection.abort()
-            return
-        for _ in range(connection.drop_following()):
-            self._metrics.refused(Reason.BUFFERS_FULL, Verdict.NOT_RUN)
-        if exchange is not None:
-            request = exchange.inbound.request.id
-            self.handle(BufferBoundExceeded(request, answerable))
-        else:
-            self._refuse_fullest_held(connection)
-
-    def _log_fullest(
-        self, connection: CallerConnection, exchange: Exchange | None, size: int
-    ) -> None:
-        """Log and count the end of the connection that holds most."""
-        sizes = {"request": connection.request_size, "unsent": connection.unsent_size}
-        if exchange is not None:
-            sizes["request"] += exchange.unsent_size
-            sizes["answer"] = exchange.answer_size
-        content = max(sizes, key=sizes.get)
-        self._metrics.buffer_ended(content)
-        request = exchange.inbound.request if exchange is not None else None
-        self._log.write(
-            "buffer bound exceeded",
-            caller=connection.address,
-            request=request.id if request else None,
-            workspace=request.workspace if request else None,
-            held=size,
-            content=content,
-            total=self._buffers.total,
-            bound=self._buffers.max_size,
-        )
-
-    def _refuse_fullest_held(self, connection: CallerConnection) -> None:
-        """Refuse a request that was held for a deployment."""
-        self._held.remove(connection)
-        request = self._held_requests.pop(connection)
-        parsed = self._dialect.parse_request(request, None, 0.0)
-        self._metrics.refused(Reason.BUFFERS_FULL, Verdict.NOT_RUN)
-        headers = self._buffers_full_headers(parsed.request)
-        connection.send_answer(503, headers, b"")
-
-    def _buffers_full_headers(self, request: str) -> Headers:
-        retry_after = self._settings.caller_buffers.retry_after
-        return self._dialect.entry_headers(request, retry_after)
-
-    # Requests held before the first deployment
-
-    def _hold(self, connection: CallerConnection, request: HttpRequest) -> bool:
-        """Hold a request; return whether there was time and room for it."""
-        if self.stopping:
-            return False
-        now = self._loop.time()
-        time_limit = self._dialect.parse_time_limit(request)
-        hold_until = self._held.hold(
-            connection, len(request.body), request.received_at, time_limit, now
-        )
-        if hold_until is None:
-            return False
-        self._held_requests[connection] = request
-        self._log.write("request held", left=round(hold_until - now, 3))
-        self._loop.call_at(hold_until, self._expire_held_request, connection, request)
-        return True
-
-    def _expire_held_request(
-        self, connection: CallerConnection, request: HttpRequest
-    ) -> None:
-        if self._held_requests.get(connection) is request:
-            self._refuse_held_request(connection)
-
-    def _refuse_held_request(self, connection: CallerConnection) -> None:
-        self._held.remove(connection)
-        self._answer(connection, self._held_requests.pop(connection))
-
-    def _release_held_requests(self) -> None:
-        """Admit held requests one after another, by their deadlines."""
-        if not self._releasing:
-            self._releasing = True
-            self._release_next_request()
-
-    def _release_next_request(self) -> None:
-        connection = self._held.take_next()
-        if connection is None:
-            self._releasing = False
-            return
-        interval = self._settings.cold_start.release_interval
-        self._loop.call_later(interval, self._release_next_request)
-        self._answer(connection, self._held_requests.pop(connection))
+            self._buffer_limiter.reduce()
 
     # Commands
 
@@ -479,7 +308,7 @@
             case RelayStream(request):
                 exchange = self._exchanges[request]
                 if exchange.start_relay():
-                    self._record_first_token(exchange)
+                    self._request_log.record_first_token(exchange)
             case FinishAnswer(request):
                 self._finish(request)
             case DeliverAnswer(request):
@@ -518,102 +347,40 @@
 
     def _send_attempt(self, command: SendAttempt) -> None:
         exchange = self._exchanges[command.attempt.request]
-        placement = command.placement
-        self._log.write(
-            "attempt sent",
-            request=command.attempt.request,
-            attempt=command.attempt.number,
-            target=command.target.target,
-            parts=exchange.shared_parts,
-            fingerprint=exchange.inbound.fingerprint,
-            members=[member.target for member in placement.members],
-            part=round(placement.prefill_time, 4),
-            predicted=round(placement.time_to_first_event, 4),
-            cost=round(placement.cost, 4),
-            candidates=placement.candidates,
-            after=command.last_event_id,
-            left=round(command.deadline - self._loop.time(), 3),
-        )
-        self._count_if_outside(command.target.target)
+        self._request_log.record_attempt(exchange, command)
         attempt = exchange.start_attempt(command)
         self._tasks.spawn(attempt.open(self._settings.timeouts.connect_timeout))
 
-    def _count_if_outside(self, target: str) -> None:
-        """Count an attempt whose target is in another failure domain."""
-        view = self._board.targets.get(target)
-        if view is None:
-            return
-        reason = find_leaving_reason(
-            view,
-            self._board.targets.values(),
-            self._failure_domain,
-            self._loop.time(),
-        )
-        if reason is not None:
-            self._metrics.left_domain(reason.value)
-
     def _finish(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.finish()
-        self._record_answer(exchange)
+        self._request_log.record_answer(exchange)
+        self._remove_exchange(exchange)
 
     def _deliver(self, request: str) -> None:
         exchange = self._exchanges[request]
         exchange.deliver()
-        self._record_answer(exchange)
-
-    def _record_answer(self, exchange: Exchange) -> None:
-        route = exchange.inbound.route.name
-        duration = self._loop.time() - exchange.inbound.request.arrived
-        self._metrics.answered(route)
-        self._metrics.answer_time(duration, route)
-        self._log.write(
-            "request answered",
-            request=exchange.inbound.request.id,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_answer(exchange)
         self._remove_exchange(exchange)
 
-    def _record_first_token(self, exchange: Exchange) -> None:
-        request = exchange.inbound.request
-        wait_time = self._loop.time() - request.arrived
-        self._metrics.first_token(wait_time, request.prefill)
-
     def _fail(self, command: FailRequest) -> None:
         exchange = self._exchanges[command.request]
         status = get_failure_status(command.reason, command.verdict)
-        self._metrics.refused(command.reason, command.verdict)
-        self._log.write(
-            "request failed",
-            request=command.request,
-            reason=command.reason.value,
-            verdict=command.verdict.value,
-            status=status,
-            retry_after=command.retry_after,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_failure(exchange, command, status)
         headers = self._dialect.entry_headers(command.request, command.retry_after)
         exchange.connection.send_answer(status, headers, b"")
         self._remove_exchange(exchange)
 
     def _abort(self, request: str, reason: Reason) -> None:
         exchange = self._exchanges[request]
-        self._metrics.refused(reason, Verdict.MAY_HAVE_RUN)
-        self._log.write(
-            "answer aborted",
-            request=request,
-            reason=reason.value,
-            **exchange.log_fields(),
-        )
+        self._request_log.record_abort(exchange, reason)
         exchange.connection.abort()
         self._remove_exchange(exchange)
 
     def _remove_exchange(self, exchange: Exchange) -> None:
         exchange.close()
-        self._exchanges.pop(exchange.inbound.request.id, None)
-        if self._callers.get(exchange.connection) is exchange:
-            del self._callers[exchange.connection]
-        self._buffers.update(exchange.connection, self._held_size(exchange.connection))
+        self._exchanges.remove(exchange)
+        self._buffer_limiter.count(exchange.connection)
 
     # Time
 
@@ -641,7 +408,7 @@
     def _check_connections(self) -> None:
         now = self._loop.time()
         limits = self.limits
-        self._reduce_buffers()
+        self._buffer_limiter.reduce()
         for connection in list(self._connections):
             started_at = connection.head_started_at
             if started_at is not None and now - started_at > limits.header_timeout:
@@ -674,14 +441,8 @@
         self, attempt: AttemptId, reason: Reason, verdict: Verdict
     ) -> None:
         """Log and dispatch the failure of an attempt."""
-        self._log.write(
-            "attempt failed",
-            request=attempt.request,
-            attempt=attempt.number,
-            reason=reason.value,
-            verdict=verdict.value,
-            status=self._exchanges[attempt.request].answer_status,
-        )
+        exchange = self._exchanges[attempt.request]
+        self._request_log.record_attempt_failure(exchange, attempt, reason, verdict)
         self.handle(AttemptFailed(attempt, reason, verdict))
 
     def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
@@ -717,18 +478,3 @@
         return attempt.request
     request = getattr(subject, "request", None)
     return request if isinstance(request, str) else None
-
-
-class _FailureLogger:
-    """Logs failed tasks to a ``LineLog`` through a logger's interface."""
-
-    def __init__(self, log: LineLog) -> None:
-        self._log = log
-
-    def error(self, message: str, exc_info: BaseException) -> None:
-        self._log.write(message, cause=repr(exc_info))
-
-
-def create_failure_logger(log: LineLog) -> t.Any:
-    """Return a logger for ``utils.Tasks`` that writes to a ``LineLog``."""
-    return _FailureLogger(log)
--- a/src/chicorycove/direct/explanation.py
+++ b/src/chicorycove/direct/explanation.py
@@ -1,24 +1,16 @@
 """What an entry would do with a request, and why."""
 
 import dataclasses
+import typing as t
 
-from ..reason import Reason
+from .admission import Refusal
 from .board import Avoidance, Exclusion, TargetView
-from .placement import CallRank, Placement
+from .placement import Placement
 from .placement_trace import CostParts, GroupEstimate, PlacementTrace, TargetEstimate
 
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
-@frozen
-class Refusal:
-    """An answer that a request would get without being sent."""
-
-    reason: Reason
-    retry_after: float | None = None  # seconds; None if the answer names no time
-    status: int = 503
-
-
 @frozen
 class AvoidanceTime:
     """Why and for how long a target is avoided."""
@@ -77,6 +69,15 @@
     heard_entry_count: int = 0
 
 
+class CallRank(t.NamedTuple):
+    """What calls' targets are compared by, the most important first."""
+
+    avoided: bool
+    work: int  # requests there, and the margin of a target in another domain
+    leaves_domain: bool
+    target: str
+
+
 class SelectionTrace:
     """What the selection of a target or group has compared."""
 
@@ -85,6 +86,11 @@
         self.placement = PlacementTrace()
         self.call_ranks: dict[str, CallRank] = {}
 
+    def add_call_rank(self, rank: tuple[bool, int, bool, str]) -> None:
+        """Record the fields by which a plain call's target was compared."""
+        call_rank = CallRank(*rank)
+        self.call_ranks[call_rank.target] = call_rank
+
     def find_estimates(self) -> dict[str, TargetEstimate]:
         """Return the targets' estimates for the best group's size."""
         fitting = [group for group in self.placement.groups if group.fits]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -46,14 +46,18 @@
 
 # The same for an entry that connects to its targets directly.
 DIRECT_ADAPTERS = {
+    "buffer_limiter",
+    "caller_admission",
     "caller_connection",
     "client",
     "entry",
     "exchange",
+    "held_request",
     "http",
     "linelog",
     "pages",
-    "peers",
+    "peer_link",
+    "request_log",
     "target_calls",
     "target_connection",
 }
