--- a/review/2/case.py
+++ b/review/2/case.py
@@ -126,7 +126,7 @@
     servers = [StockServer(case.record, f"i-{n}", "stock") for n in range(2)]
     for server in servers:
         await server.start(case.store)
-    entry = await case.start_entry("front-1")
+    entry = await case.start_entry()
     await asyncio.sleep(3.5)  # calm, so that the machine is in touch
     clients = [Client(case, entry.port, number) for number in range(1, CLIENTS + 1)]
     ends = await asyncio.gather(*(client.play() for client in clients))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -100,7 +100,7 @@
     case.store.write("op/config", CONFIG)
     lasting = OrderServer(case, "i-lasting")
     await lasting.start(case.store)
-    entry = await case.start_entry("front-1")
+    entry = await case.start_entry()
     answers: dict[str, int | str] = {}
     sender = asyncio.create_task(send_orders(case, entry.port, answers))
     late, lost = [], []
--- a/review/harness.py
+++ b/review/harness.py
@@ -594,12 +594,25 @@
         self.store = Store(self.record)
         self.entries: list[Entry] = []
 
-    async def start_entry(self, name: str, **settings: t.Any) -> Entry:
-        """Start an entry and wait until it is ready."""
-        entry = Entry(self.record, self.scratch, name, self.store.address, **settings)
-        self.entries.append(entry)
-        entry.start()
-        await entry.wait_ready()
+    async def start_entries(self, count: int, **settings: t.Any) -> list[Entry]:
+        """Start some entries and wait until all of them are ready."""
+        for number in range(1, count + 1):
+            entry = Entry(
+                self.record,
+                self.scratch,
+                f"front-{number}",
+                self.store.address,
+                **settings,
+            )
+            self.entries.append(entry)
+            entry.start()
+        for entry in self.entries:
+            await entry.wait_ready()
+        return self.entries
+
+    async def start_entry(self, **settings: t.Any) -> Entry:
+        """Start the only entry of a case and wait until it is ready."""
+        (entry,) = await self.start_entries(1, **settings)
         return entry
 
 
