--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,14 +1,17 @@
-"""Lets clients pause while they read an answer on a kept channel."""
+"""Lets the store come back from a copy, and changes the configuration."""
 
 import asyncio
+import collections
+import itertools
 import pathlib
-import socket
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from harness import (  # noqa: E402
+    BOUNDS,
+    HEARTBEAT_MS,
     HOST,
     LIMITS,
     TROUBLE,
@@ -18,120 +21,135 @@
     format_answer,
     format_request,
     play,
+    read_message,
 )
 
-ANSWER_SIZE = 800_000  # bytes, more than the kernel buffers for these clients
-PAUSE = 3.5  # seconds without a read
-PART = 64_000  # bytes that are read before the pause
-SEGMENT_SIZE = 1440  # bytes, as on an Ethernet link
-RECEIVE_BUFFER = 16_384  # bytes
-CLIENTS = 8
-BUDGET_MS = 10_000
-
-CONFIG = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "stock-lookup",
-            "host": "shop.example",
-            "prefix": "/stock/",
-            "kind": "safe",
-            "service": "stock",
-            "timeoutMs": BUDGET_MS,
-            "targetLatencyMs": 2000,
-            "maxAttempts": 2,
-            "priority": 2,
-        }
-    ],
-    "services": [{"name": "stock"}],
-    "limits": LIMITS,
-}
-
-
-class StockServer(Server):
-    """Answers with a short or a long list."""
+WORK = 0.0225  # seconds of a run, as on the sheet
+BUDGET_MS = 600
+RATE = 60  # orders per second
+ENTRIES = 3
+SERVERS = 3  # of each of two services
+COPY_AGE = 5.0  # seconds: what was written since is gone
+AWAY_TIME = 0.4  # seconds
+CHANGE_AFTER = 1.0  # seconds from the return to a new configuration
+STABLE = BOUNDS["stableWindowMs"] / 1000
+APPLY = BOUNDS["configApplyMs"] / 1000
+WATCHED_TIME = 15.0  # seconds after the change
+
+
+def build_config(version: int, service: str) -> dict:
+    """Return a configuration that sends orders to a service."""
+    route = {
+        "name": "steel-order",
+        "host": "shop.example",
+        "prefix": "/order/",
+        "kind": "unsafe",
+        "service": service,
+        "timeoutMs": BUDGET_MS,
+        "targetLatencyMs": 125,
+        "maxAttempts": 1,
+        "priority": 2,
+    }
+    services = [{"name": "purchasing"}, {"name": "purchasing-new"}]
+    return {
+        "version": version,
+        "routes": [route],
+        "services": services,
+        "limits": LIMITS,
+    }
+
+
+class OrderServer(Server):
+    """Registers an order and answers 800 bytes."""
 
     async def run(self, request: Message, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(0.02)
-        size = ANSWER_SIZE if request.target == "/stock/all" else 800
-        writer.write(format_answer(200, self.signed(request), b"s" * size))
+        await asyncio.sleep(WORK)
+        writer.write(format_answer(200, self.signed(request), b"o" * 800))
         await writer.drain()
 
 
-class Client:
-    """Sends two requests on one channel, and pauses in the second answer."""
+class Orders:
+    """Orders that are sent to all entries in turn."""
 
-    def __init__(self, case: Case, port: int, number: int) -> None:
-        self._record = case.record
-        self._port = port
-        self._number = number
-        self._loop = asyncio.get_running_loop()
-        self._channel = socket.socket()
+    def __init__(self, case: Case) -> None:
+        self.sent_at: dict[str, float] = {}
+        self.entries: dict[str, str] = {}  # names, by the order's id
+        self.answers: dict[str, int | str] = {}
+        self._case = case
 
-    async def play(self) -> str | None:
-        """Return how the second answer was cut short, if it was."""
-        self._channel.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        self._channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_SIZE)
-        self._channel.setblocking(False)
-        await self._loop.sock_connect(self._channel, (HOST, self._port))
-        try:
-            first = await self._ask("/stock/one", 0.0)
-            assert first is None, first
-            await asyncio.sleep(1.0)
-            return await self._ask("/stock/all", PAUSE if TROUBLE else 0.0)
-        finally:
-            self._channel.close()
-
-    async def _ask(self, path: str, pause: float) -> str | None:
-        id = f"{self._number:08x}{'1' if path == '/stock/one' else '2'}"
+    async def send(self) -> None:
+        """Send orders at a fixed rate until cancelled."""
         started_at = time.monotonic()
-        until = started_at + BUDGET_MS / 1000
-        self._record.write("sent", request=id, path=path)
-        await self._loop.sock_sendall(
-            self._channel, format_request("GET", path, id, BUDGET_MS)
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count(1):
+                group.create_task(self._send_one(number))
+                await asyncio.sleep(started_at + number / RATE - time.monotonic())
+
+    async def _send_one(self, number: int) -> None:
+        id = f"{number:016x}"
+        entry = self._case.entries[number % ENTRIES]
+        self.entries[id] = entry.name
+        try:
+            async with asyncio.timeout(BUDGET_MS / 1000):
+                reader, writer = await asyncio.open_connection(HOST, entry.port)
+                self.sent_at[id] = time.monotonic()
+                body = b"steel" * 120
+                writer.write(format_request("POST", "/order/1", id, BUDGET_MS, body))
+                answer = await read_message(reader)
+                self.answers[id] = answer.status if answer else "closed"
+                writer.close()
+        except (OSError, TimeoutError) as error:
+            self.answers[id] = type(error).__name__
+        self._case.record.write(
+            "answer", request=id, entry=entry.name, status=self.answers[id]
         )
-        received = bytearray()
-        expected = None
-        end = "complete"
-        paused = not pause
-        while expected is None or len(received) < expected:
-            if len(received) >= PART and not paused:
-                paused = True
-                self._record.write("pause", request=id, seconds=pause)
-                await asyncio.sleep(pause)
-            try:
-                async with asyncio.timeout(until - time.monotonic()):
-                    data = await self._loop.sock_recv(self._channel, 16_384)
-            except OSError as error:  # TimeoutError is one
-                end = type(error).__name__
-                break
-            if not data:
-                end = "closed"
-                break
-            received += data
-            head, separator, _ = bytes(received[:4096]).partition(b"\r\n\r\n")
-            if separator and expected is None:
-                length = head.lower().rpartition(b"content-length: ")[2].split(b"\r")[0]
-                expected = len(head) + 4 + int(length)
-        took = round(time.monotonic() - started_at, 3)
-        self._record.write("end", request=id, how=end, bytes=len(received), took=took)
-        if end in ("complete", "TimeoutError"):
-            return None
-        return f"{id} got {len(received)} of {expected} bytes after {took} s: {end}"
+
+
+async def write_heartbeats(case: Case, servers: list[OrderServer]) -> None:
+    """Write the servers' entries in turn until cancelled."""
+    for server in itertools.cycle(servers):
+        server.register(case.store)
+        await asyncio.sleep(HEARTBEAT_MS / 1000 / len(servers))
 
 
 async def main(case: Case) -> list[str]:
-    """Return the answers that were cut short, if they are more than three."""
-    case.store.write("op/config", CONFIG)
-    servers = [StockServer(case.record, f"i-{n}", "stock") for n in range(2)]
-    for server in servers:
+    """Return the orders that the old service ran too late."""
+    case.store.write("op/config", build_config(3, "purchasing"))
+    old = [OrderServer(case.record, f"i-old-{n}", "purchasing") for n in range(SERVERS)]
+    new = [
+        OrderServer(case.record, f"i-new-{n}", "purchasing-new") for n in range(SERVERS)
+    ]
+    for server in [*old, *new]:
         await server.start(case.store)
-    entry = await case.start_entry()
-    await asyncio.sleep(3.5)  # calm, so that the machine is in touch
-    clients = [Client(case, entry.port, number) for number in range(1, CLIENTS + 1)]
-    ends = await asyncio.gather(*(client.play() for client in clients))
-    cut = [f"LOST: {end}" for end in ends if end is not None]
-    return cut if len(cut) > 3 else []
+    await case.start_entries(ENTRIES)
+    orders = Orders(case)
+    tasks = [asyncio.create_task(orders.send())]
+    tasks.append(asyncio.create_task(write_heartbeats(case, [*old, *new])))
+    await asyncio.sleep(4.0)
+    copy = case.store.copy()
+    await asyncio.sleep(COPY_AGE)
+    back_at = time.monotonic()
+    if TROUBLE:
+        await case.store.come_back_from(copy, AWAY_TIME)
+        back_at = time.monotonic()
+        for server in [*old, *new]:  # what the servers wrote is written again
+            server.register(case.store)
+    await asyncio.sleep(CHANGE_AFTER)
+    case.store.write("op/config", build_config(7, "purchasing-new"))
+    changed_at = time.monotonic()
+    await asyncio.sleep(WATCHED_TIME)
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    print("answers:", dict(collections.Counter(orders.answers.values())))
+    bound = max(changed_at + APPLY, back_at + STABLE)
+    return [
+        f"CONFIG: order {id}, sent {orders.sent_at[id] - changed_at:.2f} s after the "
+        f"change to {orders.entries[id]}, was run by the old service"
+        for server in old
+        for id in server.runs
+        if orders.sent_at[id] > bound
+    ]
 
 
 play(__file__, main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,130 +1,148 @@
-"""Takes a server away shortly after a watch of the store was cut."""
+"""Stops an entry while its model server reads a long prompt."""
 
 import asyncio
-import collections
-import itertools
 import pathlib
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
+from engine import ENGINE, EngineServer  # noqa: E402
 from harness import (  # noqa: E402
-    BOUNDS,
+    GRACE,
     HOST,
     LIMITS,
     TROUBLE,
     Case,
-    Message,
-    Server,
-    format_answer,
     format_request,
     play,
-    read_message,
+    read_head,
 )
 
-WORK = 0.0225  # seconds of a run, as on the sheet
-BUDGET_MS = 600
-RATE = 100  # orders per second
-ROUNDS = 10
-CALM = 3.2  # seconds before each round
-CUT_BEFORE = 1.4  # seconds from the cut of a watch to the removal
-DRAIN = BOUNDS["drainMs"] / 1000
-EXIT_AFTER = 0.06  # seconds for which a server serves beyond the drain time
+LONG_AFTER = 2.6  # seconds from SIGTERM to the long prompt
+SHORT_AFTER = 3.5  # seconds from SIGTERM to the short prompts
+SHORT_CLIENTS = 3
+LONG_COUNTS = "250000,800"  # tokens; project-history has 210,000 on average
+SHORT_COUNTS = "5000,1610"  # tokens of gate-query: 35 events
+ENTRIES = 3  # of which one is stopped: roll_term takes at most 0.45 of them
 
+STREAM = {"host": "shop.example", "kind": "streaming", "service": "advisor"}
+STREAM |= {"maxAttempts": 2, "priority": 1, "resumable": True, "sticky": True}
 CONFIG = {
     "version": 3,
     "routes": [
         {
-            "name": "steel-order",
-            "host": "shop.example",
-            "prefix": "/order/",
-            "kind": "unsafe",
-            "service": "purchasing",
-            "timeoutMs": BUDGET_MS,
-            "targetLatencyMs": 125,
-            "maxAttempts": 1,
-            "priority": 2,
-        }
+            **STREAM,
+            "name": "gate-query",
+            "prefix": "/gate/",
+            "timeoutMs": 10_000,
+            "targetLatencyMs": 300,
+            "gapTargetMs": 200,
+        },
+        {
+            **STREAM,
+            "name": "project-history",
+            "prefix": "/history/",
+            "timeoutMs": 15_000,
+            "targetLatencyMs": 3000,
+            "gapTargetMs": 800,
+        },
     ],
-    "services": [{"name": "purchasing"}],
+    "services": [{"name": "advisor", "engine": ENGINE}],
     "limits": LIMITS,
 }
 
 
-class OrderServer(Server):
-    """Registers an order and answers 800 bytes."""
-
-    gone_at = float("inf")  # when the store acknowledged that it is gone
-
-    def __init__(self, case: Case, id: str) -> None:
-        super().__init__(case.record, id, "purchasing")
-        self.late: list[str] = []  # orders that came after the drain time
-
-    async def run(self, request: Message, writer: asyncio.StreamWriter) -> None:
-        if time.monotonic() > self.gone_at + DRAIN:
-            self.late.append(request.headers["chicorycove-attempt-id"])
-        await asyncio.sleep(WORK)
-        writer.write(format_answer(200, self.signed(request), b"o" * 800))
-        await writer.drain()
-
-
-async def send_order(case: Case, port: int, id: str, answers: dict) -> None:
-    """Send an order on a channel of its own."""
-    try:
-        async with asyncio.timeout(BUDGET_MS / 1000):
-            reader, writer = await asyncio.open_connection(HOST, port)
-            body = b"steel" * 120
-            writer.write(format_request("POST", "/order/1", id, BUDGET_MS, body))
-            answer = await read_message(reader)
-            answers[id] = answer.status if answer else "closed"
-            writer.close()
-    except (OSError, TimeoutError) as error:
-        answers[id] = type(error).__name__
-    case.record.write("answer", request=id, status=answers[id])
-
-
-async def send_orders(case: Case, port: int, answers: dict) -> None:
-    """Send orders at a fixed rate until cancelled."""
-    started_at = time.monotonic()
-    tasks = set()
-    for number in itertools.count(1):
-        task = asyncio.create_task(send_order(case, port, f"{number:016x}", answers))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(started_at + number / RATE - time.monotonic())
+class Client:
+    """Sends prompts on one channel."""
+
+    def __init__(self, case: Case, number: int, port: int) -> None:
+        self._case = case
+        self._number = number
+        self._port = port
+        self._count = 0
+        self._channel: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def ask(self, path: str, counts: str, budget_ms: int) -> tuple[str, str]:
+        """Send a prompt; return its id and how its answer ended."""
+        if self._channel is None:
+            self._channel = await asyncio.open_connection(HOST, self._port)
+        reader, writer = self._channel
+        self._count += 1
+        id = f"{self._number:08x}{self._count:08x}"
+        tokens = int(counts.split(",")[0])
+        headers = {
+            "Chicorycove_Model": "m",
+            "Chicorycove_Token_Counts": counts,
+            "Chicorycove_Prompt_Prefix": f"5c1e07a2:40,{id}:{tokens - 40}",
+        }
+        started_at = time.monotonic()
+        self._case.record.write("sent", request=id, path=path)
+        try:
+            async with asyncio.timeout(budget_ms / 1000):
+                writer.write(
+                    format_request("POST", path, id, budget_ms, b"p" * 1200, **headers)
+                )
+                end = await self._read_answer(id, reader)
+        except TimeoutError:
+            end = "deadline"
+        except (OSError, asyncio.IncompleteReadError) as error:
+            end = f"cut ({type(error).__name__})"
+        took = round(time.monotonic() - started_at, 3)
+        self._case.record.write("end", request=id, how=end, took=took)
+        return id, f"{end} after {took} s"
+
+    async def _read_answer(self, id: str, reader: asyncio.StreamReader) -> str:
+        head = await read_head(reader)
+        if head is None:
+            return "cut (closed without an answer)"
+        status = int(head[0].split(" ")[1])
+        self._case.record.write("answer", request=id, status=status)
+        if "transfer-encoding" not in head[1]:
+            await reader.readexactly(int(head[1]["content-length"]))
+            return f"status {status}"
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            await reader.readexactly(size + 2)
+        await reader.readuntil(b"\r\n")
+        return f"status {status}"
+
+    def close(self) -> None:
+        """Close the channel."""
+        if self._channel is not None:
+            self._channel[1].close()
 
 
 async def main(case: Case) -> list[str]:
-    """Return the orders that reached a server later than the drain time."""
+    """Return the short prompts whose answers were cut."""
     case.store.write("op/config", CONFIG)
-    lasting = OrderServer(case, "i-lasting")
-    await lasting.start(case.store)
-    entry = await case.start_entry()
-    answers: dict[str, int | str] = {}
-    sender = asyncio.create_task(send_orders(case, entry.port, answers))
-    late, lost = [], []
-    for number in range(ROUNDS):
-        server = OrderServer(case, f"i-{number}")
-        await server.start(case.store)
-        await asyncio.sleep(CALM)
-        if TROUBLE:
-            case.store.cut_watches()
-        await asyncio.sleep(CUT_BEFORE)
-        lasting.register(case.store)  # as it does about every heartbeatMs
-        await asyncio.sleep(0.02)
-        case.store.write(f"servers/{server.id}", None)
-        server.gone_at = time.monotonic()
-        await asyncio.sleep(DRAIN + EXIT_AFTER)
-        server.exit()
-        await asyncio.sleep(0.5)
-        late += server.late
-        lost += [id for id in server.runs if answers.get(id) != 200]
-    sender.cancel()
-    print("answers:", dict(collections.Counter(answers.values())))
-    print("orders that ran without a success:", lost)
-    case.record.write("unanswered", requests=lost)
-    return [f"DRAIN: order {id} came after the drain time" for id in late]
+    server = EngineServer(case.record, "i-7f3a91c2", "advisor")
+    await server.start(case.store)
+    entry, *_ = await case.start_entries(ENTRIES)
+    long_client = Client(case, 1, entry.port)
+    short_clients = [Client(case, n + 2, entry.port) for n in range(SHORT_CLIENTS)]
+    clients = [long_client, *short_clients]
+    for client in clients:  # each client keeps a channel from now on
+        await client.ask("/gate/1", SHORT_COUNTS, 10_000)
+    await asyncio.sleep(3.2)  # calm before the planned work
+    loop = asyncio.get_running_loop()
+    if TROUBLE:
+        entry.signal(signal.SIGTERM)
+        loop.call_later(GRACE, entry.signal, signal.SIGKILL)
+    await asyncio.sleep(LONG_AFTER)
+    long = asyncio.create_task(long_client.ask("/history/1", LONG_COUNTS, 15_000))
+    await asyncio.sleep(SHORT_AFTER - LONG_AFTER)
+    ends = await asyncio.gather(
+        *(client.ask("/gate/2", SHORT_COUNTS, 10_000) for client in short_clients)
+    )
+    await long
+    for client in clients:
+        client.close()
+    return [
+        f"LOST: {id}, sent {SHORT_AFTER} s after SIGTERM and run: {end}"
+        for id, end in ends
+        if end.startswith("cut") and id in server.runs
+    ]
 
 
 play(__file__, main)
--- a/review/harness.py
+++ b/review/harness.py
@@ -180,6 +180,16 @@
         return port
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at a revision."""
+
+    revision: int
+    items: dict[str, dict]
+    events: list[dict]
+    leases: frozenset[int]
+
+
 class Store:
     """The platform's store, with one revision for all keys."""
 
@@ -193,6 +203,8 @@
         self._changed = asyncio.Event()
         self._watch_channels: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._era = 1
+        self._away = False
 
     @property
     def address(self) -> str:
@@ -205,6 +217,32 @@
         for writer in list(self._watch_channels):
             writer.close()
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of what the store holds."""
+        leases = frozenset(self._leases)
+        return StoreCopy(self._revision, dict(self._items), list(self._events), leases)
+
+    async def come_back_from(self, copy: "StoreCopy", away_time: float) -> None:
+        """Be away for some seconds, and come back from a copy.
+
+        What was written since the copy is gone, leases too.
+        """
+        self._record.write("store away", revision=self._revision, seconds=away_time)
+        self._away = True
+        self.cut_watches()
+        await asyncio.sleep(away_time)
+        self._revision, self._items = copy.revision, dict(copy.items)
+        self._events = list(copy.events)
+        now = time.monotonic()
+        self._leases = {
+            lease: (now + ttl, ttl)
+            for lease, (_, ttl) in self._leases.items()
+            if lease in copy.leases
+        }
+        self._era += 1
+        self._away = False
+        self._record.write("store back", revision=self._revision, era=self._era)
+
     async def start(self) -> None:
         """Start to listen."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -259,7 +297,10 @@
                     self._watch_channels.add(writer)
                 status, body = await self._answer(call)
                 self._watch_channels.discard(writer)
-                writer.write(format_answer(status, {}, json.dumps(body).encode()))
+                if self._away:
+                    return
+                headers = {"Store-Era": str(self._era)}
+                writer.write(format_answer(status, headers, json.dumps(body).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -304,6 +345,8 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
         until = time.monotonic() + int(query["waitMs"]) / 1000
+        if int(query["after"]) > self._revision:
+            return 410, {}
         while True:
             self._expire()
             events = [
