--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,8 +32,21 @@
 COPY_AGE = 5.0  # seconds: what was written since is gone
 AWAY_TIME = 0.4  # seconds
 CHANGE_AFTER = 1.0  # seconds from the return to a new configuration
-STABLE = BOUNDS["stableWindowMs"] / 1000
-APPLY = BOUNDS["configApplyMs"] / 1000
+# The bounds of kmmca-moldline-grown, which has at least seven entries a zone.
+GROWN_BOUNDS = {
+    **BOUNDS,
+    "stableWindowMs": 4000,
+    "ackMs": 6000,
+    "catchUpS": 6,
+    "drainMs": 3000,
+    "configApplyMs": 3000,
+    "stretchMaxMs": 6000,
+    "budgetExtra": 120,
+    "recoveryS": 15,
+    "passMs": 200,
+}
+STABLE = GROWN_BOUNDS["stableWindowMs"] / 1000
+APPLY = GROWN_BOUNDS["configApplyMs"] / 1000
 WATCHED_TIME = 15.0  # seconds after the change
 
 
@@ -121,7 +134,7 @@
     ]
     for server in [*old, *new]:
         await server.start(case.store)
-    await case.start_entries(ENTRIES)
+    await case.start_entries(ENTRIES, bounds=GROWN_BOUNDS)
     orders = Orders(case)
     tasks = [asyncio.create_task(orders.send())]
     tasks.append(asyncio.create_task(write_heartbeats(case, [*old, *new])))
