--- a/review/harness.py
+++ b/review/harness.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -29,6 +30,7 @@
 RESTART_DELAY = 0.5  # seconds until the platform starts a process again
 HEARTBEAT_MS = 1200
 GRACE = 8.0  # seconds from SIGTERM to SIGKILL
+PORTS = (20_000, 32_000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # The sheet of kmmca-moldline, the first installation.
@@ -67,6 +69,9 @@
 }
 
 
+_used_ports: set[int] = set()
+
+
 class CannotRun(Exception):
     """Raised if a case cannot be played."""
 
@@ -154,30 +159,26 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def free_ports(count: int) -> list[int]:
-    """Return the first of some ports that are free now, each with the rest."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
+def free_ports(count: int) -> int:
+    """Return the first of some consecutive ports that are free now.
 
-def free_port_pair() -> int:
-    """Return a port that is free now, as is the next one."""
+    They are below the ports that the kernel gives to outgoing connections, and
+    are returned once only.
+    """
     while True:
-        (port,) = free_ports(1)
+        first = random.randrange(*PORTS)
+        ports = range(first, first + count)
+        if not _used_ports.isdisjoint(ports):
+            continue
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                for number in (port, port + 1):
+                for port in ports:
                     with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind((HOST, number))
-        except (OSError, OverflowError):
+                        probe.bind((HOST, port))
+        except OSError:
             continue
-        return port
+        _used_ports.update(ports)
+        return first
 
 
 @dataclasses.dataclass(frozen=True)
@@ -504,8 +505,8 @@
     ) -> None:
         self.name = name
         self._record = record
-        self.port, self._ready_port = free_ports(2)
-        ports = free_port_pair()
+        self.port = free_ports(4)
+        self._ready_port = self.port + 1
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         self._role = deploy["roles"]["entry"]
         self._log_path = folder / f"{name}.log"
@@ -523,7 +524,7 @@
                 "front": f"{HOST}:{self.port}",
                 "ready": f"{HOST}:{self._ready_port}",
             },
-            "internalPortRange": [ports, ports + 1],
+            "internalPortRange": [self.port + 2, self.port + 3],
             "seeds": [],
             "bootstrap": False,
             "limits": {"memoryMb": memory_mb, "maxFds": 4100},
