--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -60,6 +60,7 @@
 from .settings import DirectSettings
 from .shutdown import ShutdownPolicy
 from .store_lag import StoreLagDetector
+from .store_revision import StoreRevision
 from .target_health import TargetHealth
 from .target_limits import TargetLimits
 from .target_list import ListEvent, TargetList
@@ -342,7 +343,7 @@
         return []
 
     def _check_store_lag(
-        self, peer: str, revision: int, now: float
+        self, peer: str, revision: StoreRevision, now: float
     ) -> list[DirectCommand]:
         """Resync the store if a peer has been ahead for too long."""
         if not self._store_lag.record_peer_revision(revision, now):
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -15,6 +15,7 @@
 )
 from .board import InboundRequest, TargetListing, WorkItem, WorkItemKey
 from .route import RoutingTable
+from .store_revision import StoreRevision
 
 frozen = dataclasses.dataclass(frozen=True, slots=True)
 
@@ -186,7 +187,7 @@
 class StoreRevisionSeen:
     """This entry has followed the store up to a revision."""
 
-    revision: int
+    revision: StoreRevision
 
 
 @frozen
@@ -265,7 +266,8 @@
     work_items: tuple[WorkItem, ...] = ()
     ended: tuple[WorkItemKey, ...] = ()  # keys of items that have ended
     unreachable: tuple[str, ...] = ()
-    store_revision: int = 0  # newest revision that the peer has followed
+    # The newest revision that the peer has followed.
+    store_revision: StoreRevision = StoreRevision()
     rate_limits: tuple[RateLimitReport, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     answered: tuple[TraitsAnswered, ...] = ()
--- a/src/chicorycove/direct/explanation.py
+++ b/src/chicorycove/direct/explanation.py
@@ -61,6 +61,7 @@
     groups: tuple[GroupEstimate, ...] = ()  # the best of each size
     targets: tuple[TargetExplanation, ...] = ()
     # How recent the entry's view is.
+    store_era: int = 0
     store_revision: int = 0
     store_heard_ago: float | None = None  # None if it was never heard
     evacuated_domains: tuple[str, ...] = ()
--- a/src/chicorycove/direct/peer_datagram.py
+++ b/src/chicorycove/direct/peer_datagram.py
@@ -19,6 +19,7 @@
     TraitsAnswered,
 )
 from .store_relay import RelayUpdate
+from .store_revision import StoreRevision
 
 # First byte of a datagram of the relay; MessagePack never begins with it.
 RELAY_MARK = b"\xc1"
@@ -63,6 +64,7 @@
     notices: t.Annotated[list["NoticeUpdate"], _Reports] = []
     cold_targets: t.Annotated[list["ColdUpdate"], _Reports] = []
     failures: t.Annotated[list["FailureUpdate"], _Reports] = []
+    store_era: _Count = 0  # of the store's revision
 
 
 class WorkItemUpdate(msgspec.Struct, array_like=True):
@@ -159,6 +161,7 @@
     part_count: _Count
     data: bytes
     regained_ago: _Duration | None
+    era: _Count = 0  # of both revisions
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -166,8 +169,11 @@
 _relay_decoder = msgspec.msgpack.Decoder(_RelayDatagram)
 
 
-def encode(owner: str, update: UpdatePeers, revision: int, now: float) -> list[bytes]:
+def encode(
+    owner: str, update: UpdatePeers, store_revision: StoreRevision, now: float
+) -> list[bytes]:
     """Return the datagrams of an update from an entry."""
+    revision = store_revision.number
     items = [_encode_item(item, now) for item in update.work_items]
     numbers = [key.number for key in update.ended]
     first = PeerUpdate(
@@ -192,6 +198,8 @@
     updates += _encode_quarantine(owner, update, revision, now)
     if len(updates) > 1 and not (items or numbers or update.unreachable):
         del updates[0]
+    for update in updates:
+        update.store_era = store_revision.era
     return [_encoder.encode(update) for update in updates]
 
 
@@ -212,7 +220,7 @@
         tuple(_decode_item(owner, item, now) for item in update.work_items),
         tuple(WorkItemKey(owner, number) for number in update.ended),
         tuple(id for id in update.unreachable if id not in known_targets),
-        update.store_revision,
+        StoreRevision(update.store_era, update.store_revision),
         tuple(
             RateLimitReport(
                 limit.target, limit.rate, now - limit.named_ago, limit.incarnation
@@ -377,12 +385,13 @@
     """Return the datagram of an update of the relay."""
     datagram = _RelayDatagram(
         update.owner,
-        update.revision,
+        update.revision.number,
         update.after,
         update.part,
         update.part_count,
         update.data,
         update.regained_ago,
+        update.revision.era,
     )
     return RELAY_MARK + _encoder.encode(datagram)
 
@@ -395,7 +404,7 @@
     datagram = _relay_decoder.decode(data.removeprefix(RELAY_MARK))
     return RelayUpdate(
         owner=datagram.owner,
-        revision=datagram.revision,
+        revision=StoreRevision(datagram.era, datagram.revision),
         after=datagram.after,
         part=datagram.part,
         part_count=datagram.part_count,
--- a/src/chicorycove/direct/peer_link.py
+++ b/src/chicorycove/direct/peer_link.py
@@ -11,6 +11,7 @@
 from .event import PeerUpdateReceived
 from .peer_datagram import RELAY_MARK, decode, decode_relay, encode, encode_relay
 from .store_relay import RelayUpdate
+from .store_revision import StoreRevision
 
 LOG_INTERVAL = 1.0  # seconds between logged failures: a dead peer causes many
 
@@ -38,7 +39,7 @@
         self._last_received_at: dict[str, float] = {}
         # Time of the first update since an address was unresponsive.
         self._responsive_since: dict[Address, float] = {}
-        self.store_revision = 0  # sent with each update
+        self.store_revision = StoreRevision()  # sent with each update
 
     @property
     def names(self) -> t.Collection[str]:
--- a/src/chicorycove/direct/store_lag.py
+++ b/src/chicorycove/direct/store_lag.py
@@ -1,5 +1,7 @@
 """Detects that peers have followed the store further than this entry."""
 
+from .store_revision import StoreRevision
+
 
 class StoreLagDetector:
     """Compares revisions of the store; times are in seconds.
@@ -10,17 +12,17 @@
 
     def __init__(self, tolerance: float) -> None:
         self._tolerance = tolerance
-        self._own_revision = 0
+        self._own_revision = StoreRevision()
         # First revision of a peer that this entry has not seen.
-        self._first_missing: int | None = None
+        self._first_missing: StoreRevision | None = None
         self._lagging_since = 0.0
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """Return the newest revision that this entry has followed."""
         return self._own_revision
 
-    def record_own_revision(self, revision: int) -> None:
+    def record_own_revision(self, revision: StoreRevision) -> None:
         """Record a revision that this entry has followed the store to."""
         self._own_revision = max(self._own_revision, revision)
         if (
@@ -29,7 +31,7 @@
         ):
             self._first_missing = None
 
-    def record_peer_revision(self, revision: int, now: float) -> bool:
+    def record_peer_revision(self, revision: StoreRevision, now: float) -> bool:
         """Record a peer's revision; return whether a resync is needed."""
         if revision <= self._own_revision:
             return False
--- a/src/chicorycove/direct/store_relay.py
+++ b/src/chicorycove/direct/store_relay.py
@@ -9,6 +9,8 @@
 import dataclasses
 import typing as t
 
+from .store_revision import StoreRevision
+
 frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 MAX_PART_SIZE = 1_200  # bytes, so that a datagram fits into an Ethernet frame
@@ -32,8 +34,10 @@
     """How far a watcher has followed the store, and part of a batch."""
 
     owner: str
-    revision: int  # that the watcher has followed the store up to
-    after: int = 0  # the batch holds all changes between this and the revision
+    revision: StoreRevision  # that the watcher has followed the store up to
+    # The batch holds all changes between this revision of the same era and
+    # the other.
+    after: int = 0
     part: int = 0
     part_count: int = 0  # 0 for a heartbeat, which carries no changes
     data: bytes = b""
@@ -44,26 +48,41 @@
 class RelayedChanges:
     """A complete batch of changes, encoded."""
 
-    after: int
-    revision: int
+    after: int  # revision of the same era
+    revision: StoreRevision
     data: bytes
 
 
+@frozen
+class _Heard:
+    at: float  # seconds
+    era: int
+
+
 class StoreRelay:
     """Decides who watches the store, and orders what watchers send.
 
     An entry watches the store unless it hears enough watchers whose names
     sort before its own.  Whoever hears none watches, so nothing is elected.
+
+    A watcher that has not noticed that the store was restored is not heard: it
+    sends no changes of the present era.
     """
 
     def __init__(self, name: str, settings: RelaySettings) -> None:
         self._name = name
         self._settings = settings
-        self._revision: int | None = None
-        self._heard_at: dict[str, float] = {}
-        self._batches: dict[tuple[str, int, int], list[bytes | None]] = {}
+        self._revision: StoreRevision | None = None
+        self._era = 0  # of the last known revision
+        self._heard: dict[str, _Heard] = {}
+        self._batches: dict[tuple[str, int, StoreRevision], list[bytes | None]] = {}
         self._behind_since: float | None = None
-        self._newest_heard = 0  # revision
+        self._newest_heard = StoreRevision()
+
+    @property
+    def era_superseded(self) -> bool:
+        """Return whether a watcher follows a later era of the store."""
+        return self._revision is not None and self._newest_heard.era > self._era
 
     def follows(self, now: float) -> bool:
         """Return whether this entry leaves the watch to others."""
@@ -73,50 +92,57 @@
         """Return when too few watchers remain, unless they are heard again."""
         limit = now - self._settings.watcher_timeout
         heard = sorted(
-            heard_at
-            for name, heard_at in self._heard_at.items()
-            if name < self._name and heard_at > limit
+            heard.at
+            for name, heard in self._heard.items()
+            if name < self._name and heard.at > limit and heard.era >= self._era
         )
         if len(heard) < self._settings.watcher_count:
             return now
         return heard[-self._settings.watcher_count] + self._settings.watcher_timeout
 
-    def receive(self, update: RelayUpdate, now: float) -> None:
-        """Record a watcher's update."""
+    def receive(self, update: RelayUpdate, now: float) -> bool:
+        """Record a watcher's update; return False if its era has ended."""
+        if update.revision.era < self._era:
+            return False
         limit = now - self._settings.watcher_timeout
-        self._heard_at = {
-            name: heard_at
-            for name, heard_at in self._heard_at.items()
-            if heard_at > limit
+        self._heard = {
+            name: heard for name, heard in self._heard.items() if heard.at > limit
         }
-        self._heard_at[update.owner] = now
+        self._heard[update.owner] = _Heard(at=now, era=update.revision.era)
         self._newest_heard = max(self._newest_heard, update.revision)
         if self._revision is None or update.revision <= self._revision:
-            return
+            return True
         if self._behind_since is None:
             self._behind_since = now
         if not 0 <= update.part < update.part_count <= MAX_PARTS:
-            return
+            return True
         key = (update.owner, update.after, update.revision)
         if key not in self._batches and len(self._batches) >= MAX_PENDING_BATCHES:
             del self._batches[next(iter(self._batches))]
         parts = self._batches.setdefault(key, [None] * update.part_count)
         if len(parts) == update.part_count:
             parts[update.part] = update.data
+        return True
 
     def next_changes(self) -> RelayedChanges | None:
         """Return a complete batch that continues the own revision, if any."""
         if self._revision is None:
             return None
         for (_, after, revision), parts in self._batches.items():
-            if after <= self._revision < revision and None not in parts:
+            first = StoreRevision(revision.era, after)
+            if first <= self._revision < revision and None not in parts:
                 return RelayedChanges(
                     after=after, revision=revision, data=b"".join(parts)
                 )
         return None
 
-    def record_revision(self, revision: int | None, now: float) -> None:
+    def record_revision(self, revision: StoreRevision | None, now: float) -> None:
         """Record how far this entry follows the store; None if unknown."""
+        if self._revision is None and revision is not None:
+            # The store's own answer says which era it is in.
+            if revision.era < self._newest_heard.era:
+                self._newest_heard = revision
+            self._era = revision.era
         self._revision = revision
         self._batches = {
             key: parts
@@ -133,7 +159,11 @@
         return self._behind_since + self._settings.gap_tolerance
 
     def create_updates(
-        self, after: int, revision: int, data: bytes, regained_ago: float | None
+        self,
+        after: int,
+        revision: StoreRevision,
+        data: bytes,
+        regained_ago: float | None,
     ) -> list[RelayUpdate]:
         """Return the updates of a batch, or a heartbeat if it is too large."""
         parts = [
@@ -156,7 +186,7 @@
         ]
 
     def create_heartbeat(
-        self, revision: int, regained_ago: float | None
+        self, revision: StoreRevision, regained_ago: float | None
     ) -> RelayUpdate:
         """Return an update without changes."""
         return RelayUpdate(
--- a/src/chicorycove/explain.py
+++ b/src/chicorycove/explain.py
@@ -93,7 +93,7 @@
     print(f'route {data["route"]}, service {data["service"]}{workspace}')
     heard = data["store_heard_ago"]
     print(
-        f'store revision {data["store_revision"]}, '
+        f'store revision {data["store_revision"]} of era {data["store_era"]}, '
         f'{"never heard" if heard is None else f"heard {heard:.1f} s ago"}; '
         f'{data["heard_entry_count"]} of {data["entry_count"]} entries heard'
     )
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -24,10 +24,11 @@
 from ..direct.linelog import LineLog
 from ..direct.route import RoutingTable
 from ..direct.store_relay import RelayUpdate, StoreRelay
+from ..direct.store_revision import StoreRevision
 from ..exceptions import LeaseLost, PlatformError
 from . import decoding
 from .changes import decode_changes, encode_changes
-from .store import WATCH_DURATION, HistoryLost, Item, ItemBatch, Store
+from .store import WATCH_DURATION, HistoryLost, Item, ItemBatch, Lease, Store
 
 CONFIG_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
@@ -46,6 +47,9 @@
 RENEWALS_PER_LEASE = 3  # so that two may fail
 MAX_FETCH_DELAY = 0.2  # seconds, random, so that entries do not fetch at once
 FETCH_DURATION = 0.5  # seconds; missing changes are returned immediately
+# Seconds, random, until an entry is registered with a restored store, so that
+# entries do not write at once.
+MAX_REGISTRATION_DELAY = 1.0
 REGAINED_WINDOW = 5.0  # seconds in which watchers report a regained store
 REGAINED_TOLERANCE = 1.0  # seconds by which watchers may differ in when it was
 
@@ -89,7 +93,9 @@
         self._handle = handle
         self._on_entries_changed = on_entries_changed
         self._deployment_version = -1
-        self._revision: int | None = None
+        self._revision: StoreRevision | None = None
+        self._era: int | None = None  # of the newest list
+        self._era_changed = asyncio.Event()
         self._target_ids: set[str] = set()
         self._evacuated_domains: set[str] = set()
         self._entries: dict[str, _Entry] = {}
@@ -132,7 +138,7 @@
                     await asyncio.sleep(WATCH_PAUSE)
                 delay = MIN_RETRY_DELAY
             except HistoryLost as error:
-                self._log.write("history lost", cause=str(error), was=self._revision)
+                self._log.write("history lost", cause=str(error), **self._log_fields())
                 self._forget_revision()
             except PlatformError as error:
                 self._mark_store_lost(error)
@@ -165,14 +171,13 @@
     def handle_relay(self, update: RelayUpdate) -> None:
         """Take the changes that a watcher of the store has sent."""
         now = self._clock()
-        self._relay.receive(update, now)
-        if not self._following:
+        if not self._relay.receive(update, now) or not self._following:
             return
         self._mark_store_regained()
         if update.regained_ago is not None:
             self._mark_regained_by_watcher(now - update.regained_ago)
         self._apply_relayed_changes()
-        if self._relay.fetch_due_at() is not None:
+        if self._relay.fetch_due_at() is not None or self._relay.era_superseded:
             self._relay_changed.set()
 
     def send_heartbeat(self) -> None:
@@ -203,7 +208,7 @@
     async def _follow_watchers(self) -> None:
         """Apply relayed changes while they are complete and watchers heard."""
         self._following = True
-        self._log.write("watchers followed", revision=self._revision)
+        self._log.write("watchers followed", **self._log_fields())
         try:
             self._apply_relayed_changes()
             while self._revision is not None:
@@ -211,10 +216,13 @@
                 until = self._relay.follows_until(now)
                 fetch_due_at = self._relay.fetch_due_at()
                 if until <= now:
-                    self._log.write("watchers silent", revision=self._revision)
+                    self._log.write("watchers silent", **self._log_fields())
                     if self._must_list_at_gap:
                         self._forget_revision()
                     return
+                if self._relay.era_superseded:
+                    self._must_list_at_gap = True
+                    break
                 if fetch_due_at is not None and fetch_due_at <= now:
                     break
                 self._relay_changed.clear()
@@ -225,10 +233,12 @@
                     pass
         finally:
             self._following = False
+        if self._revision is None:
+            return
+        await asyncio.sleep(self._random.uniform(0.0, MAX_FETCH_DELAY))
         if self._must_list_at_gap:
             self._forget_revision()
-        if self._revision is not None:
-            await asyncio.sleep(self._random.uniform(0.0, MAX_FETCH_DELAY))
+        else:
             await self._watch_store(self._revision, FETCH_DURATION)
 
     def _apply_relayed_changes(self) -> None:
@@ -240,11 +250,11 @@
                 self._forget_revision()
                 self._relay_changed.set()
                 return
-            followed = range(changes.after + 1, self._revision + 1)
+            followed = range(changes.after + 1, self._revision.number + 1)
             newer = [item for item in items if item.revision not in followed]
             self._apply_changes(ItemBatch(tuple(newer), changes.revision))
 
-    async def _watch_store(self, revision: int, duration: float) -> None:
+    async def _watch_store(self, revision: StoreRevision, duration: float) -> None:
         watch_task = asyncio.create_task(
             self._store.watch(ALL_KEYS, revision, duration)
         )
@@ -262,7 +272,7 @@
         self._apply_changes(changes)
         if changes.items and self._is_watcher():
             updates = self._relay.create_updates(
-                revision,
+                revision.number,
                 changes.revision,
                 encode_changes(changes.items),
                 self._regained_ago(),
@@ -275,7 +285,7 @@
         self._report_entries()
         self._record_revision(changes.revision)
 
-    def _record_revision(self, revision: int) -> None:
+    def _record_revision(self, revision: StoreRevision) -> None:
         self._revision = revision
         self._relay.record_revision(revision, self._clock())
         self._handle(StoreRevisionSeen(revision))
@@ -287,15 +297,18 @@
 
     async def register(self, name: str, address: str) -> None:
         """Keep this entry registered in the store until cancelled."""
-        lease: int | None = None
+        lease: Lease | None = None
         value = msgspec.json.encode(_Entry(address, self._failure_domain))
         while True:
+            self._era_changed.clear()
             try:
                 if lease is None:
                     lease = await self._store.grant(LEASE_DURATION)
                     await self._store.put(ENTRIES_PREFIX + name, value, lease)
                 else:
                     await self._store.renew(lease)
+                if self._era is not None and lease.era > self._era:
+                    self.resync()
             except LeaseLost as error:
                 self._log.write("lease lost", cause=str(error))
                 lease = None
@@ -304,17 +317,32 @@
                 self._log.write("entry not registered", cause=str(error))
             except Exception as error:  # others must not stop to see this entry
                 self._log.write("entry not registered", cause=repr(error))
-            await asyncio.sleep(
-                LEASE_DURATION / RENEWALS_PER_LEASE * self._random.uniform(0.8, 1.0)
-            )
+            await self._wait_renewal_due()
+            if lease is not None and self._era is not None and lease.era < self._era:
+                lease = None
+
+    async def _wait_renewal_due(self) -> None:
+        """Wait until the lease is to be renewed, or the store was restored.
+
+        The copy may lack this entry, and the id of its lease may be assigned
+        again.
+        """
+        interval = LEASE_DURATION / RENEWALS_PER_LEASE
+        try:
+            async with asyncio.timeout(interval * self._random.uniform(0.8, 1.0)):
+                await self._era_changed.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(self._random.uniform(0.0, MAX_REGISTRATION_DELAY))
 
     async def _list_store(self) -> None:
         """List the whole store, applying each page as it arrives."""
         self._must_list_at_gap = False
         keys: set[str] = set()
-        revision = 0
+        revision = StoreRevision()
         async for page in self._store.pages(ALL_KEYS):
             self._mark_store_regained()
+            self._enter_era(page.revision.era)
             revision = page.revision
             keys.update(item.key for item in page.items)
             for item in page.items:
@@ -335,7 +363,7 @@
             self._remove_entry(name)
         self._report_entries()
         self._record_revision(revision)
-        self._log.write("store listed", revision=revision, items=len(keys))
+        self._log.write("store listed", items=len(keys), **self._log_fields())
 
     def _apply_item(self, item: Item) -> None:
         try:
@@ -426,7 +454,7 @@
     def _mark_store_lost(self, error: PlatformError) -> None:
         if not self._store_lost:
             self._store_lost = True
-            self._log.write("store lost", cause=str(error), revision=self._revision)
+            self._log.write("store lost", cause=str(error), **self._log_fields())
             self._handle(StoreLost())
 
     def _mark_store_regained(self) -> None:
@@ -434,9 +462,23 @@
         if self._store_lost:
             self._store_lost = False
             self._regained_at = self._clock()
-            self._log.write("store back", revision=self._revision)
+            self._log.write("store back", **self._log_fields())
             self._handle(StoreRegained())
 
+    def _enter_era(self, era: int) -> None:
+        """Treat a new era of the store as the end of its unavailability.
+
+        What targets and entries wrote after the copy is written again soon.
+        """
+        was, self._era = self._era, era
+        if was is None or was == era:
+            return
+        self._log.write("store restored", era=era, was=was)
+        self._era_changed.set()
+        self._regained_at = self._clock()
+        self._handle(StoreLost())
+        self._handle(StoreRegained())
+
     def _mark_regained_by_watcher(self, regained_at: float) -> None:
         """Treat a watcher's loss of the store as one's own.
 
@@ -447,6 +489,10 @@
             self._handle(StoreLost())
             self._handle(StoreRegained())
 
+    def _log_fields(self) -> dict[str, int | None]:
+        revision = self._revision.number if self._revision is not None else None
+        return {"era": self._era, "revision": revision}
+
     def _regained_ago(self) -> float | None:
         ago = self._clock() - self._regained_at
         return ago if ago < REGAINED_WINDOW else None
--- a/src/chicorycove/platform/store.py
+++ b/src/chicorycove/platform/store.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import base64
+import dataclasses
 import typing as t
 import urllib.parse
 
 import msgspec
 
 from ..direct.client import CallFailed, HttpClient, Reply
+from ..direct.store_revision import StoreRevision
 from ..exceptions import LeaseLost, PlatformError, StoreUnavailable, StoreUnknown
 
 TOO_MANY_REQUESTS = 429  # the store's rate limit is exceeded
@@ -17,10 +19,16 @@
 MAX_PAGES = 1000  # of one list, so that a faulty store cannot make it endless
 MAX_PAGE_TRIES = 8  # of a page, so that a list in progress is not started again
 PAGE_RETRY_DELAY = 0.1  # seconds between tries
+ERA = b"store-era"  # rises when the store is restored from a copy
+MAX_ERA_DIGITS = 15
 
 
 class HistoryLost(PlatformError):
-    """The store has compacted the changes after a revision."""
+    """The store cannot return the changes after a revision."""
+
+
+class StoreRestored(HistoryLost):
+    """The store was restored from a copy, which may lack the revision."""
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -62,7 +70,15 @@
     """
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease, whose id means another one in a later era or none."""
+
+    id: int
+    era: int
 
 
 _range_decoder = msgspec.json.Decoder(_Range)
@@ -90,6 +106,7 @@
         Pages are read one after another, not as of one revision. Each carries
         the revision of the first, so that a watch from it misses no change.
 
+        :raises StoreRestored: if a page is of another era than the first
         :raises StoreUnavailable: if the store does not answer
         """
         revision = None
@@ -98,23 +115,28 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = await self._fetch_page(query)
-            revision = page.storeRevision if revision is None else revision
+            page, era = await self._fetch_page(query)
+            if revision is None:
+                revision = StoreRevision(era, page.storeRevision)
+            _check_era(revision.era, era)
             yield ItemBatch(tuple(page.items), revision)
             if not page.morePages or not page.items:
                 return
             after = page.items[-1].key
         raise StoreUnavailable("the list of the store has too many pages")
 
-    async def watch(self, prefix: str, after: int, duration: float) -> ItemBatch:
+    async def watch(
+        self, prefix: str, after: StoreRevision, duration: float
+    ) -> ItemBatch:
         """Return the changes after a revision, or none after some seconds.
 
         :raises HistoryLost: if the store has compacted these changes
+        :raises StoreRestored: if the store is in another era
         :raises StoreUnavailable: if the store does not answer
         """
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(after.number),
             "waitMs": str(int(duration * 1000)),
         }
         path = f"/chicorycove/kv-watch?{urllib.parse.urlencode(query)}"
@@ -126,60 +148,62 @@
         if reply.status == 410:
             raise HistoryLost("the store has compacted its history")
         changes = _decode(_events_decoder, reply)
-        return ItemBatch(tuple(changes.events), changes.storeRevision)
+        _check_era(after.era, _parse_era(reply))
+        revision = StoreRevision(after.era, changes.storeRevision)
+        return ItemBatch(tuple(changes.events), revision)
 
-    async def grant(self, ttl: float) -> int:
-        """Return the id of a new lease; its time to live is in seconds.
+    async def grant(self, ttl: float) -> Lease:
+        """Return a new lease; its time to live is in seconds.
 
         :raises StoreUnavailable: if the store did not grant it
         :raises StoreUnknown: if the store may have granted it
         """
         body = msgspec.json.encode({"ttlMs": int(ttl * 1000)})
         reply = await self._call("POST", "/chicorycove/kv-lease", {}, body)
-        return _decode(_lease_decoder, reply).lease
+        return Lease(_decode(_lease_decoder, reply).lease, _parse_era(reply))
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> None:
         """Renew a lease.
 
-        :raises LeaseLost: if it has ended
+        :raises LeaseLost: if it has ended, or is of another era than the store
         :raises StoreUnavailable: if the store did not renew it
         :raises StoreUnknown: if the store may have renewed it
         """
-        reply = await self._call("POST", f"/chicorycove/kv-keep/{lease}", {})
-        if reply.status == 404:
-            raise LeaseLost(f"lease {lease} has ended")
-        _check(reply)
+        reply = await self._call("POST", f"/chicorycove/kv-keep/{lease.id}", {})
+        _check_lease(lease, reply)
 
-    async def revoke(self, lease: int) -> None:
+    async def revoke(self, lease: Lease) -> None:
         """Revoke a lease, which deletes its keys.
 
         :raises StoreUnavailable: if the store did not revoke it
         :raises StoreUnknown: if the store may have revoked it
         """
-        await self._call("DELETE", f"/chicorycove/kv-lease-end/{lease}", {})
+        await self._call("DELETE", f"/chicorycove/kv-lease-end/{lease.id}", {})
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
         """Write a key that is deleted when its lease ends.
 
-        :raises LeaseLost: if the lease has ended
+        :raises LeaseLost: if it has ended, or is of another era than the store
         :raises StoreUnavailable: if the store did not write it
         :raises StoreUnknown: if the store may have written it
         """
-        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        encoded = base64.b64encode(value).decode()
+        item = {"key": key, "value": encoded, "lease": lease.id}
         body = msgspec.json.encode({"expected": [], "puts": [item], "remove": []})
         reply = await self._call("POST", "/chicorycove/kv-txn", {}, body)
-        if reply.status == 404:
-            raise LeaseLost(f"lease {lease} has ended")
-        _check(reply)
+        _check_lease(lease, reply)
 
-    async def _fetch_page(self, query: dict[str, str]) -> _Range:
-        """Return a page; a refused page after the first is tried again."""
+    async def _fetch_page(self, query: dict[str, str]) -> tuple[_Range, int]:
+        """Return a page and its era.
+
+        A refused page after the first is tried again.
+        """
         tries_left = MAX_PAGE_TRIES if "after" in query else 1
         while True:
             reply = await self._call("GET", "/chicorycove/kv-range", query)
             tries_left -= 1
             if reply.status != TOO_MANY_REQUESTS or not tries_left:
-                return _decode(_range_decoder, reply)
+                return _decode(_range_decoder, reply), _parse_era(reply)
             await asyncio.sleep(PAGE_RETRY_DELAY)
 
     async def _call(
@@ -206,3 +230,26 @@
         return decoder.decode(reply.body)
     except msgspec.MsgspecError as error:
         raise StoreUnavailable(f"invalid answer of the store: {error}") from None
+
+
+def _parse_era(reply: Reply) -> int:
+    """Return the era that an answer names, or 0 if it names none."""
+    for name, value in reply.headers:
+        if name.lower() == ERA:
+            valid = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+            return int(value) if valid else 0
+    return 0
+
+
+def _check_era(expected: int, era: int) -> None:
+    if era != expected:
+        raise StoreRestored(f"the store is in era {era}, no longer in era {expected}")
+
+
+def _check_lease(lease: Lease, reply: Reply) -> None:
+    if reply.status == 404:
+        raise LeaseLost(f"lease {lease.id} has ended")
+    _check(reply)
+    era = _parse_era(reply)
+    if era != lease.era:
+        raise LeaseLost(f"lease {lease.id} is of era {lease.era}, the store in {era}")
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import dataclasses
-import itertools
 import time
 
 from starlette.applications import Starlette
@@ -33,6 +32,16 @@
         return {**dataclasses.asdict(self), "value": value}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What a store held at a revision."""
+
+    revision: int
+    items: dict[str, Item]
+    events: tuple[tuple[int, dict], ...]
+    leases: dict[int, tuple[float, float]]
+
+
 @dataclasses.dataclass(slots=True)
 class Faults:
     """The faults in effect; delays are in seconds."""
@@ -56,8 +65,10 @@
         self._events: list[tuple[int, dict]] = []
         self._compacted_revision = 0  # watches from before it get 410
         self._revision = 1
+        self._era = 1
         self._leases: dict[int, tuple[float, float]] = {}  # expiry, time to live
-        self._new_lease_ids = itertools.count(1)
+        self._newest_lease = 0
+        self._kept_copy: Copy | None = None
         self._changed = asyncio.Event()
 
     # Access of the operator and the servers, which may write every key
@@ -85,6 +96,26 @@
         self._compacted_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> Copy:
+        """Return a copy of what the store holds."""
+        return Copy(
+            self._revision, dict(self._items), tuple(self._events), dict(self._leases)
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Begin an era with what a copy holds.
+
+        What was written since is lost, leases too, and the numbers of
+        revisions and leases are assigned again.
+        """
+        self._era += 1
+        self._revision, self._items = copy.revision, dict(copy.items)
+        self._events = list(copy.events)
+        now = time.monotonic()
+        self._leases = {id: (now + ttl, ttl) for id, (_, ttl) in copy.leases.items()}
+        self._newest_lease = max(self._leases, default=0)
+        self._notify_watches()
+
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys with a prefix, sorted."""
         self._expire_leases()
@@ -127,25 +158,34 @@
                 Route(path, self._with_faults(call), methods=[method])
                 for path, call, method in calls
             ]
-            + [Route("/operator/items", self._write_unchecked, methods=["POST"])]
+            + [
+                Route("/operator/items", self._write_unchecked, methods=["POST"]),
+                Route("/operator/copy", self._keep_copy, methods=["POST"]),
+                Route("/operator/restore", self._restore_copy, methods=["POST"]),
+            ]
         )
 
     def _with_faults(self, call):
         async def answer(request: Request) -> Response:
-            self.calls.append(request.url.path)
-            while self.faults.unresponsive:
-                await asyncio.sleep(0.02)
-            await asyncio.sleep(self.faults.delay)
-            if self.faults.down:
-                return Response(status_code=503)
-            if self.faults.rate_limited:
-                self.faults.rate_limited -= 1
-                return Response(status_code=429)
-            self._expire_leases()
-            return await call(request)
+            response = await self._answer(call, request)
+            response.headers["Store-Era"] = str(self._era)
+            return response
 
         return answer
 
+    async def _answer(self, call, request: Request) -> Response:
+        self.calls.append(request.url.path)
+        while self.faults.unresponsive:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(self.faults.delay)
+        if self.faults.down:
+            return Response(status_code=503)
+        if self.faults.rate_limited:
+            self.faults.rate_limited -= 1
+            return Response(status_code=429)
+        self._expire_leases()
+        return await call(request)
+
     async def _write_unchecked(self, request: Request) -> Response:
         """Write or delete an item for the operator or a server."""
         body = await request.json()
@@ -155,6 +195,15 @@
             self.put(body["key"], body["value"].encode())
         return JSONResponse({"revision": self._revision})
 
+    async def _keep_copy(self, request: Request) -> Response:
+        self._kept_copy = self.copy()
+        return Response()
+
+    async def _restore_copy(self, request: Request) -> Response:
+        if self._kept_copy is not None:
+            self.restore(self._kept_copy)
+        return Response()
+
     async def _key(self, request: Request) -> Response:
         item = self._items.get(request.query_params["key"])
         if item is None:
@@ -185,7 +234,7 @@
             if self.faults.watches_stalled:
                 await asyncio.sleep(0.05)
                 continue
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return Response(status_code=410)
             events = [
                 event
@@ -224,7 +273,8 @@
 
     async def _grant(self, request: Request) -> Response:
         ttl = (await request.json())["ttlMs"]
-        lease = next(self._new_lease_ids)
+        self._newest_lease += 1
+        lease = self._newest_lease
         self._leases[lease] = (time.monotonic() + ttl / 1000, ttl / 1000)
         return JSONResponse({"lease": lease, "ttlMs": ttl})
 
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -26,6 +26,7 @@
     WorkspaceKeys,
 )
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AttemptId
 
 SHORT = Route(
@@ -74,6 +75,8 @@
     max_attempts=2,
 )
 
+REVISION = StoreRevision(1, 7)
+
 DEPLOYMENT = Deployment(
     version=1,
     routes=(SHORT, LONG, ORDER, LOOKUP),
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -38,6 +38,7 @@
     peer_timeout,
     peer_update_interval,
 )
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AttemptId
 from chicorycove.lifecycle import (
     AnswerCompleted,
@@ -293,7 +294,7 @@
                 self.fleet.end_request(command)
 
     def encode(self, update):
-        return peer_datagram.encode(self.name, update, 0, self.fleet.now)
+        return peer_datagram.encode(self.name, update, StoreRevision(), self.fleet.now)
 
     def decode(self, datagram):
         return peer_datagram.decode(datagram, self.fleet.now)
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -284,3 +284,34 @@
         await asyncio.sleep(0.1)
         self.log.seek(0)
         return [json.loads(line) for line in self.log.read().splitlines()]
+
+
+class FailureDomainTestCase(PlatformTestCase):
+    """A test case with four entries of a failure domain."""
+
+    model_count = 0
+    shop_count = 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.processes = [self.process]
+        for number in range(2, 5):
+            boot = new_boot(store=self.boot.store, name=f"entry-{number}")
+            self.processes.append(await self.start_entry(boot))
+        await self.wait_until(self.two_follow)
+
+    async def following(self):
+        return [process._follower._following for process in self.processes]
+
+    async def two_follow(self):
+        return await self.following() == [False, False, True, True]
+
+    def versions(self):
+        return [process._board.table.deployment.version for process in self.processes]
+
+    async def wait_for_version(self, version, seconds):
+        """Write a configuration and wait until all entries apply it."""
+        self.write_config(config(version))
+        async with asyncio.timeout(seconds):
+            while self.versions() != [version] * len(self.processes):
+                await asyncio.sleep(0.02)
--- a/tests/test_direct_backoff.py
+++ b/tests/test_direct_backoff.py
@@ -17,7 +17,15 @@
 from chicorycove.lifecycle import MemoryReserved
 from chicorycove.platform.headers import PlatformDialect
 
-from .direct import LONG, LOOKUP, SHORT, DirectWorld, command_names, only_command
+from .direct import (
+    LONG,
+    LOOKUP,
+    REVISION,
+    SHORT,
+    DirectWorld,
+    command_names,
+    only_command,
+)
 from .direct_fleet import Fleet, cut_datagram
 
 RETRY_AFTER = 3.0  # seconds that targets name
@@ -222,7 +230,7 @@
 
     def test_notice_is_decoded_by_another_clock(self):
         (data,) = peer_datagram.encode(
-            "e", UpdatePeers(notices=(self.notice,)), 7, 100.0
+            "e", UpdatePeers(notices=(self.notice,)), REVISION, 100.0
         )
         received = peer_datagram.decode(data, 5000.0)
         self.assertEqual(
@@ -232,7 +240,7 @@
 
     def test_older_version_is_told_that_the_target_is_unreachable(self):
         (data,) = peer_datagram.encode(
-            "e", UpdatePeers(notices=(self.notice,)), 7, 100.0
+            "e", UpdatePeers(notices=(self.notice,)), REVISION, 100.0
         )
         self.assertEqual(
             peer_datagram.decode(cut_datagram(data), 0.0).unreachable, ("t",)
@@ -240,6 +248,6 @@
 
     def test_many_notices_are_split(self):
         update = UpdatePeers(notices=(self.notice,) * 45)
-        datagrams = peer_datagram.encode("e", update, 7, 100.0)
+        datagrams = peer_datagram.encode("e", update, REVISION, 100.0)
         self.assertEqual(len(datagrams), 3)
         self.assertLess(max(map(len, datagrams)), 1400)
--- a/tests/test_direct_cold_target.py
+++ b/tests/test_direct_cold_target.py
@@ -27,6 +27,7 @@
     COLD_RATE,
     LONG,
     LOOKUP,
+    REVISION,
     DirectWorld,
     only_command,
 )
@@ -247,7 +248,7 @@
 
     def encode(self):
         return peer_datagram.encode(
-            "e", UpdatePeers(cold_targets=(self.report,)), 7, 100.0
+            "e", UpdatePeers(cold_targets=(self.report,)), REVISION, 100.0
         )
 
     def test_report_is_decoded_by_another_clock(self):
@@ -265,7 +266,7 @@
 
     def test_many_reports_are_split(self):
         update = UpdatePeers(cold_targets=(self.report,) * 45)
-        datagrams = peer_datagram.encode("e", update, 7, 100.0)
+        datagrams = peer_datagram.encode("e", update, REVISION, 100.0)
         self.assertEqual(len(datagrams), 3)
         self.assertLess(max(map(len, datagrams)), 1400)
 
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -21,6 +21,7 @@
     TargetUnlisted,
 )
 from chicorycove.direct.route import Deployment
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.lifecycle import (
     AnswerCompleted,
     AttemptFailed,
@@ -351,11 +352,11 @@
         self.assertEqual(self.world.board.placement_offset, 0.0)
 
     def test_store_is_resynced_when_a_peer_stays_ahead(self):
-        self.world.handle(StoreRevisionSeen(5))
+        self.world.handle(StoreRevisionSeen(StoreRevision(1, 5)))
         for now, expected in ((0.0, []), (0.9, []), (1.2, ["ResyncStore"])):
             self.world.now = now
             commands = self.world.handle(
-                PeerUpdateReceived("entry-2", store_revision=6)
+                PeerUpdateReceived("entry-2", store_revision=StoreRevision(1, 6))
             )
             self.assertEqual(command_names(commands), expected)
 
--- a/tests/test_direct_failing_target.py
+++ b/tests/test_direct_failing_target.py
@@ -10,11 +10,12 @@
 from chicorycove.direct.entry import DirectEntry
 from chicorycove.direct.event import FailureReport, PeersUpdated, PeerUpdateReceived
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import AttemptFailed
 from chicorycove.metric import Metrics
 
-from .direct import LOOKUP, OK, ORDER, SERVER_ERROR, DirectWorld
+from .direct import LOOKUP, OK, ORDER, REVISION, SERVER_ERROR, DirectWorld
 from .direct_fleet import LINK_DELAY, Fleet, cut_datagram
 
 FAIL_AT, MENDED_AT = 5.0, 35.0  # seconds
@@ -417,7 +418,7 @@
 
     def test_report_arrives_as_sent(self):
         (data,) = peer_datagram.encode(
-            "e", UpdatePeers(failures=(self.report,)), 7, 100.0
+            "e", UpdatePeers(failures=(self.report,)), REVISION, 100.0
         )
         received = peer_datagram.decode(data, 100.0)
         self.assertEqual(received.failures, (self.report,))
@@ -425,15 +426,17 @@
 
     def test_earlier_versions_ignore_the_report(self):
         (data,) = peer_datagram.encode(
-            "e", UpdatePeers(failures=(self.report,)), 7, 100.0
+            "e", UpdatePeers(failures=(self.report,)), REVISION, 100.0
         )
         received = peer_datagram.decode(cut_datagram(data), 100.0)
-        self.assertEqual(received, PeerUpdateReceived("e", store_revision=7))
+        self.assertEqual(
+            received, PeerUpdateReceived("e", store_revision=StoreRevision(0, 7))
+        )
 
     def test_datagrams_of_many_reports_fit_a_frame(self):
         update = UpdatePeers(failures=(self.report,) * 45)
         datagrams = peer_datagram.encode(
-            "front-kitakyushu-1.01234567", update, 10**9, 100.0
+            "front-kitakyushu-1.01234567", update, StoreRevision(1, 10**9), 100.0
         )
         self.assertEqual(len(datagrams), 3)
         self.assertTrue(all(len(data) < 1400 for data in datagrams))
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -19,6 +19,7 @@
 from chicorycove.direct.http import HttpRequest
 from chicorycove.direct.route import RoutingTable
 from chicorycove.direct.store_relay import RelayUpdate
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.direct.termination import RequestTermination
 from chicorycove.lifecycle import Tick
 from chicorycove.platform import decoding
@@ -165,6 +166,8 @@
     peer_update(work_items=[work_item(prefill_time=-1.0)]),
     peer_update(store_revision=-1),
     peer_update(store_revision=2**63),
+    peer_update(store_era=-1),
+    peer_update(store_era=2**63),
     *(
         peer_update(rate_limits=[peer_datagram.RateLimitUpdate("t", rate, ago, "1")])
         for rate, ago in ((NAN, 0.0), (-1.0, 0.0), (1.0, NAN), (1.0, -INF), (1.0, INF))
@@ -233,7 +236,12 @@
     def test_mutated_relay_datagrams_are_refused_or_decoded(self):
         rng = random.Random(SEED)
         update = RelayUpdate(
-            owner="p", revision=5, after=4, part=0, part_count=1, data=b"data"
+            owner="p",
+            revision=StoreRevision(1, 5),
+            after=4,
+            part=0,
+            part_count=1,
+            data=b"data",
         )
         data = peer_datagram.encode_relay(update)
         for _ in range(5_000):
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -29,8 +29,9 @@
     pick_service,
 )
 from chicorycove.direct.store_lag import StoreLagDetector
+from chicorycove.direct.store_revision import StoreRevision
 
-from .direct import DirectWorld
+from .direct import REVISION, DirectWorld
 
 
 def route(prefix, host="a.example", name=""):
@@ -186,7 +187,7 @@
             preempting=True,
         )
         update = UpdatePeers((sent,), (WorkItemKey("entry-1", 3),), ("x",))
-        (data,) = peer_datagram.encode("entry-1", update, 7, 100.0)
+        (data,) = peer_datagram.encode("entry-1", update, REVISION, 100.0)
         update = peer_datagram.decode(data, 5000.0)
         (received,) = update.work_items
         self.assertEqual((received.key, received.target), (sent.key, "t"))
@@ -195,14 +196,17 @@
         self.assertTrue(received.preempting)
         self.assertEqual(update.ended, (WorkItemKey("entry-1", 3),))
         self.assertEqual(update.unreachable, ("x",))
-        self.assertEqual(update.store_revision, 7)
+        self.assertEqual(update.store_revision, REVISION)
 
     def test_datagrams_of_many_work_items_fit_a_frame(self):
         work_items = tuple(
             WorkItem(WorkItemKey("e", n), "i-0123456789") for n in range(40)
         )
         for data in peer_datagram.encode(
-            "front-kitakyushu-1.01234567", UpdatePeers(work_items), 10**9, 0.0
+            "front-kitakyushu-1.01234567",
+            UpdatePeers(work_items),
+            StoreRevision(1, 10**9),
+            0.0,
         ):
             self.assertLess(len(data), 1400)
 
@@ -226,7 +230,7 @@
             )
 
     def receive(self, name, host):
-        (data,) = peer_datagram.encode(name, UpdatePeers(), 1, self.now)
+        (data,) = peer_datagram.encode(name, UpdatePeers(), REVISION, self.now)
         self.link.datagram_received(data, (host, 7000))
 
     async def test_unlisted_unresponsive_peer_is_removed(self):
@@ -263,29 +267,54 @@
 class StoreLagDetectorTest(unittest.TestCase):
     def setUp(self):
         self.store_lag = StoreLagDetector(tolerance=1.0)
-        self.store_lag.record_own_revision(10)
+        self.store_lag.record_own_revision(StoreRevision(1, 10))
 
     def test_peer_that_stays_ahead_requires_a_resync(self):
-        self.assertFalse(self.store_lag.record_peer_revision(11, 0.0))
-        self.assertFalse(self.store_lag.record_peer_revision(12, 1.0))
-        self.assertTrue(self.store_lag.record_peer_revision(12, 1.1))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(1, 11), 0.0))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(1, 12), 1.0))
+        self.assertTrue(self.store_lag.record_peer_revision(StoreRevision(1, 12), 1.1))
 
     def test_resync_is_required_once_per_tolerance(self):
-        self.store_lag.record_peer_revision(11, 0.0)
-        self.assertTrue(self.store_lag.record_peer_revision(11, 1.1))
-        self.assertFalse(self.store_lag.record_peer_revision(11, 1.2))
-        self.assertTrue(self.store_lag.record_peer_revision(11, 2.2))
+        self.store_lag.record_peer_revision(StoreRevision(1, 11), 0.0)
+        self.assertTrue(self.store_lag.record_peer_revision(StoreRevision(1, 11), 1.1))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(1, 11), 1.2))
+        self.assertTrue(self.store_lag.record_peer_revision(StoreRevision(1, 11), 2.2))
 
     def test_changes_that_arrive_in_time_require_no_resync(self):
         for number in range(20):
             self.assertFalse(
-                self.store_lag.record_peer_revision(11 + number, number * 0.5)
+                self.store_lag.record_peer_revision(
+                    StoreRevision(1, 11 + number), number * 0.5
+                )
             )
-            self.store_lag.record_own_revision(11 + number)
+            self.store_lag.record_own_revision(StoreRevision(1, 11 + number))
 
     def test_peer_that_is_behind_requires_no_resync(self):
-        self.assertFalse(self.store_lag.record_peer_revision(9, 0.0))
-        self.assertFalse(self.store_lag.record_peer_revision(10, 5.0))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(1, 9), 0.0))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(1, 10), 5.0))
+
+    def test_peer_of_an_earlier_era_requires_no_resync(self):
+        self.store_lag.record_own_revision(StoreRevision(2, 3))
+        for now in (0.0, 5.0):
+            self.assertFalse(
+                self.store_lag.record_peer_revision(StoreRevision(1, 50), now)
+            )
+
+    def test_peer_without_an_era_requires_no_resync(self):
+        # It is an entry of an earlier version, in this era or the one before.
+        for now in (0.0, 5.0):
+            self.assertFalse(
+                self.store_lag.record_peer_revision(StoreRevision(0, 50), now)
+            )
+
+    def test_peer_of_a_later_era_requires_a_resync(self):
+        self.store_lag.record_peer_revision(StoreRevision(2, 3), 0.0)
+        self.assertTrue(self.store_lag.record_peer_revision(StoreRevision(2, 3), 1.1))
+
+    def test_revision_of_an_earlier_era_is_not_missing_in_the_next(self):
+        self.store_lag.record_peer_revision(StoreRevision(1, 50), 0.0)
+        self.store_lag.record_own_revision(StoreRevision(2, 3))
+        self.assertFalse(self.store_lag.record_peer_revision(StoreRevision(2, 4), 5.0))
 
 
 class LineLogTest(unittest.TestCase):
--- a/tests/test_direct_quarantine.py
+++ b/tests/test_direct_quarantine.py
@@ -18,10 +18,11 @@
 )
 from chicorycove.direct.quarantine import QuarantineSettings, RequestQuarantine
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import AnswerCompleted, Tick
 
-from .direct import OK, SHORT, DirectWorld, command_names, only_command
+from .direct import OK, REVISION, SHORT, DirectWorld, command_names, only_command
 from .direct_fleet import Fleet, cut_datagram
 
 STABLE_AFTER = 3.0  # seconds from the fifth crash until the bound holds
@@ -282,7 +283,7 @@
             quarantines=(QuarantineReport(("a",), 97.0, 120.0, 1, 99.5),),
         )
         crashes, answered, quarantines = (), (), ()
-        for data in peer_datagram.encode("entry-1", update, 7, 100.0):
+        for data in peer_datagram.encode("entry-1", update, REVISION, 100.0):
             received = peer_datagram.decode(data, 5000.0)
             crashes += received.crashes
             answered += received.answered
@@ -295,6 +296,8 @@
 
     def test_entry_of_an_older_version_reads_the_rest(self):
         update = UpdatePeers(crashes=(CrashReport(AgentId("t", "7"), ("a",), 99.0),))
-        (data,) = peer_datagram.encode("entry-1", update, 7, 100.0)
+        (data,) = peer_datagram.encode("entry-1", update, REVISION, 100.0)
         received = peer_datagram.decode(cut_datagram(data), 100.0)
-        self.assertEqual((received.store_revision, received.crashes), (7, ()))
+        self.assertEqual(
+            (received.store_revision, received.crashes), (StoreRevision(0, 7), ())
+        )
--- a/tests/test_direct_rate_limit.py
+++ b/tests/test_direct_rate_limit.py
@@ -21,7 +21,7 @@
 from chicorycove.identity import AgentId
 from chicorycove.platform.headers import PlatformDialect
 
-from .direct import LOOKUP, OK, SHORT, DirectWorld, only_command
+from .direct import LOOKUP, OK, REVISION, SHORT, DirectWorld, only_command
 from .direct_fleet import Fleet, cut_datagram
 
 WINDOW = 4.0  # seconds in which requests are counted
@@ -261,7 +261,7 @@
 
     def encode(self, *reports):
         return peer_datagram.encode(
-            "entry-1", UpdatePeers(rate_limits=reports), 7, 100.0
+            "entry-1", UpdatePeers(rate_limits=reports), REVISION, 100.0
         )
 
     def test_limit_is_decoded_by_another_clock(self):
@@ -281,7 +281,9 @@
         self.assertEqual(update.unreachable, ("t1",))
 
     def test_datagram_of_an_older_version_is_decoded(self):
-        (data,) = peer_datagram.encode("e", UpdatePeers(unreachable=("t",)), 7, 100.0)
+        (data,) = peer_datagram.encode(
+            "e", UpdatePeers(unreachable=("t",)), REVISION, 100.0
+        )
         update = peer_datagram.decode(cut_datagram(data), 100.0)
         self.assertEqual((update.unreachable, update.rate_limits), (("t",), ()))
 
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -19,10 +19,12 @@
     RelayUpdate,
     StoreRelay,
 )
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.platform.changes import decode_changes, encode_changes
 from chicorycove.platform.store import Item
 
-from .platform_case import PlatformTestCase, config, new_boot
+from .direct import REVISION
+from .platform_case import FailureDomainTestCase
 
 HEARTBEAT_INTERVAL = 0.2  # seconds
 NAMES = ("a", "b", "c", "d", "e")
@@ -45,6 +47,8 @@
         now = self.world.now
         if self.frozen:
             return
+        if self.relay.era_superseded:
+            self._record(None)
         if self.revision is None:
             self._list()
         elif not self.relay.follows(now):
@@ -70,24 +74,26 @@
 
     def _list(self):
         if not self.cut:
-            self.copy = dict(self.world.contents[-1])
-            self._record(len(self.world.contents) - 1)
+            self.copy = dict(self.world.contents[self.world.newest])
+            self._record(self.world.newest)
 
     def _watch(self):
         self.world.watch_count += 1
         if self.cut:
             if not self.relay.follows(self.world.now):
-                self.revision = None
-                self.relay.record_revision(None, self.world.now)
+                self._record(None)
+            return
+        after = self.revision.number
+        if self.revision.era != self.world.newest.era:
+            self._record(None)
             return
-        after = self.revision
         items = [
             Item(key, revision, value)
             for revision, key, value in self.world.changes
             if revision > after
         ]
         self._apply(items)
-        self._record(len(self.world.contents) - 1)
+        self._record(self.world.newest)
         if items and self.is_watcher:
             data = encode_changes(items)
             self._send(self.relay.create_updates(after, self.revision, data, None))
@@ -95,7 +101,8 @@
     def _apply_relayed(self):
         while (changes := self.relay.next_changes()) is not None:
             items = decode_changes(changes.data)
-            self._apply([item for item in items if item.revision > self.revision])
+            followed = self.revision.number
+            self._apply([item for item in items if item.revision > followed])
             self._record(changes.revision)
 
     def _apply(self, items):
@@ -113,12 +120,17 @@
 
 
 class RelayMachine(RuleBasedStateMachine):
-    """Entries of a failure domain, with lost, repeated and late datagrams."""
+    """Entries of a failure domain, with lost, repeated and late datagrams.
+
+    The store is restored from copies; the numbers of lost revisions are
+    assigned again.
+    """
 
     def __init__(self):
         super().__init__()
         self.now = 100.0
-        self.contents = [{}]  # the store's keys at each revision
+        self.newest = StoreRevision(1, 0)
+        self.contents = {self.newest: {}}  # the store's keys at each revision
         self.changes = []
         self.datagrams = []
         self.watch_count = 0
@@ -129,10 +141,27 @@
     @rule(key=st.sampled_from("xyz"), count=st.integers(1, 3))
     def change(self, key, count):
         for _ in range(count):
-            revision = len(self.contents)
-            value = f"{revision:04}"  # base64 of three bytes
-            self.contents.append({**self.contents[-1], key: value})
-            self.changes.append((revision, key, value))
+            era, number = self.newest.era, self.newest.number + 1
+            value = f"{era:04}{number:04}"  # base64 of six bytes
+            contents = {**self.contents[self.newest], key: value}
+            self.newest = StoreRevision(era, number)
+            self.contents[self.newest] = contents
+            self.changes.append((number, key, value))
+
+    @rule(lost=st.integers(0, 6))
+    def restore(self, lost):
+        """Restore the store from a copy that lacks some changes."""
+        number = max(self.newest.number - lost, 0)
+        contents = self.contents[self._find(self.newest.era, number)]
+        self.newest = StoreRevision(self.newest.era + 1, number)
+        self.contents[self.newest] = contents
+        self.changes = [change for change in self.changes if change[0] <= number]
+
+    def _find(self, era, number):
+        """Return the revision of the newest era that has a number."""
+        while StoreRevision(era, number) not in self.contents:
+            era -= 1
+        return StoreRevision(era, number)
 
     @rule(seconds=st.sampled_from((0.05, 0.2, 1.0)))
     def advance(self, seconds):
@@ -181,8 +210,8 @@
         self.change("x", 1)
         for _ in range(10):  # two seconds, the least time that a change may take
             self._run_for(HEARTBEAT_INTERVAL)
-        newest = len(self.contents) - 1
-        assert [entry.revision for entry in self.entries.values()] == [newest] * 5
+        revisions = [entry.revision for entry in self.entries.values()]
+        assert revisions == [self.newest] * 5
         before = self.watch_count
         self._run_for(HEARTBEAT_INTERVAL)
         assert self.watch_count - before == RelaySettings().watcher_count
@@ -219,9 +248,9 @@
 class WatcherChoiceTest(unittest.TestCase):
     def setUp(self):
         self.relay = StoreRelay("c", RelaySettings())
-        self.relay.record_revision(7, 0.0)
+        self.relay.record_revision(REVISION, 0.0)
 
-    def hear(self, name, now, revision=7):
+    def hear(self, name, now, revision=REVISION):
         self.relay.receive(RelayUpdate(owner=name, revision=revision), now)
 
     def test_entry_watches_until_it_hears_two_earlier_watchers(self):
@@ -252,39 +281,102 @@
         self.assertEqual(StoreRelay("a", RelaySettings()).recipients("bcd"), ["c", "d"])
 
 
+class EraTest(unittest.TestCase):
+    """Failure: what belongs to an earlier era is taken as the present one."""
+
+    def setUp(self):
+        self.relay = StoreRelay("c", RelaySettings())
+        self.relay.record_revision(StoreRevision(2, 31), 0.0)
+
+    def receive(self, name, era, number, now=1.0, **fields):
+        revision = StoreRevision(era, number)
+        update = RelayUpdate(owner=name, revision=revision, **fields)
+        return self.relay.receive(update, now)
+
+    def test_watcher_of_an_earlier_era_is_not_heard(self):
+        self.assertTrue(self.receive("a", 2, 31))
+        self.assertFalse(self.receive("b", 1, 56))
+        self.assertFalse(self.relay.follows(1.0))
+        self.assertIsNone(self.relay.fetch_due_at())
+
+    def test_watchers_heard_before_the_store_was_restored_are_not_counted(self):
+        self.receive("a", 2, 31)
+        self.receive("b", 2, 31)
+        self.assertTrue(self.relay.follows(1.0))
+        self.relay.record_revision(None, 1.0)
+        self.relay.record_revision(StoreRevision(3, 20), 1.0)
+        self.assertFalse(self.relay.follows(1.0))
+
+    def test_watcher_without_an_era_is_not_heard(self):
+        # An entry of an earlier version may not know of the restoration.
+        self.assertFalse(self.receive("a", 0, 31))
+
+    def test_entries_of_a_store_without_eras_follow_one_another(self):
+        relay = StoreRelay("c", RelaySettings())
+        relay.record_revision(StoreRevision(0, 7), 0.0)
+        for name in "ab":
+            relay.receive(RelayUpdate(owner=name, revision=StoreRevision(0, 7)), 1.0)
+        self.assertTrue(relay.follows(1.0))
+
+    def test_later_era_of_a_watcher_supersedes_the_own(self):
+        self.receive("a", 3, 20)
+        self.assertTrue(self.relay.era_superseded)
+        self.relay.record_revision(None, 1.0)
+        self.relay.record_revision(StoreRevision(3, 20), 1.0)
+        self.assertFalse(self.relay.era_superseded)
+
+    def test_batch_of_another_era_continues_no_revision(self):
+        data = {"part_count": 1, "data": b"x"}
+        self.receive("a", 1, 33, after=30, **data)
+        self.receive("a", 3, 33, after=30, **data)
+        self.assertIsNone(self.relay.next_changes())
+        self.receive("a", 2, 33, after=30, **data)
+        self.assertEqual(self.relay.next_changes().revision, StoreRevision(2, 33))
+
+    def test_late_batch_of_an_earlier_era_is_no_gap(self):
+        self.receive("a", 1, 90, after=56, part_count=1, data=b"x")
+        self.assertIsNone(self.relay.fetch_due_at())
+
+
 class BatchTest(unittest.TestCase):
     def setUp(self):
         self.sender = StoreRelay("a", RelaySettings())
         self.relay = StoreRelay("c", RelaySettings())
-        self.relay.record_revision(7, 0.0)
+        self.relay.record_revision(REVISION, 0.0)
+
+    def create_updates(self, after, revision, data, era=1):
+        return self.sender.create_updates(
+            after, StoreRevision(era, revision), data, None
+        )
 
     def test_batch_is_complete_once_all_parts_have_arrived(self):
         data = random.Random(1).randbytes(3 * MAX_PART_SIZE - 1)
-        updates = self.sender.create_updates(7, 9, data, None)
+        updates = self.create_updates(7, 9, data)
         self.assertEqual(len(updates), 3)
         for update in reversed(updates):
             self.assertIsNone(self.relay.next_changes())
             self.relay.receive(update, 1.0)
         changes = self.relay.next_changes()
-        self.assertEqual((changes.revision, changes.data), (9, data))
+        self.assertEqual(changes.revision, StoreRevision(1, 9))
+        self.assertEqual(changes.data, data)
 
     def test_batch_after_a_gap_waits_and_is_fetched(self):
-        for update in self.sender.create_updates(8, 9, b"late", None):
+        for update in self.create_updates(8, 9, b"late"):
             self.relay.receive(update, 1.0)
         self.assertIsNone(self.relay.next_changes())
         gap_tolerance = RelaySettings().gap_tolerance
         self.assertEqual(self.relay.fetch_due_at(), 1.0 + gap_tolerance)
-        for update in self.sender.create_updates(7, 8, b"early", None):
+        for update in self.create_updates(7, 8, b"early"):
             self.relay.receive(update, 1.1)
         self.assertEqual(self.relay.next_changes().data, b"early")
-        self.relay.record_revision(8, 1.1)
+        self.relay.record_revision(StoreRevision(1, 8), 1.1)
         self.assertEqual(self.relay.next_changes().data, b"late")
-        self.relay.record_revision(9, 1.1)
+        self.relay.record_revision(StoreRevision(1, 9), 1.1)
         self.assertIsNone(self.relay.fetch_due_at())
 
     def test_batch_over_the_limit_is_only_announced(self):
         data = bytes(MAX_PARTS * MAX_PART_SIZE + 1)
-        (update,) = self.sender.create_updates(7, 9, data, None)
+        (update,) = self.create_updates(7, 9, data)
         self.assertEqual(update.part_count, 0)
         self.relay.receive(update, 1.0)
         self.assertIsNotNone(self.relay.fetch_due_at())
@@ -292,7 +384,12 @@
     def test_impossible_parts_are_ignored(self):
         for part, count in ((0, 0), (3, 3), (-1, 2), (0, 10**9)):
             update = RelayUpdate(
-                owner="a", revision=9, after=7, part=part, part_count=count, data=b"x"
+                owner="a",
+                revision=StoreRevision(1, 9),
+                after=7,
+                part=part,
+                part_count=count,
+                data=b"x",
             )
             self.relay.receive(update, 1.0)
         self.assertIsNone(self.relay.next_changes())
@@ -300,7 +397,11 @@
     def test_memory_of_early_batches_is_bounded(self):
         for revision in range(10, 1_000):
             update = RelayUpdate(
-                owner="a", revision=revision, after=9, part_count=2, data=b"x"
+                owner="a",
+                revision=StoreRevision(1, revision),
+                after=9,
+                part_count=2,
+                data=b"x",
             )
             self.relay.receive(update, 1.0)
         self.assertLess(len(self.relay._batches), 50)
@@ -322,7 +423,8 @@
 
     def test_datagram_fits_a_frame(self):
         relay = StoreRelay("front-kitakyushu-13.01234567", RelaySettings())
-        for update in relay.create_updates(10**9, 10**9 + 1, bytes(3_000), 1.5):
+        revision = StoreRevision(10**9, 10**9 + 1)
+        for update in relay.create_updates(10**9, revision, bytes(3_000), 1.5):
             data = peer_datagram.encode_relay(update)
             self.assertLess(len(data), 1400)
             self.assertEqual(peer_datagram.decode_relay(data), update)
@@ -330,36 +432,7 @@
             peer_datagram.decode_relay(peer_datagram.RELAY_MARK + b"hello")
 
 
-class FollowerTest(PlatformTestCase):
-    """Four entries of a failure domain on sockets."""
-
-    model_count = 0
-    shop_count = 1
-
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.processes = [self.process]
-        for number in range(2, 5):
-            boot = new_boot(store=self.boot.store, name=f"entry-{number}")
-            self.processes.append(await self.start_entry(boot))
-        await self.wait_until(self.two_follow)
-
-    async def following(self):
-        return [process._follower._following for process in self.processes]
-
-    async def two_follow(self):
-        return await self.following() == [False, False, True, True]
-
-    def versions(self):
-        return [process._board.table.deployment.version for process in self.processes]
-
-    async def wait_for_version(self, version, seconds):
-        """Write a configuration and wait until all entries apply it."""
-        self.write_config(config(version))
-        async with asyncio.timeout(seconds):
-            while self.versions() != [version] * len(self.processes):
-                await asyncio.sleep(0.02)
-
+class FollowerTest(FailureDomainTestCase):
     async def test_two_entries_watch_and_all_apply_changes(self):
         self.store.calls.clear()
         for version in range(2, 7):
--- a/tests/test_direct_view.py
+++ b/tests/test_direct_view.py
@@ -30,12 +30,13 @@
 )
 from chicorycove.direct.settings import DirectSettings, peer_timeout
 from chicorycove.direct.store_relay import RelaySettings, StoreRelay
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.direct.target_limits import TargetLimits
 from chicorycove.direct.target_list import TargetList
 from chicorycove.direct.work import WorkTracker
 from chicorycove.exceptions import StoreUnavailable
 from chicorycove.platform import follower
-from chicorycove.platform.store import HistoryLost, Item, ItemBatch
+from chicorycove.platform.store import HistoryLost, Item, ItemBatch, StoreRestored
 
 from .platform_case import config
 
@@ -217,6 +218,7 @@
 
     def __init__(self, steps):
         self._steps = iter(steps)
+        self._era = 1
         self.done = asyncio.Event()
 
     async def pages(self, prefix):
@@ -231,8 +233,13 @@
                 raise StoreUnavailable("down")
             if step == "history lost" and not is_list:
                 raise HistoryLost("history lost")
+            if step == "restored":
+                self._era += 1
+                if not is_list:
+                    raise StoreRestored("restored")
             if isinstance(step, int):
-                return ItemBatch((make_item(step),), step)
+                revision = StoreRevision(self._era, abs(step))
+                return ItemBatch((make_item(step),), revision)
         self.done.set()
         await asyncio.Event().wait()
 
@@ -247,7 +254,9 @@
 
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     steps = st.lists(
-        st.one_of(st.sampled_from(("down", "history lost")), st.integers(-9, 9)),
+        st.one_of(
+            st.sampled_from(("down", "history lost", "restored")), st.integers(-9, 9)
+        ),
         max_size=12,
     )
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,9 +5,10 @@
 
 from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.exceptions import StoreUnavailable
 from chicorycove.platform.listeners import open_listeners
-from chicorycove.platform.store import Store
+from chicorycove.platform.store import Store, StoreRestored
 from standin import platform_store
 
 from .platform_case import Caller, PlatformTestCase, config, new_boot
@@ -56,7 +57,9 @@
             asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
         )
         self.addCleanup(transport.close)
-        (update,) = peer_datagram.encode("entry-2", UpdatePeers(), 1_000, loop.time())
+        (update,) = peer_datagram.encode(
+            "entry-2", UpdatePeers(), StoreRevision(1, 1_000), loop.time()
+        )
         for _ in range(8):
             transport.sendto(update, ("127.0.0.1", self.boot.peer_port))
             await asyncio.sleep(0.2)
@@ -134,3 +137,27 @@
         # Refused calls are charged, and the store may refuse some hosts for
         # seconds, so the next list starts after a growing delay (inc-fd53).
         self.assertEqual(len(self.standin.calls), 1)
+
+
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin, served = await platform_store.start()
+        self.addAsyncCleanup(served.close)
+        self.store = Store(served.address)
+        self.addCleanup(self.store.close)
+
+    async def test_watch_of_an_earlier_era_is_refused(self):
+        copy = self.standin.copy()
+        revision = StoreRevision(1, self.standin.put("k", b"1"))
+        self.standin.restore(copy)
+        self.standin.put("k", b"2")
+        self.standin.put("k", b"3")
+        with self.assertRaises(StoreRestored):
+            await self.store.watch("", revision, 1.0)
+
+    async def test_list_across_eras_is_refused(self):
+        for number in range(2 * platform_store.PAGE_SIZE):
+            self.standin.put(f"k-{number:05}", b"")
+        with self.assertRaises(StoreRestored):
+            async for _ in self.store.pages(""):
+                self.standin.restore(self.standin.copy())
