Decide by what waits at the target whether an answer can end before a stop

Cause: ShutdownPolicy took the route's objective for the time to the first event, whatever the target still had to read: 0.3 s, where the placement that follows predicts 2.8 s. Nothing compared that prediction with the end of the process. Ruled out: a prediction that lacks the long prompt (it has it), an end of the process before the one that was assumed.

Change: the decision is made where a placement is known, for first and for repeated attempts. The predicted first event and the decode time, by the target's pace, must end in time; once callers have had time to find other entries, with the margins as before. A prompt of the first seconds that is expected to end after the process is refused at once instead of cut. A late attempt that is alive is not given up for one that cannot end. Targets that can end in time are preferred. Streams that have begun are resumed as before.

--- a/src/chicorycove/direct/admission.py
+++ b/src/chicorycove/direct/admission.py
@@ -11,6 +11,7 @@
 from .retry import DirectRetryPolicy
 from .selection import TargetSelector
 from .settings import DirectSettings
+from .shutdown import ShutdownPolicy
 from .target_limits import TargetLimits
 
 if t.TYPE_CHECKING:
@@ -37,6 +38,7 @@
         evacuation: Evacuation,
         target_limits: TargetLimits,
         selector: TargetSelector,
+        shutdown: ShutdownPolicy,
     ) -> None:
         self._settings = settings
         self._retry_policy = retry_policy
@@ -44,6 +46,7 @@
         self._evacuation = evacuation
         self._target_limits = target_limits
         self._selector = selector
+        self._shutdown = shutdown
 
     def decide(
         self, request: DirectRequest, now: float, trace: "SelectionTrace | None" = None
@@ -65,6 +68,8 @@
         if now + placement.time_to_first_event > deadline:
             retry_after = placement.time_to_first_event - (deadline - now)
             return Refusal(reason=Reason.DEADLINE_INFEASIBLE, retry_after=retry_after)
+        if not self._shutdown.may_send(request, placement, now):
+            return Refusal(reason=Reason.STOPPING, retry_after=0.0)
         return placement
 
     def _refuse_unplaced(
--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -20,6 +20,7 @@
 from .quarantine import RequestQuarantine
 from .reservation import Reservations
 from .retry import DirectRetryPolicy
+from .shutdown import ShutdownPolicy
 from .target_health import FailureKind, TargetHealth
 from .target_limits import TargetLimits
 from .target_list import TargetList
@@ -43,6 +44,7 @@
         pace: TargetPace,
         completion: RequestCompletion,
         failures: FailureHandler,
+        shutdown: ShutdownPolicy,
     ) -> None:
         self._board = board
         self._retry_policy = retry_policy
@@ -55,6 +57,7 @@
         self._pace = pace
         self._completion = completion
         self._failures = failures
+        self._shutdown = shutdown
 
     def handle_head(
         self, attempt_id: AttemptId, answer: TargetAnswer, now: float
@@ -68,6 +71,11 @@
         if answer.not_run or answer.wrong_instance:
             commands += self._handle_refusal(request, answer, now)
         elif request.inbound.route.streamed and answer.succeeded:
+            if not self._shutdown.may_begin(request, now):
+                # A failure at once serves the caller better than a stream that
+                # is cut.
+                commands.append(LogChange("answer not begun", agent.target, "stopping"))
+                return commands + self._completion.fail(request, Reason.STOPPING, None)
             request.answer_started = True
             self._quarantine.begin_answer(request, now)
             commands.append(RelayStream(attempt_id.request, attempt_id))
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -8,13 +8,10 @@
     AttemptFailed,
     AttemptRefused,
     CallerDisconnected,
-    FailRequest,
     MemoryReserved,
     StopRequested,
     Tick,
 )
-from ..reason import Reason
-from ..verdict import Verdict
 from .admission import Admission
 from .answer import AnswerHandler
 from .board import DirectBoard, DirectRequest, InboundRequest
@@ -102,11 +99,16 @@
         self._work = WorkTracker(board, settings, entry_name, self._target_limits)
         self._pace = TargetPace(board, settings.target_pace)
         self._store_lag = StoreLagDetector(settings.store_lag_tolerance)
-        self._shutdown = ShutdownPolicy(board, settings)
+        shutdown = ShutdownPolicy(board, settings)
         self._partition = FleetPartition(board, settings.max_targets, entry_name)
         self._target_health = TargetHealth(board, settings, self._partition)
         selector = TargetSelector(
-            board, settings, self._partition, self._target_limits, failure_domain
+            board,
+            settings,
+            self._partition,
+            self._target_limits,
+            shutdown,
+            failure_domain,
         )
         self._admission = Admission(
             settings,
@@ -115,6 +117,7 @@
             self._evacuation,
             self._target_limits,
             selector,
+            shutdown,
         )
         completion = RequestCompletion(board, self._reservations, self._work)
         progress = ProgressMonitor(board, settings.timeouts, self._work)
@@ -159,6 +162,7 @@
             board,
             self._retry_policy,
             selector,
+            shutdown,
             self._target_health,
             progress,
             self._failures,
@@ -175,6 +179,7 @@
             self._pace,
             completion,
             self._failures,
+            shutdown,
         )
         self._termination = RequestTermination(
             board, settings, self._quarantine, completion
@@ -201,7 +206,6 @@
 
         explainer = Explainer(
             self._board,
-            self._shutdown,
             self._admission,
             self._target_limits,
             self._store_lag,
@@ -312,10 +316,6 @@
     ) -> list[DirectCommand]:
         caller_request = inbound.request
         self._retry_policy.count_request(inbound.service, now)
-        if not self._shutdown.accepts(inbound, now):
-            return [
-                FailRequest(caller_request.id, Reason.STOPPING, Verdict.NOT_RUN, 0.0)
-            ]
         request = DirectRequest(inbound, last_event_id=inbound.resumed_after)
         self._board.requests[caller_request.id] = request
         self._board.timers.add(caller_request.deadline, _DeadlineDue(caller_request.id))
--- a/src/chicorycove/direct/engine.py
+++ b/src/chicorycove/direct/engine.py
@@ -37,6 +37,11 @@
             tokens / self.prefill_rate + self.time_per_token_pair * tokens * tokens / 2
         )
 
+    @property
+    def max_pass_prefill_time(self) -> float:
+        """Return the most prefill time in a pass, without token pairs."""
+        return self.chunk_tokens * self.steps_per_pass / self.prefill_rate
+
     def decode_pass_time(self, contexts: t.Iterable[float]) -> float:
         """Return the time of a pass that only decodes; contexts in tokens."""
         batch_size = 0
--- a/src/chicorycove/direct/explainer.py
+++ b/src/chicorycove/direct/explainer.py
@@ -2,7 +2,6 @@
 
 import typing as t
 
-from ..reason import Reason
 from .admission import Admission, Refusal
 from .board import DirectBoard, DirectRequest, Exclusion, InboundRequest
 from .explanation import (
@@ -12,7 +11,6 @@
     explain_target,
 )
 from .placement import Placement
-from .shutdown import ShutdownPolicy
 from .store_lag import StoreLagDetector
 from .target_limits import TargetLimits
 
@@ -23,14 +21,12 @@
     def __init__(
         self,
         board: DirectBoard,
-        shutdown: ShutdownPolicy,
         admission: Admission,
         target_limits: TargetLimits,
         store_lag: StoreLagDetector,
         entry_name: str,
     ) -> None:
         self._board = board
-        self._shutdown = shutdown
         self._admission = admission
         self._target_limits = target_limits
         self._store_lag = store_lag
@@ -42,10 +38,7 @@
         """Return what a request would lead to if it were received now."""
         request = DirectRequest(inbound, last_event_id=inbound.resumed_after)
         trace = SelectionTrace()
-        if self._shutdown.accepts(inbound, now):
-            decision = self._admission.decide(request, now, trace)
-        else:
-            decision = Refusal(reason=Reason.STOPPING, retry_after=0.0)
+        decision = self._admission.decide(request, now, trace)
         peer_count = max(len(self._board.peer_names), 1)
         return Explanation(
             route=inbound.route.name,
--- a/src/chicorycove/direct/placement_cost.py
+++ b/src/chicorycove/direct/placement_cost.py
@@ -143,7 +143,7 @@
         settings = self._settings
         added_time = part_prefill_time * engine.max_pass_share(part_tokens)
         gap_before = load.decode_pass_time + min(
-            load.prefill_backlog, self._max_pass_prefill_time(engine)
+            load.prefill_backlog, engine.max_pass_prefill_time
         )
         gap_after = gap_before + added_time
         cost = 0.0
@@ -224,7 +224,3 @@
         if request.visible_share >= self._settings.min_visible_share:
             return 0.0
         return 1.0 - request.visible_share
-
-    def _max_pass_prefill_time(self, engine: EngineProfile) -> float:
-        """Return the most prefill time in a pass, without token pairs."""
-        return engine.chunk_tokens * engine.steps_per_pass / engine.prefill_rate
--- a/src/chicorycove/direct/selection.py
+++ b/src/chicorycove/direct/selection.py
@@ -11,6 +11,7 @@
 from .placer import Placer
 from .route import Service
 from .settings import DirectSettings
+from .shutdown import ShutdownPolicy
 from .target_limits import TargetLimits
 
 if t.TYPE_CHECKING:
@@ -26,12 +27,14 @@
         settings: DirectSettings,
         partition: FleetPartition,
         target_limits: TargetLimits,
+        shutdown: ShutdownPolicy,
         failure_domain: str,
     ) -> None:
         self._board = board
         self._settings = settings
         self._partition = partition
         self._target_limits = target_limits
+        self._shutdown = shutdown
         self._failure_domain = failure_domain
         self._placer = Placer(settings.placement)
 
@@ -107,7 +110,9 @@
             max_output_tokens=work.max_tokens,
             expected_output_tokens=work.max_tokens,
             objective_at=inbound.request.arrived + inbound.route.objective,
-            deadline=inbound.request.deadline,
+            deadline=min(
+                inbound.request.deadline, self._shutdown.first_event_by(inbound)
+            ),
             max_gap=inbound.route.max_gap,
             value=1.0 + work.tokens / self._settings.tokens_per_value,
             failure_domain=self._failure_domain,
--- a/src/chicorycove/direct/shutdown.py
+++ b/src/chicorycove/direct/shutdown.py
@@ -1,12 +1,16 @@
-"""Decides which requests a stopping entry still accepts."""
+"""Decides which answers a stopping entry begins and waits for."""
+
+import math
 
 from ..request import Prompt
-from .board import DirectBoard, InboundRequest
+from .board import DirectBoard, DirectRequest, InboundRequest, TargetView
+from .engine import EngineProfile
+from .placement import Placement
 from .settings import DirectSettings
 
 
 class ShutdownPolicy:
-    """Accepts what can finish before the process ends; times in seconds.
+    """Compares the ends of answers and of the process; times in seconds.
 
     If there is no other entry nearby, callers send requests until the end.
     """
@@ -15,26 +19,117 @@
         self._board = board
         self._settings = settings
 
-    def accepts(self, inbound: InboundRequest, now: float) -> bool:
-        """Return whether a request that is received now is to be served."""
+    def may_send(
+        self, request: DirectRequest, placement: Placement, now: float
+    ) -> bool:
+        """Return whether a placed request may be sent to its target.
+
+        Its answer must be expected to end in time.  Once callers have had
+        time to find other entries, a new request must end in time even if its
+        target becomes fully occupied.
+        """
+        if self._board.stopping_at is None or request.answer_started:
+            return True
+        accept_until = self._board.stopping_at + self._settings.stop_accept_time
+        if now < accept_until or request.sent_count:
+            answer_time = self._expected_answer_time(request.inbound, placement)
+        else:
+            answer_time = self._max_answer_time(request.inbound, placement, now)
+        return now + answer_time <= self._end_by(request.inbound)
+
+    def may_begin(self, request: DirectRequest, now: float) -> bool:
+        """Return whether a stream whose answer begins now can still end.
+
+        It may have waited for longer than predicted.  One that was received
+        before the stop is begun in any case: its caller has waited already.
+        """
         stopping_at = self._board.stopping_at
-        if stopping_at is None or now < stopping_at + self._settings.stop_accept_time:
+        if stopping_at is None or request.answer_started or not request.work_items:
             return True
-        finish_by = stopping_at + self._settings.stop_finish_time
-        return now + self._max_answer_time(inbound) <= finish_by
+        if request.inbound.request.arrived <= stopping_at:
+            return True
+        item = request.work_items[0]
+        engine = self._find_engine(request.inbound)
+        view = self._board.targets.get(item.target)
+        if engine is None or view is None:
+            return True
+        waiting_time = sum(
+            other.remaining_prefill_time(now)
+            for other in view.work_items.values()
+            if other.key != item.key
+        )
+        # Waiting prompts are prefilled within the passes that decode.
+        waiting_time = min(
+            waiting_time, item.events_left * engine.max_pass_prefill_time
+        )
+        decode_time = item.events_left * self._pass_time(engine, view, request.inbound)
+        end = now + decode_time + waiting_time * view.pace
+        return end <= self._end_by(request.inbound)
 
-    def _max_answer_time(self, inbound: InboundRequest) -> float:
+    def first_event_by(self, inbound: InboundRequest) -> float:
+        """Return when a prompt's first event is due; infinite for any time."""
+        engine = self._find_engine(inbound)
+        if self._board.stopping_at is None or engine is None:
+            return math.inf
+        decode_time = self._event_count(engine, inbound) * engine.batch_pass_time(
+            1, inbound.request.work.memory
+        )
+        return self._board.stopping_at + self._settings.stop_finish_time - decode_time
+
+    def _end_by(self, inbound: InboundRequest) -> float:
+        """Return by when an answer must end, unless its deadline ends it."""
+        process_end = self._board.stopping_at + self._settings.stop_finish_time
+        return math.inf if inbound.request.deadline <= process_end else process_end
+
+    def _expected_answer_time(
+        self, inbound: InboundRequest, placement: Placement
+    ) -> float:
+        """Return how long an answer takes if its target gets nothing else."""
+        engine = self._find_engine(inbound)
+        view = self._board.targets.get(placement.target)
+        if engine is None or view is None:
+            return 0.0
+        pass_time = self._pass_time(engine, view, inbound)
+        if placement.members:
+            pass_time += engine.steps_per_pass * engine.group_step_delay
+        decode_time = self._event_count(engine, inbound) * pass_time
+        return placement.time_to_first_event + decode_time
+
+    def _max_answer_time(
+        self, inbound: InboundRequest, placement: Placement, now: float
+    ) -> float:
         """Return how long an answer may take on a fully occupied target."""
-        route = inbound.route
-        work = inbound.request.work
-        service = self._board.find_service(inbound.service)
-        engine = service.engine if service is not None else None
-        if not isinstance(work, Prompt) or engine is None:
-            return route.timeout
-        pass_time = engine.batch_pass_time(engine.slots, work.memory)
+        engine = self._find_engine(inbound)
+        if engine is None:
+            return inbound.request.deadline - now
+        view = self._board.targets.get(placement.target)
+        pass_time = engine.batch_pass_time(engine.slots, inbound.request.work.memory)
+        if view is not None:
+            pass_time *= max(view.pace, 1.0)
         decode_time = (
-            engine.event_count(work.max_tokens)
+            self._event_count(engine, inbound)
             * pass_time
             * self._settings.stop_duration_factor
         )
-        return min(route.objective + decode_time, route.timeout)
+        first_event = max(placement.time_to_first_event, inbound.route.objective)
+        return first_event + decode_time
+
+    def _pass_time(
+        self, engine: EngineProfile, view: TargetView, inbound: InboundRequest
+    ) -> float:
+        """Return the time of a pass that decodes a prompt and the others."""
+        contexts = [
+            item.context_tokens for item in view.work_items.values() if item.decoding
+        ]
+        contexts.append(float(inbound.request.work.memory))
+        return engine.decode_pass_time(contexts) * view.pace
+
+    def _event_count(self, engine: EngineProfile, inbound: InboundRequest) -> int:
+        return engine.event_count(inbound.request.work.max_tokens)
+
+    def _find_engine(self, inbound: InboundRequest) -> EngineProfile | None:
+        """Return the profile of a prompt's engine; None for a call."""
+        if not isinstance(inbound.request.work, Prompt):
+            return None
+        service = self._board.find_service(inbound.service)
+        return service.engine if service is not None else None
--- a/src/chicorycove/direct/timeout.py
+++ b/src/chicorycove/direct/timeout.py
@@ -10,6 +10,7 @@
 from .progress import ProgressMonitor, ProgressStatus
 from .retry import DirectRetryPolicy
 from .selection import TargetSelector
+from .shutdown import ShutdownPolicy
 from .target_health import FailureKind, TargetHealth
 
 
@@ -21,6 +22,7 @@
         board: DirectBoard,
         retry_policy: DirectRetryPolicy,
         selector: TargetSelector,
+        shutdown: ShutdownPolicy,
         target_health: TargetHealth,
         progress: ProgressMonitor,
         failures: FailureHandler,
@@ -28,6 +30,7 @@
         self._board = board
         self._retry_policy = retry_policy
         self._selector = selector
+        self._shutdown = shutdown
         self._target_health = target_health
         self._progress = progress
         self._failures = failures
@@ -71,6 +74,7 @@
             placement is not None
             and placement.target not in request.unreachable_targets
             and now + placement.time_to_first_event <= request.inbound.request.deadline
+            and self._shutdown.may_send(request, placement, now)
         )
 
     def _abandon_attempt(
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -11,11 +11,26 @@
 import sys
 import tempfile
 import time
+import unittest
 from unittest import mock
 
 from bench.deployment import free_port
+from chicorycove import Reason, Verdict
+from chicorycove.direct.board import WorkItem, WorkItemKey
+from chicorycove.direct.event import AnswerHeadReceived, AttemptConnected
+from chicorycove.direct.settings import DirectSettings
+from chicorycove.lifecycle import AttemptFailed, StopRequested, Tick
 from chicorycove.platform.process import PlatformProcess
-from tests.platform_case import Caller, PlatformTestCase
+from tests.direct import (
+    LONG,
+    LOOKUP,
+    OK,
+    SHORT,
+    DirectWorld,
+    command_names,
+    only_command,
+)
+from tests.platform_case import Caller, PlatformTestCase, config, route
 
 CALLERS = 5
 TIMEOUT = 20.0  # seconds
@@ -175,6 +190,182 @@
             caller.close()
 
 
+class BusyTargetTest(PlatformTestCase):
+    """Failure: a stream is accepted behind a long prompt, and then cut.
+
+    Whether it could end in time was decided by the route's objective, whatever
+    the target still had to read.
+    """
+
+    grace = 6.0
+    shop_count = 0
+    model_count = 1
+
+    async def test_stream_behind_a_long_prompt_is_refused(self):
+        stream = {"kind": "streaming", "service": "model", "resumable": True}
+        fields = {**stream, "timeoutMs": 15_000, "targetLatencyMs": 300}
+        self.write_config(config(2, [route("ask", gapTargetMs=500, **fields)]))
+        await asyncio.sleep(0.5)
+        (server,) = self.model_servers
+        caller = await self.open_caller()
+        await caller.request("/ask/x", **self.prompt(1_000))
+        server.faults.hang = True
+        long_caller = await self.open_caller()
+        # The engine reads it for over six seconds.
+        long_id = long_caller.send("/ask/x", **self.prompt(330_000))
+        await self.wait_until(self.reads_long_prompt)
+        stop = asyncio.create_task(self.process.stop())
+        await asyncio.sleep(2.9)  # seconds, after which not all is accepted
+        answer = await caller.request("/ask/x", **self.prompt(5_000))
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual([run.attempt for run in server.runs[1:]], [long_id])
+        server.faults.hang = False
+        await stop
+
+    def prompt(self, tokens):
+        budget = {"Chicorycove_Time_Budget_Ms": "15000"}
+        return {"Chicorycove_Token_Counts": f"{tokens},460", **budget}
+
+    async def reads_long_prompt(self):
+        return len(self.runs()) == 2
+
+
+class AnswerEndTest(unittest.TestCase):
+    """Decisions of a stopping entry on answers that may end after it."""
+
+    def setUp(self):
+        self.settings = DirectSettings(stop_accept_time=2.8, stop_finish_time=7.5)
+
+    def create(self, **fields):
+        return DirectWorld(settings=self.settings, **fields)
+
+    def stop(self, world, at):
+        world.now = at
+        world.handle(StopRequested())
+
+    def assert_refused(self, commands, verdict=Verdict.NOT_RUN):
+        failure = only_command(commands, "FailRequest")
+        self.assertEqual((failure.reason, failure.verdict), (Reason.STOPPING, verdict))
+
+    def assert_sent(self, commands, *targets):
+        self.assertIn(only_command(commands, "SendAttempt").target.target, targets)
+
+    def test_short_prompt_at_an_idle_target_is_accepted(self):
+        world = self.create()
+        self.stop(world, 0.0)
+        for world.now in (0.0, 2.9, 3.5):
+            commands = world.receive(f"r{world.now}", SHORT, output_tokens=1610)
+            only_command(commands, "SendAttempt")
+
+    def test_short_prompt_behind_a_long_one_is_refused(self):
+        for groups, accepted in ((1, False), (2, True)):
+            with self.subTest(engines=groups):
+                world = self.create(engines=groups)
+                self.occupy_alone(world)
+                self.stop(world, 0.5)
+                world.now = 3.5
+                commands = world.receive("short", SHORT, output_tokens=1610)
+                if accepted:
+                    self.assert_sent(commands, "e1")
+                else:
+                    self.assert_refused(commands)
+
+    def occupy_alone(self, world):
+        """Let the first target read a prompt that is not split."""
+        view = world.board.targets["e0"]
+        item = WorkItem(
+            WorkItemKey("entry-2", 1),
+            "e0",
+            tokens=330_000,
+            prefill_time=6.3,
+            placed_at=world.now,
+            expected_prefill_end=world.now + 6.3,
+            refreshed_at=world.now,
+        )
+        view.work_items[item.key] = item
+        return item
+
+    def test_prompt_that_cannot_end_is_refused_at_once(self):
+        world = self.create(engines=1)
+        self.stop(world, 0.0)
+        world.now = 2.0
+        self.assert_refused(world.receive("long", LONG, tokens=330_000))
+        self.assert_sent(world.receive("short", SHORT), "e0")
+
+    def test_prompt_at_a_slow_target_is_refused(self):
+        world = self.create(engines=1)
+        world.board.targets["e0"].pace = 4.0
+        self.stop(world, 0.0)
+        world.now = 3.5
+        self.assert_refused(world.receive("short", SHORT, output_tokens=1610))
+
+    def test_answer_that_begins_too_late_is_not_begun(self):
+        # The prediction was wrong: the target had more to read than was known.
+        world = self.create(engines=1)
+        self.stop(world, 0.0)
+        world.now = 0.1
+        send = world.send("short", SHORT, output_tokens=1610)
+        world.now = 6.5
+        commands = world.handle(AnswerHeadReceived(send.attempt, OK))
+        self.assert_refused(commands, Verdict.MAY_HAVE_RUN)
+        self.assertNotIn("RelayStream", command_names(commands))
+
+    def test_answer_that_can_end_is_begun(self):
+        world = self.create(engines=1)
+        self.stop(world, 0.0)
+        world.now = 0.1
+        send = world.send("short", SHORT, output_tokens=1610)
+        world.now = 5.0
+        commands = world.handle(AnswerHeadReceived(send.attempt, OK))
+        only_command(commands, "RelayStream")
+
+    def test_answer_to_a_request_from_before_the_stop_is_begun(self):
+        world = self.create(engines=1)
+        send = world.send("short", SHORT, output_tokens=1610)
+        self.stop(world, 0.1)
+        world.now = 6.5
+        commands = world.handle(AnswerHeadReceived(send.attempt, OK))
+        only_command(commands, "RelayStream")
+
+    def test_answer_is_begun_late_if_its_deadline_ends_it(self):
+        world = self.create(engines=1)
+        self.stop(world, 0.0)
+        world.now = 0.1
+        send = world.send("short", SHORT, output_tokens=1610, time_limit=7.0)
+        world.now = 6.5
+        commands = world.handle(AnswerHeadReceived(send.attempt, OK))
+        only_command(commands, "RelayStream")
+
+    def test_begun_answer_is_resumed_until_the_end(self):
+        world = self.create(engines=2)
+        self.stop(world, 0.0)
+        send = world.send("short", SHORT, output_tokens=1610)
+        world.stream(send)
+        world.now = 7.0
+        failed = AttemptFailed(send.attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
+        resumed = only_command(world.handle(failed), "SendAttempt")
+        world.handle(AttemptConnected(resumed.attempt))
+        commands = world.handle(AnswerHeadReceived(resumed.attempt, OK))
+        only_command(commands, "RelayStream")
+
+    def test_failed_call_is_sent_again(self):
+        world = self.create()
+        self.stop(world, 0.0)
+        send = world.send("call", LOOKUP)
+        world.now = 0.1
+        failed = AttemptFailed(send.attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
+        only_command(world.handle(failed), "SendAttempt")
+
+    def test_late_attempt_is_not_left_for_one_that_cannot_end(self):
+        world = self.create(engines=2)
+        self.stop(world, 0.0)
+        send = world.send("short", SHORT, output_tokens=1610)
+        world.now = 6.6
+        self.assertNotIn("CancelAttempt", command_names(world.handle(Tick())))
+        self.assertEqual(world.board.requests["short"].attempts[-1].id, send.attempt)
+
+
 class SignalTest(PlatformTestCase):
     """A process of its own, which gets more than one stop signal."""
 
