--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -40,6 +40,7 @@
     TraitsAnswered,
 )
 from chicorycove.direct.settings import DirectSettings
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AgentId
 from chicorycove.lifecycle import (
     AnswerCompleted,
@@ -377,7 +378,9 @@
         self.handle(PeersUpdated(frozenset(f"p{n}" for n in range(entries))))
         limit = RateLimitReport("e1", math.inf if number > 5 else 1.0, self.world.now)
         ended = (WorkItemKey("p1", number),)
-        self.handle(PeerUpdateReceived("p1", (), ended, ("e0",), 0, (limit,)))
+        self.handle(
+            PeerUpdateReceived("p1", (), ended, ("e0",), StoreRevision(), (limit,))
+        )
 
     @rule(part=st.sampled_from("abc"), crashes=st.integers(1, 4))
     def receive_crash_reports(self, part, crashes):
