Continue a stream only by an answer of the same media type

Cause: an answer continued a stream if its status meant success. A resumed stream may rightly have no further events.

Change: the media type of the answer that began a stream is kept with the request; an answer of another one is a failed attempt.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -71,14 +71,7 @@
         if answer.not_run or answer.wrong_instance:
             commands += self._handle_refusal(request, answer, now)
         elif request.inbound.route.streamed and answer.succeeded:
-            if not self._shutdown.may_begin(request, now):
-                # A failure at once serves the caller better than a stream that
-                # is cut.
-                commands.append(LogChange("answer not begun", agent.target, "stopping"))
-                return commands + self._completion.fail(request, Reason.STOPPING, None)
-            request.answer_started = True
-            self._quarantine.begin_answer(request, now)
-            commands.append(RelayStream(attempt_id.request, attempt_id))
+            commands += self._begin_answer(request, answer, now)
         # An answer that is not streamed is handled once it is complete.
         return commands + self._reservations.renew_for_backoff(agent, now)
 
@@ -152,6 +145,30 @@
             commands = self._target_health.probe(request.attempts[-1].agent.target)
         return commands + self._finish_request(request, now)
 
+    def _begin_answer(
+        self, request: DirectRequest, answer: TargetAnswer, now: float
+    ) -> list[DirectCommand]:
+        """Relay a stream, unless it cannot end, or is not what was begun."""
+        attempt = request.attempts[-1]
+        target = attempt.agent.target
+        if not self._shutdown.may_begin(request, now):
+            # A failure at once serves the caller better than a stream that is
+            # cut.
+            commands = [LogChange("answer not begun", target, "stopping")]
+            return commands + self._completion.fail(request, Reason.STOPPING, None)
+        if not request.answer_started:
+            request.answer_media_type = answer.media_type
+        elif answer.media_type != request.answer_media_type:
+            # A page about an error may have a status that means success.
+            detail = f"{answer.media_type!r}, not {request.answer_media_type!r}"
+            commands = [LogChange("stream not continued", target, detail)]
+            return commands + self._failures.fail_attempt(
+                attempt.id, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
+            )
+        request.answer_started = True
+        self._quarantine.begin_answer(request, now)
+        return [RelayStream(attempt.id.request, attempt.id)]
+
     def _handle_refusal(
         self, request: DirectRequest, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -170,6 +170,7 @@
     sent_count: int = 0  # attempts that reached a target
     refused_count: int = 0  # sent attempts that their targets did not run
     answer_started: bool = False  # the caller has the head of an answer
+    answer_media_type: str = ""  # of the answer that has started
     newest_answer_began: bool = False  # the newest attempt's target has begun one
     # Time in seconds over which events of the newest attempt's answer came.
     # It stays as it is once the answer can no longer crash its target.
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -35,6 +35,7 @@
     leaving: bool = False  # the target is about to end
     cold_time_left: float | None = None  # seconds for which the target is cold
     invalid_headers: tuple[str, ...] = ()  # "name: value" of those ignored
+    media_type: str = ""  # of the body, without parameters
 
     @property
     def succeeded(self) -> bool:
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -37,6 +37,7 @@
 RATE_LIMIT = b"server-limit"  # requests per second from all entries together
 RETRY_AFTER = b"retry-after"  # seconds for which this entry is to back off
 LEAVING = b"server-leaving"  # "1": the target is about to end
+CONTENT_TYPE = b"content-type"
 COLD_TIME_LEFT = b"chicorycove-cold-ms"  # how much longer the target is cold
 
 # Removed from a caller's request and, where a target needs them, set anew.
@@ -159,6 +160,7 @@
             leaving=_find_flag(headers, LEAVING, invalid_headers),
             cold_time_left=cold_ms / MS_PER_SECOND if cold_ms is not None else None,
             invalid_headers=tuple(invalid_headers),
+            media_type=_parse_media_type(_find_header(headers, CONTENT_TYPE)),
         )
 
     def build_reserve_order(
@@ -288,6 +290,10 @@
     return value.decode("latin-1").strip() if value is not None else ""
 
 
+def _parse_media_type(value: bytes | None) -> str:
+    return _decode_text(value).partition(";")[0].strip().lower()
+
+
 def _parse_shared_parts(value: bytes | None) -> tuple[str, ...]:
     """Return the ids of all parts but the last, which is the request's own."""
     parts = _decode_text(value).split(",")[:-1][:MAX_SHARED_PARTS]
