Drop the error of an engine that a stream is sent to again

What callers saw (shown here by a test): in the program with agents, a repeatable prompt whose stream has broken is sent again, and what follows the bytes that the caller has is relayed. If the next engine answered with an error, the rest of its text stood in the stream, which ended as complete.

Cause: the entry ignored the head of a second answer. And what came of an attempt that had failed was taken while the next one waited for its turn, since only the attempt's id was compared.

Change: a head with another status or media type fails the attempt, and only a live attempt is the current one.

--- a/src/chicorycove/dispatch.py
+++ b/src/chicorycove/dispatch.py
@@ -162,11 +162,11 @@
         return self._run_internal_commands(commands, now)
 
     def current_request(self, attempt: AttemptId) -> RequestState | None:
-        """Return the request whose latest attempt is given, or None."""
+        """Return the request whose latest attempt is live and given."""
         state = self._board.requests.get(attempt.request)
         if state is None or not state.attempts or state.attempts[-1].id != attempt:
             return None
-        return state
+        return state if is_live(state.attempts[-1]) else None
 
     def handle_chunk(
         self, attempt: AttemptId, offset: int, size: int
--- a/src/chicorycove/entry.py
+++ b/src/chicorycove/entry.py
@@ -221,6 +221,13 @@
             return
         exchange = self._exchanges[attempt.request]
         headers = [(header.name, header.value) for header in head.headers]
+        if not exchange.continues(head.status, headers):
+            for_request(attempt.request).info(
+                "stream not continued by an answer with status %d", head.status
+            )
+            reason, verdict = Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN
+            self._feed(AttemptFailed(attempt, reason, verdict))
+            return
         exchange.set_head(attempt, head.status, headers)
 
     def on_chunk(self, attempt: AttemptId, offset: int, data: bytes) -> None:
--- a/src/chicorycove/exchange.py
+++ b/src/chicorycove/exchange.py
@@ -125,6 +125,14 @@
         self.targets.clear()
         self.context_tokens = 0
 
+    def continues(self, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer may follow what the caller has of one."""
+        if not (self._head_sent and self.request.streamed):
+            return True
+        return status == self._head.status and _find_media_type(
+            headers
+        ) == _find_media_type(self._head.headers)
+
     def set_head(self, attempt: AttemptId, status: int, headers: HeaderList) -> None:
         """Set the status and headers of an attempt's answer."""
         if self._head_sent and self.request.streamed:
@@ -188,6 +196,14 @@
         self._ready.set()
 
 
+def _find_media_type(headers: HeaderList) -> str:
+    """Return the media type of an answer, without parameters."""
+    for name, value in headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
+
+
 def prefill_tokens(request: Request) -> int:
     """Return the number of prompt tokens that a request's target prefills."""
     match request.work:
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -48,8 +48,8 @@
 class ScriptedProcess(LocalProcess):
     """The local role with scripted engines."""
 
-    def __init__(self, engine):
-        super().__init__(settings(engines=1))
+    def __init__(self, engine, process_settings=None):
+        super().__init__(process_settings or settings(engines=1))
         self._engine = engine
 
     def _create_target(self, target):
