Send no second answer to a request that has one

Cause: a failed command was answered whether or not its request still waited.

Evidence: CallerAnswerTest, two tests, both fail before (502 in place of the second request's 200).

Change: only a request that is in flight on its connection is answered.

--- a/src/chicorycove/direct/caller_admission.py
+++ b/src/chicorycove/direct/caller_admission.py
@@ -53,8 +53,9 @@
             self.answer(connection, request)
         except Exception as error:
             self._log.write("request not read", cause=repr(error))
-            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
-            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
+            if connection.awaits_answer_to(request):
+                self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
+                connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
 
     def answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Admit a request, or reject it."""
--- a/src/chicorycove/direct/caller_connection.py
+++ b/src/chicorycove/direct/caller_connection.py
@@ -322,6 +322,10 @@
             source.pause()
             self._handler.backpressure_changed(self, True)
 
+    def awaits_answer_to(self, request: HttpRequest) -> bool:
+        """Return whether a request is in flight, and not answered yet."""
+        return self._current is request
+
     def send_answer(
         self, status: int, headers: Headers, body: bytes | bytearray
     ) -> None:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -217,6 +217,8 @@
         except Exception as error:
             self._report_failure("request not removed", CallerDisconnected(id), error)
             self._board.requests.pop(id, None)
+        if exchange.answered:
+            return
         self._metrics.refused(Reason.INTERNAL_ERROR, verdict)
         if exchange.relay_started:
             exchange.connection.abort()
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -90,6 +90,11 @@
         """Return whether the caller has the head of a stream."""
         return self._relay_started
 
+    @property
+    def answered(self) -> bool:
+        """Return whether the caller has a complete answer, or is gone."""
+        return not self.connection.awaits_answer_to(self.request)
+
     @property
     def answer_status(self) -> int | None:
         """Return the status of the current answer, if it has begun."""
--- a/tests/test_direct_late_answers.py
+++ b/tests/test_direct_late_answers.py
@@ -5,10 +5,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from chicorycove.direct.client import HttpClient
 from standin import platform_server
-from tests.platform_case import PlatformTestCase
+from tests.platform_case import PlatformTestCase, config, route
 from tests.scripted import ScriptedServer, answer
 
 COPY_DELAY = 0.02  # seconds between an answer and its copy
@@ -191,6 +192,61 @@
         self.assertEqual((await self.request("/order/x", b"early")).status, 503)
         self.assertEqual((await self.request("/order/x", b"next")).body, b"next")
 
+    async def test_refusal_written_again_later_refuses_no_other_request(self):
+        refusals = {}
+
+        async def handle(request):
+            # On a connection in use again, the next answer would be a refusal.
+            refused = request.body == b"refused"
+            not_run = ["Chicorycove-Not-Executed: 1"]
+            if refused:
+                reply = echoing_answer(request, b"", 503, not_run)
+                refusals[request.connection] = reply
+            elif request.connection in refusals:
+                reply = refusals[request.connection]
+            else:
+                reply = echoing_answer(request)
+            request.send(reply)
+            await asyncio.sleep(COPY_DELAY)
+            if refused:
+                request.send(reply)
+
+        target = await self.add_target("shop", handle)
+        caller = await self.open_caller()
+        for _ in range(3):
+            answer = await caller.request("/order/x", b"refused")
+            self.assertEqual(answer.status, 503)
+            answer = await caller.request("/order/x", b"steel")
+            self.assertEqual((answer.status, answer.body), (200, b"steel"))
+        runs = [each for each in target.requests if each.body == b"steel"]
+        self.assertEqual(len(runs), 3)
+
+
+class CallerAnswerTest(PlatformTestCase):
+    """Failure: a caller's request gets two answers on a kept connection.
+
+    The second was read as the answer to the next request, which ran.
+    """
+
+    async def assert_next_answer_is_its_own(self, path, method):
+        caller = await self.open_caller()
+        with mock.patch(method, side_effect=KeyError("unforeseen")):
+            await caller.request(path, b"first")
+        await asyncio.sleep(0.05)
+        answer = await caller.request("/order/x", b"second")
+        self.assertEqual((answer.status, answer.body), (200, b"second"))
+
+    async def test_exception_after_an_answer_causes_no_second_one(self):
+        method = "chicorycove.direct.request_log.RequestLog.record_answer"
+        await self.assert_next_answer_is_its_own("/order/x", method)
+
+    async def test_exception_after_a_refusal_causes_no_second_one(self):
+        routes = [route("order", kind="unsafe"), route("gone", service="none")]
+        self.write_config(config(2, routes))
+        await asyncio.sleep(0.5)
+        method = "chicorycove.direct.exchange.Exchange.close"
+        await self.assert_next_answer_is_its_own("/gone/x", method)
+
 
 class CallerConnectionTest(PlatformTestCase):
     """Answers to pipelined requests of which some are refused early."""
