--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -10,6 +10,7 @@
 from chicorycove.conversion import Address
 from chicorycove.exceptions import TargetFailed, TargetUnreachable
 from standin.server import abort_connection, serve
+from tests.scripted import ScriptedServer
 
 LONG = 60.0  # seconds
 
@@ -74,3 +75,34 @@
         await self.server.close()
         with self.assertRaises(TargetUnreachable):
             await self.send_request("/first", idempotent=False)
+
+
+class CutHeadTest(unittest.IsolatedAsyncioTestCase):
+    """Failure: an answer that ends in its head is taken for a whole one."""
+
+    async def fetch(self, address, path):
+        client = TargetClient(Address(address))
+        self.addAsyncCleanup(client.close)
+        request = TargetRequest("POST", path, [], b"x")
+        async with client.stream(request) as reply:
+            return [data async for data in reply.chunks()]
+
+    async def test_head_that_is_cut_is_no_answer(self):
+        heads = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Own: kept\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Own: kept\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\nX-Own: kept\r\n\r\n",
+        )
+
+        async def handle(request):
+            _, number, size = request.path.split("/")
+            request.send(heads[int(number)][: int(size)])
+            request.writer.close()
+
+        server = await ScriptedServer.start(handle)
+        self.addAsyncCleanup(server.close)
+        for number, head in enumerate(heads):
+            for size in range(0, len(head), 3):
+                with self.subTest(head=head, size=size):
+                    with self.assertRaises(TargetFailed):
+                        await self.fetch(server.address, f"/{number}/{size}")
