Repeat a refused registration while its lease lives

After a restoration of the store all entries register at once, and some may be refused.

Cause: a lease counted as the registration.

Evidence: test_refused_registration_is_repeated_while_its_lease_lives times out before.

Change: the entry is written until that was acknowledged, and renewed from then on. A lease that is lost before that waits for the next turn, so that a store that ends leases at once is not called in a loop.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -298,21 +298,26 @@
     async def register(self, name: str, address: str) -> None:
         """Keep this entry registered in the store until cancelled."""
         lease: Lease | None = None
+        written = False  # under the lease
         value = msgspec.json.encode(_Entry(address, self._failure_domain))
         while True:
             self._era_changed.clear()
             try:
                 if lease is None:
+                    written = False
                     lease = await self._store.grant(LEASE_DURATION)
-                    await self._store.put(ENTRIES_PREFIX + name, value, lease)
-                else:
+                if written:
                     await self._store.renew(lease)
+                else:
+                    await self._store.put(ENTRIES_PREFIX + name, value, lease)
+                    written = True
                 if self._era is not None and lease.era > self._era:
                     self.resync()
             except LeaseLost as error:
                 self._log.write("lease lost", cause=str(error))
                 lease = None
-                continue
+                if written:
+                    continue
             except PlatformError as error:
                 self._log.write("entry not registered", cause=str(error))
             except Exception as error:  # others must not stop to see this entry
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from chicorycove.direct import peer_datagram
 from chicorycove.direct.command import UpdatePeers
@@ -104,6 +105,23 @@
         await self.start_entry(wait_ready=False)
         self.assertEqual((await self.request("/order/x", b"y")).status, 200)
 
+    async def test_refused_registration_is_repeated_while_its_lease_lives(self):
+        # The lease was renewed from then on, and no other entry saw this one.
+        await self.process.stop()
+        put = Store.put
+        refusals = [StoreUnavailable("refused"), None]
+
+        async def refuse_once(store, *arguments):
+            if refusal := refusals.pop(0) if refusals else None:
+                raise refusal
+            await put(store, *arguments)
+
+        with mock.patch.object(Store, "put", refuse_once):
+            await self.start_entry(new_boot(store=self.boot.store, name="entry-2"))
+            async with asyncio.timeout(4.0):
+                while not self.store.keys("chicorycove/entries/entry-2."):
+                    await asyncio.sleep(0.05)
+
     async def test_running_entry_is_registered(self):
         await self.wait_until(self.is_registered)
 
