Give the simulation and a fake store revisions with an era

Both passed bare numbers: the simulation of bench/placing.py failed with an AttributeError, and a follower of the fake store listed it in a loop.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -73,6 +73,7 @@
     peer_timeout,
     peer_update_interval,
 )
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.identity import AttemptId
 from chicorycove.lifecycle import (
     AnswerCompleted,
@@ -408,7 +409,7 @@
         self._handle(entry, PeersUpdated(names, unheard))
 
     def _tell(self, entry: int, update: UpdatePeers) -> None:
-        told = encode(f"entry-{entry}", update, 0, self.now)
+        told = encode(f"entry-{entry}", update, StoreRevision(), self.now)
         sent_at = self.now
         names = self._entries[entry][0].peer_names
         peers = [
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -11,6 +11,7 @@
 from chicorycove.direct.http import HttpRequest
 from chicorycove.direct.route import LinkDelay, RoutingTable
 from chicorycove.direct.store_relay import RelaySettings, StoreRelay
+from chicorycove.direct.store_revision import StoreRevision
 from chicorycove.platform import follower
 from chicorycove.platform.decoding import decode_deployment, decode_listing
 from chicorycove.platform.headers import PlatformDialect
@@ -107,7 +108,8 @@
         self.done = asyncio.Event()
 
     async def pages(self, prefix):
-        yield ItemBatch(tuple(make_item(key, 1) for key in self._listed), 1)
+        items = tuple(make_item(key, 1) for key in self._listed)
+        yield ItemBatch(items, StoreRevision(1, 1))
 
     async def watch(self, prefix, after, duration):
         for step in self._steps:
@@ -115,7 +117,9 @@
                 self._listed = []
                 raise follower.HistoryLost("history lost")
             key, deleted = step
-            return ItemBatch((make_item(key, after + 1, deleted),), after + 1)
+            revision = StoreRevision(after.era, after.number + 1)
+            item = make_item(key, revision.number, deleted)
+            return ItemBatch((item,), revision)
         self.done.set()
         await asyncio.Event().wait()
 
