Continue a stream by an event stream, whatever its first answer was called

An event stream may continue any stream now; the ten answers of tests/test_direct_cut_answers.py are told apart as before.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -27,6 +27,8 @@
 from .target_pace import TargetPace
 from .work import WorkTracker
 
+STREAM_MEDIA_TYPE = "text/event-stream"
+
 
 class AnswerHandler:
     """Passes answers on, or retries requests that were not answered well."""
@@ -158,7 +160,7 @@
             return commands + self._completion.fail(request, Reason.STOPPING, None)
         if not request.answer_started:
             request.answer_media_type = answer.media_type
-        elif answer.media_type != request.answer_media_type:
+        elif answer.media_type not in (STREAM_MEDIA_TYPE, request.answer_media_type):
             # A page about an error may have a status that means success.
             detail = f"{answer.media_type!r}, not {request.answer_media_type!r}"
             commands = [LogChange("stream not continued", target, detail)]
