--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -270,6 +270,7 @@
             self._impair_server_connection,
             self._impair_store_connection,
             self._pause_store,
+            self._restore_store,
             self._rotate_key,
             self._publish_configs_rapidly,
         ]
@@ -385,6 +386,11 @@
         await asyncio.sleep(self._random.uniform(0.5, 4.0))
         self._store.signal(signal.SIGCONT)
 
+    async def _restore_store(self) -> None:
+        await self._operator.copy_store()
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        await self._operator.restore_store()
+
     async def _rotate_key(self) -> None:
         """Revoke a key for good and give callers another one."""
         if len(self._keys) > 1:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -149,13 +149,28 @@
 
     def __init__(self, port: int) -> None:
         self._client = HttpClient(f"127.0.0.1:{port}")
+        self._written: dict[str, str | None] = {}
 
     async def put(self, key: str, value: str | None) -> None:
         """Write an item, or delete it if None; retry until acknowledged."""
+        self._written[key] = value
         body = json.dumps({"key": key, "value": value}).encode()
+        await self._post("/operator/items", body)
+
+    async def copy_store(self) -> None:
+        """Keep a copy of the store for the next restoration."""
+        await self._post("/operator/copy")
+
+    async def restore_store(self) -> None:
+        """Restore the store from its copy, and write again what it lacks."""
+        await self._post("/operator/restore")
+        for key in list(self._written):
+            await self.put(key, self._written[key])
+
+    async def _post(self, path: str, body: bytes = b"") -> None:
         while True:
             try:
-                await self._client.call("POST", "/operator/items", body, 5.0)
+                await self._client.call("POST", path, body, 5.0)
                 return
             except CallFailed:
                 await asyncio.sleep(0.1)  # the store is paused or starting
