--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -14,6 +14,8 @@
 from chicorycove.platform.process import PlatformProcess
 from standin import platform_server, platform_store
 
+from .scripted import ScriptedServer
+
 TIMEOUT = 10.0  # seconds
 KEY = "key-1"
 HOST = "desk.example"
@@ -218,6 +220,15 @@
         self.register_server(server)
         return server
 
+    async def add_scripted_server(self, service, handle):
+        """List a server that answers with the bytes which a test chooses."""
+        scripted = await ScriptedServer.start(handle)
+        self.addAsyncCleanup(scripted.close)
+        server = platform_server.PlatformServer(service)
+        server.address = scripted.address
+        self.register_server(server)
+        return scripted
+
     async def close_listener(self, server):
         """Close a server's listener and abort its connections."""
         await self._listeners[server].close()
--- a/tests/test_direct_cut_answers.py
+++ b/tests/test_direct_cut_answers.py
@@ -9,7 +9,6 @@
 
 from chicorycove.direct.client import CallFailed, HttpClient
 from chicorycove.direct.target_connection import TargetConnection
-from standin import platform_server
 
 from .platform_case import PlatformTestCase
 from .scripted import ScriptedServer, answer
@@ -62,20 +61,12 @@
     shop_count = 0
     model_count = 0
 
-    async def add_target(self, service, handle):
-        target = await ScriptedServer.start(handle)
-        self.addAsyncCleanup(target.close)
-        server = platform_server.PlatformServer(service)
-        server.address = target.address
-        self.register_server(server)
-        return target
-
     async def test_order_whose_answer_is_cut_in_its_head_fails(self):
         async def handle(request):
             request.send(HEADS[0][: int(request.body)])
             request.writer.close()
 
-        target = await self.add_target("shop", handle)
+        target = await self.add_scripted_server("shop", handle)
         await asyncio.sleep(0.5)
         sizes = (0, 5, 17, 30, 36, 40, len(HEADS[0]) - 1)
         for size in sizes:
@@ -102,7 +93,7 @@
             request.writer.transport.abort()
 
         for _ in range(2):
-            targets.append(await self.add_target("model", handle))
+            targets.append(await self.add_scripted_server("model", handle))
         await asyncio.sleep(0.5)
         answer = await self.request_stream()
         self.assertEqual(sum(len(target.requests) for target in targets), 2)
--- a/tests/test_direct_late_answers.py
+++ b/tests/test_direct_late_answers.py
@@ -8,7 +8,6 @@
 from unittest import mock
 
 from chicorycove.direct.client import HttpClient
-from standin import platform_server
 from tests.platform_case import PlatformTestCase, config, route
 from tests.scripted import ScriptedServer, answer
 
@@ -95,11 +94,7 @@
     model_count = 0
 
     async def add_target(self, service, handle):
-        target = await ScriptedServer.start(handle)
-        self.addAsyncCleanup(target.close)
-        server = platform_server.PlatformServer(service)
-        server.address = target.address
-        self.register_server(server)
+        target = await self.add_scripted_server(service, handle)
         await asyncio.sleep(0.5)
         return target
 
