Log whether a failed attempt was sent, and count all lost log lines

Callers' orders ran twice (users' report), and the log could not tell why: "attempt failed" with the verdict not_run looked the same for an attempt that had never connected and for one that was sent and then given up. It now has `sent`, `connected_after` (null if no connection opened) and `took`. No line is added.

The users' record also lacks all lines with the ids of these orders. Each way from a decision to the bytes on a socket was read. All requests of callers go through DirectEntry._send_attempt(), which writes "attempt sent" before the attempt exists; a line that cannot be encoded ends the request before it is sent. So lines were lost, not missing. `dropped_before` is kept if the line that had it is itself lost. The sum is on the metrics page as chicorycove_dropped_log_lines_total.

No decision is changed.

Tests: test_lines_that_cannot_be_written_are_counted and test_failed_attempts_are_logged_with_what_was_sent; both need what is new here.

--- a/bench/metrics.py
+++ b/bench/metrics.py
@@ -70,6 +70,7 @@
     metrics.left_domain("cost")
     metrics.held(1)
     metrics.buffer_ended("unsent")
+    metrics.log_lines_dropped(1)
     metrics.first_token(1.0, 1000)
     metrics.answer_time(1.0, "class")
     metrics.evacuated("domain", 1)
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -176,6 +176,7 @@
         """Set the metrics of the present state."""
         self._buffers.recount(self._buffer_limiter.held_size)
         self._metrics.held(self._buffers.total)
+        self._metrics.log_lines_dropped(self._log.dropped_count)
         self._metrics.readmit_domains()
         for status in self._dispatcher.evacuations():
             self._metrics.evacuated(status.failure_domain, status.running_count)
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -95,12 +95,6 @@
         """Return whether the caller has a complete answer, or is gone."""
         return not self.connection.awaits_answer_to(self.request)
 
-    @property
-    def answer_status(self) -> int | None:
-        """Return the status of the current answer, if it has begun."""
-        attempt = self._current_attempt
-        return attempt.status or None if attempt is not None else None
-
     @property
     def answer_size(self) -> int:
         """Return the bytes held of the current answer."""
@@ -131,6 +125,11 @@
             "took": round(now - arrived, 4),
         }
 
+    def attempt_log_fields(self) -> dict[str, t.Any]:
+        """Return the log fields of the current attempt; times in seconds."""
+        attempt = self._current_attempt
+        return attempt.log_fields() if attempt is not None else {}
+
     def start_attempt(self, command: SendAttempt) -> "TargetAttempt":
         """Close the current attempt and return a new one in its place."""
         self.close()
@@ -259,6 +258,8 @@
         self._relayed_events = False
         self._awaits_head = False  # the request is sent, and not answered yet
         self._closed = False
+        self._started_at = asyncio.get_running_loop().time()
+        self._connected_after: float | None = None  # seconds
 
     @property
     def answer_size(self) -> int:
@@ -268,6 +269,19 @@
             size += self._event_buffer.pending_size
         return size + self.connection.head_size if self.connection else size
 
+    def log_fields(self) -> dict[str, t.Any]:
+        """Return the log fields of the attempt; times are in seconds."""
+        now = asyncio.get_running_loop().time()
+        connected_after = self._connected_after
+        return {
+            "status": self.status or None,
+            "sent": self.connection is not None and self.connection.sent,
+            "connected_after": (
+                round(connected_after, 4) if connected_after is not None else None
+            ),
+            "took": round(now - self._started_at, 4),
+        }
+
     async def open(self, timeout: float) -> None:
         """Connect to the target; the timeout is in seconds."""
         if self._closed:
@@ -312,11 +326,13 @@
     def connection_opened(self) -> None:
         if self._closed:
             return
+        loop = asyncio.get_running_loop()
+        self._connected_after = loop.time() - self._started_at
         exchange = self._exchange
         exchange.listener.handle(AttemptConnected(self.attempt))
         if self._closed:
             return
-        time_left = self._command.deadline - asyncio.get_running_loop().time()
+        time_left = self._command.deadline - loop.time()
         self.connection.send(
             exchange.dialect.build_request(
                 exchange.request, exchange.inbound, self._command, time_left
--- a/src/chicorycove/direct/linelog.py
+++ b/src/chicorycove/direct/linelog.py
@@ -22,23 +22,30 @@
         self._descriptor = descriptor
         self._process = process
         self._buffer = bytearray()
-        self._dropped = 0
+        self._dropped_count = 0
+        self._reported_count = 0  # dropped lines that a later line counts
+        self._written_count = 0  # those of them whose later line is written
         self._scheduled = False
         os.set_blocking(descriptor, False)
 
+    @property
+    def dropped_count(self) -> int:
+        """Return how many lines were dropped since the start."""
+        return self._dropped_count
+
     def write(self, event: str, **fields: t.Any) -> None:
         """Log an event with its fields."""
         if len(self._buffer) > MAX_BUFFERED:
-            self._dropped += 1
+            self._dropped_count += 1
             return
         line = {"time": round(time.time(), 4), "process": self._process}
-        if self._dropped:
-            line["dropped_before"] = self._dropped
-            self._dropped = 0
+        if self._dropped_count > self._reported_count:
+            line["dropped_before"] = self._dropped_count - self._reported_count
         line["event"] = event
         line.update(fields)
         self._buffer += _encoder.encode(line)
         self._buffer += b"\n"
+        self._reported_count = self._dropped_count
         if not self._schedule():
             self.flush()
 
@@ -52,10 +59,14 @@
                 self._schedule()
                 return
             except OSError:
-                # The reader is gone, and there is no other place to report it.
+                # The reader is gone or the disk is full; the metrics and the
+                # next line that is written count the lost lines.
+                self._dropped_count += self._buffer.count(b"\n")
+                self._reported_count = self._written_count
                 self._buffer.clear()
                 return
             del self._buffer[:written]
+        self._written_count = self._reported_count
 
     def _next_write(self) -> bytes:
         """Return the lines that fit into an atomic write, or one long line."""
--- a/src/chicorycove/direct/request_log.py
+++ b/src/chicorycove/direct/request_log.py
@@ -56,7 +56,7 @@
             attempt=attempt.number,
             reason=reason.value,
             verdict=verdict.value,
-            status=exchange.answer_status,
+            **exchange.attempt_log_fields(),
         )
 
     def record_first_token(self, exchange: Exchange) -> None:
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -48,6 +48,7 @@
         self._listener = listener
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._sent = False
         self._done = False
         self._head_received = False
         self._self_delimited = False
@@ -60,6 +61,11 @@
         self._message_skipped = False
         self._self_delimited = False
 
+    @property
+    def sent(self) -> bool:
+        """Return whether the target may have received any of the request."""
+        return self._sent
+
     @property
     def unsent_size(self) -> int:
         """Return the bytes of the request that are still to be sent."""
@@ -139,6 +145,7 @@
     def send(self, data: bytes) -> None:
         """Send bytes."""
         if self._transport is not None:
+            self._sent = True
             self._transport.write(data)
 
     def pause(self) -> None:
--- a/src/chicorycove/metric.py
+++ b/src/chicorycove/metric.py
@@ -71,6 +71,11 @@
     "Callers' connections ended since they held most as the bound was exceeded",
     ("content",),
 )
+DROPPED_LOG_LINES = Instrument(
+    "chicorycove_dropped_log_lines",
+    "Log lines of a direct entry that could not be written",
+    (),
+)
 FIRST_TOKEN = Instrument(
     "chicorycove_time_to_first_token",
     "From arrival to the first byte",
@@ -108,6 +113,7 @@
     LEFT_DOMAIN,
     HELD_BYTES,
     BUFFER_ENDS,
+    DROPPED_LOG_LINES,
     FIRST_TOKEN,
     ANSWER_TIME,
     EVACUATED_DOMAINS,
@@ -221,6 +227,10 @@
         """Count a connection that held most, by what it held."""
         self._count(BUFFER_ENDS, content)
 
+    def log_lines_dropped(self, count: int) -> None:
+        """Set how many log lines were dropped since the start."""
+        self._counters[DROPPED_LOG_LINES][()] = count
+
     def first_token(self, seconds: float, tokens: int) -> None:
         """Record a time to first token, by prompt length."""
         self._observe(FIRST_TOKEN, seconds, length_class(tokens))
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -1,6 +1,7 @@
 """Tests of the small components of a direct entry."""
 
 import asyncio
+import errno
 import os
 import unittest
 import unittest.mock
@@ -342,6 +343,7 @@
         log.write("after")
         line = msgspec.json.decode(os.read(reader, 65_536).splitlines()[-1])
         self.assertGreater(line["dropped_before"], 0)
+        self.assertEqual(line["dropped_before"], log.dropped_count)
 
     def test_each_write_has_complete_lines_that_fit_a_pipe(self):
         # inc-a60e: a start wrote 20 KB at once, of which the log showed 8.
@@ -365,6 +367,20 @@
         self.assertTrue(all(len(piece) <= MAX_WRITE for piece in pieces[:-1]))
         self.assertEqual(b"".join(pieces).count(b"\n"), 301)
 
+    def test_lines_that_cannot_be_written_are_counted(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        log = LineLog(writer, "p")
+        error = OSError(errno.ENOSPC, "No space left on device")
+        with unittest.mock.patch("os.write", side_effect=error):
+            log.write("event")
+            log.write("event")
+        self.assertEqual(log.dropped_count, 2)
+        log.write("after")
+        line = msgspec.json.decode(os.read(reader, 65_536))
+        self.assertEqual(line["dropped_before"], 2)
+
     def test_closed_reader_raises_no_error(self):
         reader, writer = os.pipe()
         os.close(reader)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -381,10 +381,27 @@
         ]
         self.assertEqual(events, ["attempt sent", "attempt failed", "request failed"])
 
+    async def test_failed_attempts_are_logged_with_what_was_sent(self):
+        for server in self.shop_servers:
+            server.faults.lost_answers = 1
+        await self.request("/order/x")
+        for server in self.shop_servers:
+            await self.close_listener(server)
+        await self.request("/order/x")
+        lost, *unreachable = [
+            line for line in await self.log_lines() if line["event"] == "attempt failed"
+        ]
+        self.assertTrue(lost["sent"])
+        self.assertLessEqual(lost["connected_after"], lost["took"])
+        self.assertTrue(unreachable)
+        for line in unreachable:
+            self.assertEqual((line["sent"], line["connected_after"]), (False, None))
+
     async def test_metrics_page_counts_answers(self):
         await self.request("/order/x")
         page = await self.get_page(f"127.0.0.1:{self.boot.metrics_port}", "/metrics")
         self.assertIn(b"chicorycove_answers_total", page.body)
+        self.assertIn(b"chicorycove_dropped_log_lines_total 0.0", page.body)
 
     async def test_shared_parts_and_begun_answers_are_logged(self):
         for server in self.model_servers:
