Never end a connection that has opened by its timeout

What callers saw: orders, which may run once, ran at two servers; others failed or were late although their server was sound.

Cause: TargetAttempt.open() had one timeout around create_connection(), which returns a turn of the event loop after connection_made() has sent the request. Where the timer was due in that turn, the connection was closed after the send and the attempt reported as TARGET_UNREACHABLE and NOT_RUN, so that the request was sent to another target. The verdict was concluded from the kind of exception. Whether a connection had opened was judged by the loop's turns, not by the kernel, so that a process that runs late gave up connections, calls to the store and probes of live targets.

Ruled out: to change the verdict alone.

Change: open_socket() opens a socket and nothing else, within the timeout, and asks the kernel whether it is open when the timeout ends. What fails there has sent nothing. The transport is made without a timeout. Attempts, probes and HttpClient (orders to targets, calls to the store) share it. The verdict of an attempt follows from a record that is set where bytes are handed to the transport. A request is sent only if the decision says so (its attempt has started on the board), and not after its deadline.

--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from .connector import open_socket
 from .http import Headers, enable_keepalive, format_request
 
 READ_SIZE = 65_536  # bytes
@@ -87,8 +88,6 @@
         """Use the server at "ip:port"; the size of a reply is in bytes."""
         self._max_reply_size = max_reply_size
         self._address = address
-        self._host, port = address.rsplit(":", 1)
-        self._port = int(port)
         self._lock = asyncio.Lock()
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -121,10 +120,10 @@
         self._reader = self._writer = None
 
     async def _connect(self) -> None:
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            self._reader, self._writer = await asyncio.open_connection(
-                self._host, self._port, limit=READ_SIZE
-            )
+        sock = await open_socket(self._address, CONNECT_TIMEOUT)
+        self._reader, self._writer = await asyncio.open_connection(
+            sock=sock, limit=READ_SIZE
+        )
         enable_keepalive(self._writer.transport)
 
     async def _send_request(self, method: str, path: str, body: bytes) -> Reply:
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -4,6 +4,7 @@
 import random
 import typing as t
 
+from ..attempt import STARTED
 from ..identity import AttemptId
 from ..lifecycle import (
     AnswerCompleted,
@@ -44,6 +45,7 @@
 from .dialect import Dialect
 from .dispatch import DirectDispatcher
 from .event import (
+    AttemptConnected,
     CallerBackpressureChanged,
     DirectEvent,
     RequestReceived,
@@ -440,6 +442,15 @@
         if delay > MAX_WAKE_DELAY:
             self._log.write("event loop delayed", by=round(delay, 3))
 
+    def begin_attempt(self, attempt: AttemptId) -> bool:
+        """Dispatch that an attempt's connection has opened.
+
+        Return whether to send it.
+        """
+        self.handle(AttemptConnected(attempt))
+        request = self._board.current_request(attempt)
+        return request is not None and request.attempts[-1].state == STARTED
+
     def attempt_failed(
         self, attempt: AttemptId, reason: Reason, verdict: Verdict
     ) -> None:
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -11,11 +11,11 @@
 from .board import InboundRequest
 from .caller_connection import CallerConnection
 from .command import SendAttempt
+from .connector import open_socket
 from .dialect import Dialect
 from .event import (
     AnswerHeadReceived,
     AnswerReceived,
-    AttemptConnected,
     DirectEvent,
     EventsRelayed,
     TargetAnswer,
@@ -38,6 +38,9 @@
     def buffers_changed(self, connection: CallerConnection) -> None:
         """Handle a change of the bytes that are held for a connection."""
 
+    def begin_attempt(self, attempt: AttemptId) -> bool:
+        """Return whether to send an attempt whose connection has opened."""
+
     def attempt_failed(
         self, attempt: AttemptId, reason: Reason, verdict: Verdict
     ) -> None:
@@ -269,13 +272,17 @@
             size += self._event_buffer.pending_size
         return size + self.connection.head_size if self.connection else size
 
+    @property
+    def _sent(self) -> bool:
+        return self.connection is not None and self.connection.sent
+
     def log_fields(self) -> dict[str, t.Any]:
         """Return the log fields of the attempt; times are in seconds."""
         now = asyncio.get_running_loop().time()
         connected_after = self._connected_after
         return {
             "status": self.status or None,
-            "sent": self.connection is not None and self.connection.sent,
+            "sent": self._sent,
             "connected_after": (
                 round(connected_after, 4) if connected_after is not None else None
             ),
@@ -283,22 +290,23 @@
         }
 
     async def open(self, timeout: float) -> None:
-        """Connect to the target; the timeout is in seconds."""
+        """Connect to the target; the timeout is in seconds.
+
+        It ends before the connection is used, which sends the request.
+        """
         if self._closed:
             return
-        loop = asyncio.get_running_loop()
-        host, port = self._command.address.rsplit(":", 1)
-        self.connection = TargetConnection(self)
         try:
-            async with asyncio.timeout(timeout):
-                await loop.create_connection(lambda: self.connection, host, int(port))
-        except (OSError, TimeoutError, ValueError, OverflowError):
-            # The last two: an address that cannot be one.
+            sock = await open_socket(self._command.address, timeout)
+            if self._closed:
+                sock.close()
+                return
+            self.connection = TargetConnection(self)
+            loop = asyncio.get_running_loop()
+            await loop.create_connection(lambda: self.connection, sock=sock)
+        except OSError:
             if not self._closed:
-                self._closed = True
-                self._exchange.listener.attempt_failed(
-                    self.attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN
-                )
+                self._fail(Reason.TARGET_UNREACHABLE)
 
     def start_relay(self) -> None:
         """Relay events to the caller from now on, instead of buffering."""
@@ -326,13 +334,13 @@
     def connection_opened(self) -> None:
         if self._closed:
             return
-        loop = asyncio.get_running_loop()
-        self._connected_after = loop.time() - self._started_at
+        now = asyncio.get_running_loop().time()
+        self._connected_after = now - self._started_at
         exchange = self._exchange
-        exchange.listener.handle(AttemptConnected(self.attempt))
-        if self._closed:
+        time_left = self._command.deadline - now
+        if time_left <= 0 or not exchange.listener.begin_attempt(self.attempt):
+            self.connection.abort()
             return
-        time_left = self._command.deadline - loop.time()
         self.connection.send(
             exchange.dialect.build_request(
                 exchange.request, exchange.inbound, self._command, time_left
@@ -431,6 +439,5 @@
         self._closed = True
         if self.connection is not None:
             self.connection.abort()
-        self._exchange.listener.attempt_failed(
-            self.attempt, reason, Verdict.MAY_HAVE_RUN
-        )
+        verdict = Verdict.MAY_HAVE_RUN if self._sent else Verdict.NOT_RUN
+        self._exchange.listener.attempt_failed(self.attempt, reason, verdict)
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -1,6 +1,5 @@
 """Calls to targets besides callers' requests: orders and probes."""
 
-import asyncio
 import typing as t
 
 from ..identity import AgentId, AttemptId
@@ -8,6 +7,7 @@
 from ..reason import Reason
 from .board import DirectBoard
 from .client import CallFailed, HttpClient
+from .connector import open_socket
 from .dialect import Dialect, Order
 from .event import DirectEvent, TargetAnswer, TargetAnswered, TargetProbed
 from .linelog import LineLog
@@ -55,15 +55,13 @@
 
     async def probe(self, target: str, address: str) -> None:
         """Try a connection to a target and report whether it opened."""
-        host, port = address.rsplit(":", 1)
         try:
-            async with asyncio.timeout(self._settings.timeouts.connect_timeout):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError) as error:
+            sock = await open_socket(address, self._settings.timeouts.connect_timeout)
+        except OSError as error:
             self._log.write("target unreachable", target=target, cause=repr(error))
             self._handle(TargetProbed(target, False))
             return
-        writer.close()
+        sock.close()
         self._handle(TargetProbed(target, True))
 
     async def _send_order(
--- a/tests/test_direct_slow_connection.py
+++ b/tests/test_direct_slow_connection.py
@@ -1,13 +1,22 @@
 """Tests of connections to targets in a process that runs late."""
 
 import asyncio
+import contextlib
+import gc
+import socket
 import unittest
 import unittest.mock
+import warnings
 
 from chicorycove.direct.client import CONNECT_TIMEOUT, CallFailed, HttpClient
+from chicorycove.direct.connector import open_socket
 from chicorycove.direct.event import TargetProbed
+from chicorycove.direct.exchange import TargetAttempt
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.direct.target_calls import TargetCalls
+from chicorycove.identity import AttemptId
+from chicorycove.reason import Reason
+from chicorycove.verdict import Verdict
 
 from .platform_case import PlatformTestCase
 from .scripted import ScriptedServer, answer
@@ -69,6 +78,9 @@
         events = {line["event"] for line in await self.log_lines()}
         self.assertNotIn("attempt failed", events)
 
+    async def test_request_that_has_ended_is_not_sent(self):
+        self.assertFalse(self.process._entry.begin_attempt(AttemptId("gone", 1, "1")))
+
 
 class CallTest(unittest.IsolatedAsyncioTestCase):
     """Calls go on over connections that have opened in time."""
@@ -102,3 +114,139 @@
             await asyncio.gather(probe, self.clock.delay_turns(delays))
         self.assertNotIn(TargetProbed("i-1", False), events)
         log.write.assert_not_called()
+
+
+class AttemptTest(unittest.IsolatedAsyncioTestCase):
+    """Attempts send nothing that they may not, and say what they sent."""
+
+    async def asyncSetUp(self):
+        self.received = []  # bytes, by connection
+        self.ended = asyncio.Event()
+        server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = "%s:%d" % server.sockets[0].getsockname()
+
+    async def accept(self, reader, writer):
+        """Close a connection at its end, or once a request is read."""
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while not data and not reader.at_eof():
+                data += await reader.read(100)
+        self.received.append(data)
+        self.ended.set()
+        writer.close()
+
+    def new_attempt(self, time_left=3.0, begins=True, address=None):
+        self.listener = unittest.mock.Mock()
+        self.listener.begin_attempt.return_value = begins
+        exchange = unittest.mock.Mock(listener=self.listener)
+        exchange.dialect.build_request.return_value = b"GET / HTTP/1.1\r\n\r\n"
+        now = asyncio.get_running_loop().time()
+        command = unittest.mock.Mock(
+            address=address or self.address, deadline=now + time_left
+        )
+        return TargetAttempt(exchange, command)
+
+    async def check_failure(self, attempt, reason, verdict):
+        """Open an attempt and check how it failed."""
+        failed = asyncio.Event()
+        self.listener.attempt_failed.side_effect = lambda *_: failed.set()
+        await attempt.open(1.0)
+        await failed.wait()
+        self.listener.attempt_failed.assert_called_once_with(
+            attempt.attempt, reason, verdict
+        )
+
+    async def test_attempt_that_must_not_begin_sends_nothing(self):
+        await self.new_attempt(begins=False).open(1.0)
+        await self.ended.wait()
+        self.assertEqual(self.received, [b""])
+
+    async def test_connection_that_opens_after_the_deadline_sends_nothing(self):
+        await self.new_attempt(time_left=0.0).open(1.0)
+        await self.ended.wait()
+        self.assertEqual(self.received, [b""])
+        self.listener.begin_attempt.assert_not_called()
+
+    async def test_refused_connection_proves_that_nothing_ran(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = "127.0.0.1:%d" % listener.getsockname()[1]
+        attempt = self.new_attempt(address=address)
+        await self.check_failure(attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
+
+    async def test_connection_lost_after_the_request_may_have_run(self):
+        attempt = self.new_attempt()
+        await self.check_failure(attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
+
+    async def test_attempt_that_is_closed_in_any_turn_sends_nothing_later(self):
+        for turn in range(LATE_TURNS):
+            for end in ("close", "cancel"):
+                with self.subTest(turn=turn, end=end), no_leak(self):
+                    await self.end_in_turn(turn, end)
+
+    async def end_in_turn(self, turn, end):
+        attempt = self.new_attempt()
+        opening = asyncio.create_task(attempt.open(1.0))
+        for _ in range(turn):
+            await asyncio.sleep(0)
+        begun = self.listener.begin_attempt.called
+        if end == "close":
+            attempt.close()
+        else:
+            opening.cancel()
+        await asyncio.wait([opening])
+        for _ in range(LATE_TURNS):
+            await asyncio.sleep(0)
+        sent = attempt.log_fields()["sent"]
+        self.assertEqual(sent, self.listener.begin_attempt.called)
+        if end == "close":
+            self.assertEqual(sent, begun)
+        if attempt.connection is not None:
+            attempt.connection.abort()
+            await asyncio.sleep(0)
+
+
+class ConnectorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_names_and_addresses_are_connected_to(self):
+        hosts = {socket.AF_INET: ["127.0.0.1", "localhost"], socket.AF_INET6: ["::1"]}
+        for family, names in hosts.items():
+            try:
+                listener = socket.create_server((names[0], 0), family=family)
+            except OSError:  # a host without IPv6
+                self.assertEqual(family, socket.AF_INET6)
+                continue
+            with listener:
+                port = listener.getsockname()[1]
+                for name in names:
+                    with await open_socket(f"{name}:{port}", 1.0) as sock:
+                        self.assertEqual(sock.getpeername()[:2], (names[0], port))
+
+    async def test_what_cannot_be_an_address_is_an_error(self):
+        for address in ("nowhere", "127.0.0.1:x", "127.0.0.1:70000", "::1:-1"):
+            with self.subTest(address=address), no_leak(self):
+                with self.assertRaisesRegex(OSError, "is not an address"):
+                    await open_socket(address, 1.0)
+
+    async def test_connection_that_does_not_open_times_out(self):
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            for _ in range(4):  # fill the accept queue: later ones get no answer
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listener.getsockname())
+            await asyncio.sleep(0.05)
+            port = listener.getsockname()[1]
+            with no_leak(self), self.assertRaises(TimeoutError):
+                await open_socket(f"127.0.0.1:{port}", 0.1)
+
+
+@contextlib.contextmanager
+def no_leak(test):
+    """Fail a test if a socket is left to the garbage collector."""
+    with warnings.catch_warnings(record=True) as caught:
+        warnings.simplefilter("always", ResourceWarning)
+        yield
+        gc.collect()
+    test.assertEqual([str(warning.message) for warning in caught], [])
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -50,6 +50,7 @@
     "caller_admission",
     "caller_connection",
     "client",
+    "connector",
     "entry",
     "exchange",
     "held_request",
