Test requests that entries read in any part of a stop

Reported by operators of other systems: in a planned stop, requests that came late in the grace period were passed on, and cut at its end without an answer.

On sockets, two entries stop at once and read, in each twentieth of the grace period, on kept and on new connections, orders, lookups and both kinds of streams; targets are quick, silent, or answer just before or after the process ends, and deadlines are before and after it. Whatever was passed on has a complete answer, whatever was not has a 503 or none. On a virtual clock, calls whose deadline is just before and after the end are sent and refused.

--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -17,7 +17,11 @@
 from bench.deployment import free_port
 from chicorycove import Reason, Verdict
 from chicorycove.direct.board import WorkItem, WorkItemKey
-from chicorycove.direct.event import AnswerHeadReceived, AttemptConnected
+from chicorycove.direct.event import (
+    AnswerHeadReceived,
+    AttemptConnected,
+    StopTimeExpired,
+)
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.lifecycle import AttemptFailed, StopRequested, Tick
 from chicorycove.platform.process import PlatformProcess
@@ -25,12 +29,14 @@
     LONG,
     LOOKUP,
     OK,
+    ORDER,
     SHORT,
     DirectWorld,
     command_names,
     only_command,
 )
-from tests.platform_case import Caller, PlatformTestCase, config, route
+from tests.platform_case import Caller, PlatformTestCase, config, new_boot, route
+from tests.scripted import answer as format_answer
 
 CALLERS = 5
 TIMEOUT = 20.0  # seconds
@@ -128,9 +134,12 @@
             self.assertEqual(answer.headers["connection"], "close")
         self.assertEqual(self.runs(), [])
 
-    async def test_request_that_runs_at_the_end_is_not_called_unrun(self):
+    def hang(self, hang=True):
         for server in self.shop_servers:
-            server.faults.hang = True
+            server.faults.hang = hang
+
+    async def test_request_that_runs_at_the_end_is_not_called_unrun(self):
+        self.hang()
         caller = await self.open_caller()
         caller.send("/order/x", b"steel")
         await self.wait_until(self.is_running)
@@ -154,6 +163,109 @@
         return bool(self.runs())
 
 
+class LateRequestTest(PlatformTestCase):
+    """Requests that two entries read in any part of their stop."""
+
+    grace = 4.0
+    shop_count = 0
+    part_count = 20  # of the grace period
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.process_boots = [self.boot]
+        self.processes = [self.process]
+        boot = new_boot(store=self.boot.store, name="entry-2", grace=self.grace)
+        self.processes.append(await self.start_entry(boot))
+        self.process_boots.append(boot)
+        self.timed = await self.add_scripted_server("timed", self.answer_in_time)
+        for server in self.model_servers:
+            server.faults.pause = 0.05
+        fields = {"timeoutMs": 8000, "targetLatencyMs": 200}
+        stream = {"kind": "streaming", "service": "model", "gapTargetMs": 500}
+        routes = [
+            route("order", kind="unsafe", service="timed", **fields),
+            route("lookup", service="timed", **fields),
+            route("ask", **stream, **fields, resumable=True),
+            route("say", **stream, **fields, resumable=False),
+        ]
+        new_config = config(2, routes)
+        new_config["services"].append({"name": "timed", "healthPath": "/health"})
+        self.write_config(new_config)
+        await asyncio.sleep(0.5)
+
+    async def answer_in_time(self, request):
+        """Answer after the seconds that the path ends with."""
+        await asyncio.sleep(float(request.path.rsplit("/", 1)[1]))
+        id = request.header("chicorycove-attempt-id")
+        request.send(format_answer(b"done", [f"Chicorycove-Attempt-Id: {id}"]))
+
+    async def test_whatever_is_passed_on_is_answered(self):
+        kept = [
+            [
+                [await Caller.open(boot.callers) for _ in range(8)]
+                for boot in self.process_boots
+            ]
+            for _ in range(self.part_count)
+        ]
+        stops = [asyncio.create_task(each.stop()) for each in self.processes]
+        tasks = []
+        for part in range(self.part_count):
+            left = self.grace * (1 - part / self.part_count)
+            for number, boot in enumerate(self.process_boots):
+                for caller, request in zip(kept[part][number], self.requests(left)):
+                    tasks.append(asyncio.create_task(self.send(caller, *request)))
+                    tasks.append(asyncio.create_task(self.send_new(boot, *request)))
+            await asyncio.sleep(self.grace / self.part_count)
+        await asyncio.gather(*stops)
+        outcomes = await asyncio.gather(*tasks)
+        arrived = {run.attempt for run in self.runs()} | {
+            request.header("chicorycove-attempt-id") for request in self.timed.requests
+        }
+        for id, path, answer in outcomes:
+            with self.subTest(path=path, id=id):
+                if id in arrived:
+                    self.assertIsNotNone(answer)
+                    self.assertTrue(answer.complete)
+                    self.assertIn(answer.status, (200, 502, 504))
+                elif answer is not None:
+                    self.assertEqual(answer.status, 503)
+        statuses = [answer.status for _, _, answer in outcomes if answer is not None]
+        self.assertEqual(set(statuses), {200, 502, 503, 504})
+
+    def requests(self, left):
+        """Return paths and time limits, before and after the process ends."""
+        return [
+            ("/order/0", 8.0),
+            (f"/order/{left * 0.8}", 8.0),
+            (f"/order/{left * 1.2}", 8.0),
+            (f"/order/{left * 0.4}", left * 0.8),
+            ("/order/9", left * 0.8),
+            (f"/lookup/{left * 0.8}", 8.0),
+            ("/ask/x", 8.0),
+            ("/say/x", 8.0),
+        ]
+
+    async def send_new(self, boot, path, time_limit):
+        try:
+            caller = await Caller.open(boot.callers)
+        except ConnectionRefusedError:
+            return None, path, None
+        return await self.send(caller, path, time_limit)
+
+    async def send(self, caller, path, time_limit):
+        """Return the request's id, its path, and the answer, if one begins."""
+        headers = {"Chicorycove_Time_Budget_Ms": str(int(time_limit * 1000))}
+        if path in ("/ask/x", "/say/x"):
+            headers["Chicorycove_Token_Counts"] = "100,460"
+        id = caller.send(path, b"y", **headers)
+        try:
+            return id, path, await caller.read()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return id, path, None
+        finally:
+            caller.close()
+
+
 class AcceptTest(PlatformTestCase):
     """What a stopping entry accepts can end before the process does.
 
@@ -349,6 +461,34 @@
         commands = world.handle(AnswerHeadReceived(resumed.attempt, OK))
         only_command(commands, "RelayStream")
 
+    def test_late_call_is_sent_if_its_deadline_ends_it(self):
+        for at in (0.0, 2.7, 2.9, 5.0, 7.4):
+            for beyond_end in (-0.05, 0.05):
+                for kind in (ORDER, LOOKUP):
+                    with self.subTest(at=at, beyond_end=beyond_end, route=kind.name):
+                        world = self.create()
+                        self.stop(world, 0.0)
+                        world.now = at
+                        time_limit = 7.5 + beyond_end - at
+                        commands = world.receive("call", kind, time_limit=time_limit)
+                        if at < 2.8 or beyond_end < 0:
+                            self.assert_sent(commands, "s0", "s1")
+                        else:
+                            self.assert_refused(commands)
+
+    def test_call_is_failed_at_the_end(self):
+        for at in (0.0, 2.7):
+            for kind in (ORDER, LOOKUP):
+                with self.subTest(at=at, route=kind.name):
+                    world = self.create()
+                    self.stop(world, 0.0)
+                    world.now = at
+                    world.send("call", kind, time_limit=20.0)
+                    world.now = 7.5
+                    commands = world.handle(StopTimeExpired())
+                    self.assert_refused(commands, Verdict.MAY_HAVE_RUN)
+                    self.assertEqual(world.board.requests, {})
+
     def test_failed_call_is_sent_again(self):
         world = self.create()
         self.stop(world, 0.0)
