Read nothing more from callers after the last check of a stop

What callers saw: a request on a kept connection that came between the last check of a stop and the close of the connections was passed on, and its connection closed without an answer, also for orders.

Cause: PlatformProcess.stop() checks that nothing is in flight, fails what is left, and then waits for its tasks to be cancelled (a turn of the event loop, or a second for a task that misses its cancellation) before DirectEntry.close() closes the connections. The entry read and accepted requests meanwhile, if their deadline was before the end of the grace period.

Evidence: test_request_after_the_last_check_is_not_passed_on_and_cut lets five orders come as the tasks are cancelled. On the sources before all five reach a target and are cut; now none is read.

Change: DirectEntry.fail_unfinished() closes the connections in the same turn of the event loop. What was written is still sent; a connection that is accepted later is closed unread.

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -120,6 +120,7 @@
             self.caller_disconnected,
         )
         self._connections: set[CallerConnection] = set()
+        self._stopped_reading = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
 
@@ -150,10 +151,8 @@
         self._tasks.spawn(self._update_peers_periodically())
 
     async def close(self) -> None:
-        """Cancel the periodic tasks and close callers' connections."""
+        """Cancel all tasks."""
         await self._tasks.cancel()
-        for connection in list(self._connections):
-            connection.close()
 
     def handle(self, event: DirectEvent) -> None:
         """Dispatch an event and execute the resulting commands.
@@ -240,18 +239,26 @@
         self._held.refuse_all()
 
     def fail_unfinished(self) -> None:
-        """Fail the requests that the process has no more time for."""
+        """Fail the requests that the process has no more time for.
+
+        Connections are closed for reading at once, as further requests could
+        not be answered; what is still to be sent is sent.
+        """
         self.handle(StopTimeExpired())
+        self._stopped_reading = True
         for connection in list(self._connections):
             if connection.reading_request:
                 headers = self._dialect.entry_headers("", 0.0)
                 connection.refuse(503, Reason.STOPPING, headers)
+            connection.close()
 
     # Callers
 
     def connection_opened(self, connection: CallerConnection) -> None:
         """Add a connection."""
         self._connections.add(connection)
+        if self._stopped_reading:
+            connection.close()
 
     def connection_closed(self, connection: CallerConnection) -> None:
         """Remove a connection."""
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -24,7 +24,9 @@
 )
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.lifecycle import AttemptFailed, StopRequested, Tick
+from chicorycove.platform import process as process_module
 from chicorycove.platform.process import PlatformProcess
+from chicorycove.utils import cancel_all
 from tests.direct import (
     LONG,
     LOOKUP,
@@ -134,6 +136,20 @@
             self.assertEqual(answer.headers["connection"], "close")
         self.assertEqual(self.runs(), [])
 
+    async def test_request_after_the_last_check_is_not_passed_on_and_cut(self):
+        callers = [await self.connect() for _ in range(CALLERS)]
+        self.hang()
+
+        async def arrive_and_cancel(tasks):
+            for caller in callers:
+                caller.send("/order/x", b"late", Chicorycove_Time_Budget_Ms="300")
+            await asyncio.sleep(0.1)  # in which they reach a target
+            await cancel_all(tasks)
+
+        with mock.patch.object(process_module, "cancel_all", arrive_and_cancel):
+            await self.process.stop()
+        self.assertNotIn(b"late", [run.body for run in self.runs()])
+
     def hang(self, hang=True):
         for server in self.shop_servers:
             server.faults.hang = hang
