Answer pipelined requests that were read before a stopping entry closes

What callers saw: of several requests sent at once on a connection, those behind the first one that a stopping entry handled were read in full and dropped: the connection closed without an answer to them.

Cause: a stopping entry closes a connection after the answer to the request that it handles next, whatever was read behind it.

Evidence: test_whole_requests_behind_the_one_in_flight_are_answered sends three orders at once. On the sources before, the third answer never comes, neither if the first order ends during the stop nor at its end; now the answers are 200, 200, 200 and 502, 503, 503.

Change: the answer that announces the close is the one with nothing read behind it. A request that comes after that announcement is dropped, as before.

--- a/src/chicorycove/direct/caller_connection.py
+++ b/src/chicorycove/direct/caller_connection.py
@@ -96,7 +96,9 @@
         self._parsed_any = False  # a callback was called for the newest input
         self._unparsed_size = 0  # bytes of input since the last callback
         self._reset()
+        # Requests that were read in full are answered before the close.
         self.close_after_answer = False
+        self._close_announced = False
         self.relay_source: TargetConnection | None = None  # paused while writes block
         self.last_active_at = self._loop.time()
 
@@ -355,11 +357,10 @@
 
     def finish_answer(self) -> None:
         """Handle the next request after an answer, or close."""
-        request = self._current
         self._current = None
         self.relay_source = None
         self.last_active_at = self._loop.time()
-        if self.close_after_answer or (request is not None and not request.keep_alive):
+        if self._close_announced or (self.close_after_answer and not self._pending):
             self.close()
         else:
             self._handle_next()
@@ -390,11 +391,11 @@
 
     def _format_head(self, status: int, headers: Headers) -> bytes:
         request = self._current
-        last_answer = self.close_after_answer or (
+        self._close_announced = (self.close_after_answer and not self._pending) or (
             request is not None and not request.keep_alive
         )
         lines = [b"HTTP/1.1 %d %b" % (status, REASON_PHRASES.get(status, b"Status"))]
         lines += [b"%b: %b" % header for header in headers]
-        if last_answer:
+        if self._close_announced:
             lines.append(b"Connection: close")
         return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -150,6 +150,28 @@
             await self.process.stop()
         self.assertNotIn(b"late", [run.body for run in self.runs()])
 
+    async def test_whole_requests_behind_the_one_in_flight_are_answered(self):
+        for last in (False, True):
+            with self.subTest(last=last):
+                self.hang()
+                for server in self.shop_servers:
+                    server.runs.clear()
+                caller = await self.open_caller()
+                for _ in range(3):
+                    caller.send("/order/x", b"steel")
+                await self.wait_until(self.is_running)
+                stop = asyncio.create_task(self.process.stop())
+                await asyncio.sleep(0.1)
+                self.hang(last)
+                answers = [await caller.read() for _ in range(3)]
+                self.assertEqual(
+                    [answer.status for answer in answers],
+                    [502, 503, 503] if last else [200, 200, 200],
+                )
+                self.assertEqual(answers[2].headers["connection"], "close")
+                await stop
+                self.process = await self.start_entry()
+
     def hang(self, hang=True):
         for server in self.shop_servers:
             server.faults.hang = hang
