Count the grace period of a stop from its signal, also during the start

What callers saw: nothing so far; found by reading. A stop signal that came while the process waited for the store's first list (0.6 s at most) had no effect until then: the entry said that it was ready, and all times of the stop began late, so that its end (0.96 of 8 s) came after the kill that follows the grace period. Requests in flight then would be cut without an answer.

Cause: the signal handler set an event that is looked at once the start is complete, and PlatformProcess.stop() took its own start for that of the stop.

Evidence: test_stop_begins_with_the_signal signals during the start. On the sources before the entry is not stopping after it; now it is. A kill during such a stop was not played.

Change: the handler calls PlatformProcess.request_stop(), which begins the stop once and keeps its time. Waits end at their time instead of up to 50 ms after it.

--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -140,6 +140,7 @@
         self._callers_server: asyncio.Server | None = None
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task] = []
+        self._stop_requested_at: float | None = None
 
     async def start(self) -> None:
         """Start serving callers after the first list of the store."""
@@ -163,25 +164,24 @@
         )
         self._log.write("started", name=self._name, callers=boot.callers)
 
-    async def stop(self) -> None:
-        """Finish the requests in flight within the grace period, and close."""
-        stop_started_at = self._loop.time()
+    def request_stop(self) -> None:
+        """Begin to stop, also before the start is complete."""
+        if self._stop_requested_at is not None:
+            return
+        self._stop_requested_at = self._loop.time()
         self._entry.stop()
         self._log.write("stopping", grace=self._boot.grace)
-        earliest_end = stop_started_at + self._settings.stop_accept_time
-        latest_end = stop_started_at + self._boot.grace * GRACE_SHARE
-        while self._loop.time() < latest_end:
-            if self._loop.time() >= earliest_end and not self._entry.busy:
-                break
-            await asyncio.sleep(STOP_POLL_INTERVAL)
+
+    async def stop(self) -> None:
+        """Finish the requests in flight within the grace period, and close."""
+        self.request_stop()
+        stop_requested_at = self._stop_requested_at
+        earliest_end = stop_requested_at + self._settings.stop_accept_time
+        latest_end = stop_requested_at + self._boot.grace * GRACE_SHARE
+        await self._wait_until_idle(earliest_end, latest_end)
         await self._stop_listening()
         linger_until = self._loop.time() + self._boot.grace * LINGER_SHARE
-        while self._loop.time() < linger_until or (
-            self._entry.busy and self._loop.time() < latest_end
-        ):
-            await asyncio.sleep(
-                min(STOP_POLL_INTERVAL, self._boot.grace * LINGER_SHARE)
-            )
+        await self._wait_until_idle(linger_until, max(latest_end, linger_until))
         self._entry.fail_unfinished()
         await cancel_all(self._tasks)
         for server in self._servers:
@@ -191,9 +191,17 @@
         self._internal_pages.close()
         self._peers.close()
         self._store.close()
-        self._log.write("stopped", took=round(self._loop.time() - stop_started_at, 3))
+        self._log.write("stopped", took=round(self._loop.time() - stop_requested_at, 3))
         self._log.flush()
 
+    async def _wait_until_idle(self, earliest_end: float, latest_end: float) -> None:
+        """Wait until the entry is not busy, between two times of the loop."""
+        while (now := self._loop.time()) < latest_end:
+            if now >= earliest_end and not self._entry.busy:
+                return
+            next_end = earliest_end if now < earliest_end else latest_end
+            await asyncio.sleep(min(STOP_POLL_INTERVAL, next_end - now))
+
     def reload(self) -> None:
         """Check the settings file again and log which settings differ."""
         try:
@@ -375,8 +383,13 @@
     process = PlatformProcess(boot, listeners, log)
     loop.set_exception_handler(create_exception_handler(log))
     loop.add_signal_handler(signal.SIGHUP, process.reload)
+
+    def request_stop() -> None:
+        stop_requested.set()
+        process.request_stop()
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+        loop.add_signal_handler(signal_number, request_stop)
     await process.start()
     # Imported once callers are served: it takes 9 ms, more on a part of a
     # core.
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -22,9 +22,11 @@
     AttemptConnected,
     StopTimeExpired,
 )
+from chicorycove.direct.linelog import LineLog
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.lifecycle import AttemptFailed, StopRequested, Tick
 from chicorycove.platform import process as process_module
+from chicorycove.platform.listeners import open_listeners
 from chicorycove.platform.process import PlatformProcess
 from chicorycove.utils import cancel_all
 from tests.direct import (
@@ -201,6 +203,37 @@
         return bool(self.runs())
 
 
+class EarlyStopTest(PlatformTestCase):
+    """A stop signal that comes during the start."""
+
+    async def test_stop_begins_with_the_signal(self):
+        self.store.faults.down = True  # the start waits for its first list
+        handlers = {}
+        processes = []
+
+        def create(*args):
+            processes.append(PlatformProcess(*args))
+            return processes[0]
+
+        boot = new_boot(store=self.boot.store, name="entry-2")
+        listeners = open_listeners(boot.callers, boot.readiness)
+        log = LineLog(os.dup(self.log.fileno()), boot.name)
+        loop = asyncio.get_running_loop()
+        with (
+            mock.patch.object(loop, "add_signal_handler", handlers.__setitem__),
+            mock.patch.object(process_module, "PlatformProcess", create),
+        ):
+            run = asyncio.create_task(process_module.run(boot, listeners, log))
+            await asyncio.sleep(0.05)
+            handlers[signal.SIGTERM]()
+            self.assertTrue(processes[0]._entry.stopping)
+            await run
+        (line,) = [
+            line for line in await self.log_lines() if line["event"] == "stopping"
+        ]
+        self.assertEqual(line["grace"], boot.grace)
+
+
 class LateRequestTest(PlatformTestCase):
     """Requests that two entries read in any part of their stop."""
 
