Refuse ids, addresses and numbers of targets that cannot be used

No process ended, and changes were still learnt.

Cause: what a key or value of another writer holds was believed as far as its types went. - A target's id goes into a header of each request. One with a NUL has the target refuse the request; one with a line break adds a header to it ("x: y" arrived at the stand-in). - A host name was an address. A datagram to a name is sent by a blocking look-up, and a NUL in it closes the socket: after one such entry, all four of a failure domain had closed theirs, and followed no watcher any more. - Names and addresses of any length were used and logged: one line of the log had 1,048,545 bytes, and the log drops further lines meanwhile. - Nesting beyond the decoder's depth raised another error than the one that callers of the decoder expect.

Change: an id is visible ASCII, an address an IPv4 address and a port, an integer at most 2**53 - 1, a name at most 200 characters; slots are positive. What is quoted in the log is cut to 80 characters. The platform has no name look-ups, so that no sound entry holds a host name. A missing `slots`, `born`, `coldRemainingMs` or `sequence` is still accepted.

The stand-in of the store ends a page after 1 MB, as the store does.

Ruled out: slots in arithmetic (nothing uses a listing's slots), cold times of 1e305 s (bounded by max_cold_time), the decoder's time (1.2 ms at most for 1 MiB), an end of the process by nesting.

--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -4,6 +4,7 @@
 what a field holds where its name may mislead.
 """
 
+import ipaddress
 import typing as t
 
 import msgspec
@@ -27,13 +28,19 @@
 
 
 MAX_PORT = 65_535
-MAX_HOST_LABEL = 63  # characters, beyond which a name cannot be resolved
+MAX_ADDRESS_LENGTH = len("255.255.255.255:65535")
+MAX_QUOTED_LENGTH = 80  # characters of a value in a log line
+MAX_NAME_LENGTH = 200  # characters of a service's or failure domain's name
+MAX_INTEGER = 2**53 - 1  # above it, readers of JSON differ in what they read
 
 # A value outside these bounds would fail each request that uses it.
 _Positive = t.Annotated[int, msgspec.Meta(ge=1)]
 _PositiveRate = t.Annotated[float, msgspec.Meta(gt=0.0)]
 _Amount = t.Annotated[float, msgspec.Meta(ge=0.0)]
 _Size = t.Annotated[int, msgspec.Meta(ge=0)]
+_Name = t.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_Slots = t.Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+_Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class UndecodableValue(PlatformError):
@@ -112,13 +119,14 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: _Name
     address: str  # "ip:port"
-    zone: str  # failure domain
+    zone: _Name  # failure domain
     state: str  # "ready" or "draining"
-    slots: int = 1
-    born: int = 0  # start of the server, in milliseconds since the epoch
+    slots: _Slots = 1
+    born: _Count = 0  # start of the server, in milliseconds since the epoch
     coldRemainingMs: _Amount | None = None
+    sequence: _Count | None = None  # orders that the server has accepted
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -127,16 +135,29 @@
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text is "host:port" and can be connected to."""
+    """Return whether a text is "ip:port", with an IPv4 address.
+
+    A host name is none: to send a datagram to one, the event loop waits until
+    it is resolved, and the socket is closed if it holds a NUL.
+    """
     host, _, port = text.rpartition(":")
-    return (
-        bool(host)
-        and all(len(label) <= MAX_HOST_LABEL for label in host.split("."))
-        and port.isascii()
-        and port.isdigit()
-        and len(port) <= len(str(MAX_PORT))
-        and 0 < int(port) <= MAX_PORT
-    )
+    if len(text) > MAX_ADDRESS_LENGTH or not (port.isascii() and port.isdigit()):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a text can be sent in a header, and is read unchanged."""
+    return bool(text) and all("!" <= character <= "~" for character in text)
+
+
+def shorten(text: str) -> str:
+    """Return the beginning of a text of any length, quoted."""
+    return repr(text[:MAX_QUOTED_LENGTH])
 
 
 def decode_deployment(data: bytes) -> Deployment:
@@ -146,7 +167,7 @@
     """
     try:
         config = _config_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise UndecodableValue(f"invalid configuration: {error}") from None
     return Deployment(
         version=config.version,
@@ -171,14 +192,16 @@
 
     :raises UndecodableValue: if it is not a server that can be used
     """
+    if not is_header_value(id):
+        raise UndecodableValue(f"invalid server {id!r}: its id fits no header")
     try:
         server = _server_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise UndecodableValue(f"invalid server {id}: {error}") from None
     if server.state not in _LEAVING_BY_STATE or not is_address(server.address):
         raise UndecodableValue(
-            f"invalid server {id}: state {server.state!r}, "
-            f"address {server.address!r}"
+            f"invalid server {id}: state {shorten(server.state)}, "
+            f"address {shorten(server.address)}"
         )
     return TargetListing(
         id=id,
--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -430,14 +430,7 @@
         if item.deleted:
             self._remove_entry(name)
             return
-        try:
-            entry = msgspec.json.decode(item.data, type=_Entry)
-        except msgspec.MsgspecError as error:
-            raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
-        if not decoding.is_address(entry.address):
-            raise decoding.UndecodableValue(
-                f'invalid entry {name}: expected "ip:port", got {entry.address!r}'
-            )
+        entry = _decode_entry(name, item.data)
         if self._entries.get(name) != entry:
             self._entries[name] = entry
             self._log.write("peer listed", peer=name, address=entry.address)
@@ -501,3 +494,20 @@
     def _regained_ago(self) -> float | None:
         ago = self._clock() - self._regained_at
         return ago if ago < REGAINED_WINDOW else None
+
+
+def _decode_entry(name: str, data: bytes) -> _Entry:
+    """Decode an entry's value in the store.
+
+    :raises UndecodableValue: if it is not an entry that can be reached
+    """
+    try:
+        entry = msgspec.json.decode(data, type=_Entry)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
+    if not decoding.is_address(entry.address):
+        raise decoding.UndecodableValue(
+            f'invalid entry {name}: expected "ip:port", '
+            f"got {decoding.shorten(entry.address)}"
+        )
+    return entry
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -13,6 +13,7 @@
 from . import server
 
 PAGE_SIZE = 500  # items
+MAX_PAGE_BYTES = 1_000_000  # of the values, after which a page ends
 PROTECTED = ("op/", "servers/")  # prefixes that transactions may not write
 
 
@@ -216,8 +217,14 @@
         if after:
             await asyncio.sleep(self.faults.page_delay)
         keys = [key for key in self.keys(query.get("prefix", "")) if key > after]
-        page = [self._items[key].as_json() for key in keys[:PAGE_SIZE]]
-        more = len(keys) > PAGE_SIZE
+        page: list[dict] = []
+        size = 0
+        for key in keys[:PAGE_SIZE]:
+            page.append(self._items[key].as_json())
+            size += len(page[-1]["value"])
+            if size > MAX_PAGE_BYTES:
+                break
+        more = len(keys) > len(page)
         answer = {"items": page, "morePages": more, "storeRevision": self._revision}
         return JSONResponse(answer)
 
