Remove a target or peer whose entry has turned unreadable

Callers saw: nothing lost so far as known; entries disagreed. One that followed the store went on to send requests to a target whose key held an odd value; one that started then, or whose view came from a list after the target was unknown to it, did not. A target whose departure the odd value hid was used until its key was deleted.

Cause: a value that could not be decoded changed nothing, so that what an entry knew depended on when it had begun to follow.

Change: such a value names no target, as the platform's pages say, whether it comes by a list, a watch or a relay: the target is unlisted as if its key were deleted, with the grace period if the store was away. Requests that it runs end as usual. Its next sound value lists it again, as the same incarnation or another one. An entry's own key is treated alike; a peer that is still heard remains a peer. A configuration that cannot be decoded leaves the one in force, since the store accepts only valid ones.

Ruled out: to keep the target as a last resort. Its key says nothing of it, and the next check-in of a live server lists it again.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -408,7 +408,13 @@
         if item.deleted:
             self._remove_target(id)
             return
-        listing = decoding.decode_listing(id, item.data, self._regions)
+        try:
+            listing = decoding.decode_listing(id, item.data, self._regions)
+        except Exception:
+            # The key names no target now, as for an entry that starts.
+            if id in self._target_ids:
+                self._remove_target(id)
+            raise
         self._target_ids.add(id)
         self._handle(TargetListed(listing))
 
@@ -430,7 +436,11 @@
         if item.deleted:
             self._remove_entry(name)
             return
-        entry = _decode_entry(name, item.data)
+        try:
+            entry = _decode_entry(name, item.data)
+        except Exception:
+            self._remove_entry(name)
+            raise
         if self._entries.get(name) != entry:
             self._entries[name] = entry
             self._log.write("peer listed", peer=name, address=entry.address)
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -302,6 +302,72 @@
         return server.id in self.process._board.targets
 
 
+class TurnedOddTest(OddEntryTestCase):
+    """A sound server's entry is overwritten with an odd value."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.turned, self.other = self.shop_servers
+        self.key = f"servers/{self.turned.id}"
+
+    async def turn_odd(self, value=b"{}"):
+        self.store.put(self.key, value)
+        await self.wait_for_targets(self.other)
+
+    async def turn_back(self, **fields):
+        self.register_server(self.turned, **fields)
+        await self.wait_for_targets(self.turned, self.other)
+
+    async def test_server_whose_entry_turned_odd_is_used_by_no_entry(self):
+        await self.turn_odd()
+        await self.assert_served_by(self.other)
+        self.assertEqual(self.turned.runs, [])
+        newer = await self.start_entry(new_boot(store=self.boot.store, name="entry-2"))
+        self.assertEqual(newer._board.targets.keys(), {self.other.id})
+
+    async def test_entry_that_turned_odd_while_the_store_was_away_names_no_server(self):
+        self.store.faults.down = True
+        await asyncio.sleep(0.3)
+        self.store.put(self.key, b"[" * DEPTH)
+        self.store.faults.down = False
+        await self.wait_for_targets(self.other)
+
+    async def test_server_is_used_again_once_its_entry_is_sound(self):
+        for value in (b"{}", b"[" * DEPTH):
+            await self.turn_odd(value)
+            await self.turn_back()
+            await self.assert_served_by(self.turned, self.other)
+
+    async def test_server_that_started_again_is_used_as_another_incarnation(self):
+        await self.turn_odd()
+        await self.turn_back(born=2)
+        view = self.process._board.targets[self.turned.id]
+        self.assertEqual(view.listing.started_at, 2)
+        await self.assert_served_by(self.turned, self.other)
+
+    async def test_server_that_left_behind_an_odd_value_stays_left(self):
+        self.register_server(self.turned, state="draining")
+        await self.turn_odd()
+        self.store.remove(self.key)
+        await asyncio.sleep(0.6)
+        await self.assert_served_by(self.other)
+        self.assertEqual(self.turned.runs, [])
+
+    async def test_answer_of_a_server_whose_entry_turns_odd_is_delivered(self):
+        self.store.remove(f"servers/{self.other.id}")
+        await self.wait_for_targets(self.turned)
+        self.turned.faults.hang = True
+        task = asyncio.create_task(self.request("/order/x", b"y"))
+        await self.wait_until(self.has_run)
+        self.store.put(self.key, b"{}")
+        await self.wait_for_targets()
+        self.turned.faults.hang = False
+        self.assertEqual((await task).body, b"y")
+
+    async def has_run(self):
+        return bool(self.turned.runs)
+
+
 class OddPeerTest(FailureDomainTestCase, OddEntryTestCase):
     """Odd values among the keys of four entries, two of them followers."""
 
@@ -328,3 +394,15 @@
         await asyncio.sleep(2.0)
         self.assertTrue(await self.two_follow())
         await self.assert_follows()
+
+    async def test_server_whose_entry_turned_odd_is_used_by_no_follower(self):
+        self.store.put(f"servers/{self.shop_servers[0].id}", b"{}")
+        await self.wait_for_targets(self.shop_servers[1])
+
+    async def test_peer_whose_entry_turned_odd_is_still_heard(self):
+        (key,) = self.store.keys(f"{ENTRIES_PREFIX}entry-4.")
+        self.store.put(key, b"[" * DEPTH)
+        await asyncio.sleep(2.0)  # longer than updates may be missing
+        counts = [len(process._board.peer_names) for process in self.processes]
+        self.assertEqual(counts, [4] * 4)
+        await self.assert_follows()
