Refuse a datagram nested beyond the decoder's depth like any other

Cause: msgspec skips fields of a later version by recursion, and its error for too deep ones is no MsgspecError.

Change: the decoders of datagrams raise a DecodeError.

Evidence: test_deeply_nested_datagrams_are_refused fails with a RecursionError without the change, and passes with it.

--- a/src/chicorycove/direct/peer_datagram.py
+++ b/src/chicorycove/direct/peer_datagram.py
@@ -167,6 +167,7 @@
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerUpdate)
 _relay_decoder = msgspec.msgpack.Decoder(_RelayDatagram)
+DecodedT = t.TypeVar("DecodedT")
 
 
 def encode(
@@ -208,7 +209,7 @@
 
     :raises msgspec.MsgspecError: if it is not a peer's update
     """
-    update = _decoder.decode(data)
+    update = _decode(_decoder, data)
     owner = update.owner
     # Entries of earlier versions only understand that a limited, excluded or
     # cold target is unreachable.
@@ -401,7 +402,7 @@
 
     :raises msgspec.MsgspecError: if it is not one
     """
-    datagram = _relay_decoder.decode(data.removeprefix(RELAY_MARK))
+    datagram = _decode(_relay_decoder, data.removeprefix(RELAY_MARK))
     return RelayUpdate(
         owner=datagram.owner,
         revision=StoreRevision(datagram.era, datagram.revision),
@@ -413,6 +414,13 @@
     )
 
 
+def _decode(decoder: "msgspec.msgpack.Decoder[DecodedT]", data: bytes) -> DecodedT:
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:  # in a field of a later version
+        raise msgspec.DecodeError(str(error)) from None
+
+
 def _encode_item(work: WorkItem, now: float) -> WorkItemUpdate:
     return WorkItemUpdate(
         work.key.number,
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -163,6 +163,21 @@
                 with self.assertRaises(decoding.UndecodableValue):
                     decoding.decode_deployment(value.encode())
 
+    def test_deeply_nested_datagrams_are_refused(self):
+        update = peer_datagram.PeerUpdate("p", [], [], [], 1)
+        relay = ["p", 1, 0, 0, 0, b"", None, 0]
+        encode = msgspec.msgpack.encode
+        # One element more than the fields: that of a later version.
+        fields = msgspec.to_builtins(update)
+        nested = b"\x91" * 60_000
+        for decode, values in (
+            (lambda data: peer_datagram.decode(data, 0.0), fields),
+            (peer_datagram.decode_relay, relay),
+        ):
+            data = bytes([0x90 + len(values) + 1]) + encode(values)[1:] + nested
+            with self.assertRaises(msgspec.MsgspecError):
+                decode(data)
+
 
 class LargestValueTest(unittest.TestCase):
     """What the largest values of a listing do after it was decoded."""
