--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,6 +46,19 @@
 
         await self.wait_until(is_removed)
 
+    async def test_odd_host_keeps_no_other_from_use(self):
+        app = hosts.create_app(hosts.HostsSettings(hosts=(host("one"),)))
+        server = await self.serve(app)
+        adapter = HostList(server.address, TIMEOUT)
+        self.addAsyncCleanup(adapter.close)
+        odd_hosts = [3, None, [], {}, {"name": 3}, {"name": "x", "agent": 10**400}]
+        for number, odd in enumerate(odd_hosts):
+            app.state.hosts._visible[f"odd-{number}"] = odd
+        with self.assertLogs("chicorycove") as logs:
+            for _ in range(2):
+                self.assertEqual(await adapter.poll(), [host("one")])
+        self.assertEqual(len(logs.records), len(odd_hosts))  # logged once each
+
     async def test_missing_answer_raises(self):
         server, adapter = await self.open()
         await self.post(f"{server.url}/standin/faults", {"die": True})
