--- a/src/chicorycove/platform/decoding.py
+++ b/src/chicorycove/platform/decoding.py
@@ -4,7 +4,7 @@
 what a field holds where its name may mislead.
 """
 
-import ipaddress
+import socket
 import typing as t
 
 import msgspec
@@ -144,15 +144,15 @@
     if len(text) > MAX_ADDRESS_LENGTH or not (port.isascii() and port.isdigit()):
         return False
     try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):  # the latter for a NUL or a lone surrogate
         return False
     return 0 < int(port) <= MAX_PORT
 
 
 def is_header_value(text: str) -> bool:
     """Return whether a text can be sent in a header, and is read unchanged."""
-    return bool(text) and all("!" <= character <= "~" for character in text)
+    return bool(text) and text.isascii() and text.isprintable() and " " not in text
 
 
 def shorten(text: str) -> str:
