--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -408,7 +408,13 @@
         if item.deleted:
             self._remove_target(id)
             return
-        listing = decoding.decode_listing(id, item.data, self._regions)
+        try:
+            listing = decoding.decode_listing(id, item.data, self._regions)
+        except Exception:
+            # The key names no target now, as for an entry that starts.
+            if id in self._target_ids:
+                self._remove_target(id)
+            raise
         self._target_ids.add(id)
         self._handle(TargetListed(listing))
 
@@ -431,13 +437,10 @@
             self._remove_entry(name)
             return
         try:
-            entry = msgspec.json.decode(item.data, type=_Entry)
-        except msgspec.MsgspecError as error:
-            raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
-        if not decoding.is_address(entry.address):
-            raise decoding.UndecodableValue(
-                f'invalid entry {name}: expected "ip:port", got {entry.address!r}'
-            )
+            entry = _decode_entry(name, item.data)
+        except Exception:
+            self._remove_entry(name)
+            raise
         if self._entries.get(name) != entry:
             self._entries[name] = entry
             self._log.write("peer listed", peer=name, address=entry.address)
@@ -501,3 +504,20 @@
     def _regained_ago(self) -> float | None:
         ago = self._clock() - self._regained_at
         return ago if ago < REGAINED_WINDOW else None
+
+
+def _decode_entry(name: str, data: bytes) -> _Entry:
+    """Decode an entry's value in the store.
+
+    :raises UndecodableValue: if it is not an entry that can be reached
+    """
+    try:
+        entry = msgspec.json.decode(data, type=_Entry)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
+    if not decoding.is_address(entry.address):
+        raise decoding.UndecodableValue(
+            f'invalid entry {name}: expected "ip:port", '
+            f"got {decoding.shorten(entry.address)}"
+        )
+    return entry
