Give tests and experiments no port that a datagram socket uses

Two runs of tests/test_platform_odd_entries.py failed in their set-up, one with EADDRINUSE as an entry bound its port for datagrams; the error of the other was not kept. Later runs passed.

Cause: free_port() tried TCP only, while entries use the port for UDP too, and processes of other checkouts ran at the time. That one of them had the port was not shown.

The new test of PortTest fails without the change.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -248,7 +248,7 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that nothing listens on, another each time.
+    """Return a loopback port that no TCP or UDP socket uses, always another.
 
     It lies outside the range that outgoing connections are given ports from,
     and is locked until this process ends, so that no other deployment that
@@ -256,9 +256,11 @@
     """
     while True:
         port = next(_PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             _locks.append(_lock_port(port))
-            sock.bind((LOOPBACK, port))
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                sock = stack.enter_context(socket.socket(type=kind))
+                sock.bind((LOOPBACK, port))
             return port
 
 
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -1,9 +1,11 @@
 """The experiments' arrivals and ports."""
 
 import json
+import socket
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
 from bench import workload
 from bench.deployment import FIRST_PORT, LAST_PORT, free_port
@@ -58,3 +60,13 @@
         for process in processes:
             process.communicate("\n")
         self.assertEqual(len({*ports[0], *ports[1]}), 40)
+
+    def test_port_of_a_datagram_socket_is_not_free(self):
+        first, second = free_port(), free_port()
+        with (
+            mock.patch("bench.deployment._PORTS", iter([first, second])),
+            mock.patch("bench.deployment._lock_port"),
+            socket.socket(type=socket.SOCK_DGRAM) as taken,
+        ):
+            taken.bind(("127.0.0.1", first))
+            self.assertEqual(free_port(), second)
