Delay the turns of the connection tests where the loop looks for events

The clock was advanced by a task at the start of a turn, so that an attempt's timer was never due together with the event that its connection had opened, and the order test passed without the check of the kernel. It is advanced in the selector now.

An attempt that was closed while its socket opened is now ended in one place, as its connection is made, and the check of a closing transport, which never is one there, is gone.

--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -298,9 +298,6 @@
             return
         try:
             sock = await open_socket(self._command.address, timeout)
-            if self._closed:
-                sock.close()
-                return
             self.connection = TargetConnection(self)
             loop = asyncio.get_running_loop()
             await loop.create_connection(lambda: self.connection, sock=sock)
@@ -332,13 +329,15 @@
 
     @_report_exceptions
     def connection_opened(self) -> None:
-        if self._closed:
-            return
         now = asyncio.get_running_loop().time()
         self._connected_after = now - self._started_at
         exchange = self._exchange
         time_left = self._command.deadline - now
-        if time_left <= 0 or not exchange.listener.begin_attempt(self.attempt):
+        if (
+            self._closed
+            or time_left <= 0
+            or not exchange.listener.begin_attempt(self.attempt)
+        ):
             self.connection.abort()
             return
         self.connection.send(
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -80,7 +80,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        if self._done or transport.is_closing():
+        if self._done:
             transport.abort()
             return
         enable_keepalive(transport)
--- a/tests/test_direct_slow_connection.py
+++ b/tests/test_direct_slow_connection.py
@@ -8,6 +8,7 @@
 import unittest.mock
 import warnings
 
+from chicorycove.attempt import AttemptStep, advance
 from chicorycove.direct.client import CONNECT_TIMEOUT, CallFailed, HttpClient
 from chicorycove.direct.connector import open_socket
 from chicorycove.direct.event import TargetProbed
@@ -18,7 +19,7 @@
 from chicorycove.reason import Reason
 from chicorycove.verdict import Verdict
 
-from .platform_case import PlatformTestCase
+from .platform_case import TIMEOUT, PlatformTestCase
 from .scripted import ScriptedServer, answer
 
 SLOW_TIME = 2.0  # seconds, within the deadline of an order
@@ -29,10 +30,12 @@
     """Advances the event loop's clock, as turns do that take long."""
 
     def __init__(self):
-        self._loop = asyncio.get_running_loop()
-        self._real_time = self._loop.time
+        loop = asyncio.get_running_loop()
+        self._real_time, loop.time = loop.time, self.time
+        self._real_select = loop._selector.select
+        loop._selector.select = self._select
         self._offset = 0.0
-        self._loop.time = self.time
+        self._delays = []
 
     def time(self):
         return self._real_time() + self._offset
@@ -41,10 +44,16 @@
         """Delay one turn after the other, once a call has begun."""
         while not begun():
             await asyncio.sleep(0)
-        for delay in delays:
-            self._offset += delay
+        self._delays = list(delays)
+        while self._delays:
             await asyncio.sleep(0)
 
+    def _select(self, timeout):
+        """End a turn: its delay has passed as the loop looks for events."""
+        if self._delays:
+            self._offset += self._delays.pop(0)
+        return self._real_select(timeout)
+
 
 def late_turns(timeout):
     """Yield delays by which a timeout ends in one turn or another."""
@@ -81,6 +90,18 @@
     async def test_request_that_has_ended_is_not_sent(self):
         self.assertFalse(self.process._entry.begin_attempt(AttemptId("gone", 1, "1")))
 
+    async def test_attempt_that_has_ended_is_not_sent(self):
+        for server in self.shop_servers:
+            server.faults.hang = True
+        caller = await self.open_caller()
+        order = caller.send("/order/x")
+        async with asyncio.timeout(TIMEOUT):
+            while not self.runs():
+                await asyncio.sleep(0)
+        attempt = self.process._board.requests[order].attempts[-1]
+        advance(attempt, AttemptStep.FAIL)
+        self.assertFalse(self.process._entry.begin_attempt(attempt.id))
+
 
 class CallTest(unittest.IsolatedAsyncioTestCase):
     """Calls go on over connections that have opened in time."""
@@ -121,6 +142,7 @@
 
     async def asyncSetUp(self):
         self.received = []  # bytes, by connection
+        self.open_count = 0  # connections
         self.ended = asyncio.Event()
         server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.addCleanup(server.close)
@@ -129,10 +151,12 @@
     async def accept(self, reader, writer):
         """Close a connection at its end, or once a request is read."""
         data = b""
+        self.open_count += 1
         with contextlib.suppress(ConnectionError):
             while not data and not reader.at_eof():
                 data += await reader.read(100)
         self.received.append(data)
+        self.open_count -= 1
         self.ended.set()
         writer.close()
 
@@ -147,25 +171,29 @@
         )
         return TargetAttempt(exchange, command)
 
+    async def check_nothing_sent(self, attempt):
+        """Open an attempt and check that its connection gets no byte."""
+        async with asyncio.timeout(TIMEOUT):
+            await attempt.open(1.0)
+            await self.ended.wait()
+        self.assertEqual(self.received, [b""])
+
     async def check_failure(self, attempt, reason, verdict):
         """Open an attempt and check how it failed."""
         failed = asyncio.Event()
         self.listener.attempt_failed.side_effect = lambda *_: failed.set()
-        await attempt.open(1.0)
-        await failed.wait()
+        async with asyncio.timeout(TIMEOUT):
+            await attempt.open(1.0)
+            await failed.wait()
         self.listener.attempt_failed.assert_called_once_with(
             attempt.attempt, reason, verdict
         )
 
     async def test_attempt_that_must_not_begin_sends_nothing(self):
-        await self.new_attempt(begins=False).open(1.0)
-        await self.ended.wait()
-        self.assertEqual(self.received, [b""])
+        await self.check_nothing_sent(self.new_attempt(begins=False))
 
     async def test_connection_that_opens_after_the_deadline_sends_nothing(self):
-        await self.new_attempt(time_left=0.0).open(1.0)
-        await self.ended.wait()
-        self.assertEqual(self.received, [b""])
+        await self.check_nothing_sent(self.new_attempt(time_left=0.0))
         self.listener.begin_attempt.assert_not_called()
 
     async def test_refused_connection_proves_that_nothing_ran(self):
@@ -201,9 +229,11 @@
         self.assertEqual(sent, self.listener.begin_attempt.called)
         if end == "close":
             self.assertEqual(sent, begun)
-        if attempt.connection is not None:
+        if sent:  # the answer's head would end it
             attempt.connection.abort()
             await asyncio.sleep(0)
+        else:
+            self.assertEqual(self.open_count, 0)
 
 
 class ConnectorTest(unittest.IsolatedAsyncioTestCase):
@@ -221,6 +251,21 @@
                     with await open_socket(f"{name}:{port}", 1.0) as sock:
                         self.assertEqual(sock.getpeername()[:2], (names[0], port))
 
+    async def test_each_address_of_a_name_is_tried(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            refused = listener.getsockname()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            found = [
+                (socket.AF_INET, socket.SOCK_STREAM, 6, "", endpoint)
+                for endpoint in (refused, listener.getsockname())
+            ]
+            lookup = unittest.mock.AsyncMock(return_value=found)
+            with unittest.mock.patch.object(
+                asyncio.get_running_loop(), "getaddrinfo", lookup
+            ):
+                with await open_socket("target.example:80", 1.0) as sock:
+                    self.assertEqual(sock.getpeername(), listener.getsockname())
+
     async def test_what_cannot_be_an_address_is_an_error(self):
         for address in ("nowhere", "127.0.0.1:x", "127.0.0.1:70000", "::1:-1"):
             with self.subTest(address=address), no_leak(self):
