--- a/src/chicorycove/direct/connector.py
+++ b/src/chicorycove/direct/connector.py
@@ -16,9 +16,7 @@
     until = asyncio.get_running_loop().time() + timeout
     failure: OSError | None = None
     try:
-        async with asyncio.timeout_at(until):
-            endpoints = await _resolve(address)
-        for family, endpoint in endpoints:
+        for family, endpoint in await _resolve(address, until):
             try:
                 return await _connect(family, endpoint, until)
             except TimeoutError:
@@ -30,16 +28,17 @@
     raise failure or OSError(f"{address!r} has no address")
 
 
-async def _resolve(address: str) -> list[tuple[int, t.Any]]:
+async def _resolve(address: str, until: float) -> list[tuple[int, t.Any]]:
     """Return the families and endpoints of "host:port"."""
     host, port = address.rsplit(":", 1)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     try:
         socket.inet_pton(family, host)
     except OSError:  # a name, whose resolution may block
-        found = await asyncio.get_running_loop().getaddrinfo(
-            host, int(port), type=socket.SOCK_STREAM
-        )
+        async with asyncio.timeout_at(until):
+            found = await asyncio.get_running_loop().getaddrinfo(
+                host, int(port), type=socket.SOCK_STREAM
+            )
         return [(family, endpoint) for family, _, _, _, endpoint in found]
     return [(family, (host, int(port)))]
 
