Cap entries in the soak, and send the capped one more orders than it can handle

Orders ran at two servers while an entry's core share was a usage cap, and the soak saw none: it paused entries for whole stretches, and no load made a turn of a slowed entry's loop last for longer than a connection's timeout.

The process is continued if the cap is cancelled or killed. It is one of the random faults, and a step: the processor time of an order at an entry is measured, then callers on kept connections, as many as take 0.7, 1.0 and 1.4 times what the cap leaves, send orders for 4 s each. Orders are counted at the servers; fewer than a tenth run is a failure too, as the step then shows nothing. That a request which ran is not refused is checked for streams that can't be resumed as well as for orders. At most five violations of a kind are printed, so that none hides another.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import collections
 import contextlib
 import itertools
 import json
@@ -17,7 +18,7 @@
 from chicorycove.direct.client import HttpClient
 from tests.platform_case import Caller, config
 
-from . import check, steps
+from . import callers, check, steps
 from .fleet import (
     CRASHING_PART,
     CRASHING_PATH,
@@ -37,6 +38,7 @@
 CRASH_TIME = 14.0  # seconds in which callers send requests that crash servers
 CRASHING_BODY = "crash"  # of the one request that crashes servers
 RECOVERY_TIME = 12.0  # seconds after the last fault until requests are answered
+PRINTED_VIOLATIONS = 5  # of a kind
 ROUTES = ("order", "order", "lookup", "ask", "ask", "say")  # repeated by weight
 
 
@@ -44,6 +46,7 @@
     """A run of processes, callers and faults, all drawn from one seed."""
 
     def __init__(self, options: argparse.Namespace, folder: pathlib.Path) -> None:
+        self.capped_orders: check.OrderCounts | None = None  # once it has run
         self._options = options
         self._folder = folder
         self._random = random.Random(options.seed)
@@ -62,7 +65,7 @@
         """Run the test and return a line for each violation."""
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
-            callers = [asyncio.create_task(self._run_caller(n)) for n in range(6)]
+            sending = [asyncio.create_task(self._run_caller(n)) for n in range(6)]
             await asyncio.sleep(2.0)
             await self._inject_faults()
             await self._clear_faults()
@@ -70,6 +73,7 @@
             await asyncio.sleep(RECOVERY_TIME)
             violations = await self._check_answers_of_servers()
             recovered_until = time.time()
+            capped_orders = await self._send_orders_to_capped_entry()
             violations += await steps.check_cold_start(
                 self._entries,
                 self._store,
@@ -77,10 +81,12 @@
             )
             crashes = await self._send_crashing_requests()
             self._stopped = True
-            await asyncio.gather(*callers)
+            await asyncio.gather(*sending)
             await asyncio.sleep(4.5)  # by then all reservations have ended
             reservations = await self._read_reservations()
         runs = check.read_runs(self._folder)
+        self.capped_orders = check.count_orders(capped_orders, runs)
+        violations += check.check_capped_entry(self.capped_orders)
         violations += check.find_violations(
             self._sent, runs, self._draining, self._revoked, reservations
         )
@@ -201,15 +207,9 @@
             tokens = rng.choice((1000, 5000, 60_000, 300_000))
             headers["Chicorycove_Token_Counts"] = f"{tokens},460"
         started_at = time.time()
-        try:
-            caller.send(path, request.body.encode(), key=request.key, id=id, **headers)
-            answer = await caller.read()
-        except (OSError, EOFError, TimeoutError):
-            return False
-        request.status, request.complete = answer.status, answer.complete
-        request.answer, request.events = answer.body, tuple(answer.events)
+        reusable = await callers.send_request(caller, request, path, **headers)
         request.undisturbed = started_at > self._last_fault_at + SETTLING_TIME
-        return answer.complete and answer.headers.get("connection") != "close"
+        return reusable
 
     # What servers say, and what crashes them
 
@@ -228,6 +228,15 @@
         await self._operator.put(f"servers/{leaving.id}", None)
         return violations
 
+    async def _send_orders_to_capped_entry(self) -> list[check.SentRequest]:
+        self._last_fault_at = time.time()
+        orders = await steps.send_orders_to_capped_entry(
+            self._random.choice(self._entries),
+            lambda: self._create_request("order", self._keys[-1]),
+        )
+        self._last_fault_at = time.time()
+        return orders
+
     async def _send_crashing_requests(self) -> dict[str, list[float]]:
         """Let callers crash servers; return the times for each service."""
         crashes: dict[str, list[float]] = {"model": [], "shop": []}
@@ -263,6 +272,7 @@
             self._kill_entry,
             self._stop_entry,
             self._pause_entry,
+            self._cap_entry,
             self._reload_entry,
             self._kill_server,
             self._drain_server,
@@ -319,6 +329,10 @@
         await asyncio.sleep(self._random.uniform(0.2, 3.0))
         entry.signal(signal.SIGCONT)
 
+    async def _cap_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        await entry.run_capped(self._random.uniform(0.5, 5.0))
+
     async def _reload_entry(self) -> None:
         self._random.choice(self._entries).signal(signal.SIGHUP)
 
@@ -415,8 +429,15 @@
     served = sum(1 for status in statuses if status == 200)
     outcome = "FAILED" if violations else "ok"
     print(f"seed {seed}: {outcome}, {len(statuses)} sent, {served} answered 200")
-    for line in violations[:20]:
-        print(f"    {line}")
+    print(f"    capped entry: {soak.capped_orders}", flush=True)
+    by_kind = collections.defaultdict(list)
+    for line in violations:
+        by_kind[line.partition(":")[0]].append(line)
+    for lines in by_kind.values():
+        for line in lines[:PRINTED_VIOLATIONS]:
+            print(f"    {line}")
+        if len(lines) > PRINTED_VIOLATIONS:
+            print(f"    and {len(lines) - PRINTED_VIOLATIONS} more of this kind")
     if violations:
         print(f"    logs: {folder}")
     return violations
--- a/soak/check.py
+++ b/soak/check.py
@@ -18,6 +18,8 @@
 MAX_REQUESTS_IN_BACKOFF = 2  # of one entry, from then on
 MAX_LATE_RUNS = 3
 MIN_ANSWERED_SHARE = 0.9  # of the requests sent after the recovery time
+MIN_RUN_SHARE = 0.1  # of the orders sent to a capped entry
+REFUSALS = (408, 421, 429, 503)  # statuses of requests that never run
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,7 +115,7 @@
     violations = []
     if request.route in ("order", "say") and len(runs) > 1:
         violations.append(f"repeated: {request.id} ran {len(runs)} times")
-    if request.status in (408, 421, 429, 503) and request.route == "order" and runs:
+    if request.status in REFUSALS and request.route in ("order", "say") and runs:
         violations.append(f"refused: {request.id} got status {request.status}, but ran")
     if any(run.body != request.body for run in runs):
         violations.append(f"changed: {request.id} ran with another body")
@@ -233,6 +235,54 @@
     return [f"cold start: {answered} of {len(statuses)} answered, {statuses}"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderCounts:
+    """Counts of orders, by what became of them."""
+
+    sent: int
+    run: int
+    repeated: int
+    refused_though_run: int
+    bad_gateway: int  # answered 502, which promises nothing
+
+    def __str__(self) -> str:
+        return (
+            f"{self.sent} orders, {self.run} run, {self.repeated} more than once, "
+            f"{self.refused_though_run} refused though run, {self.bad_gateway} of 502"
+        )
+
+
+def count_orders(orders: list[SentRequest], runs: list[Run]) -> OrderCounts:
+    """Count orders by what servers logged and what callers were answered."""
+    run_counts = collections.Counter(run.attempt for run in runs)
+    return OrderCounts(
+        sent=len(orders),
+        run=sum(run_counts[order.id] > 0 for order in orders),
+        repeated=sum(run_counts[order.id] > 1 for order in orders),
+        refused_though_run=sum(
+            order.status in REFUSALS and run_counts[order.id] > 0 for order in orders
+        ),
+        bad_gateway=sum(order.status == 502 for order in orders),
+    )
+
+
+def check_capped_entry(counts: OrderCounts) -> list[str]:
+    """Check that orders sent to a capped entry ran, and at most once."""
+    violations = []
+    if counts.run < MIN_RUN_SHARE * counts.sent or not counts.run:
+        violations.append(f"cap: {counts.run} of {counts.sent} orders ran")
+    if counts.repeated:
+        violations.append(
+            f"cap: {counts.repeated} of {counts.sent} orders ran more than once"
+        )
+    if counts.refused_though_run:
+        violations.append(
+            f"cap: {counts.refused_though_run} of {counts.sent} orders ran, "
+            "but were refused"
+        )
+    return violations
+
+
 def check_recovery(sent: list[SentRequest], since: float, until: float) -> list[str]:
     """Check that enough requests sent between two times were answered."""
     later = [request for request in sent if since < request.sent_at < until]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -76,6 +76,27 @@
             self._process.kill()
             self._process.wait()
 
+    async def run_capped(self, seconds: float) -> None:
+        """Let the process run for a small share of each tenth of a second.
+
+        :raises subprocess.CalledProcessError: if it cannot be capped
+        """
+        if not self.running:
+            return
+        # Unlike an id, a descriptor never refers to a later process.
+        descriptor = os.pidfd_open(self.pid)
+        command = [sys.executable, "-m", "soak.cap", str(descriptor), str(seconds)]
+        capping = subprocess.Popen(command, pass_fds=[descriptor], cwd=ROOT)
+        try:
+            exit_code = await asyncio.to_thread(capping.wait)
+        finally:
+            capping.kill()
+            capping.wait()
+            os.close(descriptor)
+            self.signal(signal.SIGCONT)
+        if exit_code:
+            raise subprocess.CalledProcessError(exit_code, command)
+
     async def exits_within(self, timeout: float) -> bool:
         """Return whether the process exits within a timeout in seconds."""
         for _ in range(int(timeout / 0.05)):
--- a/soak/steps.py
+++ b/soak/steps.py
@@ -10,7 +10,7 @@
 from chicorycove.direct.client import HttpClient
 from tests.platform_case import Caller
 
-from . import check
+from . import callers, check
 from .fleet import Entry, Operator, Process, Server
 
 LIMIT = 2.0  # requests a second that a server names
@@ -18,6 +18,10 @@
 LISTING_INTERVAL = 0.4  # seconds between listings of a server
 AWAY_TIME = 1.2  # seconds for which the store stays away from restarted entries
 CALLERS_PER_ENTRY = 5
+# Processor time that orders to a capped entry take, against what it has.
+CAPPED_LOADS = (0.7, 1.0, 1.4)
+CAP_TIME = 4.0  # seconds
+CAP_PAUSE = 1.0  # seconds between two caps
 
 
 async def check_rate_limit(server: Server) -> list[str]:
@@ -55,17 +59,34 @@
     return check.check_leaving(told_at)
 
 
+async def send_orders_to_capped_entry(
+    entry: Entry, create_order: callers.CreateRequest
+) -> list[check.SentRequest]:
+    """Send an entry orders while its processor time is capped.
+
+    The servers' logs show later how often each order ran.
+    """
+    cost = await callers.measure_order_cost(entry, create_order)
+    orders = []
+    for load in CAPPED_LOADS:
+        orders += await callers.load_capped_entry(
+            entry, create_order, cost, load, CAP_TIME
+        )
+        await asyncio.sleep(CAP_PAUSE)
+    return orders
+
+
 async def check_cold_start(
     entries: list[Entry],
     store: Process,
-    create_request: t.Callable[[], check.SentRequest],
+    create_request: callers.CreateRequest,
 ) -> list[str]:
     """Restart all entries while the store is away, and check their callers."""
     store.signal(signal.SIGSTOP)
     for entry in entries:
         entry.kill()
         entry.start()
-    callers = [
+    sending = [
         asyncio.create_task(_send_until_accepted(entry, create_request()))
         for entry in entries
         for _ in range(CALLERS_PER_ENTRY)
@@ -74,7 +95,7 @@
         await _wait_until_listening(entry)
     await asyncio.sleep(AWAY_TIME)
     store.signal(signal.SIGCONT)
-    requests = await asyncio.gather(*callers)
+    requests = await asyncio.gather(*sending)
     return check.check_cold_start([request.status for request in requests])
 
 
@@ -133,10 +154,7 @@
     await _wait_until_listening(entry)
     caller = await Caller.open(f"127.0.0.1:{entry.caller_port}")
     try:
-        caller.send(f"/{request.route}/x", method="GET", key=request.key, id=request.id)
-        request.status = (await caller.read()).status
-    except (OSError, EOFError, TimeoutError):
-        pass  # the status shows that there was no answer
+        await callers.send_request(caller, request, f"/{request.route}/x", method="GET")
     finally:
         caller.close()
     return request
