Conclude what an attempt did from the entry's own record

Callers' orders could run twice: an attempt whose connection reported "not run" was sent to another target, even if it had begun, that is, if its request was to be written (`AttemptSender.begin`). A timer around `create_connection()` that ends after the send reports just that.

Cause: `FailureHandler.fail_attempt` took the verdict of the event for a proof. Now an attempt that has begun may have run, whatever is reported, and one that is reported as sent counts as sent even if it was not begun.

The fuzzer has a rule that lets an attempt fail with any reason and verdict at any moment, also after the send; its model of runs holds that an order never runs twice and is not failed as not run if a target may have got it.

Ruled out: that `begin` is called twice or after the send; it is called once, in the turn of the event loop before the write.

--- a/src/chicorycove/direct/failure.py
+++ b/src/chicorycove/direct/failure.py
@@ -1,6 +1,6 @@
 """Handles failed attempts."""
 
-from ..attempt import AttemptStep, advance, is_live
+from ..attempt import STARTED, AttemptStep, advance, is_live
 from ..identity import AttemptId
 from ..reason import Reason
 from ..verdict import Verdict
@@ -38,12 +38,19 @@
     def fail_attempt(
         self, attempt_id: AttemptId, reason: Reason, verdict: Verdict, now: float
     ) -> list[DirectCommand]:
-        """Retry or fail a request whose connection to its target failed."""
+        """Retry or fail a request whose connection to its target failed.
+
+        An attempt that has begun may have run, whatever is reported of it.
+        """
         request = self._board.current_request(attempt_id)
         if request is None:
             return []
         attempt = request.attempts[-1]
         target = attempt.agent.target
+        if attempt.state == STARTED:
+            verdict = Verdict.MAY_HAVE_RUN
+        elif verdict is not Verdict.NOT_RUN:
+            self._sender.count_sent(request)
         request.tried_targets.add(target)
         commands: list[DirectCommand] = []
         if verdict is Verdict.NOT_RUN:
--- a/src/chicorycove/direct/sending.py
+++ b/src/chicorycove/direct/sending.py
@@ -124,11 +124,15 @@
         if self._reservations.have_lapsed(attempt_id.request, now):
             return self.withdraw(request, "reserved memory lapsed", now)
         advance(attempt, AttemptStep.START)
-        request.sent_count += 1
-        request.run_count += 1
+        self.count_sent(request)
         self._pace.start_prefill(request, now)
         return []
 
+    def count_sent(self, request: DirectRequest) -> None:
+        """Count the newest attempt as one that may have run."""
+        request.sent_count += 1
+        request.run_count += 1
+
     def withdraw(
         self, request: DirectRequest, cause: str, now: float
     ) -> list[DirectCommand]:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -148,6 +148,20 @@
         )
         self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
 
+    def test_begun_attempt_that_is_reported_as_not_run_is_not_repeated(self):
+        # In review/1, a timeout of the connection ended after the send.
+        send = self.world.send("r", ORDER)
+        commands = self.world.handle(AttemptFailed(send.attempt, *UNREACHABLE))
+        self.assertNotIn("SendAttempt", command_names(commands))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_attempt_that_is_reported_as_sent_is_not_repeated(self):
+        send = only_command(self.world.receive("r", ORDER), "SendAttempt")
+        commands = self.world.handle(AttemptFailed(send.attempt, *BROKEN_STREAM))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_sent_again_when_the_target_is_unreachable(self):
         send = only_command(self.world.receive("r", ORDER), "SendAttempt")
         commands = self.world.handle(AttemptFailed(send.attempt, *UNREACHABLE))
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -292,6 +292,20 @@
             reason = Reason.STREAM_BROKEN
             self.handle(AttemptFailed(attempt, reason, Verdict.MAY_HAVE_RUN))
 
+    @rule(
+        data=st.data(),
+        reason=st.sampled_from([Reason.TARGET_UNREACHABLE, Reason.STREAM_BROKEN]),
+        verdict=st.sampled_from(Verdict),
+    )
+    def fail_at_any_time(self, data, reason, verdict):
+        """Let a connection report any verdict, before or after the send."""
+        attempt = self.pick(data, self.live)
+        if attempt is not None:
+            del self.live[attempt]
+            if verdict is not Verdict.NOT_RUN:
+                self.sent.add(attempt)
+            self.handle(AttemptFailed(attempt, reason, verdict))
+
     @rule(data=st.data(), answer=st.sampled_from([BACKOFF, BACKOFF, LEAVING]))
     def answer_earlier_order(self, data, answer):
         agents = {command.target for command in self.live.values()}
