Deliver no status that means "not run" without the target's word

A caller of an order, or of a stream that cannot be resumed, got a target's complete 408, 429 or 503 as it was, also if the target did not say that it had not run the request. Callers take these statuses for a promise, and send the order again: it runs twice.

Cause: `AnswerHandler.handle` delivered each complete answer that it did not retry. Which statuses callers take so is translated in `platform/headers.py` to a field of `TargetAnswer`; such an answer is replaced by 502 with nothing of the target's, where the request must not be repeated. Where it may be, the answer stays as it is, and so do 500 and 504. 421 is the target's word that it is another instance.

Evidence: with the field and without the change, the tests in tests.test_direct_dispatch and tests.test_platform_process. UnmarkedRefusalTest (sockets) failed for 408, 429 and 503, with `DeliverAnswer` and (408, b"ran"). The fuzzer asserts it as well.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -102,6 +102,12 @@
         advance(attempt, AttemptStep.END)
         if request.answer_started:
             return commands + self._completion.abort(request, Reason.TARGET_FAILED)
+        if answer.status_implies_not_run and not request.inbound.route.repeatable:
+            # The caller would repeat a request that may have run.
+            detail = f"status {answer.status}, but the request may have run"
+            target = attempt.agent.target
+            commands.append(LogChange("answer not delivered", target, detail))
+            return commands + self._completion.fail(request, Reason.TARGET_FAILED, None)
         return [
             *commands,
             DeliverAnswer(attempt_id.request, attempt_id),
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -26,6 +26,8 @@
 
     status: int
     not_run: bool  # the target did not run the request
+    # Callers infer from the status alone that the request has not run.
+    status_implies_not_run: bool = False
     wrong_instance: bool = False  # another target now has the address
     faulty_address: str | None = None  # address of the group member that failed
     # Requests per second that the target takes from all entries together.
--- a/src/chicorycove/platform/headers.py
+++ b/src/chicorycove/platform/headers.py
@@ -57,6 +57,8 @@
 LOWEST_PRIORITY = 9  # of a request that all others precede
 MISDIRECTED_REQUEST = 421  # the target is not the expected instance
 UNAVAILABLE = 503
+# By these statuses callers are promised that a request has not run.
+PROMISING_STATUSES = frozenset({408, MISDIRECTED_REQUEST, 429, UNAVAILABLE})
 MAX_SHARED_PARTS = 64  # of a prompt; further ones are ignored
 MAX_PART_ID_LENGTH = 64  # characters
 MS_PER_SECOND = 1000.0
@@ -152,6 +154,7 @@
         return TargetAnswer(
             status=status,
             not_run=_find_header(headers, NOT_EXECUTED) is not None,
+            status_implies_not_run=status in PROMISING_STATUSES,
             wrong_instance=status == MISDIRECTED_REQUEST,
             faulty_address=_decode_text(_find_header(headers, FAULTY_SERVER)) or None,
             rate_limit=rate_limit,
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -43,6 +43,8 @@
     only_command,
 )
 
+# The status of a refusal, without the target's word that it did not run.
+UNMARKED_REFUSAL = TargetAnswer(503, False, status_implies_not_run=True)
 WRONG_INSTANCE = TargetAnswer(status=421, not_run=True, wrong_instance=True)
 BROKEN_STREAM = (Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
 UNREACHABLE = (Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
@@ -191,6 +193,20 @@
             command_names(self.world.answer(send, SERVER_ERROR)), ["DeliverAnswer"]
         )
 
+    def test_status_of_a_refusal_without_proof_is_not_delivered(self):
+        say = dataclasses.replace(SHORT, repeatable=False, max_attempts=1)
+        for route in (ORDER, say):
+            for status in (408, 429, 503):
+                with self.subTest(route=route.name, status=status):
+                    id = f"{route.name}-{status}"
+                    send = self.world.send(id, route)
+                    answer = dataclasses.replace(UNMARKED_REFUSAL, status=status)
+                    commands = self.world.answer(send, answer)
+                    self.assertEqual(command_names(commands), ["FailRequest"])
+                    fail = only_command(commands, "FailRequest")
+                    self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+                    self.assertIsNone(fail.retry_after)
+
 
 class RepeatableTest(unittest.TestCase):
     def setUp(self):
@@ -205,6 +221,15 @@
             command_names(self.world.answer(retry, SERVER_ERROR)), ["DeliverAnswer"]
         )
 
+    def test_status_of_a_refusal_without_proof_is_delivered(self):
+        send = self.world.send("r", LOOKUP)
+        retry = only_command(self.world.answer(send, UNMARKED_REFUSAL), "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        self.assertEqual(
+            command_names(self.world.answer(retry, UNMARKED_REFUSAL)),
+            ["DeliverAnswer"],
+        )
+
     def test_hang_is_retried_elsewhere_within_the_objective(self):
         send = self.world.send("r", LOOKUP)
         self.world.now = LOOKUP.objective * 0.8
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -67,6 +67,7 @@
 
 LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
 BACKOFF = TargetAnswer(status=503, not_run=True, retry_after=2.0)
+UNMARKED_REFUSAL = TargetAnswer(503, False, status_implies_not_run=True)
 LEAVING = TargetAnswer(status=200, not_run=False, leaving=True)
 NO_BACKOFF = (-math.inf, -math.inf)
 LEASE = DirectSettings().reservation.lease_duration
@@ -86,6 +87,7 @@
         self.sent = set()  # attempts whose requests were sent
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
+        self.answers = {}  # attempt: its target's complete answer
         self.pending_reservations = {}  # reservation: its unanswered order
         self.held_reservations = {}  # reservation: its target, end of its lease
         self.unreleased = set()  # reservations whose leases end instead
@@ -144,7 +146,14 @@
                     command.attempt, 0
                 ), "released a reservation that is not held"
                 self.pending_reservations.pop(command.attempt, None)
-            case "DeliverAnswer" | "FinishAnswer" | "AbortAnswer":
+            case "DeliverAnswer":
+                self.finish_request(command.request, command)
+                repeatable = self.routes[command.request].repeatable
+                answer = self.answers[command.attempt]
+                assert (
+                    repeatable or not answer.status_implies_not_run
+                ), "delivered a status that means not run, but it may have run"
+            case "FinishAnswer" | "AbortAnswer":
                 self.finish_request(command.request, command)
             case "FailRequest":
                 self.finish_request(command.request, command)
@@ -233,7 +242,16 @@
     @rule(
         data=st.data(),
         answer=st.sampled_from(
-            [OK, OK, LIMITED, SERVER_ERROR, TARGET_FULL, BACKOFF, LEAVING]
+            [
+                OK,
+                OK,
+                LIMITED,
+                SERVER_ERROR,
+                UNMARKED_REFUSAL,
+                TARGET_FULL,
+                BACKOFF,
+                LEAVING,
+            ]
         ),
     )
     def answer(self, data, answer):
@@ -247,6 +265,7 @@
         self.handle(AnswerHeadReceived(attempt, answer))
         route = self.routes[attempt.request]
         if attempt in self.live and not (route.streamed and answer.succeeded):
+            self.answers[attempt] = answer
             self.handle(AnswerReceived(attempt, answer))
 
     def record_terms(self, agent, answer):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -6,6 +6,7 @@
 from standin.platform_server import Faults
 
 from .platform_case import KEY, PlatformTestCase, config, route
+from .scripted import answer as answer_bytes
 from .test_direct_backoff import ALLOWED_REQUESTS, GRACE
 
 
@@ -194,6 +195,34 @@
         self.assertEqual(answer.status, 504)
 
 
+class UnmarkedRefusalTest(PlatformTestCase):
+    """Failure: a status that means "not run" is passed on after a run."""
+
+    model_count = shop_count = 0
+
+    async def test_statuses_of_a_target_that_may_have_run_the_request(self):
+        async def handle(request):
+            status = int(request.path.rpartition("/")[2])
+            headers = ["Chicorycove-Response-Signature: s", "Retry-After: 0"]
+            request.send(answer_bytes(b"ran", headers, status))
+
+        for service in ("shop", "model"):
+            await self.add_scripted_server(service, handle)
+        await asyncio.sleep(0.5)
+        for status in (408, 429, 500, 503):
+            for path in ("/order", "/say", "/lookup"):
+                with self.subTest(path=path, status=status):
+                    stream = {"Chicorycove_Token_Counts": "1000,460"}
+                    fields = stream if path == "/say" else {}
+                    answer = await self.request(f"{path}/{status}", **fields)
+                    if status == 500 or path == "/lookup":
+                        self.assertEqual((answer.status, answer.body), (status, b"ran"))
+                        continue
+                    self.assertEqual((answer.status, answer.body), (502, b""))
+                    self.assertNotIn("retry-after", answer.headers)
+                    self.assertNotIn("chicorycove-response-signature", answer.headers)
+
+
 class StreamTest(PlatformTestCase):
     async def test_events_arrive_in_order(self):
         answer = await self.request_stream()
