Count a refusal only of an attempt that was sent and not answered yet

`AnswerHandler._handle_refusal` took back a run and counted a refusal without a look at the attempt. A refusal of an attempt that was not begun made up for another one that may have run: the request was then failed as not run. A refusal after a part of the answer was relayed let a stream that cannot be resumed run a second time.

Ruled out: a refusal handled twice, by its head and by its end; after the first the attempt is no longer the newest, or the request has left the board.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -1,6 +1,6 @@
 """Handles the answers of targets."""
 
-from ..attempt import AttemptStep, advance
+from ..attempt import STARTED, AttemptStep, advance
 from ..identity import AttemptId
 from ..lifecycle import FinishAnswer
 from ..reason import Reason
@@ -180,12 +180,24 @@
     def _handle_refusal(
         self, request: DirectRequest, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
-        """Retry after a target has reported that it did not run an attempt."""
+        """Retry after a target has reported that it did not run an attempt.
+
+        A target that has begun to answer an attempt has run it.
+        """
         attempt = request.attempts[-1]
         target = attempt.agent.target
+        if request.newest_answer_began:
+            return [
+                CancelAttempt(attempt.id),
+                LogChange("refusal ignored", target, _describe_refusal(answer)),
+                *self._failures.fail_attempt(
+                    attempt.id, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
+                ),
+            ]
+        if attempt.state == STARTED:
+            request.run_count -= 1
+            request.refused_count += 1
         advance(attempt, AttemptStep.REFUSE)
-        request.run_count -= 1
-        request.refused_count += 1
         if answer.wrong_instance:
             commands = self._targets.remove_replaced(target)
         else:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -288,6 +288,25 @@
         self.assertIs(fail.reason, Reason.RETRY_BUDGET)
         self.assertIs(fail.verdict, Verdict.NOT_RUN)
 
+    def test_refusal_of_an_attempt_that_was_not_sent_proves_nothing_of_others(self):
+        world = DirectWorld(shops=3)
+        send = world.send("r", LOOKUP)
+        retry = only_command(world.answer(send, SERVER_ERROR), "SendAttempt")
+        for target in list(world.board.targets):
+            world.handle(TargetUnlisted(target))
+        commands = world.handle(AnswerHeadReceived(retry.attempt, TARGET_FULL))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_refusal_after_a_part_of_the_answer_proves_nothing(self):
+        world = DirectWorld(engines=4)
+        say = dataclasses.replace(SHORT, repeatable=False, max_attempts=1)
+        send = world.send("r", say)
+        world.stream(send)
+        commands = world.handle(AnswerHeadReceived(send.attempt, TARGET_FULL))
+        self.assertNotIn("SendAttempt", command_names(commands))
+        self.assertIn("AbortAnswer", command_names(commands))
+
     def test_attempt_on_a_dead_target_may_have_run(self):
         world = DirectWorld(engines=2)
         send = world.send("r", SHORT)
