Say "not run" after an exception once nothing can be sent any more

After unexpected exceptions a caller could get 503, and its order ran later: - If the dispatcher raised again as the failed request was removed, or an attempt could not be closed, `_end_failed_request` skipped `exchange.close()`, and the connection that was still opening sent the request. - If something raised after the request was dispatched on its arrival, `CallerAdmission.receive` answered 503 while its attempt went on.

Now the attempt is closed before the verdict is concluded, and if it cannot be, the verdict is that it may have run. `_fail` closes it before the answer is written. An exception on arrival ends the exchange that was begun in the same way. `AttemptSender.begin` cancels an attempt whose request has left the board, in place of letting it go on. A request that was held for the first deployment is answered as well if it then cannot be read; its caller waited in vain.

Evidence: on the parent, tests.test_direct_malformed.ProcessTest (two new tests) saw (503, 1 run) three times, tests.test_direct_dispatch no `CancelAttempt`, and tests.test_cold_start no answer within 10 s. They pass now. The exceptions are patched in; none was seen by itself.

--- a/src/chicorycove/direct/caller_admission.py
+++ b/src/chicorycove/direct/caller_admission.py
@@ -1,6 +1,7 @@
 """Admits, holds or rejects the complete requests of callers."""
 
 import random
+import typing as t
 
 from ..metric import Metrics
 from ..reason import Reason
@@ -29,6 +30,7 @@
         rng: random.Random,
         exchanges: ExchangeTable,
         held: HeldRequestQueue,
+        end_failed_request: t.Callable[[str], None],
     ) -> None:
         self._listener = listener
         self._board = board
@@ -38,6 +40,7 @@
         self._random = rng
         self._exchanges = exchanges
         self._held = held
+        self._end_failed_request = end_failed_request
         self._cancelled_connections = CancelledConnections()
 
     @property
@@ -50,15 +53,32 @@
             if self._board.table is None and not self._stopping:
                 if self._held.hold(connection, request):
                     return
-            self.answer(connection, request)
         except Exception as error:
-            self._log.write("request not read", cause=repr(error))
-            if connection.awaits_answer_to(request):
-                self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
-                connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
+            self._held.remove(connection)
+            self._end_unread(connection, request, error)
+            return
+        self.answer(connection, request)
 
     def answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         """Admit a request, or reject it."""
+        try:
+            self._answer(connection, request)
+        except Exception as error:
+            self._end_unread(connection, request, error)
+
+    def _end_unread(
+        self, connection: CallerConnection, request: HttpRequest, error: Exception
+    ) -> None:
+        """End a request that could not be admitted, with what has begun."""
+        self._log.write("request not read", cause=repr(error))
+        exchange = self._exchanges.find_current(connection)
+        if exchange is not None and exchange.request is request:
+            self._end_failed_request(exchange.inbound.request.id)
+        elif connection.awaits_answer_to(request):
+            self._metrics.refused(Reason.INTERNAL_ERROR, Verdict.NOT_RUN)
+            connection.send_answer(503, self._dialect.entry_headers("", 0.0), b"")
+
+    def _answer(self, connection: CallerConnection, request: HttpRequest) -> None:
         connection.close_after_answer = connection.close_after_answer or self._stopping
         parsed = self._dialect.parse_request(
             request, self._board.table, self._random.random()
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -106,7 +106,15 @@
             lambda connection, request: self._admission.answer(connection, request),
         )
         self._admission = CallerAdmission(
-            self, board, dialect, metrics, log, rng, self._exchanges, self._held
+            self,
+            board,
+            dialect,
+            metrics,
+            log,
+            rng,
+            self._exchanges,
+            self._held,
+            self._end_failed_request,
         )
         self._buffer_limiter = BufferLimiter(
             self._buffers,
@@ -206,6 +214,11 @@
         request = self._board.requests.get(id)
         # A request that has left the board had an answer or a failure already.
         ran = request is None or request.may_have_run
+        try:
+            exchange.close()
+        except Exception as error:
+            self._report_failure("attempt not closed", CallerDisconnected(id), error)
+            ran = True  # a connection that is still open may send it
         verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
         try:
             commands = self._dispatcher.handle(
@@ -213,7 +226,6 @@
             )
             for command in commands:
                 self._execute(command)
-            exchange.close()
         except Exception as error:
             self._report_failure("request not removed", CallerDisconnected(id), error)
             self._board.requests.pop(id, None)
@@ -370,6 +382,7 @@
         status = get_failure_status(command.reason, command.verdict)
         self._request_log.record_failure(exchange, command, status)
         headers = self._dialect.entry_headers(command.request, command.retry_after)
+        exchange.close()  # nothing is sent once the caller has its answer
         exchange.connection.send_answer(status, headers, b"")
         self._remove_exchange(exchange)
 
--- a/src/chicorycove/direct/sending.py
+++ b/src/chicorycove/direct/sending.py
@@ -113,7 +113,7 @@
         """
         request = self._board.current_request(attempt_id)
         if request is None:
-            return []
+            return [CancelAttempt(attempt_id)]
         attempt = request.attempts[-1]
         if self._evacuation.affects(request):
             return self.withdraw(request, "evacuation", now)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import unittest
+from unittest import mock
 
 from chicorycove.direct.cold_start import ColdStartSettings, HeldRequests
 
@@ -42,6 +43,14 @@
         answers = [await caller.read() for caller in callers]
         self.assertEqual([answer.status for answer in answers], [404, 401])
 
+    async def test_exception_as_a_request_is_held_no_longer_is_answered(self):
+        caller = await self.send()
+        where = "chicorycove.platform.headers.PlatformDialect.parse_request"
+        with mock.patch(where, side_effect=KeyError("unforeseen")):
+            self.store.faults.down = False
+            self.assertEqual((await caller.read()).status, 503)
+        self.assertEqual(self.runs(), [])
+
     async def test_held_request_of_a_caller_that_left_does_not_run(self):
         caller = await self.send()
         caller.close()
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -175,6 +175,12 @@
         commands = self.world.handle(AnswerHeadReceived(send.attempt, TARGET_FULL))
         self.assertNotEqual(only_command(commands, "SendAttempt").target, send.target)
 
+    def test_attempt_of_an_ended_request_is_not_sent(self):
+        send = only_command(self.world.receive("r", ORDER), "SendAttempt")
+        self.world.handle(CallerDisconnected("r"))
+        commands = self.world.handle(AttemptConnected(send.attempt))
+        self.assertEqual(command_names(commands), ["CancelAttempt"])
+
     def test_verdict_at_the_deadline_is_not_run_only_before_it_is_sent(self):
         for reached in (False, True):
             with self.subTest(reached=reached):
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -477,6 +477,42 @@
         self.assertTrue((await other).complete)
         await self.assert_serving()
 
+    async def test_request_that_is_answered_as_not_run_is_not_sent_later(self):
+        begin = "chicorycove.direct.sending.AttemptSender.begin"
+        for where in (
+            "chicorycove.direct.termination.RequestTermination.disconnect",
+            "chicorycove.direct.exchange.TargetAttempt.close",
+        ):
+            with self.subTest(where):
+                count = len(self.runs())
+                error = KeyError("unforeseen")
+                with (
+                    mock.patch(begin, side_effect=error),
+                    mock.patch(where, side_effect=error),
+                ):
+                    found = await self.request("/order/x", b"y")
+                    await asyncio.sleep(0.1)
+                ran = len(self.runs()) - count
+                self.assertIn((found.status, ran), [(502, 0), (502, 1), (503, 0)])
+                await self.assert_serving()
+
+    async def test_exception_after_the_admission_ends_what_was_begun(self):
+        schedule_timer = DirectEntry._schedule_timer
+        raised = []
+
+        def raise_once(entry):
+            if entry.busy and not raised:
+                raised.append(KeyError("unforeseen"))
+                raise raised[0]
+            schedule_timer(entry)
+
+        with mock.patch.object(DirectEntry, "_schedule_timer", raise_once):
+            found = await self.request("/order/x", b"y")
+            await asyncio.sleep(0.1)
+        self.assertTrue(raised)
+        self.assertEqual((found.status, self.runs()), (503, []))
+        await self.assert_serving()
+
     async def test_exception_in_a_periodic_task_does_not_end_it(self):
         with (
             mock.patch.object(
