Take only a refused connection for the end of a target

A repeatable request could run on more targets than its route's `max_attempts`: after a failed probe a run was no longer counted. But a probe that is not answered in time proves nothing: the target, or this process, may be slow, or packets lost. An attempt that was not begun was even subtracted from the runs of others.

Now `TargetProbed.refused` says that the host refused the connection; only then a run is no longer counted. After a probe without an answer, the request moves if it has attempts left, and otherwise stays where it is: its target may still answer. What was not begun counts neither way.

`TargetCalls.probe` is to pass `isinstance(error, ConnectionRefusedError)`; until it does, no run is taken back.

The fuzzer's model counts the runs on targets that have not ended.

--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -266,8 +266,8 @@
                 return self._set_backpressure(request_id, blocked, now)
             case BufferBoundExceeded(request_id, answerable):
                 return self._termination.end_fullest(request_id, answerable)
-            case TargetProbed(target, reachable):
-                return self._failures.handle_probe_result(target, reachable, now)
+            case TargetProbed():
+                return self._failures.handle_probe_result(event, now)
             case DeploymentReceived(table):
                 self._board.table = table
                 return self._target_limits.record_deployment(now)
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -128,6 +128,7 @@
 
     target: str
     reachable: bool
+    refused: bool = False  # the target's host is alive, and the target has ended
 
 
 @frozen
--- a/src/chicorycove/direct/failure.py
+++ b/src/chicorycove/direct/failure.py
@@ -7,6 +7,7 @@
 from .board import DirectBoard, DirectRequest
 from .command import CancelAttempt, DirectCommand
 from .completion import RequestCompletion
+from .event import TargetProbed
 from .quarantine import RequestQuarantine
 from .retry import DirectRetryPolicy
 from .sending import AttemptSender
@@ -65,11 +66,12 @@
         return commands + self.retry_or_fail(request, reason, verdict, now)
 
     def handle_probe_result(
-        self, target: str, reachable: bool, now: float
+        self, event: TargetProbed, now: float
     ) -> list[DirectCommand]:
         """Retry repeatable requests of a target that cannot be reached."""
-        commands = self._quarantine.record_probe(target, reachable, now)
-        if reachable:
+        target = event.target
+        commands = self._quarantine.record_probe(target, event.reachable, now)
+        if event.reachable:
             return commands
         commands += self._target_health.suspect(target, now)
         for request in list(self._board.requests.values()):
@@ -77,8 +79,7 @@
             if attempt is None or not is_live(attempt):
                 continue
             if attempt.agent.target == target and request.inbound.route.repeatable:
-                commands.append(CancelAttempt(attempt.id))
-                commands += self._fail_lost_attempt(request, now)
+                commands += self._fail_lost_attempt(request, event.refused, now)
         return commands
 
     def retry_or_fail(
@@ -105,11 +106,19 @@
         return self._target_health.record_failure(agent, kind, now)
 
     def _fail_lost_attempt(
-        self, request: DirectRequest, now: float
+        self, request: DirectRequest, target_ended: bool, now: float
     ) -> list[DirectCommand]:
-        """Retry after the target of a live attempt has died."""
+        """Retry after the target of a live attempt could not be reached."""
         attempt = request.attempts[-1]
-        advance(attempt, AttemptStep.FAIL)
+        began = attempt.state == STARTED
+        if began and target_ended:
+            request.run_count -= 1  # the target runs nothing any more
+        elif began and not self._retry_policy.may_retry(request, now):
+            return []  # the target may be alive, and answer later
+        advance(attempt, AttemptStep.FAIL if began else AttemptStep.REFUSE)
         request.tried_targets.add(attempt.agent.target)
-        request.run_count -= 1  # a dead target runs nothing
-        return self.retry_or_fail(request, Reason.LINK_LOST, Verdict.MAY_HAVE_RUN, now)
+        verdict = Verdict.MAY_HAVE_RUN if began else Verdict.NOT_RUN
+        return [
+            CancelAttempt(attempt.id),
+            *self.retry_or_fail(request, Reason.LINK_LOST, verdict, now),
+        ]
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -302,7 +302,8 @@
     def probe(self, target):
         if target in self.fleet.targets:
             self.fleet.record_call(self, self.fleet.targets[target], "probe")
-        self.handle(TargetProbed(target, target in self.fleet.targets))
+        reachable = target in self.fleet.targets
+        self.handle(TargetProbed(target, reachable, refused=not reachable))
 
     def send_state(self):
         if self.paused:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -120,6 +120,24 @@
         self.assertEqual(retry.last_event_id, 4)
         self.assertNotEqual(retry.target, send.target)
 
+    def test_target_that_answers_no_probe_counts_until_its_end_is_known(self):
+        send = self.world.send("r", SHORT)
+        commands = self.world.handle(TargetProbed(send.target.target, False))
+        retry = only_command(commands, "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        target = retry.target.target
+        commands = self.world.handle(TargetProbed(target, False))
+        self.assertEqual(command_names(commands), [])
+        commands = self.world.handle(TargetProbed(target, False, refused=True))
+        self.assertEqual(command_names(commands), ["CancelAttempt", "SendAttempt"])
+
+    def test_attempt_that_was_not_sent_is_no_run_of_a_dead_target(self):
+        send = only_command(self.world.receive("r", SHORT), "SendAttempt")
+        probed = TargetProbed(send.target.target, False, refused=True)
+        retry = only_command(self.world.handle(probed), "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        self.assertEqual(self.world.board.requests["r"].run_count, 1)
+
     def test_unresponsive_target_is_probed_before_the_timeout(self):
         send = self.world.send("r", SHORT)
         self.world.stream(send)
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -85,6 +85,8 @@
         self.routes = {}
         self.live = {}  # attempt: its command, while its connection is open
         self.sent = set()  # attempts whose requests were sent
+        self.ended = set()  # sent attempts whose targets have ended since
+        self.targets = {}  # attempt: its target
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
         self.answers = {}  # attempt: its target's complete answer
@@ -119,6 +121,7 @@
                     ), "sent to another region"
                 self.close_attempts(id)
                 self.live[command.attempt] = command
+                self.targets[command.attempt] = command.target.target
                 assert command.last_event_id == self.last_event_ids.get(
                     id
                 ), "resumed after the wrong event"
@@ -365,11 +368,21 @@
             self.handle(BufferBoundExceeded(id, answerable))
             assert id in self.finished, "the fullest request has not ended"
 
-    @rule(data=st.data(), reachable=st.booleans())
-    def probe(self, data, reachable):
+    @rule(
+        data=st.data(),
+        result=st.sampled_from([(True, False), (False, False), (False, True)]),
+    )
+    def probe(self, data, result):
         target = self.pick(data, set(self.world.board.targets))
         if target is not None:
-            self.handle(TargetProbed(target, reachable))
+            reachable, refused = result
+            if refused:
+                self.ended |= {
+                    attempt
+                    for attempt in set(self.live) & self.sent
+                    if self.targets[attempt] == target
+                }
+            self.handle(TargetProbed(target, reachable, refused))
 
     @rule(seconds=st.floats(0.001, 3.0))
     def advance_time(self, seconds):
@@ -446,11 +459,14 @@
 
     @invariant()
     def repeatable_requests_stay_within_max_attempts(self):
-        # An attempt on a target that was found dead does not count.
+        # An attempt on a target that has ended meanwhile does not count.
         for id, route in self.routes.items():
             request = self.world.board.requests.get(id)
             if request is not None:
                 assert request.run_count <= route.max_attempts, id
+            if route.repeatable:
+                runs = set(self.possible_runs(id)) - self.ended
+                assert len(runs) <= route.max_attempts, id
 
     @invariant()
     def finished_requests_leave_nothing(self):
