Report an open connection that ends as refused as a failed target

Program with agents: an agent took each `ConnectionRefusedError` for "nothing was sent", and its attempt was sent elsewhere. An ICMP message (a firewall that begins to reject) ends an open connection with the same error, after the request was sent. The claims' store concluded the same.

The reads of an open connection now raise `ConnectionDisconnected` instead, in `httpclient.py`, so that the error means what both take it for. Ruled out by reading aiosonic: its connect timer is around the connect alone and ends before anything is written; a connection in use again is never sent over by itself (`reused` is always false); redirects are not followed.

The ICMP case itself was not played.

--- a/src/chicorycove/httpclient.py
+++ b/src/chicorycove/httpclient.py
@@ -1,13 +1,34 @@
 """HTTP client that mixes up no answers and retries no request."""
 
+import functools
+import typing as t
+
 import aiosonic
 from aiosonic.connection import Connection
 from aiosonic.connectors import PoolConfig, TCPConnector
+from aiosonic.exceptions import ConnectionDisconnected
 from aiosonic.timeout import Timeouts
 
 MAX_TIMEOUT = 3600.0  # seconds; callers enforce a shorter one
 
 
+def _of_open_connection(read: t.Callable[..., t.Awaitable[bytes]]):
+    """Raise ``ConnectionDisconnected`` for a refusal of an open connection.
+
+    An ICMP error can end an open connection with ``ConnectionRefusedError``,
+    which callers take for a proof that nothing was sent.
+    """
+
+    @functools.wraps(read)
+    async def call(connection: Connection, *args: int | bytes) -> bytes:
+        try:
+            return await read(connection, *args)
+        except ConnectionRefusedError as error:
+            raise ConnectionDisconnected() from error
+
+    return call
+
+
 class _Connection(Connection):
     """Connection that is closed if a request is aborted, without retries.
 
@@ -18,6 +39,11 @@
     can decide whether a request may be repeated.
     """
 
+    read = _of_open_connection(Connection.read)
+    readexactly = _of_open_connection(Connection.readexactly)
+    readline = _of_open_connection(Connection.readline)
+    readuntil = _of_open_connection(Connection.readuntil)
+
     @property
     def reused(self) -> bool:
         """Return False, so that aiosonic never repeats a request."""
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from unittest import mock
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -76,6 +77,22 @@
         with self.assertRaises(TargetUnreachable):
             await self.send_request("/first", idempotent=False)
 
+    async def test_open_connection_that_ends_as_refused_may_have_sent(self):
+        async def raise_after_run(reader, *args):
+            while not self.target.runs:
+                await asyncio.sleep(0.01)
+            raise ConnectionRefusedError
+
+        for idempotent in (True, False):
+            with self.subTest(idempotent=idempotent):
+                self.target.runs.clear()
+                with mock.patch.object(
+                    asyncio.StreamReader, "readuntil", raise_after_run
+                ):
+                    with self.assertRaises(TargetFailed):
+                        await self.send_request("/first", idempotent=idempotent)
+                self.assertEqual(self.target.runs, ["/first"])
+
 
 class CutHeadTest(unittest.IsolatedAsyncioTestCase):
     """Failure: an answer that ends in its head is taken for a whole one."""
