Take an engine's 429 or 503 for "not run" only with its reason

Program with agents: an agent refused an attempt as not run by the status of the engine's answer alone. The engine's interface says so only of an answer with `{"error": {"reason": ...}}`; a proxy's 503 after the send says nothing. Without a reason the attempt now may have run, after the engine was asked for the rest of the answer, as after any break.

--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -66,7 +66,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RefusalError:
-    reason: str = ""
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -324,7 +324,11 @@
         head_read_at = self._clock.now()
         if not start.plain and answer.head.status in NOT_RUN_STATUSES:
             body = b"".join([chunk async for chunk in answer.chunks()])
-            self._refuse(attempt, refusal_reason(body), None)
+            reason = refusal_reason(body)
+            if reason is None:
+                detail = f"status {answer.head.status} without an engine's reason"
+                raise TargetFailed(detail)
+            self._refuse(attempt, reason, None)
             return
         head = wire.Head(
             attempt=str(attempt),
@@ -433,12 +437,12 @@
     )
 
 
-def refusal_reason(body: bytes) -> Reason:
-    """Return why an engine did not run an attempt."""
+def refusal_reason(body: bytes) -> Reason | None:
+    """Return why an engine did not run an attempt, if it says so."""
     try:
         error = msgspec.json.decode(body, type=_Refusal).error
-    except msgspec.MsgspecError:
-        return Reason.NOT_READY
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
     return ENGINE_REASONS.get(error.reason, Reason.NOT_READY)
 
 
--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -18,7 +18,7 @@
 CONNECT_TIMEOUT = 2.0  # seconds
 CONTROL_TIMEOUT = 5.0  # seconds, for control calls and orders
 POOL_SIZE = 256  # connections
-NOT_RUN_STATUSES = (429, 503)  # statuses of an engine that has not run the attempt
+NOT_RUN_STATUSES = (429, 503)  # of an engine that says why it did not run an attempt
 CONNECTION_ERRORS = (AiosonicError, OSError, ValueError, EOFError, asyncio.TimeoutError)
 
 Headers = t.Sequence[tuple[str, str]]
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -240,6 +240,30 @@
                 with self.assertRaises(TargetError):
                     await client.read_memory()
 
+    async def test_only_an_engines_reason_proves_that_a_prompt_has_not_run(self):
+        async def handle(request):
+            request.send(answer(body, status=503))
+
+        server = await ScriptedServer.start(handle)
+        self.addAsyncCleanup(server.close)
+        for each in self.process._agents:
+            agent = each.agent
+            client = type(agent._client)(Address(server.address))
+            self.addAsyncCleanup(client.close)
+            patch = mock.patch.object(agent, "_client", client)
+            patch.start()
+            self.addCleanup(patch.stop)
+        cases = {
+            b"<html>try later</html>": "may_have_run",
+            b'{"error": {}}': "may_have_run",
+            b'{"error": {"reason": "memory_full"}}': "not_run",
+        }
+        for body, verdict in cases.items():
+            with self.subTest(body):
+                async with asyncio.timeout(TIMEOUT):
+                    problem = await (await self.send()).json()
+                self.assertEqual(problem["verdict"], verdict)
+
     async def test_exception_in_a_run_ends_only_its_request(self):
         agents = [each.agent for each in self.process._agents]
         for agent in agents:
