Test that a refused slow head does not precede an earlier answer

A 408 to an incomplete request comes after the answer to the request in flight on its connection, so that no caller takes it for that one. It holds already; the test guards it.

--- a/src/chicorycove/agent.py
+++ b/src/chicorycove/agent.py
@@ -441,7 +441,7 @@
     """Return why an engine did not run an attempt, if it says so."""
     try:
         error = msgspec.json.decode(body, type=_Refusal).error
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except msgspec.MsgspecError:
         return None
     return ENGINE_REASONS.get(error.reason, Reason.NOT_READY)
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -125,6 +125,19 @@
                 self.assertEqual(answer.status, status)
         self.assertEqual(self.runs(), [])
 
+    async def test_slow_head_behind_a_request_is_refused_after_its_answer(self):
+        for server in self.shop_servers:
+            server.faults.hang = True
+        caller = await self.open_caller()
+        caller.send("/order/x", b"steel")
+        caller.writer.write(b"POST /order/x HTTP/1.1\r\n")
+        await asyncio.sleep(1.2)  # seconds, more than the header timeout
+        for server in self.shop_servers:
+            server.faults.hang = False
+        self.assertEqual((await caller.read()).body, b"steel")
+        self.assertEqual((await caller.read()).status, 408)
+        self.assertEqual(len(self.runs()), 1)
+
     async def test_revoked_key_is_refused(self):
         self.write_config(config(2, keys=("key-2",)))
         await asyncio.sleep(0.6)
