Merge the other places that concluded "not run" without a proof

The probe says whether the connection was refused, which joins the two parts; its test is in tests/test_direct_slow_connection.py.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -1,6 +1,6 @@
 """Handles the answers of targets."""
 
-from ..attempt import AttemptStep, advance
+from ..attempt import STARTED, AttemptStep, advance
 from ..identity import AttemptId
 from ..lifecycle import FinishAnswer
 from ..reason import Reason
@@ -102,6 +102,12 @@
         advance(attempt, AttemptStep.END)
         if request.answer_started:
             return commands + self._completion.abort(request, Reason.TARGET_FAILED)
+        if answer.status_implies_not_run and not request.inbound.route.repeatable:
+            # The caller would repeat a request that may have run.
+            detail = f"status {answer.status}, but the request may have run"
+            target = attempt.agent.target
+            commands.append(LogChange("answer not delivered", target, detail))
+            return commands + self._completion.fail(request, Reason.TARGET_FAILED, None)
         return [
             *commands,
             DeliverAnswer(attempt_id.request, attempt_id),
@@ -174,12 +180,24 @@
     def _handle_refusal(
         self, request: DirectRequest, answer: TargetAnswer, now: float
     ) -> list[DirectCommand]:
-        """Retry after a target has reported that it did not run an attempt."""
+        """Retry after a target has reported that it did not run an attempt.
+
+        A target that has begun to answer an attempt has run it.
+        """
         attempt = request.attempts[-1]
         target = attempt.agent.target
+        if request.newest_answer_began:
+            return [
+                CancelAttempt(attempt.id),
+                LogChange("refusal ignored", target, _describe_refusal(answer)),
+                *self._failures.fail_attempt(
+                    attempt.id, Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, now
+                ),
+            ]
+        if attempt.state == STARTED:
+            request.run_count -= 1
+            request.refused_count += 1
         advance(attempt, AttemptStep.REFUSE)
-        request.run_count -= 1
-        request.refused_count += 1
         if answer.wrong_instance:
             commands = self._targets.remove_replaced(target)
         else:
--- a/src/chicorycove/direct/target_calls.py
+++ b/src/chicorycove/direct/target_calls.py
@@ -59,7 +59,8 @@
             sock = await open_socket(address, self._settings.timeouts.connect_timeout)
         except OSError as error:
             self._log.write("target unreachable", target=target, cause=repr(error))
-            self._handle(TargetProbed(target, False))
+            refused = isinstance(error, ConnectionRefusedError)
+            self._handle(TargetProbed(target, False, refused))
             return
         sock.close()
         self._handle(TargetProbed(target, True))
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -43,6 +43,8 @@
     only_command,
 )
 
+# The status of a refusal, without the target's word that it did not run.
+UNMARKED_REFUSAL = TargetAnswer(503, False, status_implies_not_run=True)
 WRONG_INSTANCE = TargetAnswer(status=421, not_run=True, wrong_instance=True)
 BROKEN_STREAM = (Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
 UNREACHABLE = (Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
@@ -118,6 +120,24 @@
         self.assertEqual(retry.last_event_id, 4)
         self.assertNotEqual(retry.target, send.target)
 
+    def test_target_that_answers_no_probe_counts_until_its_end_is_known(self):
+        send = self.world.send("r", SHORT)
+        commands = self.world.handle(TargetProbed(send.target.target, False))
+        retry = only_command(commands, "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        target = retry.target.target
+        commands = self.world.handle(TargetProbed(target, False))
+        self.assertEqual(command_names(commands), [])
+        commands = self.world.handle(TargetProbed(target, False, refused=True))
+        self.assertEqual(command_names(commands), ["CancelAttempt", "SendAttempt"])
+
+    def test_attempt_that_was_not_sent_is_no_run_of_a_dead_target(self):
+        send = only_command(self.world.receive("r", SHORT), "SendAttempt")
+        probed = TargetProbed(send.target.target, False, refused=True)
+        retry = only_command(self.world.handle(probed), "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        self.assertEqual(self.world.board.requests["r"].run_count, 1)
+
     def test_unresponsive_target_is_probed_before_the_timeout(self):
         send = self.world.send("r", SHORT)
         self.world.stream(send)
@@ -148,6 +168,20 @@
         )
         self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
 
+    def test_begun_attempt_that_is_reported_as_not_run_is_not_repeated(self):
+        # In review/1, a timeout of the connection ended after the send.
+        send = self.world.send("r", ORDER)
+        commands = self.world.handle(AttemptFailed(send.attempt, *UNREACHABLE))
+        self.assertNotIn("SendAttempt", command_names(commands))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_attempt_that_is_reported_as_sent_is_not_repeated(self):
+        send = only_command(self.world.receive("r", ORDER), "SendAttempt")
+        commands = self.world.handle(AttemptFailed(send.attempt, *BROKEN_STREAM))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_sent_again_when_the_target_is_unreachable(self):
         send = only_command(self.world.receive("r", ORDER), "SendAttempt")
         commands = self.world.handle(AttemptFailed(send.attempt, *UNREACHABLE))
@@ -159,6 +193,12 @@
         commands = self.world.handle(AnswerHeadReceived(send.attempt, TARGET_FULL))
         self.assertNotEqual(only_command(commands, "SendAttempt").target, send.target)
 
+    def test_attempt_of_an_ended_request_is_not_sent(self):
+        send = only_command(self.world.receive("r", ORDER), "SendAttempt")
+        self.world.handle(CallerDisconnected("r"))
+        commands = self.world.handle(AttemptConnected(send.attempt))
+        self.assertEqual(command_names(commands), ["CancelAttempt"])
+
     def test_verdict_at_the_deadline_is_not_run_only_before_it_is_sent(self):
         for reached in (False, True):
             with self.subTest(reached=reached):
@@ -177,6 +217,20 @@
             command_names(self.world.answer(send, SERVER_ERROR)), ["DeliverAnswer"]
         )
 
+    def test_status_of_a_refusal_without_proof_is_not_delivered(self):
+        say = dataclasses.replace(SHORT, repeatable=False, max_attempts=1)
+        for route in (ORDER, say):
+            for status in (408, 429, 503):
+                with self.subTest(route=route.name, status=status):
+                    id = f"{route.name}-{status}"
+                    send = self.world.send(id, route)
+                    answer = dataclasses.replace(UNMARKED_REFUSAL, status=status)
+                    commands = self.world.answer(send, answer)
+                    self.assertEqual(command_names(commands), ["FailRequest"])
+                    fail = only_command(commands, "FailRequest")
+                    self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+                    self.assertIsNone(fail.retry_after)
+
 
 class RepeatableTest(unittest.TestCase):
     def setUp(self):
@@ -191,6 +245,15 @@
             command_names(self.world.answer(retry, SERVER_ERROR)), ["DeliverAnswer"]
         )
 
+    def test_status_of_a_refusal_without_proof_is_delivered(self):
+        send = self.world.send("r", LOOKUP)
+        retry = only_command(self.world.answer(send, UNMARKED_REFUSAL), "SendAttempt")
+        self.world.handle(AttemptConnected(retry.attempt))
+        self.assertEqual(
+            command_names(self.world.answer(retry, UNMARKED_REFUSAL)),
+            ["DeliverAnswer"],
+        )
+
     def test_hang_is_retried_elsewhere_within_the_objective(self):
         send = self.world.send("r", LOOKUP)
         self.world.now = LOOKUP.objective * 0.8
@@ -249,6 +312,25 @@
         self.assertIs(fail.reason, Reason.RETRY_BUDGET)
         self.assertIs(fail.verdict, Verdict.NOT_RUN)
 
+    def test_refusal_of_an_attempt_that_was_not_sent_proves_nothing_of_others(self):
+        world = DirectWorld(shops=3)
+        send = world.send("r", LOOKUP)
+        retry = only_command(world.answer(send, SERVER_ERROR), "SendAttempt")
+        for target in list(world.board.targets):
+            world.handle(TargetUnlisted(target))
+        commands = world.handle(AnswerHeadReceived(retry.attempt, TARGET_FULL))
+        fail = only_command(commands, "FailRequest")
+        self.assertIs(fail.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_refusal_after_a_part_of_the_answer_proves_nothing(self):
+        world = DirectWorld(engines=4)
+        say = dataclasses.replace(SHORT, repeatable=False, max_attempts=1)
+        send = world.send("r", say)
+        world.stream(send)
+        commands = world.handle(AnswerHeadReceived(send.attempt, TARGET_FULL))
+        self.assertNotIn("SendAttempt", command_names(commands))
+        self.assertIn("AbortAnswer", command_names(commands))
+
     def test_attempt_on_a_dead_target_may_have_run(self):
         world = DirectWorld(engines=2)
         send = world.send("r", SHORT)
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -67,6 +67,7 @@
 
 LIMITED = TargetAnswer(status=200, not_run=False, rate_limit=0.5)
 BACKOFF = TargetAnswer(status=503, not_run=True, retry_after=2.0)
+UNMARKED_REFUSAL = TargetAnswer(503, False, status_implies_not_run=True)
 LEAVING = TargetAnswer(status=200, not_run=False, leaving=True)
 NO_BACKOFF = (-math.inf, -math.inf)
 LEASE = DirectSettings().reservation.lease_duration
@@ -84,8 +85,11 @@
         self.routes = {}
         self.live = {}  # attempt: its command, while its connection is open
         self.sent = set()  # attempts whose requests were sent
+        self.ended = set()  # sent attempts whose targets have ended since
+        self.targets = {}  # attempt: its target
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
+        self.answers = {}  # attempt: its target's complete answer
         self.pending_reservations = {}  # reservation: its unanswered order
         self.held_reservations = {}  # reservation: its target, end of its lease
         self.unreleased = set()  # reservations whose leases end instead
@@ -117,6 +121,7 @@
                     ), "sent to another region"
                 self.close_attempts(id)
                 self.live[command.attempt] = command
+                self.targets[command.attempt] = command.target.target
                 assert command.last_event_id == self.last_event_ids.get(
                     id
                 ), "resumed after the wrong event"
@@ -144,7 +149,14 @@
                     command.attempt, 0
                 ), "released a reservation that is not held"
                 self.pending_reservations.pop(command.attempt, None)
-            case "DeliverAnswer" | "FinishAnswer" | "AbortAnswer":
+            case "DeliverAnswer":
+                self.finish_request(command.request, command)
+                repeatable = self.routes[command.request].repeatable
+                answer = self.answers[command.attempt]
+                assert (
+                    repeatable or not answer.status_implies_not_run
+                ), "delivered a status that means not run, but it may have run"
+            case "FinishAnswer" | "AbortAnswer":
                 self.finish_request(command.request, command)
             case "FailRequest":
                 self.finish_request(command.request, command)
@@ -233,7 +245,16 @@
     @rule(
         data=st.data(),
         answer=st.sampled_from(
-            [OK, OK, LIMITED, SERVER_ERROR, TARGET_FULL, BACKOFF, LEAVING]
+            [
+                OK,
+                OK,
+                LIMITED,
+                SERVER_ERROR,
+                UNMARKED_REFUSAL,
+                TARGET_FULL,
+                BACKOFF,
+                LEAVING,
+            ]
         ),
     )
     def answer(self, data, answer):
@@ -247,6 +268,7 @@
         self.handle(AnswerHeadReceived(attempt, answer))
         route = self.routes[attempt.request]
         if attempt in self.live and not (route.streamed and answer.succeeded):
+            self.answers[attempt] = answer
             self.handle(AnswerReceived(attempt, answer))
 
     def record_terms(self, agent, answer):
@@ -292,6 +314,20 @@
             reason = Reason.STREAM_BROKEN
             self.handle(AttemptFailed(attempt, reason, Verdict.MAY_HAVE_RUN))
 
+    @rule(
+        data=st.data(),
+        reason=st.sampled_from([Reason.TARGET_UNREACHABLE, Reason.STREAM_BROKEN]),
+        verdict=st.sampled_from(Verdict),
+    )
+    def fail_at_any_time(self, data, reason, verdict):
+        """Let a connection report any verdict, before or after the send."""
+        attempt = self.pick(data, self.live)
+        if attempt is not None:
+            del self.live[attempt]
+            if verdict is not Verdict.NOT_RUN:
+                self.sent.add(attempt)
+            self.handle(AttemptFailed(attempt, reason, verdict))
+
     @rule(data=st.data(), answer=st.sampled_from([BACKOFF, BACKOFF, LEAVING]))
     def answer_earlier_order(self, data, answer):
         agents = {command.target for command in self.live.values()}
@@ -332,11 +368,21 @@
             self.handle(BufferBoundExceeded(id, answerable))
             assert id in self.finished, "the fullest request has not ended"
 
-    @rule(data=st.data(), reachable=st.booleans())
-    def probe(self, data, reachable):
+    @rule(
+        data=st.data(),
+        result=st.sampled_from([(True, False), (False, False), (False, True)]),
+    )
+    def probe(self, data, result):
         target = self.pick(data, set(self.world.board.targets))
         if target is not None:
-            self.handle(TargetProbed(target, reachable))
+            reachable, refused = result
+            if refused:
+                self.ended |= {
+                    attempt
+                    for attempt in set(self.live) & self.sent
+                    if self.targets[attempt] == target
+                }
+            self.handle(TargetProbed(target, reachable, refused))
 
     @rule(seconds=st.floats(0.001, 3.0))
     def advance_time(self, seconds):
@@ -413,11 +459,14 @@
 
     @invariant()
     def repeatable_requests_stay_within_max_attempts(self):
-        # An attempt on a target that was found dead does not count.
+        # An attempt on a target that has ended meanwhile does not count.
         for id, route in self.routes.items():
             request = self.world.board.requests.get(id)
             if request is not None:
                 assert request.run_count <= route.max_attempts, id
+            if route.repeatable:
+                runs = set(self.possible_runs(id)) - self.ended
+                assert len(runs) <= route.max_attempts, id
 
     @invariant()
     def finished_requests_leave_nothing(self):
--- a/tests/test_direct_slow_connection.py
+++ b/tests/test_direct_slow_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import gc
 import socket
 import unittest
@@ -136,6 +137,26 @@
         self.assertNotIn(TargetProbed("i-1", False), events)
         log.write.assert_not_called()
 
+    async def test_only_a_refused_probe_says_that_the_target_has_ended(self):
+        settings = DirectSettings()
+        for error, refused in (
+            (ConnectionRefusedError(), True),
+            (TimeoutError(), False),
+            (OSError(errno.EHOSTUNREACH, "No route to host"), False),
+        ):
+            events = []
+            calls = TargetCalls(
+                None, None, settings, unittest.mock.Mock(), events.append
+            )
+            with (
+                self.subTest(error),
+                unittest.mock.patch(
+                    "chicorycove.direct.target_calls.open_socket", side_effect=error
+                ),
+            ):
+                await calls.probe("i-1", self.server.address)
+                self.assertEqual(events, [TargetProbed("i-1", False, refused)])
+
 
 class AttemptTest(unittest.IsolatedAsyncioTestCase):
     """Attempts send nothing that they may not, and say what they sent."""
