Send slow callers their answers before a stopping process exits

What callers saw: an entry exited 3 s after its stop signal, 5 s before the end of its grace period, while callers that read slowly were still to be sent most of their answers.

Cause: a stop waits for requests in flight, and a request ends as its answer is handed to the transport. What a transport holds is sent by the event loop, which ended. Ruled out: the deadline, and the server, which had finished.

Change: an entry is busy while it holds bytes for a caller, also for one whose connection is closing. What is not answered fails at 0.96 of the grace period, as before; what is not sent by 0.98 is lost, and counted in the log (unsent).

--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -147,8 +147,13 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether any request is in flight."""
-        return bool(self._exchanges)
+        """Return whether a request is in flight, or an answer not yet sent."""
+        return bool(self._exchanges) or self.unsent_size > 0
+
+    @property
+    def unsent_size(self) -> int:
+        """Return the bytes of answers that callers are still to be sent."""
+        return sum(connection.unsent_size for connection in self._connections)
 
     @property
     def stopping(self) -> bool:
--- a/src/chicorycove/platform/process.py
+++ b/src/chicorycove/platform/process.py
@@ -58,10 +58,13 @@
 # matter of its own, and its price in units of a request's value per byte.
 PRICED_LINKS = "places"
 LINK_PRICE = 1e-6
-GRACE_SHARE = 0.94  # of the grace period, after which the process exits
+GRACE_SHARE = 0.94  # of the grace period, after which no connection is accepted
 # Share of the grace period after that, in which callers that are connected
 # already still get an answer to what they send.
 LINGER_SHARE = 0.02
+# Share of the grace period after which the process exits, even if callers have
+# not read their answers.
+EXIT_SHARE = 0.98
 PEER_CHECK_INTERVAL = 0.2  # seconds between checks of peers, and heartbeats
 
 
@@ -183,6 +186,8 @@
         linger_until = self._loop.time() + self._boot.grace * LINGER_SHARE
         await self._wait_until_idle(linger_until, max(latest_end, linger_until))
         self._entry.fail_unfinished()
+        exit_at = stop_requested_at + self._boot.grace * EXIT_SHARE
+        await self._wait_until_idle(self._loop.time(), exit_at)
         await cancel_all(self._tasks)
         for server in self._servers:
             server.close()
@@ -191,7 +196,11 @@
         self._internal_pages.close()
         self._peers.close()
         self._store.close()
-        self._log.write("stopped", took=round(self._loop.time() - stop_requested_at, 3))
+        self._log.write(
+            "stopped",
+            took=round(self._loop.time() - stop_requested_at, 3),
+            unsent=self._entry.unsent_size,
+        )
         self._log.flush()
 
     async def _wait_until_idle(self, earliest_end: float, latest_end: float) -> None:
--- a/tests/test_platform_slow_readers.py
+++ b/tests/test_platform_slow_readers.py
@@ -277,6 +277,51 @@
         self.assertIn(b"chicorycove_held_bytes 0.0", page.body)
 
 
+class StopTest(SlowReaderCase):
+    """Failure: a stop drops what slow callers are still to be sent."""
+
+    grace = 2.0
+
+    async def begin_stop(self, path, **fields):
+        """Stop when a caller has read the head of its answer only."""
+        (caller,) = await self.open_slow_callers(1)
+        caller.send(path, **fields)
+        await asyncio.sleep(0.5)
+        return caller, asyncio.create_task(self.process.stop())
+
+    async def stop_line(self):
+        (line,) = [
+            line for line in await self.log_lines() if line["event"] == "stopped"
+        ]
+        return line
+
+    async def test_stop_waits_until_a_slow_caller_has_its_answer(self):
+        stream = {"Chicorycove_Token_Counts": "100,100"}
+        for path, headers in (
+            (f"/lookup/{MEGABYTE // 2}", {}),
+            (f"/ask/{MEGABYTE // 4}", stream),
+        ):
+            with self.subTest(path):
+                caller, stop = await self.begin_stop(
+                    path, Chicorycove_Time_Budget_Ms="30000", **headers
+                )
+                await asyncio.sleep(self.grace * 0.6)  # longer than all is accepted
+                self.assertFalse(stop.done())
+                self.assertTrue((await caller.read()).complete)
+                await stop
+                self.assertEqual((await self.stop_line())["unsent"], 0)
+                self.log.seek(0)
+                self.log.truncate()
+                self.process = await self.start_entry()
+
+    async def test_stop_ends_within_the_grace_period_if_a_caller_reads_nothing(self):
+        caller, stop = await self.begin_stop(f"/lookup/{MEGABYTE // 2}", method="GET")
+        await stop
+        line = await self.stop_line()
+        self.assertLess(line["took"], self.grace)
+        self.assertGreater(line["unsent"], 0)
+
+
 class HeldRequestTest(SlowReaderCase):
     """Requests that come before the entry knows a deployment."""
 
