Close what a failed start of an entry has opened

Cause: the entry listens last. As that fails, EntryProcess.start() raises with its connections to the store open and its tasks running; the event loop ends, and the interpreter then closes the connections' writers on the closed loop.

Change: a start that fails closes the process, and raises its error.

Not looked at: a failed start of an agent, and the stand-ins of the local role.

--- a/src/chicorycove/entry_process.py
+++ b/src/chicorycove/entry_process.py
@@ -86,6 +86,13 @@
 
         :raises OSError: if an address cannot be listened on
         """
+        try:
+            await self._start()
+        except Exception:
+            await self.close()
+            raise
+
+    async def _start(self) -> None:
         settings = self._settings.entry
         frontend = Frontend(self._entry, settings.max_body, settings.max_deadline)
         routes = [
