Let callers and targets pause their reading

Cause: TCP_USER_TIMEOUT of 2.5 s on all connections. It is there for a peer that no longer acknowledges what is in flight; Linux also ends with it a connection whose peer acknowledges every probe of its closed window. Requests to targets that read late were cut off in the same way, and so were answers that the kernel held, also after the entry had closed the connection.

Change: while a connection has 4 KB or more to be sent or acknowledged, it is asked once a second whether bytes are to be sent and none is in flight. The option is 0 while this lasts, and on a caller's connection that has closed. A peer that leaves probes of its window unacknowledged for 2.5 s is gone. The option for bytes in flight is as it was. A dead peer was not simulated: loopback acknowledges everything.

--- a/src/chicorycove/direct/caller_connection.py
+++ b/src/chicorycove/direct/caller_connection.py
@@ -13,6 +13,8 @@
     REQUEST_OVERHEAD,
     Headers,
     HttpRequest,
+    WindowMonitor,
+    allow_closed_window,
     enable_keepalive,
 )
 from .route import CallerLimits
@@ -86,6 +88,7 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._window: WindowMonitor | None = None
         self._pending: collections.deque[HttpRequest] = collections.deque()
         self._pending_size = 0  # bytes
         self._current: HttpRequest | None = None
@@ -156,6 +159,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         enable_keepalive(transport)
+        self._window = WindowMonitor(transport)
         self._handler.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -179,6 +183,8 @@
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
+        if error is None and self._transport is not None:
+            allow_closed_window(self._transport)
         self._transport = None
         if self._current is not None:
             self._handler.caller_disconnected(self)
@@ -383,6 +389,7 @@
         """Send bytes."""
         if self._transport is not None:
             self._transport.write(data)
+            self._window.count_written(len(data))
 
     def _ignore_input(self) -> None:
         self._refused = True
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from .http import Headers, enable_keepalive
+from .http import Headers, WindowMonitor, enable_keepalive
 
 MAX_HEAD_SIZE = 65_536  # bytes of an answer's head, and of interim answers
 MAX_SKIPPED_SIZE = 8_388_608  # bytes of answers that belong to no request
@@ -147,6 +147,7 @@
         if self._transport is not None:
             self._sent = True
             self._transport.write(data)
+            WindowMonitor(self._transport).count_written(len(data))
 
     def pause(self) -> None:
         """Pause reading."""
--- a/tests/test_platform_slow_readers.py
+++ b/tests/test_platform_slow_readers.py
@@ -277,6 +277,45 @@
         self.assertIn(b"chicorycove_held_bytes 0.0", page.body)
 
 
+class PausedReaderTest(SlowReaderCase):
+    """Failure: a peer that reads nothing for a while is taken to be dead."""
+
+    pause = 3.5  # seconds, longer than sent bytes may wait for an ACK
+
+    async def test_caller_that_pauses_gets_its_whole_answer(self):
+        for size in (MEGABYTE // 10, MEGABYTE):
+            for connection in ("keep-alive", "close"):
+                with self.subTest(size=size, connection=connection):
+                    (caller,) = await self.open_slow_callers(1)
+                    path = f"/lookup/{size}"
+                    caller.send(path, method="GET", Connection=connection)
+                    await asyncio.sleep(self.pause)
+                    answer = await caller.read()
+                    self.assertEqual(len(answer.body), size)
+
+    async def test_target_that_pauses_gets_the_whole_request(self):
+        async def read_late(reader, writer):
+            await asyncio.sleep(self.pause)
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(head.lower().split(b"content-length: ")[1].split()[0])
+            body = await reader.readexactly(size)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n%d" % len(body))
+            writer.close()
+
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        target = await asyncio.start_server(read_late, sock=sock, limit=4_096)
+        self.addCleanup(target.close)
+        self.store.remove("servers/shop-1")
+        self.list_target("late", "shop", f"127.0.0.1:{sock.getsockname()[1]}")
+        await asyncio.sleep(0.5)
+        caller = await self.open_caller()
+        budget = {"Chicorycove_Time_Budget_Ms": "8000"}
+        caller.send("/order/x", bytes(3 * MEGABYTE), **budget)
+        answer = await caller.read()
+        self.assertEqual((answer.status, answer.body), (200, b"3000000"))
+
+
 class StopTest(SlowReaderCase):
     """Failure: a stop drops what slow callers are still to be sent."""
 
