Wait for a request's arrival in a test, not for 30 ms

tests.test_platform_rate_limit.LateAnswerTest.test_answer_long_after_its_caller_left_is_not _awaited failed once in the whole suite, at a load of about 11: 0 != 1 arrivals, as the caller left before its request had come to the server. With the pause set to 0 it fails in the same way. Its caller leaves once the request has arrived now; what is asked for is unchanged.

--- a/tests/test_platform_rate_limit.py
+++ b/tests/test_platform_rate_limit.py
@@ -157,13 +157,16 @@
         await asyncio.sleep(0.1)
         caller = await self.open_caller()
         caller.send("/lookup/x", method="GET")
-        await asyncio.sleep(0.03)
+        await self.wait_until(self.has_arrived)
         caller.close()
         await asyncio.sleep(0.5)
         self.assertEqual(len(self.arrivals), 1)
         lines = await self.log_lines()
         return [line for line in lines if line["event"] == "target backoff begun"]
 
+    async def has_arrived(self):
+        return bool(self.arrivals)
+
     async def test_refusal_that_comes_after_its_caller_left_begins_a_backoff(self):
         self.assertEqual(len(await self.leave_early(delay=0.05)), 1)
         answer = await self.request("/lookup/x", method="GET")
