Give no failed request the status of one that has not run

Program with agents: a request that may have run and failed as retry_budget, no_target, stopping, result_not_kept or for another reason without a status of its own was answered 503, at times with Retry-After. Its problem document said "may_have_run"; a caller who reads the status only repeats what has run.

Cause: the status followed from the reason alone. Found in the review of the places that conclude "not run"; no caller reported it.

Change: 429 and 503 need the verdict not_run, other verdicts have 502 in their place.

--- a/src/chicorycove/problem.py
+++ b/src/chicorycove/problem.py
@@ -35,6 +35,9 @@
     Reason.CLAIM_UNSETTLED: 504,
 }
 DEFAULT_STATUS = 503
+# Statuses that callers take for a proof that a request has not run.
+REFUSALS = (429, 503)
+MAY_HAVE_RUN_STATUS = 502  # in place of a refusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +56,10 @@
     @property
     def status(self) -> int:
         """Return the HTTP status code."""
-        return STATUSES.get(self.reason, DEFAULT_STATUS)
+        status = STATUSES.get(self.reason, DEFAULT_STATUS)
+        if status in REFUSALS and self.verdict is not Verdict.NOT_RUN:
+            return MAY_HAVE_RUN_STATUS
+        return status
 
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
