Set TCP_NODELAY on connections to targets and to the store again

Cause: asyncio sets the option only on sockets that name TCP as their protocol, which one opened without it does not.

Evidence: test_last_part_of_a_request_does_not_wait_for_an_answer fails without the change.

--- a/src/chicorycove/direct/connector.py
+++ b/src/chicorycove/direct/connector.py
@@ -44,7 +44,8 @@
 
 
 async def _connect(family: int, endpoint: t.Any, until: float) -> socket.socket:
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # Only with a protocol does asyncio set TCP_NODELAY.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setblocking(False)
         try:
--- a/tests/test_direct_slow_connection.py
+++ b/tests/test_direct_slow_connection.py
@@ -272,6 +272,15 @@
                     with await open_socket(f"{name}:{port}", 1.0) as sock:
                         self.assertEqual(sock.getpeername()[:2], (names[0], port))
 
+    async def test_last_part_of_a_request_does_not_wait_for_an_answer(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            sock = await open_socket("%s:%d" % listener.getsockname(), 1.0)
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_connection(asyncio.Protocol, sock=sock)
+            option = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            transport.abort()
+            self.assertTrue(option)
+
     async def test_each_address_of_a_name_is_tried(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
             refused = listener.getsockname()
