Close an attempt that its target has just reset

What callers saw: a repeatable request was answered 502 in place of being sent to another target, if its target had reset the connection in the same turn of the event loop in which the attempt was given up (a failed probe, a timeout, a move).

Cause: a cancelled connection is closed for sending, which raises ENOTCONN after a reset that the loop has not handled yet. The exception ended the request, and the next attempt found none.

--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -169,7 +169,10 @@
             return False
         if transport.get_write_buffer_size():
             return False
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:  # the target has reset the connection
+            return False
         return True
 
     def abort(self) -> None:
--- a/tests/test_direct_slow_connection.py
+++ b/tests/test_direct_slow_connection.py
@@ -5,6 +5,7 @@
 import errno
 import gc
 import socket
+import struct
 import unittest
 import unittest.mock
 import warnings
@@ -16,6 +17,7 @@
 from chicorycove.direct.exchange import TargetAttempt
 from chicorycove.direct.settings import DirectSettings
 from chicorycove.direct.target_calls import TargetCalls
+from chicorycove.direct.target_connection import CancelledConnections
 from chicorycove.identity import AttemptId
 from chicorycove.reason import Reason
 from chicorycove.verdict import Verdict
@@ -223,6 +225,19 @@
         attempt = self.new_attempt(address=address)
         await self.check_failure(attempt, Reason.TARGET_UNREACHABLE, Verdict.NOT_RUN)
 
+    async def test_attempt_that_was_just_reset_can_be_closed(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            attempt = self.new_attempt(address="%s:%d" % listener.getsockname())
+            attempt._exchange.cancelled_connections = CancelledConnections()
+            await attempt.open(1.0)
+            peer, _ = listener.accept()
+            peer.recv(100)
+            peer.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            peer.close()  # the event loop has not seen the reset yet
+            attempt.close()
+
     async def test_connection_lost_after_the_request_may_have_run(self):
         attempt = self.new_attempt()
         await self.check_failure(attempt, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN)
