--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -250,7 +250,7 @@
         self.process_boots.append(boot)
         self.timed = await self.add_scripted_server("timed", self.answer_in_time)
         for server in self.model_servers:
-            server.faults.pause = 0.04  # as a pass of its profile takes
+            server.faults.pause = 0.05
         fields = {"timeoutMs": 8000, "targetLatencyMs": 200}
         stream = {"kind": "streaming", "service": "model", "gapTargetMs": 500}
         routes = [
