Send one large message of a kind to a peer at a time

A message over 1,400 bytes goes by TCP.

Now a message may take as long as its parts leave the host, 1 s for each, and one that stops is aborted. One message of a kind is sent to an address at a time; the newest waits, and is not sent if it is the same.

tests.test_peer.ThinLinkTest, on the code before: 4 copies arrive in place of 1, and 5 messages in place of 2.

--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -29,11 +29,33 @@
 
 TICK_PERIOD = 0.1  # seconds between ticks of the peer
 MAX_DATAGRAM_SIZE = 1400  # bytes, to fit an Ethernet frame; larger messages go by TCP
-SEND_TIMEOUT = 1.0  # seconds to send a message by TCP
+# Seconds to connect by TCP, and in which the next part of a message is sent.
+MAX_SILENCE = 1.0
 MAX_MESSAGE_SIZE = 16 * 1024 * 1024  # bytes
 CLOSE_GRACE_TIME = 0.2  # seconds to finish sending when the transport closes
 
 
+class _LargeMessages:
+    """The messages of one kind that are sent to one address by TCP.
+
+    One is sent at a time, so that copies do not share a thin link, and only
+    the newest one waits.
+    """
+
+    def __init__(self, first: pb.PeerMessage) -> None:
+        self._sending: pb.PeerMessage | None = None
+        self._next: pb.PeerMessage | None = first
+
+    def add(self, message: pb.PeerMessage) -> None:
+        """Let a message be sent next, unless the same one is being sent."""
+        self._next = message if message != self._sending else None
+
+    def take(self) -> pb.PeerMessage | None:
+        """Return the message to send now, if there is one."""
+        self._sending, self._next = self._next, None
+        return self._sending
+
+
 class Transport(asyncio.DatagramProtocol):
     """Sends and receives messages by UDP and TCP on one address."""
 
@@ -41,6 +63,8 @@
         self._receive = receive
         self._datagrams: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
+        # By the address and the kind of message.
+        self._large: dict[tuple[str, str], _LargeMessages] = {}
         self._send_tasks: set[asyncio.Task] = set()
         self._reader_tasks: set[asyncio.Task] = set()
         self.address = ""
@@ -68,7 +92,12 @@
             host, _, port = address.rpartition(":")
             self._datagrams.sendto(data, (host, int(port)))
             return
-        task = asyncio.create_task(self._send_by_tcp(address, wire))
+        key = (address, wire.WhichOneof("message"))
+        if key in self._large:
+            self._large[key].add(wire)
+            return
+        self._large[key] = _LargeMessages(wire)
+        task = asyncio.create_task(self._send_large(key))
         self._send_tasks.add(task)
         task.add_done_callback(self._send_tasks.discard)
 
@@ -107,17 +136,34 @@
                     break
         stream.close()
 
+    async def _send_large(self, key: tuple[str, str]) -> None:
+        address, _ = key
+        try:
+            while (wire := self._large[key].take()) is not None:
+                try:
+                    await self._send_by_tcp(address, wire)
+                except (OSError, TimeoutError) as error:
+                    LOGGER.debug("message to peer %s lost: %r", address, error)
+        finally:
+            del self._large[key]
+
     async def _send_by_tcp(self, address: str, wire: pb.PeerMessage) -> None:
+        """Send a message, as long as its parts leave this host.
+
+        :raises OSError: if the connection fails
+        :raises TimeoutError: if it carries nothing for ``MAX_SILENCE``
+        """
         host, _, port = address.rpartition(":")
+        async with asyncio.timeout(MAX_SILENCE):
+            reader, writer = await asyncio.open_connection(host, int(port))
+        stream = MessageStream(reader, writer, pb.PeerMessage, MAX_MESSAGE_SIZE)
         try:
-            async with asyncio.timeout(SEND_TIMEOUT):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                stream = MessageStream(reader, writer, pb.PeerMessage, MAX_MESSAGE_SIZE)
-                await stream.write(wire)
-                stream.close()
+            await stream.write_parts(wire, MAX_SILENCE)
+            stream.close()
+            async with asyncio.timeout(MAX_SILENCE):
                 await writer.wait_closed()
-        except (OSError, TimeoutError) as error:
-            LOGGER.debug("message to peer %s lost: %r", address, error)
+        finally:
+            writer.transport.abort()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicorycove/stream.py
+++ b/src/chicorycove/stream.py
@@ -7,6 +7,7 @@
 
 LENGTH_BYTES = 4
 READ_LIMIT = 1024 * 1024  # bytes buffered ahead of the reader
+PART_SIZE = 65_536  # bytes of a message that are written at once
 
 MessageT = t.TypeVar("MessageT", bound=Message)
 
@@ -51,6 +52,19 @@
         self._writer.write(data)
         await self._writer.drain()
 
+    async def write_parts(self, message: Message, max_silence: float) -> None:
+        """Send a message part by part.
+
+        :raises OSError: if the connection is lost
+        :raises TimeoutError: if a part is not sent within a time in seconds
+        """
+        data = message.SerializeToString()
+        self._writer.write(len(data).to_bytes(LENGTH_BYTES, "big"))
+        for start in range(0, len(data), PART_SIZE):
+            self._writer.write(data[start : start + PART_SIZE])
+            async with asyncio.timeout(max_silence):
+                await self._writer.drain()
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,16 +1,18 @@
 """Test peers over UDP and TCP on loopback, with an in-memory store."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
 from chicorycove import dissemination, peer
 from chicorycove.catalogue import EntryId, Operator, Target, key_digest
+from chicorycove.catalogue_message import EntryRoster
 from chicorycove.change import Edit
 from chicorycove.conversion import Address
 from chicorycove.exceptions import StoreUnavailable
-from chicorycove.membership import Role
-from chicorycove.peer import AgentNode, EntryNode, Identity
+from chicorycove.membership import Member, Role
+from chicorycove.peer import AgentNode, EntryNode, Identity, Transport
 from chicorycove.registry import Registry
 from chicorycove.settings import PeerSettings
 
@@ -18,6 +20,7 @@
 
 ANY_PORT = Address("127.0.0.1:0")
 TIMEOUT = 30.0  # seconds
+LINK_RATE = 4_000_000  # bytes per second
 PATCHED_TIMEOUTS = (
     (dissemination, "AGENT_TIMEOUT"),
     (dissemination, "DOMAIN_TIMEOUT"),
@@ -150,6 +153,65 @@
         self.assertEqual((spread.members, spread.laggards), (6, ()))
 
 
+class ThinLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Large messages reach a peer whose link takes seconds for each."""
+
+    async def asyncSetUp(self):
+        self.sizes = []  # of the messages that arrived, with their lengths
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        server = await asyncio.start_server(self.read_slowly, sock=sock, limit=65_536)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        self.address = "127.0.0.1:%d" % sock.getsockname()[1]
+        self.transport = Transport(lambda message: None)
+        await self.transport.start(ANY_PORT)
+        self.addAsyncCleanup(self.transport.close)
+
+    async def read_slowly(self, reader, writer):
+        length = int.from_bytes(await reader.readexactly(4), "big")
+        size = 0
+        while data := await reader.read(65_536):
+            size += len(data)
+            await asyncio.sleep(len(data) / LINK_RATE)
+        writer.close()
+        self.sizes.append((size, length))
+
+    def roster(self, count):
+        """Return a message of a kilobyte for each of a number of members."""
+        members = [
+            Member(f"{number:01000}", "127.0.0.1:1", Role.ENTRY, "r", "d")
+            for number in range(count)
+        ]
+        return EntryRoster(members[0], tuple(members))
+
+    async def test_message_is_not_lost_after_a_second(self):
+        self.transport.send(self.address, self.roster(12_000))
+        await wait_for(lambda: self.sizes)
+        ((size, length),) = self.sizes
+        self.assertEqual(size, length)
+        self.assertGreater(size, 12_000_000)
+
+    async def test_copies_of_a_message_do_not_share_the_link(self):
+        message = self.roster(4_000)
+        for _ in range(5):
+            self.transport.send(self.address, message)
+            await asyncio.sleep(0.05)
+        await wait_for(lambda: self.sizes)
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(self.sizes), 1)
+
+    async def test_newest_message_follows_the_one_in_progress(self):
+        for count in range(4_000, 4_005):
+            self.transport.send(self.address, self.roster(count))
+            await asyncio.sleep(0.05)
+        await wait_for(lambda: len(self.sizes) == 2)
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(self.sizes), 2)
+        (first, _), (second, _) = self.sizes
+        self.assertEqual(second // 1000 - first // 1000, 4)
+
+
 class SingleEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_entry_without_store_or_peers_does_not_serve(self):
         store = DictStore()
