Let large answers of the store and the host list take as long as their bytes come

With agents, an entry read the host list within 2 s and a value of the store within 1 s, or not at all.

httpclient.exchange() gives an answer the limit until it begins and between its parts, and at least 64 KB a second; a request's body adds the time that it takes at 2 Mbit/s. The soak's proxy now limits a thin link in both directions.

tests.test_store.ThinLinkTest and HostListTest.test_large_list_is_read_over_a_thin_link, on the code before: StoreUnreachable, OutcomeUnknown and HostListUnavailable. That an answer that stops is given up passes on both.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -31,9 +31,9 @@
     def __init__(self, target_port: int) -> None:
         self.mode = Mode.PASS
         self.delay = 0.0  # seconds
-        self.link_rate: float | None = None  # bytes per second to the caller
+        self.link_rate: float | None = None  # bytes per second each way
         self.forwarded_size = 0  # bytes to the caller
-        self._link_free_at = 0.0
+        self._link_free_at = {True: 0.0, False: 0.0}  # to the caller, from it
         self._target_port = target_port
         self._tasks: set[asyncio.Task] = set()
         self._connections: list[_Connection] = []
@@ -119,8 +119,8 @@
         """
         to_caller = blocking_mode is Mode.ONE_WAY
         while data := await reader.read(PACKET_SIZE if self.link_rate else READ_SIZE):
+            await self._wait_for_link(len(data), to_caller)
             if to_caller:
-                await self._wait_for_link(len(data))
                 self.forwarded_size += len(data)
             if self.delay and self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay)
@@ -133,11 +133,12 @@
         elif not to_caller:
             raise ConnectionResetError("the caller closed its connection")
 
-    async def _wait_for_link(self, size: int) -> None:
+    async def _wait_for_link(self, size: int, to_caller: bool) -> None:
         """Wait until bytes have passed the link that all connections share."""
         if self.link_rate is None:
             return
         now = asyncio.get_running_loop().time()
-        began_at = max(self._link_free_at, now - MAX_LATENESS)
-        self._link_free_at = began_at + size / self.link_rate
-        await asyncio.sleep(self._link_free_at - now)
+        began_at = max(self._link_free_at[to_caller], now - MAX_LATENESS)
+        free_at = began_at + size / self.link_rate
+        self._link_free_at[to_caller] = free_at
+        await asyncio.sleep(free_at - now)
--- a/src/chicorycove/backing/hosts.py
+++ b/src/chicorycove/backing/hosts.py
@@ -1,13 +1,11 @@
 """A client of the platform's host list."""
 
-import asyncio
-
 import msgspec
 from aiosonic.exceptions import AiosonicError
 
 from ..exceptions import PlatformError
 from ..host import Host
-from ..httpclient import new_client
+from ..httpclient import exchange, new_client
 from ..log import LOGGER
 
 TIMEOUT = 2.0  # seconds
@@ -21,7 +19,11 @@
     """Reads the host list at an address."""
 
     def __init__(self, address: str, timeout: float = TIMEOUT) -> None:
-        """Use the list at "ip:port"; timeout is in seconds."""
+        """Use the list at "ip:port".
+
+        The timeout, in seconds, holds until an answer begins and between its
+        parts.
+        """
         self._url = f"http://{address}/hosts"
         self._timeout = timeout
         self._client = new_client(2, timeout)
@@ -37,11 +39,11 @@
         :raises HostListUnavailable: if it does not answer as expected
         """
         try:
-            async with asyncio.timeout(self._timeout):
-                response = await self._client.get(self._url)
-                content = await response.content()
-            if response.status_code != 200:
-                raise HostListUnavailable(f"{self._url}: status {response.status_code}")
+            status, content = await exchange(
+                self._client, "GET", self._url, self._timeout
+            )
+            if status != 200:
+                raise HostListUnavailable(f"{self._url}: status {status}")
             items = msgspec.json.decode(content, type=list[msgspec.Raw])
         except (
             AiosonicError,
--- a/src/chicorycove/backing/store.py
+++ b/src/chicorycove/backing/store.py
@@ -21,7 +21,7 @@
     ValueRead,
 )
 from ..exceptions import LeaseLost, StoreUnavailable, StoreUnknown
-from ..httpclient import new_client
+from ..httpclient import exchange, new_client
 
 MAX_VALUE_SIZE = 1024 * 1024  # bytes
 WATCH_IDLE_TIMEOUT = 60.0  # seconds without a message after which a watch is broken
@@ -106,7 +106,11 @@
     """A client of the JSON gateway of etcd v3."""
 
     def __init__(self, address: str, timeout: float) -> None:
-        """Use the gateway at "ip:port"; a call's timeout is in seconds."""
+        """Use the gateway at "ip:port".
+
+        The timeout, in seconds, holds until an answer begins and between its
+        parts.
+        """
         self._url = f"http://{address}/v3"
         self._timeout = timeout
         self._client = new_client(POOL_SIZE, timeout)
@@ -266,12 +270,14 @@
             raise StoreUnknown(f"{path}: {error!r}") from None
 
     async def _call(self, path: str, body: dict) -> dict:
-        async with asyncio.timeout(self._timeout):
-            response = await self._client.post(
-                f"{self._url}/{path}", data=msgspec.json.encode(body)
-            )
-            content = await response.content()
-        if response.status_code == 200:
+        status, content = await exchange(
+            self._client,
+            "POST",
+            f"{self._url}/{path}",
+            self._timeout,
+            msgspec.json.encode(body),
+        )
+        if status == 200:
             return msgspec.json.decode(content)
         raise _parse_error(content)
 
--- a/src/chicorycove/httpclient.py
+++ b/src/chicorycove/httpclient.py
@@ -1,5 +1,7 @@
 """HTTP client that mixes up no answers and retries no request."""
 
+import asyncio
+import contextlib
 import functools
 import typing as t
 
@@ -10,6 +12,9 @@
 from aiosonic.timeout import Timeouts
 
 MAX_TIMEOUT = 3600.0  # seconds; callers enforce a shorter one
+MIN_RATE = 65_536  # bytes per second, below which a long answer is given up
+# Bytes per second at which the body of a request arrives at worst.
+MIN_UPLOAD_RATE = 250_000
 
 
 def _of_open_connection(read: t.Callable[..., t.Awaitable[bytes]]):
@@ -106,3 +111,37 @@
         connection_cls=_Connection if reuse_connections else _SingleUseConnection,
     )
     return aiosonic.HTTPClient(connector)
+
+
+async def exchange(
+    client: aiosonic.HTTPClient,
+    method: str,
+    url: str,
+    max_silence: float,
+    body: bytes | None = None,
+) -> tuple[int, bytes]:
+    """Send a request and return the answer's status and body.
+
+    The answer must begin within the longest silence, in seconds, and the time
+    in which the request's body arrives.  It may take as long as its bytes keep
+    coming, at ``MIN_RATE`` or faster.
+
+    :raises TimeoutError: if it is given up
+    """
+    upload_time = len(body or b"") / MIN_UPLOAD_RATE
+    async with asyncio.timeout(max_silence + upload_time):
+        response = await client.request(url, method, data=body, stream=True)
+    clock = asyncio.get_running_loop().time
+    began_at = clock()
+    content = bytearray()
+    async with (
+        contextlib.aclosing(response),
+        contextlib.aclosing(response.iter_bytes()) as parts,
+    ):
+        while True:
+            slowest_end = began_at + max_silence + len(content) / MIN_RATE
+            async with asyncio.timeout_at(min(clock() + max_silence, slowest_end)):
+                part = await anext(parts, None)
+            if part is None:
+                return response.status_code, bytes(content)
+            content += part
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,9 +7,13 @@
 from chicorycove.backing.hosts import HostList, HostListUnavailable
 from chicorycove.backing.weights import WeightStore, WeightStoreUnavailable
 from chicorycove.host import Host, HostState
+from soak.proxy import Proxy
 from standin import hosts, weights
 from tests.served import TIMEOUT, ServedTestCase
 
+HOST_COUNT = 7_400
+LINK_RATE = 200_000  # bytes per second, a part of a link of 7 Mbit/s
+
 
 def host(name, **fields):
     return Host(
@@ -46,6 +50,18 @@
 
         await self.wait_until(is_removed)
 
+    async def test_large_list_is_read_over_a_thin_link(self):
+        listed = tuple(host(f"host-{number:05}") for number in range(HOST_COUNT))
+        server, _ = await self.open(hosts=listed)
+        link = Proxy(server.port)
+        link.link_rate = LINK_RATE
+        await link.start()
+        self.addAsyncCleanup(link.close)
+        adapter = HostList(f"127.0.0.1:{link.port}")
+        self.addAsyncCleanup(adapter.close)
+        self.assertEqual(len(await adapter.poll()), HOST_COUNT)
+        self.assertGreater(link.forwarded_size, 2.0 * LINK_RATE)
+
     async def test_odd_host_keeps_no_other_from_use(self):
         app = hosts.create_app(hosts.HostsSettings(hosts=(host("one"),)))
         server = await self.serve(app)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,9 +11,13 @@
     ValueRead,
 )
 from chicorycove.exceptions import LeaseLost, StoreUnavailable, StoreUnknown
+from soak.proxy import Mode, Proxy
 from standin.store import StoreSettings, create_app
 from tests.served import TIMEOUT, ServedTestCase
 
+LINK_RATE = 875_000  # bytes per second, 7 Mbit/s
+STORE_TIMEOUT = 1.0  # seconds, as in the default settings
+
 
 class StoreTestCase(ServedTestCase):
     timeout = TIMEOUT
@@ -75,6 +79,41 @@
             await self.store.swap("big", 0, value + b"x")
 
 
+class ThinLinkTest(StoreTestCase):
+    """Values of the largest size pass a link that takes seconds for them."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        link = Proxy(self.server.port)
+        link.link_rate = LINK_RATE
+        await link.start()
+        self.addAsyncCleanup(link.close)
+        self.link = link
+        self.thin_store = EtcdStore(f"127.0.0.1:{link.port}", STORE_TIMEOUT)
+        self.addAsyncCleanup(self.thin_store.close)
+        self.value = bytes(range(256)) * (MAX_VALUE_SIZE // 256)
+
+    async def test_large_value_is_read(self):
+        await self.store.swap("big", 0, self.value)
+        async with asyncio.timeout(TIMEOUT):
+            found = await self.thin_store.get("big")
+        self.assertIsInstance(found, ValueRead)
+        self.assertEqual(found.value, self.value)
+
+    async def test_outcome_of_a_large_write_is_known(self):
+        async with asyncio.timeout(TIMEOUT):
+            result = await self.thin_store.swap("big", 0, self.value)
+        self.assertIsInstance(result, SwapSucceeded)
+
+    async def test_answer_that_stops_is_given_up(self):
+        await self.store.swap("big", 0, self.value)
+        reading = asyncio.create_task(self.thin_store.get("big"))
+        await asyncio.sleep(0.5)
+        self.link.set_mode(Mode.SILENCE)
+        async with asyncio.timeout(TIMEOUT):
+            self.assertEqual(await reading, StoreUnreachable())
+
+
 class FaultTest(StoreTestCase):
     async def test_write_with_a_lost_answer_has_an_unknown_outcome(self):
         await self.set_faults(lose_answers=1)
