--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -8,42 +8,37 @@
 import random
 import typing as t
 
-import msgspec
-
 from ..direct.event import (
-    DeploymentReceived,
     DirectEvent,
-    DomainEvacuated,
-    DomainReadmitted,
     StoreLost,
     StoreRegained,
     StoreRevisionSeen,
-    TargetListed,
-    TargetUnlisted,
 )
 from ..direct.linelog import LineLog
-from ..direct.route import RoutingTable
 from ..direct.store_loss import StoreLossDetector
 from ..direct.store_relay import RelayUpdate, StoreRelay
 from ..direct.store_revision import StoreRevision
-from ..exceptions import LeaseLost, PlatformError, StoreUnavailable
-from . import decoding
-from .changes import BaseMissing, PatchBase, decode_changes, encode_changes
+from ..exceptions import PlatformError, StoreUnavailable
+from .changes import BaseMissing, decode_changes, encode_changes
+from .registration import Registration
 from .store import (
     WATCH_DURATION,
     AnswerTooLarge,
     HistoryLost,
     Item,
     ItemBatch,
-    Lease,
     Store,
     StoreRestored,
 )
+from .store_view import (
+    CONFIG_KEY,
+    ENTRIES_PREFIX,
+    EVACUATIONS_PREFIX,
+    SERVERS_PREFIX,
+    RelayEntry,
+    StoreView,
+)
 
-CONFIG_KEY = "op/config"
-SERVERS_PREFIX = "servers/"
-EVACUATIONS_PREFIX = "op/evacuate/"  # followed by the name of a failure domain
-ENTRIES_PREFIX = "chicorycove/entries/"
 ALL_KEYS = ""  # one watch for all prefixes, since the platform charges each call
 # Prefixes of all keys but the configuration, whose size has no small bound.
 SMALL_PREFIXES = (SERVERS_PREFIX, EVACUATIONS_PREFIX, ENTRIES_PREFIX)
@@ -62,27 +57,15 @@
 # platform charges each call of each entry, also those that fail.
 RETRY_DELAY_PER_ENTRY = 0.03
 MAX_FLEET_RETRY_DELAY = 1.0  # seconds, at which they apply within 3 s
-LEASE_DURATION = 6.0  # seconds that an entry is listed without a renewal
 WATCH_PAUSE = 0.3  # seconds between watches, so that changes are batched
-RENEWALS_PER_LEASE = 3  # so that two may fail
 MAX_FETCH_DELAY = 0.2  # seconds, random, so that entries do not fetch at once
 FETCH_DURATION = 0.5  # seconds; missing changes are returned immediately
-# Seconds, random, until an entry is registered with a restored store, so that
-# entries do not write at once.
-MAX_REGISTRATION_DELAY = 1.0
 REGAINED_WINDOW = 5.0  # seconds in which watchers report a regained store
 REGAINED_TOLERANCE = 1.0  # seconds by which watchers may differ in when it was
 MAX_VIEW_AGE = 6.0  # seconds, which no watch and no change of watchers exceeds
 VIEW_AGE_LOG_INTERVAL = 5.0  # seconds
 
 
-class _Entry(msgspec.Struct):
-    address: str  # "ip:port" of its datagrams
-    failure_domain: str = ""
-    relay_version: int = 0  # 0 if it cannot read patched values
-    link_rate: float = 0.0  # Mbit/s; 0 if unknown
-
-
 def get_max_retry_delay(entry_count: int) -> float:
     """Return the longest time in seconds between calls to a failing store."""
     delay = min(RETRY_DELAY_PER_ENTRY * entry_count, MAX_FLEET_RETRY_DELAY)
@@ -114,26 +97,17 @@
         self._link_rate = link_rate  # Mbit/s
         bytes_per_second = (link_rate or DEFAULT_LINK_RATE) * BYTES_PER_MEGABIT
         self._max_answer_size = int(bytes_per_second * MAX_ANSWER_TIME)
-        self._regions = regions
         self._send_relay = send_relay
         self._log = log
         self._random = rng
         self._handle = handle
         self._on_entries_changed = on_entries_changed
-        self._deployment_version = -1
-        self._deployment_decoder = decoding.DeploymentDecoder()
-        self._config: PatchBase | None = None  # newest item of the present era
+        self._view = StoreView(log, handle, self._handle_entries_changed, regions)
+        self._registration = Registration(store, log, rng, self.resync)
         self._revision: StoreRevision | None = None
         self._era: int | None = None  # of the newest list
-        self._era_changed = asyncio.Event()
-        # Revisions of items that were applied before all changes up to them.
-        self._revisions_ahead: dict[str, int] = {}
-        self._target_ids: set[str] = set()
         self._targets_seen = False
         self._config_seen = False
-        self._evacuated_domains: set[str] = set()
-        self._entries: dict[str, _Entry] = {}
-        self._entries_reported = True
         self._store_lost = False
         self._loss = StoreLossDetector()
         self._failure_logged = False  # since the store's last answer
@@ -211,7 +185,7 @@
                     self._forget_revision()
                 self._first_list_tried.set()
                 await asyncio.sleep(delay * self._random.uniform(0.5, 1.0))
-                delay = min(delay * 2, get_max_retry_delay(len(self._entries)))
+                delay = min(delay * 2, get_max_retry_delay(len(self._view.entries)))
             except Exception as error:
                 # Without this task, the process would go on with what it knows
                 # and never see a change again.
@@ -265,7 +239,7 @@
     def _send_to_followers(self, updates: t.Iterable[RelayUpdate]) -> None:
         names = self._relay.recipients(
             name
-            for name, entry in self._entries.items()
+            for name, entry in self._view.entries.items()
             if entry.failure_domain == self._failure_domain
             and entry.relay_version >= RELAY_VERSION
         )
@@ -311,7 +285,7 @@
     def _apply_relayed_changes(self) -> None:
         while (changes := self._relay.next_changes()) is not None:
             try:
-                items = decode_changes(changes.data, self._config)
+                items = decode_changes(changes.data, self._view.config)
             except BaseMissing as error:
                 self._log.write("relayed changes not applicable", cause=str(error))
                 self._relay.discard(changes, self._clock())
@@ -338,7 +312,7 @@
         if watch_task.cancelled():
             self._forget_revision()
             return
-        config = self._config
+        config = self._view.config
         try:
             changes = watch_task.result()
         except AnswerTooLarge as error:
@@ -419,7 +393,7 @@
         if self._era is not None and config.revision.era < self._era:
             raise StoreRestored(f"the configuration is of era {config.revision.era}")
         self._enter_era(config.revision.era)
-        self._apply_items(config.items)
+        self._view.apply(config.items)
         self._config_seen = True
         self._note_first_list()
         return config
@@ -433,41 +407,17 @@
         for prefix in SMALL_PREFIXES:
             changes = await self._store.watch(prefix, after, SMALL_WATCH_DURATION)
             self._mark_store_heard()
-            items += self._apply_items(changes.items)
-            self._report_entries()
+            items += self._view.apply(changes.items)
             revisions.append(changes.revision)
         return min(revisions), items
 
     def _apply_changes(self, changes: ItemBatch) -> None:
-        self._apply_items(changes.items)
-        self._report_entries()
+        self._view.apply(changes.items)
         self._record_revision(changes.revision)
 
-    def _apply_items(self, items: t.Sequence[Item]) -> list[Item]:
-        """Apply items that are news, of the configuration only the newest.
-
-        Return those that are news.
-        """
-        newest_config = max(
-            (item.revision for item in items if item.key == CONFIG_KEY), default=0
-        )
-        news = []
-        for item in items:
-            if item.revision <= self._revisions_ahead.get(item.key, 0):
-                continue
-            self._revisions_ahead[item.key] = item.revision
-            news.append(item)
-            if item.key != CONFIG_KEY or item.revision == newest_config:
-                self._apply_item(item)
-        return news
-
     def _record_revision(self, revision: StoreRevision) -> None:
         self._revision = revision
-        self._revisions_ahead = {
-            key: ahead
-            for key, ahead in self._revisions_ahead.items()
-            if ahead > revision.number
-        }
+        self._view.record_revision(revision.number)
         self._relay.record_revision(revision, self._clock())
         self._handle(StoreRevisionSeen(revision))
 
@@ -478,49 +428,10 @@
 
     async def register(self, name: str, address: str) -> None:
         """Keep this entry registered in the store until cancelled."""
-        lease: Lease | None = None
-        written = False  # under the lease
-        entry = _Entry(address, self._failure_domain, RELAY_VERSION, self._link_rate)
-        value = msgspec.json.encode(entry)
-        while True:
-            self._era_changed.clear()
-            try:
-                if lease is None:
-                    written = False
-                    lease = await self._store.grant(LEASE_DURATION)
-                if written:
-                    await self._store.renew(lease)
-                else:
-                    await self._store.put(ENTRIES_PREFIX + name, value, lease)
-                    written = True
-                if self._era is not None and lease.era > self._era:
-                    self.resync()
-            except LeaseLost as error:
-                self._log.write("lease lost", cause=str(error))
-                lease = None
-                if written:
-                    continue
-            except PlatformError as error:
-                self._log.write("entry not registered", cause=str(error))
-            except Exception as error:  # others must not stop to see this entry
-                self._log.write("entry not registered", cause=repr(error))
-            await self._wait_renewal_due()
-            if lease is not None and self._era is not None and lease.era < self._era:
-                lease = None
-
-    async def _wait_renewal_due(self) -> None:
-        """Wait until the lease is to be renewed, or the store was restored.
-
-        The copy may lack this entry, and the id of its lease may be assigned
-        again.
-        """
-        interval = LEASE_DURATION / RENEWALS_PER_LEASE
-        try:
-            async with asyncio.timeout(interval * self._random.uniform(0.8, 1.0)):
-                await self._era_changed.wait()
-        except TimeoutError:
-            return
-        await asyncio.sleep(self._random.uniform(0.0, MAX_REGISTRATION_DELAY))
+        entry = RelayEntry(
+            address, self._failure_domain, RELAY_VERSION, self._link_rate
+        )
+        await self._registration.keep(ENTRIES_PREFIX + name, entry.encode())
 
     async def _list_store(self) -> None:
         """List the whole store, applying each page as it arrives."""
@@ -549,128 +460,29 @@
                 if page.revision.era != first.era:
                     raise StoreRestored(f"the store is in era {page.revision.era}")
                 keys.update(item.key for item in page.items)
-                self._apply_items(page.items)
-                self._report_entries()
+                self._view.apply(page.items)
                 self._targets_seen = True
                 self._config_seen = self._config_seen or prefix == ALL_KEYS
                 self._note_first_list()
-        for id in [id for id in self._target_ids if SERVERS_PREFIX + id not in keys]:
-            self._remove_target(id)
-        for domain in [
-            domain
-            for domain in self._evacuated_domains
-            if EVACUATIONS_PREFIX + domain not in keys
-        ]:
-            self._set_evacuated(domain, False)
-        for name in [
-            name for name in self._entries if ENTRIES_PREFIX + name not in keys
-        ]:
-            self._remove_entry(name)
-        self._report_entries()
+        self._view.remove_missing(keys)
         self._log.write(
             "store listed", items=len(keys), era=first.era, revision=first.number
         )
         return first
 
+    def _handle_entries_changed(self, entries: t.Mapping[str, RelayEntry]) -> None:
+        self._relay.record_link_rates(
+            {name: entry.link_rate for name, entry in entries.items()}
+        )
+        self._on_entries_changed(
+            {name: entry.address for name, entry in entries.items()}
+        )
+
     def _note_first_list(self) -> None:
         """Let callers in once there are targets, and routes to them."""
         if self._targets_seen and self._config_seen:
             self._first_list_tried.set()
 
-    def _apply_item(self, item: Item) -> None:
-        try:
-            if item.key == CONFIG_KEY and not item.deleted:
-                self._apply_deployment(item)
-            elif item.key.startswith(SERVERS_PREFIX):
-                self._apply_target(item.key.removeprefix(SERVERS_PREFIX), item)
-            elif item.key.startswith(EVACUATIONS_PREFIX):
-                domain = item.key.removeprefix(EVACUATIONS_PREFIX)
-                self._set_evacuated(domain, not item.deleted)
-            elif item.key.startswith(ENTRIES_PREFIX):
-                self._apply_entry(item.key.removeprefix(ENTRIES_PREFIX), item)
-        except (decoding.UndecodableValue, ValueError) as error:
-            self._report_unreadable(item, str(error))
-        except Exception as error:  # one key must not keep the others from use
-            self._report_unreadable(item, repr(error))
-
-    def _report_unreadable(self, item: Item, cause: str) -> None:
-        self._log.write(
-            "entry unreadable", key=item.key, revision=item.revision, cause=cause
-        )
-
-    def _apply_deployment(self, item: Item) -> None:
-        data = item.data
-        self._config = PatchBase(item.key, item.revision, data)
-        deployment = self._deployment_decoder.decode(data)
-        if deployment.version <= self._deployment_version:
-            return
-        self._deployment_version = deployment.version
-        self._handle(DeploymentReceived(RoutingTable(deployment)))
-        self._log.write(
-            "deployment in force",
-            version=deployment.version,
-            revision=item.revision,
-            routes=len(deployment.routes),
-        )
-
-    def _apply_target(self, id: str, item: Item) -> None:
-        if item.deleted:
-            self._remove_target(id)
-            return
-        try:
-            listing = decoding.decode_listing(id, item.data, self._regions)
-        except Exception:
-            # The key names no target now, as for an entry that starts.
-            if id in self._target_ids:
-                self._remove_target(id)
-            raise
-        self._target_ids.add(id)
-        self._handle(TargetListed(listing))
-
-    def _set_evacuated(self, domain: str, evacuated: bool) -> None:
-        if evacuated == (domain in self._evacuated_domains):
-            return
-        if evacuated:
-            self._evacuated_domains.add(domain)
-            self._handle(DomainEvacuated(domain))
-        else:
-            self._evacuated_domains.discard(domain)
-            self._handle(DomainReadmitted(domain))
-
-    def _remove_target(self, id: str) -> None:
-        self._target_ids.discard(id)
-        self._handle(TargetUnlisted(id))
-
-    def _apply_entry(self, name: str, item: Item) -> None:
-        if item.deleted:
-            self._remove_entry(name)
-            return
-        try:
-            entry = _decode_entry(name, item.data)
-        except Exception:
-            self._remove_entry(name)
-            raise
-        if self._entries.get(name) != entry:
-            self._entries[name] = entry
-            self._log.write("peer listed", peer=name, address=entry.address)
-            self._entries_reported = False
-
-    def _remove_entry(self, name: str) -> None:
-        if self._entries.pop(name, None) is not None:
-            self._log.write("peer gone", peer=name)
-            self._entries_reported = False
-
-    def _report_entries(self) -> None:
-        """Report changed entries once for a batch of changes."""
-        if not self._entries_reported:
-            self._entries_reported = True
-            self._relay.record_link_rates(
-                {name: entry.link_rate for name, entry in self._entries.items()}
-            )
-            self._on_entries_changed(
-                {name: entry.address for name, entry in self._entries.items()}
-            )
-
     def _record_failure(self, error: PlatformError) -> None:
         """Record a failed call, which may mean that the store is unavailable.
 
@@ -710,12 +522,11 @@
         What targets and entries wrote after the copy is written again soon.
         """
         was, self._era = self._era, era
+        self._registration.enter_era(era)
         if was is None or was == era:
             return
         self._log.write("store restored", era=era, was=was)
-        self._config = None
-        self._revisions_ahead.clear()
-        self._era_changed.set()
+        self._view.enter_era()
         self._regained_at = self._clock()
         self._handle(StoreLost())
         self._handle(StoreRegained())
@@ -737,20 +548,3 @@
     def _regained_ago(self) -> float | None:
         ago = self._clock() - self._regained_at
         return ago if ago < REGAINED_WINDOW else None
-
-
-def _decode_entry(name: str, data: bytes) -> _Entry:
-    """Decode an entry's value in the store.
-
-    :raises UndecodableValue: if it is not an entry that can be reached
-    """
-    try:
-        entry = msgspec.json.decode(data, type=_Entry)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise decoding.UndecodableValue(f"invalid entry {name}: {error}") from None
-    if not decoding.is_address(entry.address):
-        raise decoding.UndecodableValue(
-            f'invalid entry {name}: expected "ip:port", '
-            f"got {decoding.shorten(entry.address)}"
-        )
-    return entry
--- a/tests/test_direct_malformed.py
+++ b/tests/test_direct_malformed.py
@@ -23,8 +23,8 @@
 from chicorycove.direct.termination import RequestTermination
 from chicorycove.lifecycle import Tick
 from chicorycove.platform import decoding
-from chicorycove.platform.follower import Follower
 from chicorycove.platform.headers import PlatformDialect
+from chicorycove.platform.store_view import StoreView
 from standin import platform_server
 from tests.direct import ORDER, DirectWorld, only_command
 from tests.platform_case import KEY, PlatformTestCase, config
@@ -412,7 +412,7 @@
 
     async def test_exception_while_following_the_store_is_survived(self):
         with mock.patch.object(
-            Follower, "_report_entries", side_effect=KeyError("unforeseen")
+            StoreView, "_report_entries", side_effect=KeyError("unforeseen")
         ):
             self.write_config(config(2, keys=("key-2",)))
             await asyncio.sleep(0.6)
