Relay what a list has changed, so that followers do not list after a compaction

After a compaction the watchers of a failure domain list the store, and their followers learned of a newer revision alone: each fetched, was refused, listed, and read the configuration again, which had not changed.

Now a watcher relays what its list has changed against what it held, as a batch after the revision that it had followed (StoreView.record_revision). An item is news if its revision is not the one held, so that a change that a broken watch has left out is relayed too; a key that the list lacks is a deletion at the list's revision. What was applied ahead of a revision follows with its own. The same path serves watches and separate reads. A compaction, a cut watch and a resync cost a failure domain the calls of its two watchers.

FollowerTest.test_followers_do_not_read_the_store_again_after_a_compaction, on the code before: 1,180,458 bytes over a thin link, where 10,000 are allowed.

--- a/src/chicorycove/platform/follower.py
+++ b/src/chicorycove/platform/follower.py
@@ -25,7 +25,6 @@
     WATCH_DURATION,
     AnswerTooLarge,
     HistoryLost,
-    Item,
     ItemBatch,
     Store,
     StoreRestored,
@@ -105,6 +104,7 @@
         self._view = StoreView(log, handle, self._handle_entries_changed, regions)
         self._registration = Registration(store, log, rng, self.resync)
         self._revision: StoreRevision | None = None
+        self._recorded: StoreRevision | None = None  # kept when that is forgotten
         self._era: int | None = None  # of the newest list
         self._targets_seen = False
         self._config_seen = False
@@ -312,46 +312,30 @@
         if watch_task.cancelled():
             self._forget_revision()
             return
-        config = self._view.config
         try:
             changes = watch_task.result()
         except AnswerTooLarge as error:
             self._log.write("configuration read separately", cause=str(error))
-            changes = await self._read_config_separately(revision)
+            await self._read_config_separately(revision)
         else:
             self._mark_store_heard()
             self._apply_changes(changes)
         self._complete_at = self._clock()
-        if changes is not None and changes.items and self._is_watcher():
-            updates = self._relay.create_updates(
-                revision.number,
-                changes.revision,
-                encode_changes(changes.items, config),
-                self._regained_ago(),
-            )
-            self._send_to_followers(updates)
 
-    async def _read_config_separately(
-        self, revision: StoreRevision | None
-    ) -> ItemBatch | None:
+    async def _read_config_separately(self, followed: StoreRevision | None) -> None:
         """Read the configuration while following all other keys.
 
-        Return the changes since the revision, or None if keys were listed.
+        These are listed unless they were followed up to a revision.
         """
-        changes: list[Item] | None = [] if revision is not None else None
-        followed = revision
         reading = asyncio.create_task(self._read_config())
         self._reading_config = True
         try:
             while True:
                 try:
                     if followed is None:
-                        changes = None
                         followed = await self._list_keys(SMALL_PREFIXES)
                     else:
-                        followed, items = await self._watch_small_keys(followed)
-                        if changes is not None:
-                            changes += items
+                        followed = await self._watch_small_keys(followed)
                 except StoreUnavailable as error:
                     if reading.done():
                         raise
@@ -380,12 +364,6 @@
                 f"other keys are of era {followed.era}"
             )
         self._record_revision(config.revision)
-        if changes is None:
-            return None
-        changes += config.items
-        changes.sort(key=lambda item: item.revision)
-        relayed = [item for item in changes if item.revision <= config.revision.number]
-        return ItemBatch(tuple(relayed), config.revision)
 
     async def _read_config(self) -> ItemBatch:
         config = await self._store.read(CONFIG_KEY)
@@ -398,32 +376,49 @@
         self._note_first_list()
         return config
 
-    async def _watch_small_keys(
-        self, after: StoreRevision
-    ) -> tuple[StoreRevision, list[Item]]:
-        """Apply the known changes of all keys but the configuration."""
+    async def _watch_small_keys(self, after: StoreRevision) -> StoreRevision:
+        """Apply the known changes of all keys but the configuration.
+
+        Return the revision up to which they were followed.
+        """
         revisions = []
-        items: list[Item] = []
         for prefix in SMALL_PREFIXES:
             changes = await self._store.watch(prefix, after, SMALL_WATCH_DURATION)
             self._mark_store_heard()
-            items += self._view.apply(changes.items)
+            self._view.apply(changes.items)
             revisions.append(changes.revision)
-        return min(revisions), items
+        return min(revisions)
 
     def _apply_changes(self, changes: ItemBatch) -> None:
         self._view.apply(changes.items)
         self._record_revision(changes.revision)
 
     def _record_revision(self, revision: StoreRevision) -> None:
+        """Record that all changes up to a revision are applied.
+
+        As a watcher, relay those since the revision recorded before.
+        """
+        recorded, self._recorded = self._recorded, revision
         self._revision = revision
-        self._view.record_revision(revision.number)
+        changes = self._view.record_revision(revision.number)
         self._relay.record_revision(revision, self._clock())
         self._handle(StoreRevisionSeen(revision))
+        if not changes.items or recorded is None or recorded.era != revision.era:
+            return
+        if self._is_watcher():
+            items = sorted(changes.items, key=lambda item: item.revision)
+            updates = self._relay.create_updates(
+                recorded.number,
+                revision,
+                encode_changes(items, changes.base),
+                self._regained_ago(),
+            )
+            self._send_to_followers(updates)
 
     def _forget_revision(self) -> None:
         """Let the store be listed next."""
         self._revision = None
+        self._view.drop_superseded_news()
         self._relay.record_revision(None, self._clock())
 
     async def register(self, name: str, address: str) -> None:
@@ -446,7 +441,7 @@
         self._complete_at = self._clock()
 
     async def _list_keys(
-        self, prefixes: t.Iterable[str], max_size: int | None = None
+        self, prefixes: tuple[str, ...], max_size: int | None = None
     ) -> StoreRevision:
         """List all keys under some prefixes, and remove what has gone."""
         keys: set[str] = set()
@@ -464,7 +459,7 @@
                 self._targets_seen = True
                 self._config_seen = self._config_seen or prefix == ALL_KEYS
                 self._note_first_list()
-        self._view.remove_missing(keys)
+        self._view.remove_missing(prefixes, keys, first.number)
         self._log.write(
             "store listed", items=len(keys), era=first.era, revision=first.number
         )
--- a/src/chicorycove/platform/store_view.py
+++ b/src/chicorycove/platform/store_view.py
@@ -1,5 +1,6 @@
 """Holds what an entry knows of the platform's store, and reports changes."""
 
+import dataclasses
 import typing as t
 
 import msgspec
@@ -24,6 +25,14 @@
 ENTRIES_PREFIX = "chicorycove/entries/"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewChanges:
+    """The items that were news up to a revision."""
+
+    items: tuple[Item, ...]
+    base: PatchBase | None  # the configuration before them
+
+
 class RelayEntry(msgspec.Struct):
     """What an entry writes of itself for the other entries."""
 
@@ -57,9 +66,11 @@
         self._deployment_version = -1
         self._deployment_decoder = decoding.DeploymentDecoder()
         self._config: PatchBase | None = None
+        self._revisions: dict[str, int] = {}  # of the held items, by their keys
+        self._news: list[Item] = []  # since the recorded revision
+        self._recorded_config: PatchBase | None = None
         # Revisions of items that were applied before all changes up to them.
         self._revisions_ahead: dict[str, int] = {}
-        self._target_ids: set[str] = set()
         self._evacuated_domains: set[str] = set()
         self._entries: dict[str, RelayEntry] = {}
         self._entries_reported = True
@@ -74,52 +85,75 @@
         """Return the registered entries by their names."""
         return self._entries
 
-    def apply(self, items: t.Sequence[Item]) -> list[Item]:
-        """Apply items that are news, of the configuration only the newest.
+    def apply(self, items: t.Sequence[Item]) -> None:
+        """Apply items, of the configuration only the newest.
 
-        Return those that are news.
+        Those that were applied ahead of a later revision are left out.
         """
         newest_config = max(
             (item.revision for item in items if item.key == CONFIG_KEY), default=0
         )
-        news = []
         for item in items:
             if item.revision <= self._revisions_ahead.get(item.key, 0):
                 continue
             self._revisions_ahead[item.key] = item.revision
-            news.append(item)
+            if item.deleted or self._revisions.get(item.key) != item.revision:
+                self._record_news(item)
             if item.key != CONFIG_KEY or item.revision == newest_config:
                 self._apply_item(item)
         self._report_entries()
-        return news
-
-    def remove_missing(self, keys: t.Collection[str]) -> None:
-        """Remove what has none of the keys of a complete list."""
-        for id in [id for id in self._target_ids if SERVERS_PREFIX + id not in keys]:
-            self._remove_target(id)
-        for domain in [
-            domain
-            for domain in self._evacuated_domains
-            if EVACUATIONS_PREFIX + domain not in keys
-        ]:
-            self._set_evacuated(domain, False)
-        for name in [
-            name for name in self._entries if ENTRIES_PREFIX + name not in keys
+
+    def remove_missing(
+        self, prefixes: tuple[str, ...], keys: t.Collection[str], number: int
+    ) -> None:
+        """Remove what a complete list of some prefixes lacks.
+
+        The keys are those of the list, the number that of its revision.
+        """
+        for key in [
+            key
+            for key in self._revisions
+            if key.startswith(prefixes) and key not in keys
         ]:
-            self._remove_entry(name)
+            item = Item(key, number, deleted=True)
+            self._record_news(item)
+            self._apply_item(item)
         self._report_entries()
 
-    def record_revision(self, number: int) -> None:
-        """Record that all changes up to a revision are applied."""
+    def record_revision(self, number: int) -> ViewChanges:
+        """Record that all changes up to a revision are applied.
+
+        Return what was news.  Items of later revisions, which were applied
+        ahead, are returned with theirs.
+        """
+        items = tuple(item for item in self._news if item.revision <= number)
+        changes = ViewChanges(items, self._recorded_config)
+        self._news = [item for item in self._news if item.revision > number]
+        if self._config is not None and self._config.revision <= number:
+            self._recorded_config = self._config
         self._revisions_ahead = {
             key: ahead for key, ahead in self._revisions_ahead.items() if ahead > number
         }
+        return changes
+
+    def drop_superseded_news(self) -> None:
+        """Keep only the newest news of each key."""
+        self._news = list({item.key: item for item in self._news}.values())
 
     def enter_era(self) -> None:
         """Forget revisions, which are assigned again in a new era."""
-        self._config = None
+        self._config = self._recorded_config = None
+        self._revisions = dict.fromkeys(self._revisions, 0)
+        self._news.clear()
         self._revisions_ahead.clear()
 
+    def _record_news(self, item: Item) -> None:
+        self._news.append(item)
+        if item.deleted:
+            self._revisions.pop(item.key, None)
+        else:
+            self._revisions[item.key] = item.revision
+
     def _apply_item(self, item: Item) -> None:
         try:
             if item.key == CONFIG_KEY and not item.deleted:
@@ -158,16 +192,14 @@
 
     def _apply_target(self, id: str, item: Item) -> None:
         if item.deleted:
-            self._remove_target(id)
+            self._handle(TargetUnlisted(id))
             return
         try:
             listing = decoding.decode_listing(id, item.data, self._regions)
         except Exception:
             # The key names no target now, as for an entry that starts.
-            if id in self._target_ids:
-                self._remove_target(id)
+            self._handle(TargetUnlisted(id))
             raise
-        self._target_ids.add(id)
         self._handle(TargetListed(listing))
 
     def _set_evacuated(self, domain: str, evacuated: bool) -> None:
@@ -180,10 +212,6 @@
             self._evacuated_domains.discard(domain)
             self._handle(DomainReadmitted(domain))
 
-    def _remove_target(self, id: str) -> None:
-        self._target_ids.discard(id)
-        self._handle(TargetUnlisted(id))
-
     def _apply_entry(self, name: str, item: Item) -> None:
         if item.deleted:
             self._remove_entry(name)
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -39,6 +39,7 @@
         self.name = name
         self.relay = StoreRelay(name, RelaySettings())
         self.revision = None
+        self.recorded = None  # the last revision, also if it is forgotten
         self.copy = {}
         self.cut = False  # the store does not answer it
         self.frozen = False
@@ -74,9 +75,20 @@
         )
 
     def _list(self):
-        if not self.cut:
-            self.copy = dict(self.world.contents[self.world.newest])
-            self._record(self.world.newest)
+        if self.cut:
+            return
+        recorded, known, newest = self.recorded, self.copy, self.world.newest
+        self.copy = dict(self.world.contents[newest])
+        items = [
+            Item(key, newest.number, value)
+            for key, value in self.copy.items()
+            if known.get(key) != value
+        ]
+        self._record(newest)
+        same_era = recorded is not None and recorded.era == newest.era
+        if items and same_era and self.is_watcher:
+            data = encode_changes(items)
+            self._send(self.relay.create_updates(recorded.number, newest, data, None))
 
     def _watch(self):
         self.world.watch_count += 1
@@ -112,6 +124,7 @@
 
     def _record(self, revision):
         self.revision = revision
+        self.recorded = revision or self.recorded
         self.relay.record_revision(revision, self.world.now)
 
     def _send(self, updates):
--- a/tests/test_platform_large_config.py
+++ b/tests/test_platform_large_config.py
@@ -260,6 +260,25 @@
             self.wait_gone(self.processes, self.shop_servers[0]),
         )
 
+    async def test_followers_do_not_read_the_store_again_after_a_compaction(self):
+        self.write_config(large_config(2))
+        await self.wait_in_force(self.processes, 2)
+        await self.wait_until(self.two_follow)
+        await asyncio.sleep(0.5)
+        before = [link.forwarded_size for link in self.links]
+        changed = large_config(3)
+        changed["routes"][1000]["service"] = "model"
+        self.write_config(changed)
+        self.remove_server(self.shop_servers[0])
+        self.store.compact()
+        await asyncio.gather(
+            self.wait_in_force(self.processes, 3),
+            self.wait_gone(self.processes, self.shop_servers[0]),
+        )
+        self.assertIn("history lost", await self.events())
+        for link, size in zip(self.links, before):
+            self.assertLess(link.forwarded_size - size, 10_000)
+
     async def test_compaction_of_a_large_configuration_loses_no_store(self):
         self.write_config(large_config(2, count=TWICE_ROUTE_COUNT))
         await self.wait_in_force(self.processes, 2)
