Lock ports whatever folder temporary files are in

Seen once: a soak's server ended with exit code 3 at its start, in a run whose TMPDIR was its own. Ports are locked by files in that folder, so that another run may have been given the same one. Exit code 3 is what the stand-in ends with on a port that is taken (run by hand).

The lock is the name of an abstract socket now, which all processes of the machine share. The new test of PortTest fails before: the other process gets the lock.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import dataclasses
-import fcntl
 import itertools
 import json
 import os
@@ -32,7 +31,7 @@
 PORT_STRIDE = 500  # between processes that look for ports at the same time
 
 _first = FIRST_PORT + os.getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT)
-_locks: list[int] = []  # held until this process ends
+_locks: list[socket.socket] = []  # held until this process ends
 _PORTS = itertools.cycle([*range(_first, LAST_PORT), *range(FIRST_PORT, _first)])
 
 
@@ -264,18 +263,19 @@
             return port
 
 
-def _lock_port(port: int) -> int:
+def _lock_port(port: int) -> socket.socket:
     """Lock a port among the processes of this machine; return the lock.
 
+    Its name is abstract, so that it depends on no folder, and ends with the
+    process.
+
     :raises OSError: if another one holds it
     """
-    folder = pathlib.Path(tempfile.gettempdir()) / "chicorycove-ports"
-    folder.mkdir(exist_ok=True)
-    lock = os.open(folder / str(port), os.O_CREAT | os.O_RDWR)
+    lock = socket.socket(socket.AF_UNIX)
     try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        lock.bind(f"\0chicorycove-port-{port}")
     except OSError:
-        os.close(lock)
+        lock.close()
         raise
     return lock
 
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -1,9 +1,11 @@
 """The experiments' arrivals and ports."""
 
 import json
+import os
 import socket
 import subprocess
 import sys
+import tempfile
 import unittest
 from unittest import mock
 
@@ -61,6 +63,18 @@
             process.communicate("\n")
         self.assertEqual(len({*ports[0], *ports[1]}), 40)
 
+    def test_port_is_locked_whatever_folder_temporary_files_are_in(self):
+        port = free_port()
+        with tempfile.TemporaryDirectory() as folder:
+            command = f"from bench.deployment import _lock_port; _lock_port({port})"
+            locking = subprocess.run(
+                [sys.executable, "-c", command],
+                env={**os.environ, "TMPDIR": folder},
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+        self.assertIn("OSError", locking.stderr)
+
     def test_port_of_a_datagram_socket_is_not_free(self):
         first, second = free_port(), free_port()
         with (
