Fetch a batch whose last part has come without the others

A part that was lost was noticed by time alone: up to 0.5 s after a watcher's heartbeat.

Parts are sent in order, so that the last one shows which are missing. The follower then fetches after its random delay of up to 0.2 s, in which a part that was overtaken may still arrive. test_missing_part_is_fetched_once_the_last_one_has_arrived fails before.

--- a/src/chicorycove/direct/store_relay.py
+++ b/src/chicorycove/direct/store_relay.py
@@ -173,7 +173,7 @@
         if len(parts) == update.part_count and parts[update.part] is None:
             parts[update.part] = update.data
             if StoreRevision(update.revision.era, update.after) <= self._revision:
-                self._newest_part_at = now
+                self._record_part(update.part, parts, now)
         return True
 
     def next_changes(self) -> RelayedChanges | None:
@@ -279,6 +279,15 @@
         """Return whether this entry precedes all of a failure domain."""
         return not any(self._precedes(name) for name in domain_names)
 
+    def _record_part(
+        self, number: int, parts: t.Sequence[bytes | None], now: float
+    ) -> None:
+        """Wait for more parts, unless the last one shows that some lack."""
+        if number == len(parts) - 1 and None in parts:
+            self._stop_waiting(now)
+        else:
+            self._newest_part_at = now
+
     def _stop_waiting(self, now: float) -> None:
         """Let missing changes be fetched now, as no watcher will send them."""
         self._behind_since = now - self._settings.gap_tolerance
--- a/tests/test_direct_store_relay.py
+++ b/tests/test_direct_store_relay.py
@@ -491,6 +491,15 @@
         latest = 1.0 + settings.max_batch_time + settings.gap_tolerance
         self.assertEqual(self.relay.fetch_due_at(), latest)
 
+    def test_missing_part_is_fetched_once_the_last_one_has_arrived(self):
+        updates = self.create_updates(7, 9, bytes(3 * MAX_PART_SIZE))
+        self.relay.receive(updates[0], 1.0)
+        self.assertGreater(self.relay.fetch_due_at(), 1.0)
+        self.relay.receive(updates[2], 1.1)
+        self.assertLessEqual(self.relay.fetch_due_at(), 1.1)
+        self.relay.receive(updates[1], 1.15)  # late, before the fetch
+        self.assertEqual(self.relay.next_changes().revision, StoreRevision(1, 9))
+
     def test_batch_that_cannot_be_applied_is_fetched_at_once(self):
         (update,) = self.create_updates(7, 9, b"patch of another version")
         self.relay.receive(update, 1.0)
