Let no answer of a pull take the place of a push that is to be spread

A push with a scope asks its receiver to spread a change and to report it; the answer of a pull that came while another message was in progress would have replaced it, so that the change counts as in force 1.2 s later, from the next relay, or not in time. A message that is the same as the one in progress would have removed a newer one. Found by reading the change.

The kind has the scope now. test_answer_of_a_pull_takes_no_place_of_a_push_to_be_spread fails before (2 messages arrive in place of 3). The tests of large messages send them within one turn of the event loop: with pauses of 50 ms, the first had arrived meanwhile at a load of 18, and two tests failed.

--- a/src/chicorycove/peer.py
+++ b/src/chicorycove/peer.py
@@ -12,7 +12,9 @@
 from .catalogue_message import (
     CatalogueCommand,
     CatalogueMessage,
+    CataloguePush,
     InstallState,
+    PushScope,
     ReportSpread,
 )
 from .change import Change, State
@@ -35,6 +37,18 @@
 CLOSE_GRACE_TIME = 0.2  # seconds to finish sending when the transport closes
 
 
+_Kind = tuple[type[CatalogueMessage], PushScope | None]
+
+
+def _find_kind(message: CatalogueMessage) -> _Kind:
+    """Return what a message shares with those that it supersedes.
+
+    A push without a scope takes no place of one that is to be spread further.
+    """
+    scope = message.scope if isinstance(message, CataloguePush) else None
+    return type(message), scope
+
+
 class _LargeMessages:
     """The messages of one kind that are sent to one address by TCP.
 
@@ -48,7 +62,8 @@
 
     def add(self, message: pb.PeerMessage) -> None:
         """Let a message be sent next, unless the same one is being sent."""
-        self._next = message if message != self._sending else None
+        if message != self._sending:
+            self._next = message
 
     def take(self) -> pb.PeerMessage | None:
         """Return the message to send now, if there is one."""
@@ -64,7 +79,7 @@
         self._datagrams: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         # By the address and the kind of message.
-        self._large: dict[tuple[str, str], _LargeMessages] = {}
+        self._large: dict[tuple[str, _Kind], _LargeMessages] = {}
         self._send_tasks: set[asyncio.Task] = set()
         self._reader_tasks: set[asyncio.Task] = set()
         self.address = ""
@@ -92,7 +107,7 @@
             host, _, port = address.rpartition(":")
             self._datagrams.sendto(data, (host, int(port)))
             return
-        key = (address, wire.WhichOneof("message"))
+        key = (address, _find_kind(message))
         if key in self._large:
             self._large[key].add(wire)
             return
@@ -136,7 +151,7 @@
                     break
         stream.close()
 
-    async def _send_large(self, key: tuple[str, str]) -> None:
+    async def _send_large(self, key: tuple[str, _Kind]) -> None:
         address, _ = key
         try:
             while (wire := self._large[key].take()) is not None:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -7,7 +7,7 @@
 
 from chicorycove import dissemination, peer
 from chicorycove.catalogue import EntryId, Operator, Target, key_digest
-from chicorycove.catalogue_message import EntryRoster
+from chicorycove.catalogue_message import CataloguePush, EntryRoster, PushScope
 from chicorycove.change import Edit
 from chicorycove.conversion import Address
 from chicorycove.exceptions import StoreUnavailable
@@ -185,6 +185,13 @@
         ]
         return EntryRoster(members[0], tuple(members))
 
+    async def send(self, messages):
+        """Send messages while the first one is in progress."""
+        self.transport.send(self.address, messages[0])
+        await asyncio.sleep(0)
+        for message in messages[1:]:
+            self.transport.send(self.address, message)
+
     async def test_message_is_not_lost_after_a_second(self):
         self.transport.send(self.address, self.roster(12_000))
         await wait_for(lambda: self.sizes)
@@ -193,18 +200,27 @@
         self.assertGreater(size, 12_000_000)
 
     async def test_copies_of_a_message_do_not_share_the_link(self):
-        message = self.roster(4_000)
-        for _ in range(5):
-            self.transport.send(self.address, message)
-            await asyncio.sleep(0.05)
+        await self.send(5 * [self.roster(100)])
         await wait_for(lambda: self.sizes)
         await asyncio.sleep(0.2)
         self.assertEqual(len(self.sizes), 1)
 
+    async def test_answer_of_a_pull_takes_no_place_of_a_push_to_be_spread(self):
+        sender = Member("x" * 2_000, "127.0.0.1:1", Role.ENTRY, "r", "d")
+        none, domain = PushScope.NONE, PushScope.DOMAIN
+        scopes = (none, domain, none, none)
+        await self.send(
+            [
+                CataloguePush(sender, number, scope)
+                for number, scope in enumerate(scopes)
+            ]
+        )
+        await wait_for(lambda: len(self.sizes) == 3)
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(self.sizes), 3)
+
     async def test_newest_message_follows_the_one_in_progress(self):
-        for count in range(4_000, 4_005):
-            self.transport.send(self.address, self.roster(count))
-            await asyncio.sleep(0.05)
+        await self.send([self.roster(count) for count in range(100, 105)])
         await wait_for(lambda: len(self.sizes) == 2)
         await asyncio.sleep(0.2)
         self.assertEqual(len(self.sizes), 2)
