Give the soak's large configurations their former size again

The routes that the relay takes are now 2,600 with names that compress well, 527 KB; the others stay 1,500 with names that do not, 534 KB.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 from bench.deployment import free_port
 from chicorycove.direct.client import HttpClient
 from chicorycove.platform.follower import BYTES_PER_MEGABIT
-from tests.platform_case import Caller, config, unlike_routes
+from tests.platform_case import Caller, config, route, unlike_routes
 
 from . import callers, check, steps
 from .fleet import (
@@ -42,7 +42,7 @@
 RECOVERY_TIME = 12.0  # seconds after the last fault until requests are answered
 PRINTED_VIOLATIONS = 5  # of a kind
 LARGE_ROUTE_COUNT = 1_500
-RELAYED_ROUTE_COUNT = 1_200  # that a batch of the relay can add
+RELAYED_ROUTE_COUNT = 2_600  # with names that compress well, so of the same size
 STORM_LENGTH = 5  # versions of a large configuration
 STORM_GAP = 0.2  # seconds
 ROUTES = ("order", "order", "lookup", "ask", "ask", "say")  # repeated by weight
@@ -260,9 +260,14 @@
         await asyncio.sleep(SETTLING_TIME)
 
     def _add_routes(self) -> None:
-        """Replace the added routes by others."""
-        count = self._random.choice((RELAYED_ROUTE_COUNT, LARGE_ROUTE_COUNT))
-        self._added_routes = unlike_routes(self._version, count)
+        """Replace the added routes by others, which the relay takes or not."""
+        if self._random.random() < 0.5:
+            self._added_routes = unlike_routes(self._version, LARGE_ROUTE_COUNT)
+            return
+        self._added_routes = [
+            route(f"added-{self._version}-{number}")
+            for number in range(RELAYED_ROUTE_COUNT)
+        ]
 
     async def _send_with_revoked_key(self, entry: Entry, key: str) -> None:
         caller = await Caller.open(f"127.0.0.1:{entry.caller_port}")
