--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,128 +1,120 @@
-"""Shows streams that no client can finish once it has their last event."""
+"""Shows a stopping entry that passes streams on and cuts them."""
 
 import asyncio
 import pathlib
 import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 
+import engine  # noqa: E402
 import fleet as standins  # noqa: E402
 
-CLIENT_COUNT = 8
-EVENT_COUNT = 35
-PASS_TIME = 0.045  # seconds; a server ends a stream one pass after its last event
-ALLOWED_CLOSES = 3  # of the rule LOST
-RESUMES = 2  # by a client
-RESUME_AFTER = 0.5  # seconds
+EARLY_AT = 2.3  # seconds from SIGTERM; these keep the entry from ending early
+LATE_AT = 3.3  # seconds from SIGTERM, after the excuse of 3 s
+LONG_AT = 3.6  # seconds from SIGTERM, at an entry that is not stopped
+EXCUSED_FOR = 3.0  # seconds from SIGTERM
+CALLERS = 3  # at each of the first two times
+LONG_TOKENS = 250_000
 
 
 class Caller:
-    """A client with a kept channel to each of two entries."""
+    """A client with a channel that it has kept since before the stop."""
 
-    def __init__(self, fleet: standins.Fleet, number: int) -> None:
+    def __init__(self, fleet: standins.Fleet, entry: standins.Entry) -> None:
         self._fleet = fleet
-        self._number = number
-        self._first, self._second = (
-            standins.Client(entry.port) for entry in fleet.entries
-        )
-        self.last_event = 0
-        self.complete = False
-        self.closes = 0
+        self._client = standins.Client(entry.port)
+        self._entry = entry
 
     async def warm_up(self) -> None:
-        """Use both channels once, so that they are kept ones."""
-        for client in (self._first, self._second):
-            answer = await self._send(client, "GET", "/lookup/2f")
-            if not answer.complete or answer.status != 200:
-                raise standins.NotRun("a quiet request was not answered")
-
-    async def stream(self, on_event) -> None:
-        """Ask for a stream, and note its events."""
-
-        def note(chunk: bytes) -> None:
-            self._note(chunk)
-            on_event()
-
-        headers = standins.prompt_headers(EVENT_COUNT)
-        answer = await self._send(self._first, "POST", "/query/2f", headers, note)
-        self.complete = answer.complete
-
-    async def resume(self) -> None:
-        """Resume a broken stream at the other entry, over a kept channel."""
-        headers = standins.prompt_headers(EVENT_COUNT)
-        headers["Last_Event_Id"] = str(self.last_event)
-        answer = await self._send(
-            self._second, "POST", "/query/2f", headers, self._note
+        """Use the channel once."""
+        request = standins.format_request(
+            "GET",
+            "/lookup/2f",
+            standins.new_attempt(),
+            Chicorycove_Time_Budget_Ms="2000",
         )
-        self.complete = answer.complete and answer.status == 200
-        if not answer.complete:
-            self.closes += 1
-
-    def _note(self, chunk: bytes) -> None:
-        for line in chunk.split(b"\n"):
-            if line.startswith(b"id: "):
-                self.last_event = int(line[4:])
-
-    async def _send(self, client, method, path, headers=None, note=lambda chunk: None):
+        answer = await self._client.ask(request, 3.0)
+        if not answer.complete or not self._client.connected:
+            raise standins.NotRun("a quiet request was not answered")
+
+    async def ask_at(
+        self, at: float, began_at: float, **prompt: int
+    ) -> tuple[float, str, standins.Answer, float]:
+        """Send a prompt at a time, and return what became of it."""
+        await asyncio.sleep(began_at + at - time.monotonic())
         attempt = standins.new_attempt()
-        body = b"question" if method == "POST" else b""
-        headers = headers or {"Chicorycove_Time_Budget_Ms": "2000"}
-        request = standins.format_request(method, path, attempt, body, **headers)
-        entry = 1 if client is self._first else 2
-        fields = {"client": self._number, "entry": entry, "attempt": attempt}
-        resumed_after = headers.get("Last_Event_Id", 0)
-        self._fleet.record.write("sent", **fields, path=path, after=resumed_after)
-        answer = await client.ask(request, 12.0, note)
+        headers = standins.prompt_headers(**prompt)
+        path = "/history/2f" if "tokens" in prompt else "/query/2f"
+        request = standins.format_request("POST", path, attempt, b"question", **headers)
+        kept = self._client.connected
+        fields = {"entry": self._entry.name, "attempt": attempt}
+        sent_at = time.monotonic() - began_at
+        self._fleet.record.write(
+            "sent", **fields, kept_channel=kept, after_stop=round(sent_at, 3), **prompt
+        )
+        answer = await self._client.ask(request, 16.0)
+        ended_at = time.monotonic() - began_at
         self._fleet.record.write(
-            "answered",
+            "ended",
             **fields,
+            after_stop=round(ended_at, 3),
             status=answer.status,
-            bytes=len(answer.body),
+            events=answer.body.count(b"id: "),
             complete=answer.complete,
-            last_event=self.last_event,
         )
-        return answer
+        return sent_at, attempt, answer, ended_at
 
 
 async def case(fleet: standins.Fleet) -> int:
-    """Return 1 if resumed streams were closed without an answer."""
-    await fleet.open(entry_count=2)
-    for server in fleet.servers:
-        server.event_count = EVENT_COUNT
-        server.event_pause = server.end_pause = PASS_TIME
-    callers = [Caller(fleet, number) for number in range(CLIENT_COUNT)]
+    """Return 1 if a stopping entry cuts a stream that it has passed on."""
+    config = fleet.config()
+    query = config["routes"][0]
+    history = {**query, "name": "r-history", "prefix": "/history/"}
+    history |= {"timeoutMs": 15000, "targetLatencyMs": 3000, "gapTargetMs": 800}
+    config["routes"].append(history)
+    await fleet.open(
+        entry_count=3,
+        services=("advisor", "purchasing"),
+        server_class=engine.EngineServer,
+        config=config,
+    )
+    stopped, other, _ = fleet.entries
+    callers = [Caller(fleet, stopped) for _ in range(2 * CALLERS)]
+    callers.append(Caller(fleet, other))
     for caller in callers:
         await caller.warm_up()
-    killed = False
-
-    def kill_at_last_events() -> None:
-        nonlocal killed
-        at_end = sum(caller.last_event == EVENT_COUNT for caller in callers)
-        if standins.TROUBLE and not killed and at_end == CLIENT_COUNT:
-            killed = True
-            fleet.entries[0].signal(signal.SIGKILL)
-
-    await asyncio.gather(*(caller.stream(kill_at_last_events) for caller in callers))
-    if standins.TROUBLE and not killed:
-        raise standins.NotRun("the clients did not get their last events")
-    for _ in range(RESUMES):
-        await asyncio.sleep(RESUME_AFTER)
-        broken = [caller for caller in callers if not caller.complete]
-        await asyncio.gather(*(caller.resume() for caller in broken))
-    if not fleet.entries[1].running:
-        raise standins.NotRun("the second entry has ended")
-    closes = sum(caller.closes for caller in callers)
-    unfinished = sum(not caller.complete for caller in callers)
-    fleet.record.write("closed without an answer by entry 2", count=closes)
-    fleet.record.write("streams that never ended", count=unfinished)
-    for line in fleet.entries[1].log_lines("target ejected"):
-        fleet.record.write("log of entry 2", line=line)
-    if closes > ALLOWED_CLOSES:
-        fleet.record.write("broken: LOST", closes=closes, allowed=ALLOWED_CLOSES)
-        return standins.EXIT_BROKEN
-    return standins.EXIT_HELD
+    began_at = time.monotonic()
+    if standins.TROUBLE:
+        stopped.signal(signal.SIGTERM)
+    early = [caller.ask_at(EARLY_AT, began_at) for caller in callers[:CALLERS]]
+    late = [caller.ask_at(LATE_AT, began_at) for caller in callers[CALLERS:-1]]
+    long = callers[-1].ask_at(
+        LONG_AT, began_at, events=17, budget_ms=15000, tokens=LONG_TOKENS
+    )
+    *outcomes, long_outcome = await asyncio.gather(*early, *late, long)
+    if not all(entry.running for entry in fleet.entries[1:]):
+        raise standins.NotRun("another entry has ended")
+    if not long_outcome[2].complete:
+        raise standins.NotRun("the long prompt was not answered")
+    grace = standins.BOUNDS["graceS"]
+    broken = False
+    for sent_at, attempt, answer, ended_at in outcomes:
+        passed_on = any(run.attempt == attempt for run in fleet.runs)
+        if answer.complete or not passed_on or sent_at <= EXCUSED_FOR:
+            continue
+        if ended_at <= grace + 1:
+            broken = True
+            fleet.record.write(
+                "broken: LOST",
+                attempt=attempt,
+                sent_after_stop=round(sent_at, 3),
+                cut_after_stop=round(ended_at, 3),
+                events=answer.body.count(b"id: "),
+            )
+    return standins.EXIT_BROKEN if broken else standins.EXIT_HELD
 
 
 if __name__ == "__main__":
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -197,6 +197,21 @@
     writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
 
 
+def send_stream_head(
+    writer: asyncio.StreamWriter, headers: t.Mapping[str, str]
+) -> None:
+    """Send the head of a stream."""
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append("Transfer-Encoding: chunked")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+
+def send_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Send a part of a stream."""
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
 class Store(HttpService):
     """The platform's metadata store."""
 
@@ -344,6 +359,7 @@
     request: str  # method and path
     body: bytes
     resumed_after: int  # id of the last event that the caller has, or 0
+    token_counts: str  # of the prompt and, at most, of its answer
 
 
 class Server(HttpService):
@@ -398,7 +414,8 @@
             send_answer(writer, 421, {**headers, "Chicorycove-Attempt-Id": attempt})
             return True
         after = int(head.headers.get("last-event-id", "0"))
-        run = Run(self.id, attempt, f"{method} {url}", body, after)
+        counts = head.headers.get("chicorycove-token-counts", "")
+        run = Run(self.id, attempt, f"{method} {url}", body, after, counts)
         self._runs.append(run)
         self._record.write("run", **{**dataclasses.asdict(run), "body": len(body)})
         headers = {
@@ -407,7 +424,7 @@
             "Chicorycove-Weight-Versions": str(self.weights),
         }
         if "chicorycove-token-counts" in head.headers:
-            await self.stream(attempt, after, headers, writer)
+            await self.stream(run, headers, writer)
         else:
             await asyncio.sleep(self.work_time)
             send_answer(writer, 200, headers, self.body_of(attempt))
@@ -424,25 +441,20 @@
 
     async def stream(
         self,
-        attempt: str,
-        after: int,
+        run: Run,
         headers: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> None:
         """Send a stream, from the event after one that the caller has."""
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        lines.append("Transfer-Encoding: chunked")
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(after + 1, self.event_count + 1):
-            event = self.event(number)
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        send_stream_head(writer, headers)
+        for number in range(run.resumed_after + 1, self.event_count + 1):
+            send_chunk(writer, self.event(number))
             await writer.drain()
             if number < self.event_count:
                 await asyncio.sleep(self.event_pause)
         await asyncio.sleep(self.end_pause)
         writer.write(b"0\r\n\r\n")
-        self._record.write("stream sent", server=self.id, attempt=attempt)
+        self._record.write("stream sent", server=self.id, attempt=run.attempt)
 
 
 class ChannelProxy:
@@ -711,6 +723,7 @@
 
     async def open(
         self,
+        *,
         entry_count: int = 1,
         services: t.Sequence[str] = ("advisor", "advisor", "purchasing", "purchasing"),
         server_class: type[Server] = Server,
@@ -830,13 +843,15 @@
         self._reader = self._writer = None
 
 
-def prompt_headers(events: int = 35, budget_ms: int = 10000) -> dict[str, str]:
+def prompt_headers(
+    events: int = 35, budget_ms: int = 10000, tokens: int = 4960
+) -> dict[str, str]:
     """Return the headers of a prompt with so many events in its answer."""
     return {
         "Chicorycove_Time_Budget_Ms": str(budget_ms),
         "Chicorycove_Model": "m",
-        "Chicorycove_Token_Counts": f"4960,{events * 46}",
-        "Chicorycove_Prompt_Prefix": "5c1e07a2:40,91bd3f06:4920",
+        "Chicorycove_Token_Counts": f"{tokens},{events * 46}",
+        "Chicorycove_Prompt_Prefix": f"5c1e07a2:40,91bd3f06:{tokens - 40}",
     }
 
 
