--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,11 @@
 set -u
 cd "$(dirname "$0")"
 bash ../build-2.sh || exit 2
-python3 case.py
+python3 case.py &
+case=$!
+# An interrupted case ends its processes, too.
+trap 'kill -TERM "$case"; wait "$case"; exit 2' TERM INT
+wait "$case"
 status=$?
 case $status in
     0) [ -s record.txt ] && tail -n 1 record.txt | grep -q "^ *[0-9.]* closed$" || status=2 ;;
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -866,12 +866,14 @@
     """Run a case; exit with 1 if its rule was broken, 2 if it did not run."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         fleet = Fleet(folder)
         fleet.record.write("begun", trouble=int(TROUBLE))
         try:
             async with asyncio.timeout(110):
                 return await case(fleet)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.record.write("not run", cause=repr(error))
             return EXIT_NOT_RUN
         finally:
