--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -66,6 +67,7 @@
     "usual": {"prompt": 13239, "answer": 1540},
     "hopMs": 0.1,
 }
+PORTS = (12_000, 32_000)  # from which those of the entries are drawn
 ZONES = ("fukuoka", "kitakyushu", "kumamoto")
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -630,6 +632,8 @@
         """
         end = time.monotonic() + timeout
         while time.monotonic() < end:
+            if not self.running:
+                raise NotRun(f"{self.name} has ended: {self.log_lines()[-1:]}")
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 reader, writer = await asyncio.open_connection(HOST, self.ready_port)
                 writer.write(b"GET /chicorycove/ready HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -647,16 +651,19 @@
 
 
 def _free_ports() -> tuple[int, int, int]:
-    """Return free ports for callers, readiness, and the first of two more."""
+    """Return free ports for callers, readiness, and the first of two more.
+
+    They lie below those that the kernel gives to outgoing channels, one of
+    which could take a port before the entry does.
+    """
     while True:
-        with contextlib.ExitStack() as stack:
-            sockets = [stack.enter_context(socket.socket()) for _ in range(4)]
-            for sock in sockets[:3]:
-                sock.bind((HOST, 0))
-            ports = [sock.getsockname()[1] for sock in sockets[:3]]
-            with contextlib.suppress(OSError, OverflowError):
-                sockets[3].bind((HOST, ports[2] + 1))
-                return ports[0], ports[1], ports[2]
+        first = random.randrange(*PORTS, 4)
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in range(first, first + 4):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    sock = stack.enter_context(socket.socket(type=kind))
+                    sock.bind((HOST, port))
+            return first, first + 1, first + 2
 
 
 class Fleet:
