Refuse late streams of a stop while other entries may slow them down

Cause: a late stream was accepted if it would end beside a full batch, with twice the decode time of each pass. A pass that decodes also prefills, the more slowly the more of a prompt has been read: beside 250,000 tokens, a stream of 1.7 s takes 5.5 s. Other entries send at any time, so that no estimate at one of them bounds this.

--- a/src/chicorycove/direct/shutdown.py
+++ b/src/chicorycove/direct/shutdown.py
@@ -1,19 +1,23 @@
 """Decides which answers a stopping entry begins and waits for."""
 
 import math
+import typing as t
 
 from ..request import Prompt
-from .board import DirectBoard, DirectRequest, InboundRequest, TargetView
+from .board import (
+    DirectBoard,
+    DirectRequest,
+    InboundRequest,
+    TargetView,
+    WorkItem,
+)
 from .engine import EngineProfile
 from .placement import Placement
 from .settings import DirectSettings
 
 
 class ShutdownPolicy:
-    """Compares the ends of answers and of the process; times in seconds.
-
-    If there is no other entry nearby, callers send requests until the end.
-    """
+    """Compares the ends of answers and of the process; times in seconds."""
 
     def __init__(self, board: DirectBoard, settings: DirectSettings) -> None:
         self._board = board
@@ -24,14 +28,14 @@
     ) -> bool:
         """Return whether a placed request may be sent to its target.
 
-        Its answer must be expected to end in time.  Once callers have had
-        time to find other entries, a new request must end in time even if its
-        target becomes fully occupied.
+        Its answer must be expected to end in time.  That of a request which
+        was received after callers have had time to find other entries must end
+        in time whatever its target gets meanwhile.
         """
         if self._board.stopping_at is None or request.answer_started:
             return True
         accept_until = self._board.stopping_at + self._settings.stop_accept_time
-        if now < accept_until or request.sent_count:
+        if request.inbound.request.arrived < accept_until:
             answer_time = self._expected_answer_time(request.inbound, placement)
         else:
             answer_time = self._max_answer_time(request.inbound, placement, now)
@@ -53,14 +57,15 @@
         view = self._board.targets.get(item.target)
         if engine is None or view is None:
             return True
-        waiting_time = sum(
-            other.remaining_prefill_time(now)
+        waiting_items = [
+            other
             for other in view.work_items.values()
-            if other.key != item.key
-        )
+            if other.key != item.key and not other.decoding
+        ]
         # Waiting prompts are prefilled within the passes that decode.
         waiting_time = min(
-            waiting_time, item.events_left * engine.max_pass_prefill_time
+            sum(other.remaining_prefill_time(now) for other in waiting_items),
+            item.events_left * _max_pass_prefill_time(engine, waiting_items),
         )
         decode_time = item.events_left * self._pass_time(engine, view, request.inbound)
         end = now + decode_time + waiting_time * view.pace
@@ -98,10 +103,16 @@
     def _max_answer_time(
         self, inbound: InboundRequest, placement: Placement, now: float
     ) -> float:
-        """Return how long an answer may take on a fully occupied target."""
+        """Return the longest that an answer may take; infinite if unbounded.
+
+        What other entries send to the target may slow a stream down at any
+        time.  Without them, the target has at most a full batch.
+        """
         engine = self._find_engine(inbound)
         if engine is None:
             return inbound.request.deadline - now
+        if self._board.entry_count != 1:
+            return math.inf
         view = self._board.targets.get(placement.target)
         pass_time = engine.batch_pass_time(engine.slots, inbound.request.work.memory)
         if view is not None:
@@ -133,3 +144,12 @@
             return None
         service = self._board.find_service(inbound.service)
         return service.engine if service is not None else None
+
+
+def _max_pass_prefill_time(engine: EngineProfile, items: t.Iterable[WorkItem]) -> float:
+    """Return the most prefill time of some prompts in one pass."""
+    # The last tokens of a prompt take at most twice their share of its time.
+    token_time = max(
+        (2 * item.prefill_time / max(item.tokens, 1) for item in items), default=0.0
+    )
+    return engine.chunk_tokens * engine.steps_per_pass * token_time
--- a/tests/test_direct_stop.py
+++ b/tests/test_direct_stop.py
@@ -20,6 +20,7 @@
 from chicorycove.direct.event import (
     AnswerHeadReceived,
     AttemptConnected,
+    PeersUpdated,
     StopTimeExpired,
 )
 from chicorycove.direct.linelog import LineLog
@@ -35,6 +36,7 @@
     OK,
     ORDER,
     SHORT,
+    TARGET_FULL,
     DirectWorld,
     command_names,
     only_command,
@@ -414,6 +416,59 @@
         return len(self.runs()) == 2
 
 
+class SharedTargetTest(PlatformTestCase):
+    """Failure: a stream is accepted late, slowed down by others, and cut.
+
+    Another entry sends a long prompt to the same target after it.
+    """
+
+    grace = 4.0
+    shop_count = 0
+    model_count = 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        stream = {"kind": "streaming", "service": "model", "resumable": True}
+        fields = {**stream, "timeoutMs": 8000, "targetLatencyMs": 200}
+        self.write_config(config(2, [route("ask", gapTargetMs=500, **fields)]))
+        self.stopping, self.stopping_boot = self.process, self.boot
+        await self.start_entry(
+            new_boot(store=self.boot.store, name="entry-2", grace=self.grace)
+        )
+        await self.wait_until(self.entries_know_each_other)
+
+    async def entries_know_each_other(self):
+        return self.stopping._board.entry_count == 2
+
+    async def test_late_stream_is_refused_while_others_may_slow_it_down(self):
+        (server,) = self.model_servers
+        early, late = [await Caller.open(self.stopping_boot.callers) for _ in range(2)]
+        self.addCleanup(early.close)
+        self.addCleanup(late.close)
+        server.faults.pause = 0.045
+        early_id = early.send("/ask/x", **self.prompt(2760))
+        stop = asyncio.create_task(self.stopping.stop())
+        await asyncio.sleep(self.grace / 2 + 0.1)  # not all is accepted any more
+        late_id = late.send("/ask/x", **self.prompt(460))
+        await asyncio.sleep(0.1)
+        server.faults.pause = 0.5  # as the target reads a long prompt
+        answer = await late.read()
+        self.assertTrue(answer.complete)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["retry-after"], "0.000")
+        server.faults.pause = 0.01
+        repeat = await self.request("/ask/x", **self.prompt(460))
+        self.assertEqual((repeat.status, repeat.complete), (200, True))
+        runs = [run.attempt for run in server.runs]
+        self.assertIn(early_id, runs)
+        self.assertNotIn(late_id, runs)
+        await stop
+
+    def prompt(self, output_tokens):
+        budget = {"Chicorycove_Time_Budget_Ms": "8000"}
+        return {"Chicorycove_Token_Counts": f"1000,{output_tokens}", **budget}
+
+
 class AnswerEndTest(unittest.TestCase):
     """Decisions of a stopping entry on answers that may end after it."""
 
@@ -454,21 +509,75 @@
                 else:
                     self.assert_refused(commands)
 
-    def occupy_alone(self, world):
+    def occupy_alone(self, world, tokens=330_000, prefill_time=6.3):
         """Let the first target read a prompt that is not split."""
         view = world.board.targets["e0"]
         item = WorkItem(
             WorkItemKey("entry-2", 1),
             "e0",
-            tokens=330_000,
-            prefill_time=6.3,
+            tokens=tokens,
+            prefill_time=prefill_time,
             placed_at=world.now,
-            expected_prefill_end=world.now + 6.3,
+            expected_prefill_end=world.now + prefill_time,
             refreshed_at=world.now,
         )
         view.work_items[item.key] = item
         return item
 
+    def test_late_prompt_is_refused_beside_other_entries(self):
+        for names, complete, accepted in (
+            ({"entry-1", "entry-2"}, True, False),
+            ({"entry-1"}, False, False),  # the others are not known
+            ({"entry-1"}, True, True),
+        ):
+            for output_tokens in (46, 1610):
+                with self.subTest(names=names, complete=complete, out=output_tokens):
+                    world = self.create()
+                    world.handle(PeersUpdated(frozenset(names), complete=complete))
+                    self.stop(world, 0.0)
+                    world.now = 2.7
+                    early = world.receive("early", SHORT, output_tokens=output_tokens)
+                    only_command(early, "SendAttempt")
+                    world.now = 2.9
+                    late = world.receive("late", SHORT, output_tokens=output_tokens)
+                    if accepted:
+                        only_command(late, "SendAttempt")
+                    else:
+                        self.assert_refused(late)
+
+    def test_late_prompt_is_sent_beside_other_entries_if_its_deadline_ends_it(self):
+        world = self.create()
+        world.handle(PeersUpdated(frozenset({"entry-1", "entry-2"})))
+        self.stop(world, 0.0)
+        world.now = 2.9
+        commands = world.receive("short", SHORT, time_limit=4.5)
+        only_command(commands, "SendAttempt")
+
+    def test_late_prompt_is_measured_alike_after_a_refusal_by_a_target(self):
+        for sent_at, accepted in ((2.7, True), (2.9, False)):
+            with self.subTest(sent_at=sent_at):
+                world = self.create(engines=2)
+                self.stop(world, 0.0)
+                world.now = sent_at
+                send = world.send("short", SHORT, output_tokens=1610)
+                world.now = 4.8
+                commands = world.handle(AnswerHeadReceived(send.attempt, TARGET_FULL))
+                if accepted:
+                    only_command(commands, "SendAttempt")
+                else:
+                    self.assert_refused(commands)
+
+    def test_answer_that_a_long_prompt_would_cut_is_not_begun(self):
+        # Its last tokens are read far more slowly than its first ones.
+        world = self.create(engines=1)
+        self.stop(world, 0.0)
+        world.now = 2.0
+        send = world.send("short", SHORT, output_tokens=230)
+        world.now = 4.0
+        self.occupy_alone(world, 250_000, 3.8)
+        commands = world.handle(AnswerHeadReceived(send.attempt, OK))
+        self.assert_refused(commands, Verdict.MAY_HAVE_RUN)
+
     def test_prompt_that_cannot_end_is_refused_at_once(self):
         world = self.create(engines=1)
         self.stop(world, 0.0)
