Judge the end of a stream by what its caller has, not by the newest attempt

Cause: an attempt took a stream for broken if this entry had relayed no event of it. What the caller has from another entry (Last-Event-Id) did not count. Each such end was recorded as a failure of its target.

Change: an end that shows itself as one, by a last chunk or a length, is believed if the caller has events. The same holds within an entry: a stream that breaks after its last event was closed if the next target answered without a length.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -127,6 +127,7 @@
             return []
         pause = now - request.last_progress_at
         request.last_progress_at = now
+        request.empty_end_seen = False
         if last_event_id is not None:
             request.last_event_id = last_event_id
         commands = self._quarantine.record_progress(request, pause, now)
@@ -142,11 +143,20 @@
         commands = self._quarantine.record_answer(request, now)
         return commands + self._finish_request(request, now)
 
-    def close_stream(self, attempt_id: AttemptId, now: float) -> list[DirectCommand]:
-        """Finish a request, and probe a target that may have crashed."""
+    def close_stream(
+        self, attempt_id: AttemptId, has_events: bool, now: float
+    ) -> list[DirectCommand]:
+        """Finish a request, and probe a target that may have crashed.
+
+        The end of a resumed stream without further events looks the same if
+        its target has crashed: another attempt has to end likewise.
+        """
         request = self._board.current_request(attempt_id)
         if request is None:
             return []
+        if not has_events and not request.empty_end_seen:
+            request.empty_end_seen = True
+            return self._failures.confirm_empty_end(request, now)
         commands = []
         if self._quarantine.is_answer_new(request):
             self._quarantine.record_break(request, now)
--- a/src/chicorycove/direct/dispatch.py
+++ b/src/chicorycove/direct/dispatch.py
@@ -252,8 +252,8 @@
                 ]
             case AnswerCompleted(attempt_id):
                 return self._answers.complete(attempt_id, now)
-            case StreamClosed(attempt_id):
-                return self._answers.close_stream(attempt_id, now)
+            case StreamClosed(attempt_id, has_events):
+                return self._answers.close_stream(attempt_id, has_events, now)
             case AttemptFailed(attempt_id, reason, verdict):
                 return self._failures.fail_attempt(attempt_id, reason, verdict, now)
             case MemoryReserved(reservation_id):
--- a/src/chicorycove/direct/entry.py
+++ b/src/chicorycove/direct/entry.py
@@ -491,11 +491,14 @@
         )
         self._end_failed_request(attempt.request)
 
-    def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
-        """Dispatch the end of a complete stream."""
-        self.handle(
-            AnswerCompleted(attempt, 0) if self_delimited else StreamClosed(attempt)
-        )
+    def stream_ended(
+        self, attempt: AttemptId, self_delimited: bool, has_events: bool
+    ) -> None:
+        """Dispatch the end of a stream that has no incomplete event."""
+        if self_delimited:
+            self.handle(AnswerCompleted(attempt, 0))
+        else:
+            self.handle(StreamClosed(attempt, has_events))
 
 
 def get_failure_status(reason: Reason, verdict: Verdict) -> int:
--- a/src/chicorycove/direct/event.py
+++ b/src/chicorycove/direct/event.py
@@ -92,6 +92,7 @@
     """
 
     attempt: AttemptId
+    has_events: bool = True  # whether this attempt has relayed any
 
 
 @frozen
--- a/src/chicorycove/direct/exchange.py
+++ b/src/chicorycove/direct/exchange.py
@@ -49,8 +49,10 @@
     def attempt_raised(self, attempt: AttemptId, error: Exception) -> None:
         """Handle an unexpected exception in the handling of an attempt."""
 
-    def stream_ended(self, attempt: AttemptId, self_delimited: bool) -> None:
-        """Handle the end of a complete stream.
+    def stream_ended(
+        self, attempt: AttemptId, self_delimited: bool, has_events: bool
+    ) -> None:
+        """Handle the end of a stream that has no incomplete event.
 
         One that is not self-delimited has ended with its connection.
         """
@@ -272,6 +274,12 @@
             size += self._event_buffer.pending_size
         return size + self.connection.head_size if self.connection else size
 
+    @property
+    def _caller_has_events(self) -> bool:
+        """Return whether the caller has events, from any entry."""
+        resumed = self._command.last_event_id is not None
+        return resumed or self._exchange.event_count > 0
+
     @property
     def _sent(self) -> bool:
         return self.connection is not None and self.connection.sent
@@ -387,10 +395,11 @@
         listener = self._exchange.listener
         if self._event_buffer is None:
             listener.handle(AnswerReceived(self.attempt, self._answer_head))
-        elif self._is_stream_broken(self_delimited):
+        elif self._event_buffer.has_partial_event or not self._caller_has_events:
             self._fail(Reason.STREAM_BROKEN)
         else:
-            listener.stream_ended(self.attempt, self_delimited)
+            has_events = self._relayed_events
+            listener.stream_ended(self.attempt, self_delimited, has_events)
 
     def answer_too_large(self) -> None:
         if not self._closed:
@@ -409,16 +418,6 @@
         self._exchange.listener.handle(TargetAnswered(self._command.target, answer))
         self.connection.abort()
 
-    def _is_stream_broken(self, self_delimited: bool) -> bool:
-        """Return whether a stream has ended before its last event."""
-        if self._event_buffer.has_partial_event:
-            return True
-        # A resumed stream may have no further events, but without a length it
-        # looks the same if its target crashed.
-        if self_delimited:
-            return not self._exchange.event_count
-        return not self._relayed_events
-
     def _relay(self, data: bytes) -> None:
         batch = self._event_buffer.feed(data)
         if self._event_buffer.pending_size > MAX_EVENT_SIZE:
--- a/src/chicorycove/direct/failure.py
+++ b/src/chicorycove/direct/failure.py
@@ -5,7 +5,7 @@
 from ..reason import Reason
 from ..verdict import Verdict
 from .board import DirectBoard, DirectRequest
-from .command import CancelAttempt, DirectCommand
+from .command import CancelAttempt, DirectCommand, LogChange
 from .completion import RequestCompletion
 from .event import TargetProbed
 from .quarantine import RequestQuarantine
@@ -65,6 +65,27 @@
             commands += self._target_health.probe(target)
         return commands + self.retry_or_fail(request, reason, verdict, now)
 
+    def confirm_empty_end(
+        self, request: DirectRequest, now: float
+    ) -> list[DirectCommand]:
+        """Send a request again whose stream may have ended.
+
+        Only a probe tells whether its target has failed.
+        """
+        attempt = request.attempts[-1]
+        target = attempt.agent.target
+        advance(attempt, AttemptStep.FAIL)
+        request.tried_targets.add(target)
+        self._quarantine.record_break(request, now)
+        detail = f"no length, and no event after {request.last_event_id}"
+        return [
+            LogChange("stream end not confirmed", target, detail),
+            *self._target_health.probe(target),
+            *self.retry_or_fail(
+                request, Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN, now
+            ),
+        ]
+
     def handle_probe_result(
         self, event: TargetProbed, now: float
     ) -> list[DirectCommand]:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,6 +1,8 @@
 """A server that answers HTTP requests with the bytes that a test chooses."""
 
 import asyncio
+import socket
+import struct
 
 
 class ScriptedRequest:
@@ -28,6 +30,13 @@
     def send(self, data):
         self.writer.write(data)
 
+    def reset(self):
+        """End the connection by a reset, also if all was read."""
+        reset_on_close = struct.pack("ii", 1, 0)
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
+        self.writer.transport.abort()
+
 
 class ScriptedServer:
     """Passes each request to a function that sends the answer's bytes."""
@@ -52,6 +61,10 @@
         host, port = self._server.sockets[0].getsockname()
         return f"{host}:{port}"
 
+    def stop_listening(self):
+        """Refuse new connections, as after the end of the process."""
+        self._server.close()
+
     async def close(self):
         self._server.close()
         for task in self._tasks:
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -47,6 +47,7 @@
     AttemptFailed,
     AttemptRefused,
     CallerDisconnected,
+    FinishAnswer,
     MemoryReserved,
     StopRequested,
     Tick,
@@ -89,6 +90,7 @@
         self.targets = {}  # attempt: its target
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
+        self.empty_ends = {}  # request: the last event of an attempt that added none
         self.answers = {}  # attempt: its target's complete answer
         self.pending_reservations = {}  # reservation: its unanswered order
         self.held_reservations = {}  # reservation: its target, end of its lease
@@ -298,13 +300,21 @@
             self.last_event_ids[attempt.request] = last_event_id
             self.handle(EventsRelayed(attempt, events, last_event_id))
 
-    @rule(data=st.data(), self_delimited=st.booleans())
-    def complete_answer(self, data, self_delimited):
+    @rule(data=st.data(), self_delimited=st.booleans(), has_events=st.booleans())
+    def complete_answer(self, data, self_delimited, has_events):
         attempt = self.pick(data, set(self.live) & self.answered)
-        if attempt is not None and attempt.request in self.last_event_ids:
-            self.handle(
-                AnswerCompleted(attempt, 0) if self_delimited else StreamClosed(attempt)
-            )
+        if attempt is None or attempt.request not in self.last_event_ids:
+            return
+        if self_delimited:
+            self.handle(AnswerCompleted(attempt, 0))
+            return
+        id = attempt.request
+        last_event_id = self.last_event_ids[id]
+        confirmed = has_events or self.empty_ends.get(id) == last_event_id
+        self.empty_ends[id] = last_event_id
+        self.handle(StreamClosed(attempt, has_events))
+        finished = isinstance(self.finished.get(id), FinishAnswer)
+        assert finished == confirmed, "ended by the empty end of one attempt"
 
     @rule(data=st.data())
     def break_stream(self, data):
