Deliver a 204 to a stream without a body

What callers saw: a target that answers a stream with 204 had its head passed on with chunked encoding, which a 204 cannot have, and then a reset; since the end of resumed streams is believed, a last chunk, which a client reads as the begin of its next answer.

Cause: each success on a streamed route is relayed as a stream.

Change: a 204 is delivered as a whole answer, unless a stream has begun, which it does not continue.

Evidence: test_answer_without_content_is_passed_on fails on ("transfer-encoding" is in the head), and test_error_of_the_next_target_is_no_part_of_a_stream keeps the other case.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -28,6 +28,7 @@
 from .work import WorkTracker
 
 STREAM_MEDIA_TYPE = "text/event-stream"
+NO_CONTENT = 204
 
 
 class AnswerHandler:
@@ -73,7 +74,8 @@
         if answer.not_run or answer.wrong_instance:
             commands += self._handle_refusal(request, answer, now)
         elif request.inbound.route.streamed and answer.succeeded:
-            commands += self._begin_answer(request, answer, now)
+            if request.answer_started or answer.status != NO_CONTENT:
+                commands += self._begin_answer(request, answer, now)
         # An answer that is not streamed is handled once it is complete.
         return commands + self._reservations.renew_for_backoff(agent, now)
 
--- a/tests/test_direct_resumed_streams.py
+++ b/tests/test_direct_resumed_streams.py
@@ -93,6 +93,23 @@
 
         await self.assert_ends(handle, request_count=2)
 
+    async def test_answer_without_content_is_passed_on(self):
+        async def handle(request):
+            id = request.header("chicorycove-attempt-id").encode()
+            request.send(
+                b"HTTP/1.1 204 No Content\r\nChicorycove-Attempt-Id: %b\r\n\r\n" % id
+            )
+
+        await self.add_targets(handle)
+        caller = await self.open_caller()
+        for _ in range(2):
+            # A chunk behind the head would be read as the next answer.
+            answer = await caller.request(
+                "/ask/x", Chicorycove_Token_Counts="100,460", Last_Event_Id="3"
+            )
+            self.assertEqual(answer.status, 204)
+            self.assertNotIn("transfer-encoding", answer.headers)
+
     async def test_reset_is_no_end(self):
         async def handle(request):
             request.send(head(request))
