Fail answers whose status HTTP does not define

Such replies of the store, and of targets to orders, were taken for replies.

Cause: any status below 200 was taken for an interim answer, any other for a final one.

Change: `status.py` has the classes of RFC 9110. Any other status is a broken answer of its target: another target where that is allowed, else 502, at once; a reply with one is a call without an answer.

--- a/src/chicorycove/backend.py
+++ b/src/chicorycove/backend.py
@@ -14,6 +14,7 @@
 from .exceptions import TargetFailed, TargetUnreachable
 from .httpclient import new_client
 from .identity import AttemptId
+from .status import FINAL_STATUSES
 
 CONNECT_TIMEOUT = 2.0  # seconds
 CONTROL_TIMEOUT = 5.0  # seconds, for control calls and orders
@@ -190,6 +191,8 @@
         except CONNECTION_ERRORS as error:
             raise TargetFailed(f"{url}: {error!r}") from None
         try:
+            if response.status_code not in FINAL_STATUSES:
+                raise TargetFailed(f"{url}: status {response.status_code:03}")
             headers = [(name, value) for name, value in response.headers.items()]
             yield Answer(AnswerHead(response.status_code, headers), response)
         finally:
--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from ..status import FINAL_STATUSES, INTERIM_STATUSES
 from .connector import open_socket
 from .http import Headers, enable_keepalive, format_request
 
@@ -85,6 +86,11 @@
         if not self.complete:
             self._body += body
 
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status not in INTERIM_STATUSES and status not in FINAL_STATUSES:
+            raise httptools.HttpParserError(f"the answer has status {status:03}")
+
     def on_message_complete(self) -> None:
         if not self.complete:
             self.complete = True
--- a/src/chicorycove/direct/target_connection.py
+++ b/src/chicorycove/direct/target_connection.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from ..status import FINAL_STATUSES, INTERIM_STATUSES
 from .http import Headers, WindowMonitor, enable_keepalive
 
 MAX_HEAD_SIZE = 65_536  # bytes of an answer's head, and of interim answers
@@ -117,9 +118,13 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
-        if self._done or status < 200:
+        if self._done or status in INTERIM_STATUSES:
             self._message_skipped = True
             return
+        if status not in FINAL_STATUSES:
+            self._message_skipped = True
+            self._fail()
+            return
         names = {name.lower() for name, _ in self._headers}
         self._self_delimited = (
             bool(names & {b"content-length", b"transfer-encoding"}) or status == 204
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -232,9 +232,9 @@
         self.register_server(server)
         return server
 
-    async def add_scripted_server(self, service, handle):
+    async def add_scripted_server(self, service, handle, start=ScriptedServer.start):
         """List a server that answers with the bytes which a test chooses."""
-        scripted = await ScriptedServer.start(handle)
+        scripted = await start(handle)
         self.addAsyncCleanup(scripted.close)
         server = platform_server.PlatformServer(service)
         server.address = scripted.address
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -4,6 +4,9 @@
 import socket
 import struct
 
+READ_LIMIT = 1_000_000  # bytes
+SMALL_BUFFER = 16_384  # bytes
+
 
 class ScriptedRequest:
     """A request as a scripted server received it, and its connection."""
@@ -41,8 +44,9 @@
 class ScriptedServer:
     """Passes each request to a function that sends the answer's bytes."""
 
-    def __init__(self, handle):
+    def __init__(self, handle, reads_bodies=True):
         self._handle = handle
+        self._reads_bodies = reads_bodies
         self._server = None
         self._tasks = set()
         self.requests = []
@@ -52,7 +56,18 @@
     async def start(cls, handle):
         scripted = cls(handle)
         scripted._server = await asyncio.start_server(
-            scripted._serve, "127.0.0.1", 0, limit=1_000_000
+            scripted._serve, "127.0.0.1", 0, limit=READ_LIMIT
+        )
+        return scripted
+
+    @classmethod
+    async def start_unread(cls, handle):
+        """Start one that leaves bodies in small buffers, so that they fill."""
+        scripted = cls(handle, reads_bodies=False)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        scripted._server = await asyncio.start_server(
+            scripted._serve, sock=listener, limit=SMALL_BUFFER
         )
         return scripted
 
@@ -87,11 +102,14 @@
             request = ScriptedRequest(
                 len(self.requests) + 1, connection, head, b"", writer
             )
-            request.body = await reader.readexactly(
-                int(request.header("content-length") or 0)
-            )
+            if self._reads_bodies:
+                request.body = await reader.readexactly(
+                    int(request.header("content-length") or 0)
+                )
             self.requests.append(request)
             await self._handle(request)
+            if not self._reads_bodies:
+                return
 
 
 def answer(body, headers=(), status=200):
