Skip interim answers in replies of the store and of targets

Cause: the parser of replies ended with the first message.

Change: interim answers are skipped, and their headers dropped.

--- a/src/chicorycove/direct/client.py
+++ b/src/chicorycove/direct/client.py
@@ -50,7 +50,8 @@
 class _ReplyParser:
     """Parses one answer and collects its body.
 
-    Bytes after its end, such as a second copy of the answer, are dropped.
+    Interim answers before it are skipped.  Bytes after its end, such as a
+    second copy of the answer, are dropped.
     """
 
     def __init__(self) -> None:
@@ -76,6 +77,12 @@
         """Return the complete answer."""
         return Reply(self.status, bytes(self._body), self._headers)
 
+    def on_message_begin(self) -> None:
+        if not self.complete:
+            self._headers = []
+            self._body = bytearray()
+            self.announced_size = 0
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
             self._headers.append((name, value))
@@ -92,9 +99,10 @@
             raise httptools.HttpParserError(f"the answer has status {status:03}")
 
     def on_message_complete(self) -> None:
-        if not self.complete:
+        status = self._parser.get_status_code()
+        if not self.complete and status not in INTERIM_STATUSES:
             self.complete = True
-            self.status = self._parser.get_status_code()
+            self.status = status
 
 
 class HttpClient:
--- a/tests/test_invalid_status.py
+++ b/tests/test_invalid_status.py
@@ -122,6 +122,22 @@
                 self.assertTrue(caught.exception.sent)
                 self.assertNotIsInstance(caught.exception.__context__, TimeoutError)
 
+    async def test_interim_answers_are_skipped(self):
+        whole = answer(b"value", ["X-Revision: 7"])
+        interim = b"HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n"
+        for parts in (
+            (b"HTTP/1.1 100 Continue\r\n\r\n", whole),
+            (interim, interim, whole),
+            (interim + whole,),
+            (interim[:30], interim[30:] + whole[:20], whole[20:]),
+        ):
+            with self.subTest(parts):
+                reply = await self.call(*parts)
+                self.assertEqual((reply.status, reply.body), (200, b"value"))
+                self.assertEqual(
+                    reply.headers, [(b"Content-Length", b"5"), (b"X-Revision", b"7")]
+                )
+
 
 class AgentStatusTest(AgentsTestCase):
     """The program with agents."""
