Let the end at a crashed target confirm no end of a stream

What callers could see: if the targets of both attempts crash right after the heads of their answers, which had no length, a resumed stream ended as complete before its last event.

Cause: the first empty end counted whatever the probe of its target found.

Change: an end at a target that the probe does not reach confirms none.

--- a/src/chicorycove/direct/answer.py
+++ b/src/chicorycove/direct/answer.py
@@ -129,7 +129,7 @@
             return []
         pause = now - request.last_progress_at
         request.last_progress_at = now
-        request.empty_end_seen = False
+        request.empty_end_target = None
         if last_event_id is not None:
             request.last_event_id = last_event_id
         commands = self._quarantine.record_progress(request, pause, now)
@@ -156,13 +156,14 @@
         request = self._board.current_request(attempt_id)
         if request is None:
             return []
-        if not has_events and not request.empty_end_seen:
-            request.empty_end_seen = True
+        target = request.attempts[-1].agent.target
+        if not has_events and request.empty_end_target is None:
+            request.empty_end_target = target
             return self._failures.confirm_empty_end(request, now)
         commands = []
         if self._quarantine.is_answer_new(request):
             self._quarantine.record_break(request, now)
-            commands = self._target_health.probe(request.attempts[-1].agent.target)
+            commands = self._target_health.probe(target)
         return commands + self._finish_request(request, now)
 
     def _begin_answer(
--- a/src/chicorycove/direct/board.py
+++ b/src/chicorycove/direct/board.py
@@ -177,8 +177,9 @@
     newest_answer_time: float = 0.0
     expects_slot: bool = False  # its target had a free slot when it was chosen
     last_event_id: int | None = None  # the last event that the caller has
-    # An attempt has ended after that event, without further ones or a length.
-    empty_end_seen: bool = False
+    # Target of an attempt that has ended after that event, without further
+    # events or a length.  It has not crashed, as far as is known.
+    empty_end_target: str | None = None
     last_progress_at: float = 0.0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     unreachable_targets: set[str] = dataclasses.field(default_factory=set)
--- a/src/chicorycove/direct/failure.py
+++ b/src/chicorycove/direct/failure.py
@@ -96,6 +96,8 @@
             return commands
         commands += self._target_health.suspect(target, now)
         for request in list(self._board.requests.values()):
+            if request.empty_end_target == target:
+                request.empty_end_target = None
             attempt = request.attempts[-1] if request.attempts else None
             if attempt is None or not is_live(attempt):
                 continue
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -90,7 +90,7 @@
         self.targets = {}  # attempt: its target
         self.refused = set()  # attempts that their targets reported as not run
         self.answered = set()
-        self.empty_ends = {}  # request: the last event of an attempt that added none
+        self.empty_ends = {}  # request: target that added none, the last event
         self.answers = {}  # attempt: its target's complete answer
         self.pending_reservations = {}  # reservation: its unanswered order
         self.held_reservations = {}  # reservation: its target, end of its lease
@@ -310,8 +310,9 @@
             return
         id = attempt.request
         last_event_id = self.last_event_ids[id]
-        confirmed = has_events or self.empty_ends.get(id) == last_event_id
-        self.empty_ends[id] = last_event_id
+        _, earlier_id = self.empty_ends.get(id, ("", None))
+        confirmed = has_events or earlier_id == last_event_id
+        self.empty_ends[id] = (self.targets[attempt], last_event_id)
         self.handle(StreamClosed(attempt, has_events))
         finished = isinstance(self.finished.get(id), FinishAnswer)
         assert finished == confirmed, "ended by the empty end of one attempt"
@@ -386,6 +387,10 @@
         target = self.pick(data, set(self.world.board.targets))
         if target is not None:
             reachable, refused = result
+            if not reachable:
+                for id, (ended_at, _) in list(self.empty_ends.items()):
+                    if ended_at == target:
+                        del self.empty_ends[id]
             if refused:
                 self.ended |= {
                     attempt
--- a/tests/test_direct_resumed_streams.py
+++ b/tests/test_direct_resumed_streams.py
@@ -13,6 +13,7 @@
     EventsRelayed,
     RequestReceived,
     StreamClosed,
+    TargetProbed,
 )
 from chicorycove.lifecycle import AnswerCompleted
 
@@ -220,6 +221,13 @@
         second = self.begin(self.close(self.create(engines=1)))
         self.assertIn("FinishAnswer", command_names(self.close(second)))
 
+    def test_end_at_a_crashed_target_confirms_none(self):
+        first = self.create()
+        second = self.begin(self.close(first))
+        self.world.handle(TargetProbed(first.target.target, False, True))
+        commands = self.close(second)
+        self.assertNotIn("FinishAnswer", command_names(commands))
+
     def test_second_target_may_have_further_events(self):
         second = self.begin(self.close(self.create()))
         self.world.handle(EventsRelayed(second.attempt, 1, 4))
