--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and a harness that several cases of the third review share."""
