--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -387,6 +387,31 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def check_cold_server(fleet: Fleet, server: PlatformServer, rate: float) -> bool:
+    """Return whether a cold server got no more than FAILBACK allows.
+
+    Counted are requests that were sent and arrived within the same second.
+    """
+    limit = rate * BOUNDS["coldOverage"] + BOUNDS["coldSlack"]
+    sent_at = {sent.attempt: sent.at for sent in fleet.sent}
+    times = [(sent_at[a.attempt], a.at) for a in server.arrivals if a.cold]
+    if not times:
+        raise CaseCannotRun("the cold server got no request at all")
+    most, when = 0, 0.0
+    for _, end in times:
+        count = sum(end - 1.0 <= sent and at <= end for sent, at in times)
+        if count > most:
+            most, when = count, end
+    answered = sum(sent.status == 200 for sent in fleet.sent)
+    fleet.record.say(f"{answered} of {len(fleet.sent)} calls were answered with 200")
+    fleet.record.write("the end of the fullest second", when)
+    fleet.record.say(
+        f"the cold server got {len(times)} requests, at most {most} of them within "
+        f"a second; the limit is {limit:g}"
+    )
+    return most <= limit
+
+
 def _find_free_ports(entry_count: int) -> list[int]:
     """Return ports for callers, readiness and peers, free on all addresses.
 
--- a/review/standins3/server.py
+++ b/review/standins3/server.py
@@ -7,6 +7,7 @@
 from . import http
 from .store import PlatformStore
 
+HEALTH_PATH = "/health"
 HEARTBEAT = 1.2  # seconds, the settings' heartbeatMs
 
 
@@ -118,6 +119,14 @@
             self.check_in()
             await asyncio.sleep(HEARTBEAT)
 
+    def _health(self) -> dict[str, str]:
+        """Return the headers of an answer to a liveness check."""
+        headers = {"Chicorycove-Instance-Id": self.id}
+        if self.cold:
+            left = self._cold_until - time.monotonic()
+            headers["Chicorycove-Cold-Ms"] = str(int(left * 1000))
+        return headers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -134,6 +143,8 @@
 
     async def _answer(self, request: http.Message) -> bytes:
         headers = request.headers
+        if request.start.split()[1] == HEALTH_PATH:
+            return http.format_answer(503 if self.leaving else 200, self._health())
         expected = headers.get("chicorycove-expect-instance", self.id)
         if expected != self.id:
             return http.format_answer(421, {"Chicorycove-Instance-Id": self.id})
