--- a/review/standins3/server.py
+++ b/review/standins3/server.py
@@ -9,6 +9,7 @@
 
 HEALTH_PATH = "/health"
 HEARTBEAT = 1.2  # seconds, the settings' heartbeatMs
+SILENT_HEARTBEATS = 3  # after which the store removes an entry
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,7 +45,9 @@
         self.leaving = False
         self.born = 0
         self.port = 0
+        self.cut_off = False  # from the store, not from the entries
         self._sequence = 0
+        self._written_at = 0.0
         self._store = store
         self._cold_until = 0.0
         self._running = 0
@@ -97,7 +100,9 @@
         self._store.remove(f"servers/{self.id}")
 
     def check_in(self) -> bool:
-        """Write the entry; return False while the store is away."""
+        """Write the entry; return False while the store isn't reached."""
+        if self.cut_off:
+            return False
         settings = self.settings
         self._sequence += 1
         cold_left = max(self._cold_until - time.monotonic(), 0.0)
@@ -112,7 +117,27 @@
             "sequence": self._sequence,
             "born": self.born,
         }
-        return self._store.put(f"servers/{self.id}", entry)
+        written = self._store.put(f"servers/{self.id}", entry)
+        if written:
+            self._written_at = time.monotonic()
+        return written
+
+    async def wait_checked_in(self) -> None:
+        """Wait until the entry has been written anew."""
+        before = self._written_at
+        while self._written_at == before:
+            await asyncio.sleep(0.01)
+
+    async def cut_from_store(self, duration: float) -> None:
+        """Cut the server off from the store, which removes a silent entry."""
+        self.cut_off = True
+        heals_at = time.monotonic() + duration
+        silent_at = self._written_at + SILENT_HEARTBEATS * HEARTBEAT
+        if silent_at < heals_at:
+            await asyncio.sleep(silent_at - time.monotonic())
+            self._store.remove(f"servers/{self.id}")
+        await asyncio.sleep(heals_at - time.monotonic())
+        self.cut_off = False
 
     async def _check_in_periodically(self) -> None:
         while True:
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -83,13 +83,6 @@
         self._away = False
         self._notify()
 
-    async def go_down(self, duration: float) -> None:
-        """Reset all connections for some seconds; nothing is lost."""
-        self._away = True
-        self._cut_connections()
-        await asyncio.sleep(duration)
-        self._away = False
-
     def _cut_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
